--- /dev/null
+++ b/cmake/pch.cc
@@ -0,0 +1,1 @@
+// Holds the precompiled header that all libraries share.
--- /dev/null
+++ b/jackdawshunt/fairness/ledger.h
@@ -0,0 +1,76 @@
+// Service received by each workspace over the fleet, as far as known here.
+// Does no I/O.
+//
+// Example:
+//   fairness::Ledger ledger("entry-1", incarnation);
+//   ledger.Charge("lodge", 120);
+//   double order = ledger.NormalisedService("lodge");
+#ifndef JACKDAWSHUNT_FAIRNESS_LEDGER_H_
+#define JACKDAWSHUNT_FAIRNESS_LEDGER_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "jackdawshunt/base/id.h"
+#include "jackdawshunt/protocol/messages.h"
+
+namespace jackdawshunt::fairness {
+
+class Ledger {
+ public:
+  Ledger(std::string origin, base::Incarnation incarnation);
+
+  // Shares divide the service; an unknown workspace has share 1.
+  void SetShare(std::string_view workspace, double share);
+
+  // Adds weighted tokens to the own counter. A correction may be negative; the
+  // own counter then falls behind the copies, so corrections are kept back
+  // until later charges cover them.
+  void Charge(std::string_view workspace, double weighted_tokens);
+
+  // Sum over all origins, divided by the share, plus the lift.
+  double NormalisedService(std::string_view workspace) const;
+
+  // Tells whether the workspace has waiting requests at this process. A
+  // workspace that becomes backlogged in the fleet is lifted.
+  void SetBacklogged(std::string_view workspace, bool backlogged);
+  bool IsBackloggedAnywhere(std::string_view workspace) const;
+
+  // Merges a peer's counters by maximum. `peer` is the sender's instance.
+  void Merge(std::string_view peer, const protocol::Counters& counters);
+  // Forgets what the peer reported as backlogged, after its connection is lost.
+  void ForgetPeer(std::string_view peer);
+
+  // All counters of all origins; for a new peer.
+  protocol::Counters Full() const;
+  // Own counters and lifts that changed since the last call of TakeChanges().
+  protocol::Counters TakeChanges();
+
+ private:
+  using OriginKey = std::pair<std::string, base::Incarnation>;
+
+  double MinimumBackloggedService(std::string_view except) const;
+  void RaiseLift(const std::string& workspace, double target);
+
+  OriginKey self_;
+  std::map<OriginKey, std::map<std::string, double, std::less<>>> counters_;
+  std::map<std::string, double, std::less<>> totals_;
+  std::map<std::string, double, std::less<>> shares_;
+  std::map<std::string, double, std::less<>> lifts_;
+  // Negative corrections not yet covered by charges.
+  std::map<std::string, double, std::less<>> held_back_;
+  std::set<std::string, std::less<>> backlogged_here_;
+  std::map<std::string, std::set<std::string, std::less<>>, std::less<>>
+      backlogged_at_peers_;
+  std::set<std::string, std::less<>> changed_;
+  std::set<std::string, std::less<>> changed_lifts_;
+  double virtual_time_ = 0;
+};
+
+}  // namespace jackdawshunt::fairness
+
+#endif  // JACKDAWSHUNT_FAIRNESS_LEDGER_H_
--- /dev/null
+++ b/jackdawshunt/platform/client.h
@@ -0,0 +1,108 @@
+// Client of the platform: object API and instance list, HTTP with JSON.
+//
+//   GET    /objects/<key>            200 {"key","version","value"}, 404
+//   PUT    /objects/<key>            body is the value; header If-Match:
+//   <version>
+//                                    ("0": must not exist; absent: any
+//                                    version); 200 {"version"}, 409
+//                                    {"version","value"}
+//   DELETE /objects/<key>            If-Match as above; 200 {"version"}, 409
+//   GET    /objects?prefix=<p>       200 {"revision","objects":[...]}
+//   GET    /watch?prefix=<p>&from=<revision>&wait_ms=<n>
+//                                    waits for a change after the revision:
+//                                    200
+//                                    {"revision","changes":[{"key","version",
+//                                    "deleted","value"}]}, empty at the time
+//                                    limit
+//   GET    /instances                200 {"instances":[...]}
+//
+// A version is the revision of the whole store at the write, so it increases
+// over all keys. Values are JSON texts of at most 1 MiB.
+//
+// Example:
+//   platform::Client client(loop, {"127.0.0.1", 9000});
+//   client.Get("config/policy/fleet", [](absl::StatusOr<platform::Object> o)
+//   {});
+//
+// Callbacks come in later turns of the loop. Errors: NotFound; Aborted (lost
+// race, nothing written); Unavailable (certainly not written); Unknown (the
+// write may have taken effect); DeadlineExceeded for reads. Not thread-safe.
+#ifndef JACKDAWSHUNT_PLATFORM_CLIENT_H_
+#define JACKDAWSHUNT_PLATFORM_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "jackdawshunt/http/http.h"
+#include "jackdawshunt/kernel/event_loop.h"
+
+namespace jackdawshunt::platform {
+
+struct Object {
+  std::string key;
+  uint64_t version = 0;
+  bool deleted = false;
+  std::string value;
+};
+
+struct Listing {
+  uint64_t revision = 0;
+  std::vector<Object> objects;  // Also the changes of a watch.
+};
+
+enum class InstanceState { kLive, kLeaving };
+
+// One row of the instance list.
+struct Instance {
+  std::string instance;
+  std::string role;  // "entry" or "side".
+  std::string region;
+  std::string data_centre;
+  http::Address process;
+  http::Address operator_address;
+  InstanceState state = InstanceState::kLive;
+};
+
+template <typename T>
+using Callback = std::function<void(absl::StatusOr<T>)>;
+
+class Client {
+ public:
+  Client(kernel::EventLoop& loop, http::Address address);
+  virtual ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  virtual void Get(const std::string& key, Callback<Object> done);
+  // `expected` 0: the key must not exist; nullopt: unconditional. Gives the new
+  // version. On Aborted, read the object to see the winner.
+  virtual void Put(const std::string& key,
+                   const std::string& value,
+                   std::optional<uint64_t> expected,
+                   Callback<uint64_t> done);
+  virtual void Delete(const std::string& key,
+                      std::optional<uint64_t> expected,
+                      Callback<uint64_t> done);
+  virtual void List(const std::string& prefix, Callback<Listing> done);
+  virtual void Watch(const std::string& prefix,
+                     uint64_t from,
+                     kernel::Duration wait,
+                     Callback<Listing> done);
+  virtual void Instances(Callback<std::vector<Instance>> done);
+
+  // Calls made so far, for the metrics.
+  uint64_t calls() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace jackdawshunt::platform
+
+#endif  // JACKDAWSHUNT_PLATFORM_CLIENT_H_
--- /dev/null
+++ b/jackdawshunt/protocol/codec.h
@@ -0,0 +1,53 @@
+// Frames: 32-bit big-endian length of kind and body, one byte of kind, body.
+//
+// Example:
+//   std::string frame = protocol::Encode(protocol::Decline{.grant = 17});
+//   protocol::Decoder decoder;
+//   decoder.Append(frame);
+//   absl::StatusOr<std::optional<protocol::Message>> next = decoder.Next();
+#ifndef JACKDAWSHUNT_PROTOCOL_CODEC_H_
+#define JACKDAWSHUNT_PROTOCOL_CODEC_H_
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "jackdawshunt/protocol/messages.h"
+
+namespace jackdawshunt::protocol {
+
+// 1 MiB of caller body and room for the fields around it.
+inline constexpr size_t kMaxFrameBytes = (1024 + 64) * 1024;
+
+enum class FrameKind : uint8_t {
+  kJsonRpc = 1,
+  kChunk = 2,
+  kCounters = 3,
+  kHandshake = 4,
+};
+
+// Returns the whole frame of a message.
+std::string Encode(const Message& message);
+
+// Splits a byte stream into messages. Not thread-safe.
+class Decoder {
+ public:
+  Decoder();
+  ~Decoder();
+
+  void Append(std::string_view bytes);
+  // Returns nullopt when more bytes are needed. Error: InvalidArgument for a
+  // frame that is too long or malformed; the connection must then be closed.
+  absl::StatusOr<std::optional<Message>> Next();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace jackdawshunt::protocol
+
+#endif  // JACKDAWSHUNT_PROTOCOL_CODEC_H_
--- /dev/null
+++ b/jackdawshunt/protocol/messages.h
@@ -0,0 +1,228 @@
+// Typed messages between the processes of the fleet. docs/design.md, section
+// 4.4, says who sends which and when.
+//
+// Example:
+//   connection.Send(protocol::Decline{.grant = 17});
+#ifndef JACKDAWSHUNT_PROTOCOL_MESSAGES_H_
+#define JACKDAWSHUNT_PROTOCOL_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "jackdawshunt/base/error.h"
+#include "jackdawshunt/base/id.h"
+
+namespace jackdawshunt::protocol {
+
+enum class Role { kEntry, kSide };
+std::string_view RoleName(Role role);
+std::optional<Role> ParseRole(std::string_view name);
+
+// Expected length of a request; each class has its own queue.
+enum class RequestClass { kShort, kLong };
+std::string_view RequestClassName(RequestClass request_class);
+std::optional<RequestClass> ParseRequestClass(std::string_view name);
+
+// Who is at the other end of an authenticated connection.
+struct PeerInfo {
+  std::string instance;
+  Role role = Role::kEntry;
+  std::string region;
+  std::string data_centre;
+  base::Incarnation incarnation;
+  std::string upstream;  // Side only: name of its upstream record.
+};
+
+struct Heartbeat {
+  uint64_t config_revision = 0;  // Highest object version in force.
+  uint64_t config_digest = 0;    // Hash over all keys and versions.
+  bool draining = false;
+  int32_t free_slots = 0;  // Side only.
+  int32_t slots = 0;       // Side only.
+  bool has_bids = false;   // Side only.
+};
+
+struct BidItem {
+  std::string workspace;
+  RequestClass request_class = RequestClass::kShort;
+  int32_t waiting = 0;
+  double service = 0;   // Normalised service (tokens per share), with the lift.
+  double estimate = 0;  // Normalised cost expected of one request.
+};
+
+// Replaces the earlier bid of the sending entry for the same model. For plain
+// services `model` is the name of the service.
+struct Bid {
+  std::string model;
+  std::vector<BidItem> items;  // Empty: withdraws the bid.
+};
+
+struct Grant {
+  uint64_t grant = 0;  // Increasing within a side incarnation, from 1.
+  std::string model;
+  std::string workspace;
+  RequestClass request_class = RequestClass::kShort;
+  int64_t valid_ms = 0;
+};
+
+enum class StartKind { kModel, kService };
+std::string_view StartKindName(StartKind kind);
+std::optional<StartKind> ParseStartKind(std::string_view name);
+
+struct Start {
+  uint64_t grant = 0;
+  base::Incarnation side_incarnation;
+  std::string request;
+  int32_t attempt = 1;
+  std::string workspace;
+  std::string model;
+  RequestClass request_class = RequestClass::kShort;
+  StartKind kind = StartKind::kModel;
+  bool repeatable = true;
+  std::string method;        // Service: HTTP method.
+  std::string path;          // Service: path and query.
+  std::string content_type;  // Of the body.
+  std::string body;
+  int64_t resume_tokens = 0;  // Model: tokens that the caller already has.
+};
+
+struct Decline {
+  uint64_t grant = 0;
+};
+
+// Asks for the outcome of a start after a broken connection.
+struct Query {
+  uint64_t grant = 0;
+  base::Incarnation side_incarnation;
+  std::string request;
+  int32_t attempt = 1;
+};
+
+// The start was not run and never will be.
+struct Refused {
+  uint64_t grant = 0;
+  std::string request;
+  int32_t attempt = 1;
+  std::string reason;
+};
+
+// The start was accepted; answers a query or an attach for a running request.
+struct Accepted {
+  std::string request;
+  int32_t attempt = 1;
+};
+
+// Binary frame. For models `offset` counts tokens and `data` is a JSON array of
+// token texts; for services `offset` counts bytes and `data` is the body part.
+struct Chunk {
+  std::string request;
+  int32_t attempt = 1;
+  int64_t offset = 0;
+  std::string data;
+};
+
+struct Done {
+  std::string request;
+  int32_t attempt = 1;
+  int64_t length = 0;  // Tokens (models) or bytes (services) of the answer.
+  int64_t input_tokens = 0;
+  int64_t output_tokens = 0;
+  std::string finish_reason;  // Models.
+  int32_t http_status = 200;  // Services.
+  std::string content_type;   // Services.
+};
+
+struct Failed {
+  std::string request;
+  int32_t attempt = 1;
+  base::ErrorKind kind = base::ErrorKind::kUpstreamFailed;
+  base::Ran ran = base::Ran::kUnknown;
+  std::string message;
+  int64_t tokens = 0;
+};
+
+struct Attach {
+  std::string request;
+  std::string workspace;
+  int64_t offset = 0;
+};
+
+struct Credit {
+  std::string request;
+  int32_t attempt = 1;
+  int64_t offset = 0;
+};
+
+struct Cancel {
+  std::string request;
+  int32_t attempt = 1;
+};
+
+struct CounterEntry {
+  std::string origin;
+  base::Incarnation incarnation;
+  std::string workspace;
+  double service = 0;  // Cumulative weighted tokens, not divided by the share.
+};
+
+struct LiftEntry {
+  std::string workspace;
+  double lift = 0;  // Normalised service.
+};
+
+// CBOR frame.
+struct Counters {
+  std::vector<CounterEntry> counters;
+  std::vector<LiftEntry> lifts;
+  std::vector<std::string> backlogged;  // At the sender, complete list.
+  double virtual_time = 0;
+};
+
+struct ConfigPull {
+  // Key and version of every record held, so that the peer sends newer ones.
+  std::vector<std::pair<std::string, uint64_t>> known;
+};
+
+struct ConfigRecord {
+  std::string key;       // "config/<kind>/<name>"
+  uint64_t version = 0;  // Object version.
+  bool deleted = false;
+  std::string value;  // JSON text; empty when deleted.
+};
+
+struct ConfigPush {
+  std::vector<ConfigRecord> records;
+};
+
+using Message = std::variant<Heartbeat,
+                             Bid,
+                             Grant,
+                             Start,
+                             Decline,
+                             Query,
+                             Refused,
+                             Accepted,
+                             Chunk,
+                             Done,
+                             Failed,
+                             Attach,
+                             Credit,
+                             Cancel,
+                             Counters,
+                             ConfigPull,
+                             ConfigPush>;
+
+// Name used in frames, logs and metrics.
+std::string_view MessageName(const Message& message);
+
+// True for the messages that carry callers' data (start, chunk, done); the rest
+// is control traffic and falls under the control budget.
+bool IsDataPath(const Message& message);
+
+}  // namespace jackdawshunt::protocol
+
+#endif  // JACKDAWSHUNT_PROTOCOL_MESSAGES_H_
--- /dev/null
+++ b/jackdawshunt/records/records.h
@@ -0,0 +1,104 @@
+// Record kinds that operators write, after parsing and validation. All schema
+// versions of a kind parse to the same struct.
+//
+// A record is JSON: {"kind": "workspace", "schema": 2, "name": "lodge",
+// "spec": {...}} and lives in the object API under config/<kind>/<name>.
+//
+// Example:
+//   absl::StatusOr<records::Record> record = records::Parse(json_text);
+#ifndef JACKDAWSHUNT_RECORDS_RECORDS_H_
+#define JACKDAWSHUNT_RECORDS_RECORDS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "absl/status/statusor.h"
+
+namespace jackdawshunt::records {
+
+enum class RecordKind { kWorkspace, kModel, kUpstream, kPolicy };
+std::string_view RecordKindName(RecordKind kind);
+std::optional<RecordKind> ParseRecordKind(std::string_view name);
+
+// A customer of the shared pool.
+struct Workspace {
+  std::string name;
+  double share = 1;  // Relative weight, above 0.
+  // SHA-256 of each accepted bearer token, 64 hexadecimal digits.
+  std::vector<std::string> token_sha256;
+  // Models and services that it may use, each with the allowed versions; an
+  // empty list allows all versions.
+  std::map<std::string, std::vector<std::string>, std::less<>> models;
+};
+
+// A model, or a plain service, that callers name in requests.
+struct Model {
+  std::string name;
+  std::vector<std::string> versions;  // Models only.
+  std::string default_version;        // Models only.
+  // Plain services only: calls by method and path prefix, longest prefix first.
+  struct Route {
+    std::string method;
+    std::string path_prefix;
+    bool repeatable = false;
+  };
+  std::vector<Route> routes;
+  bool is_service = false;
+};
+
+enum class UpstreamState { kActive, kLeaving };
+
+// A server that a side process stands beside.
+struct Upstream {
+  std::string name;
+  std::string driver;  // "engine" or "service".
+  std::vector<std::string> models;
+  int32_t slots = 1;        // Concurrent requests, 1 to 4096.
+  int32_t short_slots = 0;  // Of these, reserved for short requests.
+  UpstreamState state = UpstreamState::kActive;
+  bool checks_fencing = false;
+};
+
+// Fleet-wide policy; the record is named "fleet". A missing record means the
+// defaults below.
+struct Policy {
+  double input_weight = 0.25;  // Service per input token.
+  double output_weight = 1;    // Service per output token.
+  int64_t short_tokens = 64;   // max_tokens up to which a request is short.
+  int64_t default_max_tokens = 512;
+  int32_t max_waiting = 256;    // Per workspace and entry.
+  int64_t max_wait_ms = 30000;  // In the queue.
+  int32_t max_attempts = 3;
+  int32_t bid_fanout = 64;  // Sides at which an entry bids per model.
+  int64_t exchange_period_ms = 100;
+  std::string exchange = "mesh";
+  std::string placement = "late_binding";
+  int32_t claim_homes = 64;
+  int64_t progress_limit_ms = 10000;  // Longest silence of a running stream.
+};
+
+struct Record {
+  RecordKind kind = RecordKind::kWorkspace;
+  int32_t schema = 1;
+  std::string name;
+  std::variant<Workspace, Model, Upstream, Policy> spec;
+};
+
+// Returns every fault of a record, each as "<JSON pointer>: <value>: <what is
+// allowed>"; empty when it is valid.
+std::vector<std::string> Faults(std::string_view json_text);
+
+// Error: InvalidArgument listing every fault.
+absl::StatusOr<Record> Parse(std::string_view json_text);
+
+// Returns "config/<kind>/<name>".
+std::string KeyOf(const Record& record);
+
+}  // namespace jackdawshunt::records
+
+#endif  // JACKDAWSHUNT_RECORDS_RECORDS_H_
--- /dev/null
+++ b/jackdawshunt/settings/settings.h
@@ -0,0 +1,52 @@
+// Settings of a process: a JSON file with comments, every field checked.
+//
+// Example:
+//   absl::StatusOr<settings::Settings> settings =
+//       settings::Load("entry.json", protocol::Role::kEntry);
+#ifndef JACKDAWSHUNT_SETTINGS_SETTINGS_H_
+#define JACKDAWSHUNT_SETTINGS_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "jackdawshunt/http/http.h"
+#include "jackdawshunt/protocol/messages.h"
+
+namespace jackdawshunt::settings {
+
+// Field names in the file are those of the members.
+struct Settings {
+  std::string instance;
+  std::string region;
+  std::string data_centre;
+  std::string fleet_key;  // At least 16 characters.
+  http::Address caller;   // Entry only: "caller": "127.0.0.1:8080".
+  http::Address process;
+  http::Address operator_address;  // "operator" in the file.
+  std::string operator_token_sha256;
+  http::Address platform;
+  // Side only: the upstream beside it.
+  std::string upstream;
+  http::Address upstream_address;
+  std::string log_level = "info";
+  std::string ports_file;       // Optional; receives the bound ports as JSON.
+  int64_t drain_lag_ms = 5000;  // Entry only.
+  int64_t max_header_bytes = 16 * 1024;  // Entry only.
+  int64_t max_body_bytes = 1024 * 1024;  // Entry only.
+  int64_t stream_buffer_bytes = 256 * 1024;
+};
+
+// Returns every fault as "<file>: <JSON pointer>: <value>: <what is allowed>".
+std::vector<std::string> Faults(std::string_view file,
+                                std::string_view text,
+                                protocol::Role role);
+
+// Errors: NotFound for an unreadable file, InvalidArgument listing all faults.
+absl::StatusOr<Settings> Load(const std::string& path, protocol::Role role);
+
+}  // namespace jackdawshunt::settings
+
+#endif  // JACKDAWSHUNT_SETTINGS_SETTINGS_H_
