--- /dev/null
+++ b/jackdawshunt/fairness/exchange.h
@@ -0,0 +1,45 @@
+// How entries share their service counters. Exchanges are plug-ins.
+//
+//   none  no exchange (baseline)
+//   mesh  every entry sends its changed counters to every other entry
+//
+// Example:
+//   auto exchange = kernel::Registry<fairness::Exchange>::Create("mesh");
+//   for (const auto& send : exchange->Tick(ledger, peers)) { ... }
+#ifndef JACKDAWSHUNT_FAIRNESS_EXCHANGE_H_
+#define JACKDAWSHUNT_FAIRNESS_EXCHANGE_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jackdawshunt/fairness/ledger.h"
+#include "jackdawshunt/protocol/messages.h"
+
+namespace jackdawshunt::fairness {
+
+struct CountersTo {
+  std::string entry;  // Instance name of the receiving entry.
+  protocol::Counters counters;
+};
+
+class Exchange {
+ public:
+  virtual ~Exchange() = default;
+
+  // Called every exchange period with the connected entries.
+  virtual std::vector<CountersTo> Tick(
+      Ledger& ledger,
+      const std::vector<std::string>& peers) = 0;
+  // Called for each new connection to an entry.
+  virtual std::vector<CountersTo> Connected(Ledger& ledger,
+                                            std::string_view peer) = 0;
+  // Called for counters received from an entry.
+  virtual void Received(Ledger& ledger,
+                        std::string_view peer,
+                        const protocol::Counters& counters) = 0;
+};
+
+}  // namespace jackdawshunt::fairness
+
+#endif  // JACKDAWSHUNT_FAIRNESS_EXCHANGE_H_
--- /dev/null
+++ b/jackdawshunt/placement/strategy.h
@@ -0,0 +1,56 @@
+// How an entry finds a side for a waiting request. Strategies are plug-ins.
+//
+//   late_binding  bids at sides and waits for a grant (the default)
+//   least_loaded  pushes to the side that last reported the most free slots
+//   round_robin   pushes to the sides in turn
+//
+// The push strategies are baselines for measurements.
+//
+// Example:
+//   auto strategy =
+//   kernel::Registry<placement::Strategy>::Create("late_binding");
+#ifndef JACKDAWSHUNT_PLACEMENT_STRATEGY_H_
+#define JACKDAWSHUNT_PLACEMENT_STRATEGY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jackdawshunt::placement {
+
+// A side that serves the model, as its last heartbeat described it.
+struct Candidate {
+  std::string side;
+  std::string data_centre;
+  int32_t free_slots = 0;
+  int32_t slots = 0;
+  bool has_bids = false;
+  int32_t sent_since_heartbeat = 0;  // Starts pushed since that heartbeat.
+};
+
+class Strategy {
+ public:
+  virtual ~Strategy() = default;
+
+  // True when requests wait for grants; false when Push() sends them at once.
+  virtual bool uses_bids() const = 0;
+
+  // Sides at which the entry should hold a bid for the model, at most `fanout`
+  // (hashing on `affinity`, plus sides with free slots and no bids).
+  virtual std::vector<std::string> BidAt(
+      std::string_view affinity,
+      const std::vector<Candidate>& candidates,
+      size_t fanout) = 0;
+
+  // Side to push the next request to; nullopt when there is none.
+  virtual std::optional<std::string> Push(
+      std::string_view model,
+      const std::vector<Candidate>& candidates) = 0;
+};
+
+}  // namespace jackdawshunt::placement
+
+#endif  // JACKDAWSHUNT_PLACEMENT_STRATEGY_H_
