Add the fairness decisions: ledger, request queue, bid book, exchanges

Counters hold service that was divided by the share when it was charged: dividing the sum by the present share would let one change of a share hand out or take away all past service at once and starve the others. The bid book uses the maximum over the latest reports of all entries, so an entry with old counters does not hide newer ones.

--- a/jackdawshunt/fairness/bid_book.h
+++ b/jackdawshunt/fairness/bid_book.h
@@ -3,7 +3,7 @@
 //
 // Example:
 //   book.Replace("entry-1", bid);
-//   std::optional<fairness::Choice> choice = book.ChooseFor(slots_state);
+//   std::optional<fairness::Choice> choice = book.Choose(/*short_only=*/false);
 #ifndef JACKDAWSHUNT_FAIRNESS_BID_BOOK_H_
 #define JACKDAWSHUNT_FAIRNESS_BID_BOOK_H_
 
@@ -29,10 +29,13 @@
 
 class BidBook {
  public:
-  // Replaces the entry's bid for bid.model.
+  // Replaces the entry's bid for bid.model. The entry charges the estimate of a
+  // granted request itself, so a newer bid of it also replaces the estimates
+  // that were added for its earlier grants.
   void Replace(std::string_view entry, const protocol::Bid& bid);
+  // Forgets all that the entry reported, after its connection is lost.
   void RemoveEntry(std::string_view entry);
-  bool empty() const;
+  bool empty() const;  // No request waits in any bid.
 
   // Removes and returns one waiting request of the bid item with the lowest
   // service; ties go to the workspace that holds fewer slots, then to the entry
@@ -46,15 +49,29 @@
   void SlotReleased(std::string_view workspace);
 
  private:
-  struct Item {
-    protocol::BidItem bid;
+  using Services = std::map<std::string, double, std::less<>>;
+
+  struct Entry {
+    std::map<std::string, std::vector<protocol::BidItem>> bids;  // By model.
+    // Latest normalised service of each workspace that the entry has reported,
+    // kept after the bid is withdrawn, so that an entry with older counters
+    // does not hide it.
+    Services reported;
+    // Estimates of the grants made since the last bid.
+    Services granted;
     uint64_t last_granted = 0;
   };
-  using Key = std::pair<std::string, std::string>;  // Entry, model.
 
-  std::map<Key, std::vector<Item>> bids_;
-  // Highest normalised service known per workspace, own grants included.
-  std::map<std::string, double, std::less<>> service_;
+  void SetReported(Entry& entry, const std::string& workspace, double service);
+  void DropGranted(Entry& entry);
+  void RecomputeMaximum(const std::string& workspace);
+  double ServiceOf(const std::string& workspace) const;
+
+  std::map<std::string, Entry, std::less<>> entries_;
+  // Maximum of `reported` over the entries: counters only grow, so the highest
+  // report is the newest.
+  Services maximum_;
+  Services granted_;  // Sum of `granted` over the entries.
   std::map<std::string, int32_t, std::less<>> held_;
   uint64_t sequence_ = 0;
 };
--- /dev/null
+++ b/jackdawshunt/fairness/exchange.cc
@@ -0,0 +1,69 @@
+#include "jackdawshunt/fairness/exchange.h"
+
+#include <memory>
+
+#include "jackdawshunt/kernel/registry.h"
+
+namespace jackdawshunt::fairness {
+namespace {
+
+class NoExchange final : public Exchange {
+ public:
+  std::vector<CountersTo> Tick(Ledger& ledger,
+                               const std::vector<std::string>&) override {
+    ledger.TakeChanges();
+    return {};
+  }
+  std::vector<CountersTo> Connected(Ledger&, std::string_view) override {
+    return {};
+  }
+  void Received(Ledger&, std::string_view, const protocol::Counters&) override {
+  }
+};
+
+// Sends changes to all connected entries and everything to a new one. What is
+// lost with a connection is part of the full copy sent over the next one.
+class Mesh final : public Exchange {
+ public:
+  std::vector<CountersTo> Tick(Ledger& ledger,
+                               const std::vector<std::string>& peers) override {
+    const protocol::Counters changes = ledger.TakeChanges();
+    if (changes.counters.empty() && changes.lifts.empty() &&
+        changes.backlogged == last_backlogged_) {
+      return {};
+    }
+    last_backlogged_ = changes.backlogged;
+    std::vector<CountersTo> result;
+    result.reserve(peers.size());
+    for (const std::string& peer : peers) {
+      result.push_back({peer, changes});
+    }
+    return result;
+  }
+
+  std::vector<CountersTo> Connected(Ledger& ledger,
+                                    std::string_view peer) override {
+    std::vector<CountersTo> result;
+    result.push_back({std::string(peer), ledger.Full()});
+    return result;
+  }
+
+  void Received(Ledger& ledger,
+                std::string_view peer,
+                const protocol::Counters& counters) override {
+    ledger.Merge(peer, counters);
+  }
+
+ private:
+  std::vector<std::string> last_backlogged_;
+};
+
+const kernel::Registration<Exchange> kNone("none", [] {
+  return std::make_unique<NoExchange>();
+});
+const kernel::Registration<Exchange> kMesh("mesh", [] {
+  return std::make_unique<Mesh>();
+});
+
+}  // namespace
+}  // namespace jackdawshunt::fairness
--- a/jackdawshunt/fairness/ledger.h
+++ b/jackdawshunt/fairness/ledger.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -24,7 +25,9 @@
  public:
   Ledger(std::string origin, base::Incarnation incarnation);
 
-  // Shares divide the service; an unknown workspace has share 1.
+  // Shares divide the service at the time of the charge, so that a change of a
+  // share neither grants nor costs a workspace any service received before. An
+  // unknown workspace has share 1; a share that is not above 0 is ignored.
   void SetShare(std::string_view workspace, double share);
 
   // Adds weighted tokens to the own counter. A correction may be negative; the
@@ -32,7 +35,7 @@
   // until later charges cover them.
   void Charge(std::string_view workspace, double weighted_tokens);
 
-  // Sum over all origins, divided by the share, plus the lift.
+  // Sum over all origins plus the lift. Never decreases.
   double NormalisedService(std::string_view workspace) const;
 
   // Tells whether the workspace has waiting requests at this process. A
@@ -53,12 +56,18 @@
  private:
   using OriginKey = std::pair<std::string, base::Incarnation>;
 
-  double MinimumBackloggedService(std::string_view except) const;
+  // Lowest normalised service of the backlogged workspaces, if there are any.
+  std::optional<double> MinimumBackloggedService() const;
+  // Highest such minimum seen so far. The minimum grows between two changes of
+  // the backlogged set, so it is stored only before such a change.
+  double VirtualTime() const;
   void RaiseLift(const std::string& workspace, double target);
 
   OriginKey self_;
+  // Normalised service per origin and workspace. Rows of ended incarnations
+  // stay: their service was received and still counts.
   std::map<OriginKey, std::map<std::string, double, std::less<>>> counters_;
-  std::map<std::string, double, std::less<>> totals_;
+  std::map<std::string, double, std::less<>> totals_;  // Over all origins.
   std::map<std::string, double, std::less<>> shares_;
   std::map<std::string, double, std::less<>> lifts_;
   // Negative corrections not yet covered by charges.
--- a/jackdawshunt/fairness/request_queue.h
+++ b/jackdawshunt/fairness/request_queue.h
@@ -39,8 +39,10 @@
 
 class RequestQueue {
  public:
+  // Appends a request; ignored when its id is already waiting.
   void Add(WaitingRequest request);
-  // Puts a request back at the head, keeping its waiting time.
+  // Puts a request back at the head, keeping its waiting time; ignored when its
+  // id is already waiting.
   void AddFirst(WaitingRequest request);
   // Removes and returns the oldest request of the workspace and class.
   std::optional<WaitingRequest> Take(std::string_view model,
@@ -59,7 +61,13 @@
  private:
   using Lane = std::tuple<std::string, std::string, protocol::RequestClass>;
 
-  std::map<Lane, std::deque<WaitingRequest>> lanes_;
+  // Lane that the request is to be put into; null when it already waits.
+  std::deque<WaitingRequest>* Place(const WaitingRequest& request);
+  WaitingRequest Extract(
+      std::map<Lane, std::deque<WaitingRequest>>::iterator lane,
+      std::deque<WaitingRequest>::iterator position);
+
+  std::map<Lane, std::deque<WaitingRequest>> lanes_;  // None is empty.
   std::map<std::string, Lane, std::less<>> location_;
   std::map<std::string, int32_t, std::less<>> waiting_by_workspace_;
 };
