Add the side role

Cause: an upstream needs one door that limits what runs there and can say for certain whether a request was run.

--- /dev/null
+++ b/jackdawshunt/side/engine_driver.cc
@@ -0,0 +1,153 @@
+// Driver for model engines: OpenAI-style chat completions, always streamed.
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "jackdawshunt/kernel/registry.h"
+#include "jackdawshunt/side/http_driver.h"
+#include "jackdawshunt/side/sse_parser.h"
+#include "nlohmann/json.hpp"
+
+namespace jackdawshunt::side {
+namespace {
+
+constexpr int kHttpOk = 200;
+
+// Engines take the number of tokens that the caller already has as
+// resume_tokens and continue from there.
+std::string EngineBody(const protocol::Start& start) {
+  auto body = nlohmann::json::parse(start.body, nullptr,
+                                    /*allow_exceptions=*/false);
+  if (!body.is_object()) {
+    body = nlohmann::json::object();
+  }
+  body["stream"] = true;
+  if (start.resume_tokens > 0) {
+    body["resume_tokens"] = start.resume_tokens;
+  }
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+class EngineRun final : public Run {
+ public:
+  EngineRun(http::Client& client,
+            const http::Address& address,
+            const protocol::Start& start,
+            RunSink& sink)
+      : sink_(sink) {
+    http::Request request{.method = "POST",
+                          .path = "/v1/chat/completions",
+                          .headers = {{"Content-Type", "application/json"},
+                                      {"X-Request-Id", start.request}},
+                          .body = EngineBody(start)};
+    call_ = client.Send(
+        address, request,
+        {.on_chunk = [this](const http::Response& head,
+                            std::string_view part) { TakePart(head, part); },
+         .on_done =
+             [this](const absl::StatusOr<http::Response>& response) {
+               Finish(response);
+             }});
+  }
+
+  void Pause() override { call_->Pause(); }
+  void Resume() override { call_->Resume(); }
+
+ private:
+  void TakePart(const http::Response& head, std::string_view part) {
+    if (head.status != kHttpOk) {
+      error_body_ += part;
+      return;
+    }
+    std::vector<std::string> tokens;
+    for (const std::string& data : parser_.Append(part)) {
+      TakeEvent(data, tokens);
+    }
+    if (!tokens.empty()) {
+      output_tokens_ += static_cast<int64_t>(tokens.size());
+      sink_.OnOutput(tokens);
+    }
+  }
+
+  void TakeEvent(const std::string& data, std::vector<std::string>& tokens) {
+    if (data == "[DONE]") {
+      is_complete_ = true;
+      return;
+    }
+    const auto event =
+        nlohmann::json::parse(data, nullptr, /*allow_exceptions=*/false);
+    if (!event.is_object()) {
+      return;
+    }
+    if (const auto usage = event.find("usage");
+        usage != event.end() && usage->is_object()) {
+      result_.input_tokens = usage->value("prompt_tokens", int64_t{0});
+    }
+    const auto choices = event.find("choices");
+    if (choices == event.end() || !choices->is_array() || choices->empty()) {
+      return;
+    }
+    const nlohmann::json& choice = choices->front();
+    if (choice.contains("delta") && choice["delta"].contains("content") &&
+        choice["delta"]["content"].is_string()) {
+      tokens.push_back(choice["delta"]["content"].get<std::string>());
+    }
+    if (choice.contains("finish_reason") &&
+        choice["finish_reason"].is_string()) {
+      result_.finish_reason = choice["finish_reason"].get<std::string>();
+    }
+  }
+
+  void Finish(const absl::StatusOr<http::Response>& response) {
+    if (!response.ok()) {
+      sink_.OnFailed(FailureOf(response.status()));
+      return;
+    }
+    if (response->status != kHttpOk) {
+      sink_.OnFailed(RejectedBy(response->status));
+      return;
+    }
+    if (!is_complete_) {
+      // An engine that ends the stream without its end mark lost the request.
+      sink_.OnFailed({.message = "the engine's stream ended early"});
+      return;
+    }
+    result_.output_tokens = output_tokens_;
+    sink_.OnDone(result_);
+  }
+
+  RunFailure RejectedBy(int status) const {
+    constexpr int kFirstServerError = 500;
+    const bool is_caller_fault = status < kFirstServerError;
+    return {.kind = is_caller_fault ? base::ErrorKind::kBadRequest
+                                    : base::ErrorKind::kUpstreamFailed,
+            .ran = is_caller_fault ? base::Ran::kNo : base::Ran::kUnknown,
+            .message = absl::StrCat("the engine answered ", status, ": ",
+                                    error_body_)};
+  }
+
+  RunSink& sink_;
+  SseParser parser_;
+  RunResult result_;
+  int64_t output_tokens_ = 0;
+  bool is_complete_ = false;
+  std::string error_body_;
+  std::unique_ptr<http::Call> call_;
+};
+
+class EngineDriver final : public HttpDriver {
+ public:
+  std::unique_ptr<Run> Start(const protocol::Start& start,
+                             RunSink& sink) override {
+    return std::make_unique<EngineRun>(client(), address(), start, sink);
+  }
+};
+
+const kernel::Registration<UpstreamDriver> kEngine("engine", [] {
+  return std::make_unique<EngineDriver>();
+});
+
+}  // namespace
+}  // namespace jackdawshunt::side
--- /dev/null
+++ b/jackdawshunt/side/http_driver.h
@@ -0,0 +1,34 @@
+// What the drivers for HTTP upstreams have in common.
+#ifndef JACKDAWSHUNT_SIDE_HTTP_DRIVER_H_
+#define JACKDAWSHUNT_SIDE_HTTP_DRIVER_H_
+
+#include <memory>
+#include <optional>
+
+#include "jackdawshunt/http/client.h"
+#include "jackdawshunt/side/upstream_driver.h"
+
+namespace jackdawshunt::side {
+
+class HttpDriver : public UpstreamDriver {
+ public:
+  void Attach(kernel::EventLoop& loop, const http::Address& address) override;
+  // Reads GET /load and its boolean field "draining".
+  void CheckDraining(std::function<void(bool draining)> done) override;
+
+ protected:
+  http::Client& client() { return *client_; }
+  const http::Address& address() const { return address_; }
+
+ private:
+  std::optional<http::Client> client_;
+  http::Address address_;
+  std::unique_ptr<http::Call> load_call_;
+};
+
+// Maps a failed call: a refused connection was certainly not run.
+RunFailure FailureOf(const absl::Status& status);
+
+}  // namespace jackdawshunt::side
+
+#endif  // JACKDAWSHUNT_SIDE_HTTP_DRIVER_H_
--- /dev/null
+++ b/jackdawshunt/side/service_driver.cc
@@ -0,0 +1,76 @@
+// Driver for plain HTTP services: method, path and body as the caller sent
+// them.
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "jackdawshunt/kernel/registry.h"
+#include "jackdawshunt/side/http_driver.h"
+
+namespace jackdawshunt::side {
+namespace {
+
+class ServiceRun final : public Run {
+ public:
+  ServiceRun(http::Client& client,
+             const http::Address& address,
+             const protocol::Start& start,
+             RunSink& sink)
+      : sink_(sink) {
+    const size_t question_mark = start.path.find('?');
+    http::Request request{.method = start.method,
+                          .path = start.path.substr(0, question_mark),
+                          .headers = {{"X-Request-Id", start.request}},
+                          .body = start.body};
+    if (question_mark != std::string::npos) {
+      request.query = start.path.substr(question_mark + 1);
+    }
+    if (!start.content_type.empty()) {
+      request.headers.emplace_back("Content-Type", start.content_type);
+    }
+    call_ = client.Send(
+        address, request,
+        {.on_chunk =
+             [this](const http::Response&, std::string_view part) {
+               sink_.OnOutput({std::string(part)});
+             },
+         .on_done =
+             [this](const absl::StatusOr<http::Response>& response) {
+               Finish(response);
+             }});
+  }
+
+  void Pause() override { call_->Pause(); }
+  void Resume() override { call_->Resume(); }
+
+ private:
+  void Finish(const absl::StatusOr<http::Response>& response) {
+    if (!response.ok()) {
+      sink_.OnFailed(FailureOf(response.status()));
+      return;
+    }
+    RunResult result;
+    result.http_status = response->status;
+    result.content_type =
+        std::string(http::FindHeader(response->headers, "Content-Type"));
+    sink_.OnDone(result);
+  }
+
+  RunSink& sink_;
+  std::unique_ptr<http::Call> call_;
+};
+
+class ServiceDriver final : public HttpDriver {
+ public:
+  std::unique_ptr<Run> Start(const protocol::Start& start,
+                             RunSink& sink) override {
+    return std::make_unique<ServiceRun>(client(), address(), start, sink);
+  }
+};
+
+const kernel::Registration<UpstreamDriver> kService("service", [] {
+  return std::make_unique<ServiceDriver>();
+});
+
+}  // namespace
+}  // namespace jackdawshunt::side
--- /dev/null
+++ b/jackdawshunt/side/side_role.cc
@@ -0,0 +1,304 @@
+// The side role: wires the dispatcher to its ports and to the configuration.
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "jackdawshunt/base/id.h"
+#include "jackdawshunt/base/log.h"
+#include "jackdawshunt/configuration/store.h"
+#include "jackdawshunt/configuration/task.h"
+#include "jackdawshunt/kernel/event_loop.h"
+#include "jackdawshunt/kernel/registry.h"
+#include "jackdawshunt/kernel/role.h"
+#include "jackdawshunt/membership/view.h"
+#include "jackdawshunt/operator_api/process_metrics.h"
+#include "jackdawshunt/operator_api/server.h"
+#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/protocol/connection.h"
+#include "jackdawshunt/settings/settings.h"
+#include "jackdawshunt/side/dispatcher.h"
+#include "jackdawshunt/side/side_metrics.h"
+#include "jackdawshunt/side/upstream_driver.h"
+
+namespace jackdawshunt::side {
+namespace {
+
+// A leaving upstream gets no new work within about this time.
+constexpr kernel::Duration kDrainCheckPeriod = std::chrono::milliseconds(250);
+constexpr kernel::Duration kExitCheckPeriod = std::chrono::milliseconds(50);
+
+protocol::PeerInfo SelfOf(const settings::Settings& settings) {
+  return {.instance = settings.instance,
+          .role = protocol::Role::kSide,
+          .region = settings.region,
+          .data_centre = settings.data_centre,
+          .incarnation = base::NewIncarnation(),
+          .upstream = settings.upstream};
+}
+
+class SideProcess {
+ public:
+  explicit SideProcess(settings::Settings settings)
+      : settings_(std::move(settings)),
+        self_(SelfOf(settings_)),
+        platform_(loop_, settings_.platform),
+        configuration_(loop_, platform_, store_, view_, self_),
+        listener_(loop_, {self_, settings_.fleet_key}),
+        operator_server_(loop_, settings_.operator_token_sha256),
+        process_metrics_(operator_server_.registry()),
+        metrics_(operator_server_.registry()) {}
+
+  int Run() {
+    store_.OnChange([this] { OnConfiguration(); });
+    configuration_.Start();
+    listener_.OnConnection([this](std::shared_ptr<protocol::Connection> c) {
+      AddConnection(std::move(c));
+    });
+    operator_server_.SetReadiness([this] { return IsReady(); });
+    operator_server_.SetStatus([this] { return Status(); });
+    operator_server_.OnCollect([this] { Collect(); });
+    if (!Listen()) {
+      return 1;
+    }
+    heartbeat_timer_ =
+        loop_.Every(protocol::kHeartbeatPeriod, [this] { SendHeartbeats(); });
+    drain_timer_ =
+        loop_.Every(kDrainCheckPeriod, [this] { CheckUpstreamDraining(); });
+    loop_.OnSignal(SIGTERM, [this] { ShutDown(); });
+    loop_.OnSignal(SIGINT, [this] { ShutDown(); });
+    loop_.Run();
+    base::Log(base::LogLevel::kInfo, "stopped");
+    return 0;
+  }
+
+ private:
+  bool Listen() {
+    const auto process_port = listener_.Listen(settings_.process);
+    const auto operator_port =
+        operator_server_.Listen(settings_.operator_address);
+    if (!process_port.ok() || !operator_port.ok()) {
+      base::Log(base::LogLevel::kError, "listen_failed",
+                {{"process", process_port.status().ToString()},
+                 {"operator", operator_port.status().ToString()}});
+      return false;
+    }
+    const nlohmann::json ports = {{"process", *process_port},
+                                  {"operator", *operator_port}};
+    base::Log(base::LogLevel::kInfo, "listening", ports);
+    if (!settings_.ports_file.empty()) {
+      // Written under another name first, so that a reader never sees half.
+      const std::string partial = settings_.ports_file + ".part";
+      std::ofstream(partial) << ports.dump() << '\n';
+      std::rename(partial.c_str(), settings_.ports_file.c_str());
+    }
+    return true;
+  }
+
+  void AddConnection(std::shared_ptr<protocol::Connection> connection) {
+    connections_[connection.get()] = connection;
+    // The connection owns its handlers, which must not own it in turn.
+    const std::weak_ptr<protocol::Connection> weak = connection;
+    connection->OnClosed([this, raw = connection.get()](std::string_view why) {
+      base::Log(base::LogLevel::kInfo, "connection_closed",
+                {{"peer", raw->peer().instance}, {"why", why}});
+      if (dispatcher_ != nullptr) {
+        dispatcher_->RemoveConnection(*raw);
+      }
+      connections_.erase(raw);
+    });
+    if (dispatcher_ != nullptr) {
+      dispatcher_->AddConnection(connection);
+    }
+    connection->OnMessage([this, weak](const protocol::Message& message) {
+      if (const auto alive = weak.lock()) {
+        OnMessage(alive, message);
+      }
+    });
+    SendHeartbeat(*connection);
+  }
+
+  void OnMessage(const std::shared_ptr<protocol::Connection>& connection,
+                 const protocol::Message& message) {
+    configuration_.OnPeerMessage(connection, message);
+    if (dispatcher_ != nullptr) {
+      dispatcher_->OnMessage(connection, message);
+    }
+  }
+
+  // The driver is named by the upstream's record, so the dispatcher exists from
+  // the first configuration with that record on.
+  void OnConfiguration() {
+    if (dispatcher_ == nullptr) {
+      CreateDispatcher();
+    }
+    if (dispatcher_ != nullptr) {
+      dispatcher_->ApplyConfiguration();
+    }
+    SendHeartbeats();
+  }
+
+  void CreateDispatcher() {
+    const auto& upstreams = store_.snapshot().upstreams;
+    const auto record = upstreams.find(settings_.upstream);
+    if (record == upstreams.end()) {
+      return;
+    }
+    driver_ = kernel::Registry<UpstreamDriver>::Create(record->second.driver);
+    if (driver_ == nullptr) {
+      base::Log(base::LogLevel::kError, "unknown_driver",
+                {{"upstream", settings_.upstream},
+                 {"driver", record->second.driver}});
+      return;
+    }
+    driver_->Attach(loop_, settings_.upstream_address);
+    dispatcher_ = std::make_unique<Dispatcher>(
+        loop_, store_, *driver_,
+        DispatcherOptions{settings_.upstream, self_.incarnation,
+                          static_cast<size_t>(settings_.stream_buffer_bytes)});
+    for (const auto& [raw, connection] : connections_) {
+      dispatcher_->AddConnection(connection);
+    }
+    if (is_shutting_down_) {
+      dispatcher_->SetShuttingDown();
+    }
+  }
+
+  bool IsReady() const {
+    return configuration_.is_ready() && dispatcher_ != nullptr &&
+           !dispatcher_->is_draining();
+  }
+
+  void SendHeartbeats() {
+    for (const auto& [raw, connection] : connections_) {
+      SendHeartbeat(*connection);
+    }
+  }
+
+  void SendHeartbeat(protocol::Connection& connection) {
+    protocol::Heartbeat heartbeat;
+    configuration_.FillHeartbeat(heartbeat);
+    if (dispatcher_ != nullptr) {
+      dispatcher_->FillHeartbeat(heartbeat);
+    }
+    connection.Send(heartbeat);
+  }
+
+  void CheckUpstreamDraining() {
+    if (dispatcher_ == nullptr) {
+      return;
+    }
+    driver_->CheckDraining(
+        [this](bool draining) { dispatcher_->SetUpstreamDraining(draining); });
+  }
+
+  void ShutDown() {
+    if (std::exchange(is_shutting_down_, true)) {
+      return;
+    }
+    base::Log(base::LogLevel::kInfo, "shutting_down");
+    if (dispatcher_ != nullptr) {
+      dispatcher_->SetShuttingDown();
+    }
+    SendHeartbeats();
+    exit_timer_ = loop_.Every(kExitCheckPeriod, [this] { StopWhenIdle(); });
+  }
+
+  void StopWhenIdle() {
+    if (dispatcher_ != nullptr && !dispatcher_->is_idle()) {
+      return;
+    }
+    for (const auto& [raw, connection] : connections_) {
+      if (connection->buffered_bytes() > 0) {
+        return;
+      }
+    }
+    loop_.Stop();
+  }
+
+  void Collect() {
+    process_metrics_.Update(platform_.calls(), store_.revision());
+    if (dispatcher_ != nullptr) {
+      metrics_.Update(*dispatcher_);
+    }
+  }
+
+  nlohmann::json Status() const {
+    nlohmann::json versions = nlohmann::json::object();
+    for (const auto& [key, version] : store_.Versions()) {
+      versions[key] = version;
+    }
+    nlohmann::json rejected = nlohmann::json::array();
+    for (const auto& record : store_.rejected()) {
+      rejected.push_back({{"key", record.key},
+                          {"version", record.version},
+                          {"version_in_force", record.version_in_force},
+                          {"fault", record.fault}});
+    }
+    nlohmann::json status = {{"instance", settings_.instance},
+                             {"role", "side"},
+                             {"incarnation", self_.incarnation.ToString()},
+                             {"upstream", settings_.upstream},
+                             {"ready", IsReady()},
+                             {"revision", store_.revision()},
+                             {"versions", versions},
+                             {"rejected", rejected},
+                             {"draining", true},
+                             {"running", 0}};
+    if (dispatcher_ != nullptr) {
+      status["draining"] = dispatcher_->is_draining();
+      status["running"] = dispatcher_->running();
+      status["slots"] = dispatcher_->slots().slots();
+    }
+    return status;
+  }
+
+  const settings::Settings settings_;
+  const protocol::PeerInfo self_;
+  kernel::EventLoop loop_;
+  platform::Client platform_;
+  configuration::Store store_;
+  // Stays empty: a side takes its records from entries, so that the calls at
+  // the platform do not grow with the number of sides.
+  membership::View view_;
+  configuration::Task configuration_;
+  protocol::Listener listener_;
+  operator_api::Server operator_server_;
+  operator_api::ProcessMetrics process_metrics_;
+  SideMetrics metrics_;
+  std::unique_ptr<UpstreamDriver> driver_;
+  std::unique_ptr<Dispatcher> dispatcher_;
+  std::map<protocol::Connection*, std::shared_ptr<protocol::Connection>>
+      connections_;
+  kernel::Timer heartbeat_timer_;
+  kernel::Timer drain_timer_;
+  kernel::Timer exit_timer_;
+  bool is_shutting_down_ = false;
+};
+
+class SideRole final : public kernel::Role {
+ public:
+  int Run(const std::string& settings_path) override {
+    constexpr int kExitSettings = 2;
+    auto settings = settings::Load(settings_path, protocol::Role::kSide);
+    if (!settings.ok()) {
+      std::cerr << settings.status().message() << '\n';
+      return kExitSettings;
+    }
+    base::SetLogContext({{"instance", settings->instance}, {"role", "side"}});
+    base::SetLogLevel(base::ParseLogLevel(settings->log_level)
+                          .value_or(base::LogLevel::kInfo));
+    return SideProcess(*std::move(settings)).Run();
+  }
+};
+
+const kernel::Registration<kernel::Role> kSide("side", [] {
+  return std::make_unique<SideRole>();
+});
+
+}  // namespace
+}  // namespace jackdawshunt::side
