--- /dev/null
+++ b/jackdawshunt/http/client.cc
@@ -0,0 +1,243 @@
+#include "jackdawshunt/http/client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "jackdawshunt/http/internal/evhttp_util.h"
+
+namespace jackdawshunt::http {
+namespace {
+
+constexpr size_t kMaxResponseHeaderBytes = 64 * 1024;
+// Bound on a response that is not streamed.
+constexpr size_t kMaxResponseBodyBytes = 64 * 1024 * 1024;
+// evhttp has a time limit for each read and write and none can be switched off;
+// the time limit of a call is a timer of its own.
+constexpr int kNoLimitSeconds = 365 * 24 * 3600;
+
+// User callbacks always run from a posted function, never within evhttp's
+// calls, so they may destroy the call.
+class CallState : public std::enable_shared_from_this<CallState> {
+ public:
+  CallState(kernel::EventLoop& loop, CallOptions options)
+      : loop_(loop), options_(std::move(options)) {}
+  ~CallState() { Disconnect(); }
+  CallState(const CallState&) = delete;
+  CallState& operator=(const CallState&) = delete;
+
+  void Start(const Address& address, const Request& request);
+  void Cancel();
+  void Pause();
+  void Resume();
+
+ private:
+  void HandleChunk(evhttp_request* request);
+  void HandleResponse(evhttp_request* request);
+  void Finish(absl::StatusOr<Response> result);
+  void ScheduleDelivery();
+  void Deliver();
+  void Disconnect();
+
+  kernel::EventLoop& loop_;
+  CallOptions options_;
+  std::string target_;
+  evhttp_connection* connection_ = nullptr;
+  kernel::Timer timeout_;
+  Response head_;
+  std::string pending_;
+  std::optional<absl::StatusOr<Response>> result_;
+  bool paused_ = false;
+  bool cancelled_ = false;
+  bool scheduled_ = false;
+};
+
+void CallState::Start(const Address& address, const Request& request) {
+  target_ = address.ToString();
+  const auto method = internal::ParseMethod(request.method);
+  if (!method.has_value()) {
+    Finish(absl::InvalidArgumentError(
+        absl::StrCat("unknown HTTP method \"", request.method, "\"")));
+    return;
+  }
+  connection_ = evhttp_connection_base_bufferevent_new(
+      loop_.base(), nullptr, nullptr, address.ip.c_str(), address.port);
+  evhttp_connection_set_timeout(connection_, kNoLimitSeconds);
+  evhttp_connection_set_max_headers_size(connection_, kMaxResponseHeaderBytes);
+  if (!options_.on_chunk) {
+    evhttp_connection_set_max_body_size(connection_, kMaxResponseBodyBytes);
+  }
+  // Reads a reply that the server sent before it took the whole request.
+  evhttp_connection_set_flags(connection_, EVHTTP_CON_READ_ON_WRITE_ERROR);
+  evhttp_request* const call = evhttp_request_new(
+      [](evhttp_request* response, void* self) {
+        static_cast<CallState*>(self)->HandleResponse(response);
+      },
+      this);
+  if (options_.on_chunk) {
+    evhttp_request_set_chunked_cb(
+        call, [](evhttp_request* response, void* self) {
+          static_cast<CallState*>(self)->HandleChunk(response);
+        });
+  }
+  evkeyvalq* const headers = evhttp_request_get_output_headers(call);
+  if (FindHeader(request.headers, "Host").empty()) {
+    evhttp_add_header(headers, "Host", target_.c_str());
+  }
+  evhttp_add_header(headers, "Connection", "close");
+  internal::AddHeaders(request.headers, headers);
+  internal::AppendTo(evhttp_request_get_output_buffer(call), request.body);
+  const std::string uri =
+      absl::StrCat(request.path.empty() ? "/" : request.path,
+                   request.query.empty() ? "" : "?", request.query);
+  if (evhttp_make_request(connection_, call, *method, uri.c_str()) != 0) {
+    Finish(absl::UnavailableError(absl::StrCat("cannot connect to ", target_)));
+    return;
+  }
+  if (options_.timeout.count() > 0) {
+    timeout_ = loop_.After(options_.timeout, [this] {
+      Disconnect();
+      Finish(absl::DeadlineExceededError(
+          absl::StrCat("no complete response from ", target_, " within ",
+                       options_.timeout.count() / 1000, " ms")));
+    });
+  }
+}
+
+void CallState::HandleChunk(evhttp_request* request) {
+  if (head_.headers.empty()) {
+    head_.status = evhttp_request_get_response_code(request);
+    head_.headers =
+        internal::CopyHeaders(evhttp_request_get_input_headers(request));
+  }
+  pending_ += internal::TakeAll(evhttp_request_get_input_buffer(request));
+  if (paused_) {
+    bufferevent_disable(evhttp_connection_get_bufferevent(connection_),
+                        EV_READ);
+  }
+  ScheduleDelivery();
+}
+
+void CallState::HandleResponse(evhttp_request* request) {
+  if (request == nullptr) {
+    Finish(absl::AbortedError(
+        absl::StrCat("the connection to ", target_, " broke")));
+    return;
+  }
+  const int status = evhttp_request_get_response_code(request);
+  if (status == 0) {
+    Finish(absl::UnavailableError(absl::StrCat("cannot connect to ", target_)));
+    return;
+  }
+  Response response;
+  response.status = status;
+  response.headers =
+      internal::CopyHeaders(evhttp_request_get_input_headers(request));
+  if (!options_.on_chunk) {
+    response.body = internal::TakeAll(evhttp_request_get_input_buffer(request));
+  }
+  Finish(std::move(response));
+}
+
+void CallState::Finish(absl::StatusOr<Response> result) {
+  if (result_.has_value()) {
+    return;
+  }
+  timeout_.Cancel();
+  result_ = std::move(result);
+  ScheduleDelivery();
+}
+
+void CallState::ScheduleDelivery() {
+  if (scheduled_) {
+    return;
+  }
+  scheduled_ = true;
+  loop_.Post([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->scheduled_ = false;
+      self->Deliver();
+    }
+  });
+}
+
+void CallState::Deliver() {
+  if (cancelled_ || (paused_ && (!result_.has_value() || result_->ok()))) {
+    return;
+  }
+  if (!pending_.empty()) {
+    const std::string part = std::exchange(pending_, {});
+    options_.on_chunk(head_, part);
+  }
+  if (cancelled_ || paused_ || !pending_.empty() || !result_.has_value()) {
+    return;
+  }
+  Disconnect();
+  if (auto on_done = std::exchange(options_.on_done, nullptr)) {
+    on_done(*std::move(result_));
+  }
+}
+
+void CallState::Cancel() {
+  cancelled_ = true;
+  timeout_.Cancel();
+  Disconnect();
+}
+
+void CallState::Disconnect() {
+  if (connection_ != nullptr) {
+    evhttp_connection_free(std::exchange(connection_, nullptr));
+  }
+}
+
+void CallState::Pause() {
+  paused_ = true;
+  if (connection_ != nullptr && !result_.has_value()) {
+    bufferevent_disable(evhttp_connection_get_bufferevent(connection_),
+                        EV_READ);
+  }
+}
+
+void CallState::Resume() {
+  if (!std::exchange(paused_, false)) {
+    return;
+  }
+  if (connection_ != nullptr && !result_.has_value()) {
+    bufferevent_enable(evhttp_connection_get_bufferevent(connection_), EV_READ);
+  }
+  ScheduleDelivery();
+}
+
+class CallHandle final : public Call {
+ public:
+  explicit CallHandle(std::shared_ptr<CallState> state)
+      : state_(std::move(state)) {}
+  ~CallHandle() override { state_->Cancel(); }
+  CallHandle(const CallHandle&) = delete;
+  CallHandle& operator=(const CallHandle&) = delete;
+  void Pause() override { state_->Pause(); }
+  void Resume() override { state_->Resume(); }
+
+ private:
+  std::shared_ptr<CallState> state_;
+};
+
+}  // namespace
+
+Client::Client(kernel::EventLoop& loop) : loop_(loop) {}
+
+Client::~Client() = default;
+
+std::unique_ptr<Call> Client::Send(const Address& address,
+                                   const Request& request,
+                                   CallOptions options) {
+  auto state = std::make_shared<CallState>(loop_, std::move(options));
+  state->Start(address, request);
+  return std::make_unique<CallHandle>(std::move(state));
+}
+
+}  // namespace jackdawshunt::http
