--- a/jackdawshunt/platform/client.h
+++ b/jackdawshunt/platform/client.h
@@ -24,9 +24,16 @@
 //   client.Get("config/policy/fleet", [](absl::StatusOr<platform::Object> o)
 //   {});
 //
+// 429 and 503 mean that nothing was written; after other 5xx a write may have
+// taken effect. "value" is a JSON string that holds the stored text. An
+// instance is
+// {"instance","role","region","data_centre","process","operator","state"} with
+// addresses as "ip:port" and state "live" or "leaving".
+//
 // Callbacks come in later turns of the loop. Errors: NotFound; Aborted (lost
 // race, nothing written); Unavailable (certainly not written); Unknown (the
-// write may have taken effect); DeadlineExceeded for reads. Not thread-safe.
+// write may have taken effect); DeadlineExceeded for reads; InvalidArgument
+// (the platform refused the request, nothing written). Not thread-safe.
 #ifndef JACKDAWSHUNT_PLATFORM_CLIENT_H_
 #define JACKDAWSHUNT_PLATFORM_CLIENT_H_
 
@@ -71,9 +78,16 @@
 template <typename T>
 using Callback = std::function<void(absl::StatusOr<T>)>;
 
+// Limit of one call; a watch may take its waiting time more. A platform that
+// answers later than this counts as down.
+inline constexpr kernel::Duration kCallTimeout = std::chrono::seconds(3);
+
+// Destruction drops the calls in flight; their callbacks are not called.
 class Client {
  public:
-  Client(kernel::EventLoop& loop, http::Address address);
+  Client(kernel::EventLoop& loop,
+         http::Address address,
+         kernel::Duration timeout = kCallTimeout);
   virtual ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
--- a/jackdawshunt/records/records.h
+++ b/jackdawshunt/records/records.h
@@ -9,6 +9,7 @@
 #ifndef JACKDAWSHUNT_RECORDS_RECORDS_H_
 #define JACKDAWSHUNT_RECORDS_RECORDS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -21,6 +22,10 @@
 
 namespace jackdawshunt::records {
 
+// Longest record text. Pushes between processes carry records as escaped JSON
+// strings, which at most double the length and must fit a frame of 1 MiB.
+inline constexpr size_t kMaxRecordBytes = 256 * 1024;
+
 enum class RecordKind { kWorkspace, kModel, kUpstream, kPolicy };
 std::string_view RecordKindName(RecordKind kind);
 std::optional<RecordKind> ParseRecordKind(std::string_view name);
@@ -36,11 +41,12 @@
   std::map<std::string, std::vector<std::string>, std::less<>> models;
 };
 
-// A model, or a plain service, that callers name in requests.
+// A model, or a plain service, that callers name in requests. A record with the
+// field "routes" is a plain service.
 struct Model {
   std::string name;
   std::vector<std::string> versions;  // Models only.
-  std::string default_version;        // Models only.
+  std::string default_version;  // Models only; by default the first version.
   // Plain services only: calls by method and path prefix, longest prefix first.
   struct Route {
     std::string method;
