Add the protocol between processes

Cause: roles need typed messages over authenticated connections. Change: JSON-RPC notifications through libjsonrpccpp, binary chunks, CBOR counters, frames; listener, dialer, handshake with the fleet key, silence limit, traffic counters. Bodies and record values travel outside the JSON text (frame kind 5), because their escapes could exceed the longest frame. config_push and counters longer than a frame are sent in parts.

--- a/jackdawshunt/protocol/codec.h
+++ b/jackdawshunt/protocol/codec.h
@@ -27,6 +27,10 @@
   kChunk = 2,
   kCounters = 3,
   kHandshake = 4,
+  // 32-bit length of the JSON-RPC text, the text, the contents of its blob
+  // fields. Inside the JSON text the escapes of a body of 1 MiB could exceed
+  // the longest frame, and a body need not be UTF-8.
+  kJsonRpcWithBlob = 5,
 };
 
 // Returns the whole frame of a message.
--- a/jackdawshunt/protocol/connection.h
+++ b/jackdawshunt/protocol/connection.h
@@ -2,7 +2,7 @@
 //
 // Both ends prove that they hold the fleet key (HMAC-SHA256 over both nonces
 // and both instance names). A connection is closed when nothing arrived for
-// kSilenceLimit; the owner of a Dialer sends heartbeats.
+// kSilenceLimit; the owners at both ends send heartbeats.
 //
 // Example:
 //   protocol::Listener listener(loop, identity);
@@ -38,6 +38,15 @@
   std::string fleet_key;
 };
 
+// Limits of one connection; other values than the defaults are for tests.
+struct ConnectionLimits {
+  // Longest time without a byte from the peer, for the whole handshake, and
+  // without progress while bytes wait to be sent.
+  kernel::Duration silence = kSilenceLimit;
+  // A connection with more bytes waiting to be sent is closed.
+  size_t max_buffered_bytes = size_t{64} * 1024 * 1024;
+};
+
 // Traffic of one process, summed over its connections, for the metrics.
 struct Traffic {
   uint64_t control_bytes_sent = 0;
@@ -57,7 +66,9 @@
 
   virtual const PeerInfo& peer() const = 0;
   virtual bool is_open() const = 0;
-  // Queues a message; dropped when the connection is closed.
+  // Queues a message; dropped when the connection is closed. A config_push or
+  // counters message longer than a frame is sent in parts; any other message
+  // that does not fit is an error and closes the connection.
   virtual void Send(const Message& message) = 0;
   virtual size_t buffered_bytes() const = 0;
   // Closes; the closed callback is then called in a later turn of the loop.
@@ -74,12 +85,16 @@
  public:
   using Handler = std::function<void(std::shared_ptr<Connection>)>;
 
-  Listener(kernel::EventLoop& loop, Identity identity);
+  Listener(kernel::EventLoop& loop,
+           Identity identity,
+           ConnectionLimits limits = {});
+  // Closes all its connections.
   ~Listener();
   // Called for each connection whose peer has been authenticated.
   void OnConnection(Handler handler);
   // Returns the bound port. Error: Unavailable.
   absl::StatusOr<uint16_t> Listen(const http::Address& address);
+  // Closes the listening socket; open connections go on.
   void StopListening();
 
  private:
@@ -93,7 +108,10 @@
  public:
   using Handler = std::function<void(std::shared_ptr<Connection>)>;
 
-  Dialer(kernel::EventLoop& loop, Identity identity, http::Address address);
+  Dialer(kernel::EventLoop& loop,
+         Identity identity,
+         http::Address address,
+         ConnectionLimits limits = {});
   ~Dialer();
   // Called for each new authenticated connection.
   void OnConnection(Handler handler);
--- /dev/null
+++ b/jackdawshunt/protocol/internal/split.h
@@ -0,0 +1,22 @@
+// Parts of a message that is longer than a frame.
+#ifndef JACKDAWSHUNT_PROTOCOL_INTERNAL_SPLIT_H_
+#define JACKDAWSHUNT_PROTOCOL_INTERNAL_SPLIT_H_
+
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "jackdawshunt/protocol/messages.h"
+
+namespace jackdawshunt::protocol::internal {
+
+// Returns the frames of a message, several when it is a config_push or counters
+// message that does not fit into one; the receiver merges these entry by entry,
+// so parts have the same effect as the whole. Error: OutOfRange when a part
+// that cannot be divided does not fit.
+absl::StatusOr<std::vector<std::string>> EncodeParts(const Message& message,
+                                                     size_t max_bytes);
+
+}  // namespace jackdawshunt::protocol::internal
+
+#endif  // JACKDAWSHUNT_PROTOCOL_INTERNAL_SPLIT_H_
