--- a/jackdawshunt/configuration/store.cc
+++ b/jackdawshunt/configuration/store.cc
@@ -7,8 +7,8 @@
 #include <set>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_format.h"
 #include "jackdawshunt/base/crypto.h"
+#include "nlohmann/json.hpp"
 
 namespace jackdawshunt::configuration {
 namespace {
@@ -314,26 +314,6 @@
   return rows;
 }
 
-nlohmann::json Store::Status() const {
-  nlohmann::json records = nlohmann::json::object();
-  for (const auto& [key, held] : held_) {
-    records[key] = {{"version", held.newest.version},
-                    {"version_in_force", held.version_in_force},
-                    {"deleted", held.newest.deleted}};
-  }
-  nlohmann::json faults = nlohmann::json::array();
-  for (const RejectedRecord& row : rejected()) {
-    faults.push_back({{"key", row.key},
-                      {"version", row.version},
-                      {"version_in_force", row.version_in_force},
-                      {"fault", row.fault}});
-  }
-  return {{"revision", revision_},
-          {"digest", absl::StrFormat("%016x", digest_)},
-          {"records", std::move(records)},
-          {"rejected", std::move(faults)}};
-}
-
 void Store::OnChange(std::function<void()> callback) {
   callbacks_.push_back(std::move(callback));
 }
--- a/jackdawshunt/configuration/store.h
+++ b/jackdawshunt/configuration/store.h
@@ -25,7 +25,6 @@
 
 #include "jackdawshunt/protocol/messages.h"
 #include "jackdawshunt/records/records.h"
-#include "nlohmann/json.hpp"
 
 namespace jackdawshunt::configuration {
 
@@ -80,10 +79,6 @@
   std::vector<protocol::ConfigRecord> NewerThan(
       const std::vector<std::pair<std::string, uint64_t>>& known) const;
   std::vector<RejectedRecord> rejected() const;
-  // Part of a process's status:
-  // {"revision", "digest", "records": {key: {"version", "version_in_force",
-  // "deleted"}}, "rejected": [{"key", "version", "version_in_force", "fault"}]}
-  nlohmann::json Status() const;
 
   // Called after a merge that changed something.
   void OnChange(std::function<void()> callback);
