Give orders to engines under a lease with fencing numbers

Cause: two side processes of one upstream could both order it to load models. Change: Lease over conditional updates, Orders, load report of the drivers.

--- a/jackdawshunt/side/dispatcher_test.cc
+++ b/jackdawshunt/side/dispatcher_test.cc
@@ -63,7 +63,9 @@
     sinks.push_back(&sink);
     return std::make_unique<FakeRun>(paused);
   }
-  void CheckDraining(std::function<void(bool)>) override {}
+  void ReadLoad(
+      std::function<void(const std::optional<LoadReport>&)>) override {}
+  void LoadModel(const Order&, std::function<void(absl::Status)>) override {}
 
   std::vector<std::string> started;
   std::vector<RunSink*> sinks;
--- a/jackdawshunt/side/http_driver.cc
+++ b/jackdawshunt/side/http_driver.cc
@@ -2,21 +2,53 @@
 
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "nlohmann/json.hpp"
 
 namespace jackdawshunt::side {
 namespace {
 
 constexpr kernel::Duration kLoadTimeout = std::chrono::seconds(1);
+constexpr int kHttpOk = 200;
+constexpr int kHttpConflict = 409;
 
-bool IsDraining(const absl::StatusOr<http::Response>& response) {
-  if (!response.ok() || response->status != 200) {
-    return false;
+std::optional<LoadReport> ParseLoad(
+    const absl::StatusOr<http::Response>& response) {
+  if (!response.ok() || response->status != kHttpOk) {
+    return std::nullopt;
   }
   const auto load = nlohmann::json::parse(response->body, nullptr,
                                           /*allow_exceptions=*/false);
-  return load.is_object() && load.contains("draining") &&
-         load["draining"].is_boolean() && load["draining"].get<bool>();
+  if (!load.is_object()) {
+    return std::nullopt;
+  }
+  LoadReport report;
+  if (load.contains("draining") && load["draining"].is_boolean()) {
+    report.is_draining = load["draining"].get<bool>();
+  }
+  if (load.contains("models") && load["models"].is_array()) {
+    report.models.emplace();
+    for (const auto& model : load["models"]) {
+      if (model.is_string()) {
+        report.models->push_back(model.get<std::string>());
+      }
+    }
+  }
+  return report;
+}
+
+absl::Status OrderStatus(const absl::StatusOr<http::Response>& response) {
+  if (!response.ok()) {
+    return absl::UnavailableError(response.status().message());
+  }
+  if (response->status == kHttpConflict) {
+    return absl::FailedPreconditionError(response->body);
+  }
+  if (response->status != kHttpOk) {
+    return absl::UnavailableError(
+        absl::StrCat("the upstream answered ", response->status));
+  }
+  return absl::OkStatus();
 }
 
 }  // namespace
@@ -26,13 +58,33 @@
   address_ = address;
 }
 
-void HttpDriver::CheckDraining(std::function<void(bool draining)> done) {
+void HttpDriver::ReadLoad(
+    std::function<void(const std::optional<LoadReport>&)> done) {
   load_call_ = client().Send(
       address_, {.path = "/load"},
       {.timeout = kLoadTimeout,
        .on_done = [done = std::move(done)](
                       const absl::StatusOr<http::Response>& response) {
-         done(IsDraining(response));
+         done(ParseLoad(response));
+       }});
+}
+
+void HttpDriver::LoadModel(const Order& order,
+                           std::function<void(absl::Status)> done) {
+  const nlohmann::json body = {{"order", "load_model"},
+                               {"model", order.model},
+                               {"version", order.version},
+                               {"fencing", order.fencing}};
+  order_call_ = client().Send(
+      address_,
+      {.method = "POST",
+       .path = "/orders",
+       .headers = {{"Content-Type", "application/json"}},
+       .body = body.dump()},
+      {.timeout = kOrderTimeout,
+       .on_done = [done = std::move(done)](
+                      const absl::StatusOr<http::Response>& response) {
+         done(OrderStatus(response));
        }});
 }
 
--- a/jackdawshunt/side/http_driver.h
+++ b/jackdawshunt/side/http_driver.h
@@ -13,8 +13,13 @@
 class HttpDriver : public UpstreamDriver {
  public:
   void Attach(kernel::EventLoop& loop, const http::Address& address) override;
-  // Reads GET /load and its boolean field "draining".
-  void CheckDraining(std::function<void(bool draining)> done) override;
+  // Reads GET /load: {"draining": false, "models": ["m"]}.
+  void ReadLoad(
+      std::function<void(const std::optional<LoadReport>&)> done) override;
+  // Sends POST /orders: {"order": "load_model", "model", "version", "fencing"};
+  // status 409 means that the fencing number is refused.
+  void LoadModel(const Order& order,
+                 std::function<void(absl::Status)> done) override;
 
  protected:
   http::Client& client() { return *client_; }
@@ -24,6 +29,7 @@
   std::optional<http::Client> client_;
   http::Address address_;
   std::unique_ptr<http::Call> load_call_;
+  std::unique_ptr<http::Call> order_call_;
 };
 
 // Maps a failed call: a refused connection was certainly not run.
--- /dev/null
+++ b/jackdawshunt/side/lease.cc
@@ -0,0 +1,151 @@
+#include "jackdawshunt/side/lease.h"
+
+#include <utility>
+
+#include "jackdawshunt/base/log.h"
+#include "nlohmann/json.hpp"
+
+namespace jackdawshunt::side {
+namespace {
+
+std::string HolderOf(const platform::Object& object) {
+  const auto value = nlohmann::json::parse(object.value, nullptr,
+                                           /*allow_exceptions=*/false);
+  if (!value.is_object() || !value.contains("holder") ||
+      !value["holder"].is_string()) {
+    return {};
+  }
+  return value["holder"].get<std::string>();
+}
+
+std::string ValueFor(const std::string& holder) {
+  return nlohmann::json{{"holder", holder}}.dump();
+}
+
+}  // namespace
+
+Lease::Lease(kernel::EventLoop& loop,
+             const kernel::Clock& clock,
+             platform::Client& client,
+             std::string key,
+             std::string holder,
+             LeaseOptions options)
+    : loop_(loop),
+      clock_(clock),
+      client_(client),
+      key_(std::move(key)),
+      holder_(std::move(holder)),
+      options_(options) {}
+
+void Lease::Start() {
+  is_released_ = false;
+  timer_ = loop_.Every(options_.duration / 3, [this] { Tick(); });
+  Tick();
+}
+
+void Lease::Tick() {
+  if (is_call_pending_ || is_released_) {
+    return;
+  }
+  if (held_version_ != 0 && !unsettled_write_.has_value()) {
+    Write(held_version_);
+  } else {
+    Read();
+  }
+}
+
+std::optional<uint64_t> Lease::FencingNumber(kernel::Duration margin) const {
+  if (held_version_ == 0 || is_released_ ||
+      clock_.Now() + margin >= valid_until_) {
+    return std::nullopt;
+  }
+  return fencing_;
+}
+
+void Lease::Release() {
+  is_released_ = true;
+  timer_.Cancel();
+  const uint64_t version = std::exchange(held_version_, 0);
+  // With a renewal under way, its answer tells the version to give up.
+  if (version != 0 && !is_call_pending_) {
+    GiveUp(version);
+  }
+}
+
+void Lease::GiveUp(uint64_t version) {
+  client_.Put(key_, ValueFor(""), version,
+              [](const absl::StatusOr<uint64_t>&) {});
+}
+
+void Lease::Read() {
+  is_call_pending_ = true;
+  client_.Get(key_, [this](const absl::StatusOr<platform::Object>& object) {
+    is_call_pending_ = false;
+    if (object.ok()) {
+      Observe(*object);
+    } else if (absl::IsNotFound(object.status()) && !is_released_) {
+      unsettled_write_.reset();
+      Write(/*expected=*/0);
+    }
+  });
+}
+
+void Lease::Observe(const platform::Object& object) {
+  const std::string holder = HolderOf(object);
+  if (is_released_) {
+    return;
+  }
+  if (holder == holder_ && unsettled_write_.has_value()) {
+    OnWritten(object.version, *std::exchange(unsettled_write_, std::nullopt));
+    return;
+  }
+  unsettled_write_.reset();
+  held_version_ = 0;
+  if (object.version != observed_version_) {
+    observed_version_ = object.version;
+    observed_since_ = clock_.Now();
+  }
+  const bool has_lapsed = clock_.Now() - observed_since_ >=
+                          options_.duration + options_.takeover_delay;
+  if (holder.empty() || has_lapsed) {
+    Write(object.version);
+  }
+}
+
+void Lease::Write(uint64_t expected) {
+  is_call_pending_ = true;
+  const kernel::TimePoint sent_at = clock_.Now();
+  client_.Put(key_, ValueFor(holder_), expected,
+              [this, sent_at](const absl::StatusOr<uint64_t>& version) {
+                is_call_pending_ = false;
+                OnWritten(version, sent_at);
+              });
+}
+
+void Lease::OnWritten(const absl::StatusOr<uint64_t>& version,
+                      kernel::TimePoint sent_at) {
+  if (version.ok() && is_released_) {
+    GiveUp(*version);
+    return;
+  }
+  if (version.ok()) {
+    if (held_version_ == 0) {
+      fencing_ = *version;
+      base::Log(base::LogLevel::kInfo, "lease_acquired",
+                {{"key", key_}, {"fencing", fencing_}});
+    }
+    held_version_ = *version;
+    // Counted from the send: the write may have taken effect right then.
+    valid_until_ = sent_at + options_.duration;
+    return;
+  }
+  if (absl::IsAborted(version.status())) {
+    if (std::exchange(held_version_, 0) != 0) {
+      base::Log(base::LogLevel::kWarning, "lease_lost", {{"key", key_}});
+    }
+  } else if (absl::IsUnknown(version.status())) {
+    unsettled_write_ = sent_at;
+  }
+}
+
+}  // namespace jackdawshunt::side
--- /dev/null
+++ b/jackdawshunt/side/orders.cc
@@ -0,0 +1,108 @@
+#include "jackdawshunt/side/orders.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "jackdawshunt/base/log.h"
+
+namespace jackdawshunt::side {
+namespace {
+
+constexpr kernel::Duration kRetryDelay = std::chrono::seconds(2);
+
+// An order must not outlive the lease that it was sent under.
+constexpr kernel::Duration kLeaseDuration =
+    kOrderTimeout + std::chrono::seconds(30);
+
+}  // namespace
+
+Orders::Orders(kernel::EventLoop& loop,
+               const kernel::Clock& clock,
+               platform::Client& platform,
+               const configuration::Store& store,
+               UpstreamDriver& driver,
+               const protocol::PeerInfo& self)
+    : loop_(loop),
+      clock_(clock),
+      platform_(platform),
+      store_(store),
+      driver_(driver),
+      upstream_(self.upstream),
+      holder_(absl::StrCat(self.instance, "/", self.incarnation.ToString())) {}
+
+void Orders::TakeReport(const LoadReport& report) {
+  if (is_order_pending_ || clock_.Now() < not_before_) {
+    return;
+  }
+  std::optional<Order> order = NextOrder(report);
+  if (!order.has_value()) {
+    // Renewals at thousands of sides would use up the platform's writes.
+    Stop();
+    return;
+  }
+  const auto& upstream = store_.snapshot().upstreams.at(upstream_);
+  const kernel::Duration takeover_delay =
+      upstream.checks_fencing ? kernel::Duration(0) : kOrderTimeout;
+  if (lease_ == nullptr) {
+    lease_ = std::make_unique<Lease>(
+        loop_, clock_, platform_, "leases/" + upstream_, holder_,
+        LeaseOptions{kLeaseDuration, takeover_delay});
+  }
+  if (!lease_->is_started()) {
+    lease_->Start();
+  }
+  lease_->set_takeover_delay(takeover_delay);
+  const std::optional<uint64_t> fencing = lease_->FencingNumber(kOrderTimeout);
+  if (fencing.has_value()) {
+    order->fencing = *fencing;
+    Send(*order);
+  }
+}
+
+void Orders::Stop() {
+  if (lease_ != nullptr && lease_->is_started() && !is_order_pending_) {
+    lease_->Release();
+  }
+}
+
+std::optional<Order> Orders::NextOrder(const LoadReport& report) const {
+  const auto& snapshot = store_.snapshot();
+  const auto upstream = snapshot.upstreams.find(upstream_);
+  if (upstream == snapshot.upstreams.end() || !report.models.has_value()) {
+    return std::nullopt;
+  }
+  for (const std::string& name : upstream->second.models) {
+    const auto model = snapshot.models.find(name);
+    if (model != snapshot.models.end() && !model->second.is_service &&
+        std::find(report.models->begin(), report.models->end(), name) ==
+            report.models->end()) {
+      return Order{.model = name, .version = model->second.default_version};
+    }
+  }
+  return std::nullopt;
+}
+
+void Orders::Send(const Order& order) {
+  is_order_pending_ = true;
+  base::Log(base::LogLevel::kInfo, "placement_decision",
+            {{"order", "load_model"},
+             {"upstream", upstream_},
+             {"model", order.model},
+             {"version", order.version},
+             {"fencing", order.fencing},
+             {"why", "in the upstream's record and not loaded"}});
+  driver_.LoadModel(order, [this, order](const absl::Status& status) {
+    is_order_pending_ = false;
+    not_before_ = clock_.Now() + kRetryDelay;
+    if (!status.ok()) {
+      base::Log(base::LogLevel::kWarning, "order_failed",
+                {{"upstream", upstream_},
+                 {"model", order.model},
+                 {"fencing", order.fencing},
+                 {"why", std::string(status.message())}});
+    }
+  });
+}
+
+}  // namespace jackdawshunt::side
--- a/jackdawshunt/side/side_role.cc
+++ b/jackdawshunt/side/side_role.cc
@@ -22,6 +22,7 @@
 #include "jackdawshunt/protocol/connection.h"
 #include "jackdawshunt/settings/settings.h"
 #include "jackdawshunt/side/dispatcher.h"
+#include "jackdawshunt/side/orders.h"
 #include "jackdawshunt/side/side_metrics.h"
 #include "jackdawshunt/side/upstream_driver.h"
 
@@ -29,7 +30,7 @@
 namespace {
 
 // A leaving upstream gets no new work within about this time.
-constexpr kernel::Duration kDrainCheckPeriod = std::chrono::milliseconds(250);
+constexpr kernel::Duration kLoadPeriod = std::chrono::milliseconds(250);
 constexpr kernel::Duration kExitCheckPeriod = std::chrono::milliseconds(50);
 
 protocol::PeerInfo SelfOf(const settings::Settings& settings) {
@@ -67,8 +68,7 @@
     }
     heartbeat_timer_ =
         loop_.Every(protocol::kHeartbeatPeriod, [this] { SendHeartbeats(); });
-    drain_timer_ =
-        loop_.Every(kDrainCheckPeriod, [this] { CheckUpstreamDraining(); });
+    load_timer_ = loop_.Every(kLoadPeriod, [this] { ReadUpstreamLoad(); });
     loop_.OnSignal(SIGTERM, [this] { ShutDown(); });
     loop_.OnSignal(SIGINT, [this] { ShutDown(); });
     loop_.Run();
@@ -160,6 +160,8 @@
         loop_, store_, *driver_,
         DispatcherOptions{settings_.upstream, self_.incarnation,
                           static_cast<size_t>(settings_.stream_buffer_bytes)});
+    orders_ = std::make_unique<Orders>(loop_, loop_.clock(), platform_, store_,
+                                       *driver_, self_);
     for (const auto& [raw, connection] : connections_) {
       dispatcher_->AddConnection(connection);
     }
@@ -188,12 +190,16 @@
     connection.Send(heartbeat);
   }
 
-  void CheckUpstreamDraining() {
+  void ReadUpstreamLoad() {
     if (dispatcher_ == nullptr) {
       return;
     }
-    driver_->CheckDraining(
-        [this](bool draining) { dispatcher_->SetUpstreamDraining(draining); });
+    driver_->ReadLoad([this](const std::optional<LoadReport>& report) {
+      if (report.has_value()) {
+        dispatcher_->SetUpstreamDraining(report->is_draining);
+        orders_->TakeReport(*report);
+      }
+    });
   }
 
   void ShutDown() {
@@ -217,6 +223,9 @@
         return;
       }
     }
+    if (orders_ != nullptr) {
+      orders_->Stop();
+    }
     loop_.Stop();
   }
 
@@ -272,10 +281,11 @@
   SideMetrics metrics_;
   std::unique_ptr<UpstreamDriver> driver_;
   std::unique_ptr<Dispatcher> dispatcher_;
+  std::unique_ptr<Orders> orders_;
   std::map<protocol::Connection*, std::shared_ptr<protocol::Connection>>
       connections_;
   kernel::Timer heartbeat_timer_;
-  kernel::Timer drain_timer_;
+  kernel::Timer load_timer_;
   kernel::Timer exit_timer_;
   bool is_shutting_down_ = false;
 };
--- a/jackdawshunt/side/upstream_driver.h
+++ b/jackdawshunt/side/upstream_driver.h
@@ -12,9 +12,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "absl/status/status.h"
 #include "jackdawshunt/base/error.h"
 #include "jackdawshunt/http/client.h"
 #include "jackdawshunt/kernel/event_loop.h"
@@ -22,6 +24,10 @@
 
 namespace jackdawshunt::side {
 
+// Longest time that an order may take; also how long a new lease holder waits
+// where the upstream does not check fencing numbers.
+inline constexpr kernel::Duration kOrderTimeout = std::chrono::seconds(30);
+
 // How a run ended well.
 struct RunResult {
   int64_t input_tokens = 0;
@@ -38,6 +44,20 @@
   std::string message;
 };
 
+// What an upstream reports about itself; the report may lag.
+struct LoadReport {
+  bool is_draining = false;
+  // Models that are loaded; absent when the upstream does not tell.
+  std::optional<std::vector<std::string>> models;
+};
+
+// An order to an upstream, such as to load a model.
+struct Order {
+  std::string model;
+  std::string version;
+  uint64_t fencing = 0;  // Upstreams that check it refuse a lower one.
+};
+
 // Receives the output of one run, in later turns of the loop.
 class RunSink {
  public:
@@ -67,9 +87,14 @@
   // `sink` outlives the returned run.
   virtual std::unique_ptr<Run> Start(const protocol::Start& start,
                                      RunSink& sink) = 0;
-  // Asks whether the upstream is draining; calls back with false when it did
-  // not answer.
-  virtual void CheckDraining(std::function<void(bool draining)> done) = 0;
+  // Reads the load report; nullopt when the upstream did not answer.
+  virtual void ReadLoad(
+      std::function<void(const std::optional<LoadReport>&)> done) = 0;
+  // Orders the upstream to load a model. Errors: FailedPrecondition when the
+  // fencing number is refused, Unavailable otherwise; the order may then still
+  // take effect.
+  virtual void LoadModel(const Order& order,
+                         std::function<void(absl::Status)> done) = 0;
 };
 
 }  // namespace jackdawshunt::side
