Keep the lease's end when a renewal had no effect

Cause: after a renewal whose request was lost, the read-back saw the own holder name and counted the lease from the lost renewal, while the others counted it from the earlier write: two holders. Ruled out: a lost answer of a renewal that took effect (the version differs there). Change: an unchanged version keeps the earlier end of the lease.

--- a/jackdawshunt/side/lease.cc
+++ b/jackdawshunt/side/lease.cc
@@ -95,11 +95,18 @@
   if (is_released_) {
     return;
   }
-  if (holder == holder_ && unsettled_write_.has_value()) {
-    OnWritten(object.version, *std::exchange(unsettled_write_, std::nullopt));
+  const std::optional<kernel::TimePoint> unsettled =
+      std::exchange(unsettled_write_, std::nullopt);
+  if (holder == holder_ && object.version == held_version_) {
+    // The renewal had no effect: the others count the lease's duration from the
+    // earlier write, and so does this process.
+    Write(held_version_);
+    return;
+  }
+  if (holder == holder_ && unsettled.has_value()) {
+    OnWritten(object.version, *unsettled);
     return;
   }
-  unsettled_write_.reset();
   held_version_ = 0;
   if (object.version != observed_version_) {
     observed_version_ = object.version;
