--- /dev/null
+++ b/jackdawshunt/records/records_test.cc
@@ -0,0 +1,150 @@
+#include "jackdawshunt/records/records.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "nlohmann/json.hpp"
+
+namespace jackdawshunt::records {
+namespace {
+
+using nlohmann::json;
+using ::testing::ElementsAre;
+using ::testing::HasSubstr;
+using ::testing::StartsWith;
+
+const std::string kToken(64, 'a');
+
+json WorkspaceV1() {
+  return {{"kind", "workspace"},
+          {"schema", 1},
+          {"name", "lodge"},
+          {"spec",
+           {{"share", 2}, {"token_sha256", kToken}, {"models", {"quill"}}}}};
+}
+
+json UpstreamRecord() {
+  return {
+      {"kind", "upstream"},
+      {"schema", 1},
+      {"name", "quill-1"},
+      {"spec", {{"driver", "engine"}, {"models", {"quill"}}, {"slots", 4}}}};
+}
+
+// Guards against a migration from schema 1 to 2 that changes a workspace.
+TEST(RecordsTest, BothWorkspaceSchemasParseToTheSameWorkspace) {
+  json v2 = WorkspaceV1();
+  v2["schema"] = 2;
+  v2["spec"]["token_sha256"] = {std::string(64, 'A')};
+  v2["spec"]["models"] = {{"quill", json::array()}};
+  const auto first = Parse(WorkspaceV1().dump());
+  const auto second = Parse(v2.dump());
+  ASSERT_TRUE(first.ok() && second.ok()) << second.status();
+  const auto& a = std::get<Workspace>(first->spec);
+  const auto& b = std::get<Workspace>(second->spec);
+  EXPECT_EQ(a.name, b.name);
+  EXPECT_EQ(a.share, b.share);
+  EXPECT_EQ(a.token_sha256, b.token_sha256);
+  EXPECT_EQ(a.models, b.models);
+  EXPECT_EQ(KeyOf(*first), "config/workspace/lodge");
+}
+
+// Guards against a parser that stops at the first fault.
+TEST(RecordsTest, ReportsEveryFaultWithPointerAndValue) {
+  json record = WorkspaceV1();
+  record["spec"]["share"] = 0;
+  record["spec"]["models"] = {"quill", "no spaces"};
+  record["spec"]["colour/tint"] = "red";
+  record["extra"] = 1;
+  EXPECT_THAT(
+      Faults(record.dump()),
+      ElementsAre(StartsWith("/extra: 1: unknown field"),
+                  "/spec/share: 0: must be a number from 0.001 to 1e+06",
+                  StartsWith("/spec/models/1: \"no spaces\": must be"),
+                  StartsWith("/spec/colour~1tint: \"red\": unknown field")));
+}
+
+struct FaultCase {
+  const char* patch;  // JSON merge patch onto a valid upstream.
+  const char* fault;
+};
+
+class UpstreamFaultTest : public ::testing::TestWithParam<FaultCase> {};
+
+// Guards against a field whose type or range is not checked.
+TEST_P(UpstreamFaultTest, IsReported) {
+  json record = UpstreamRecord();
+  record.merge_patch(json::parse(GetParam().patch));
+  EXPECT_THAT(Faults(record.dump()), ElementsAre(StartsWith(GetParam().fault)));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields,
+    UpstreamFaultTest,
+    ::testing::Values(
+        FaultCase{R"({"kind": "router"})", "/kind: \"router\": must be one of"},
+        FaultCase{R"({"schema": 2})", "/schema: 2: must be an integer from 1"},
+        FaultCase{R"({"schema": "1"})", "/schema: \"1\": must be an integer"},
+        FaultCase{R"({"name": "-x"})", "/name: \"-x\": must be 1 to 64"},
+        FaultCase{R"({"name": null})", "/name: missing: must be"},
+        FaultCase{R"({"spec": 7})", "/spec: 7: must be an object"},
+        FaultCase{R"({"spec": {"driver": "x"}})", "/spec/driver: \"x\""},
+        FaultCase{R"({"spec": {"models": []}})", "/spec/models: []: must be"},
+        FaultCase{R"({"spec": {"models": ["a", "a"]}})",
+                  "/spec/models/1: \"a\": must not occur twice"},
+        FaultCase{R"({"spec": {"slots": 4097}})", "/spec/slots: 4097"},
+        FaultCase{R"({"spec": {"slots": 18446744073709551615}})",
+                  "/spec/slots: 18446744073709551615"},
+        FaultCase{R"({"spec": {"slots": 2.5}})", "/spec/slots: 2.5"},
+        // Long requests would never run.
+        FaultCase{R"({"spec": {"short_slots": 4}})", "/spec/short_slots: 4"},
+        FaultCase{R"({"spec": {"state": "gone"}})", "/spec/state: \"gone\""},
+        FaultCase{R"({"spec": {"checks_fencing": 1}})",
+                  "/spec/checks_fencing: 1: must be true or false"}));
+
+// Guards against a duplicated field that hides the operator's other value.
+TEST(RecordsTest, RejectsTextsThatAreNotOneJsonObject) {
+  EXPECT_THAT(Faults(R"({"kind": "model", "kind": "policy"})"),
+              ElementsAre(": \"kind\": must not occur twice"));
+  EXPECT_THAT(Faults("{"), ElementsAre(HasSubstr("must be JSON")));
+  EXPECT_THAT(Faults("[]"), ElementsAre(": []: must be an object"));
+  EXPECT_THAT(Faults(""), ElementsAre(HasSubstr("must be JSON")));
+  EXPECT_THAT(Faults(std::string(kMaxRecordBytes + 1, ' ')),
+              ElementsAre(HasSubstr("must be at most")));
+}
+
+// Guards against a short prefix that hides a longer one.
+TEST(RecordsTest, SortsRoutesByLengthOfThePrefix) {
+  const auto record = Parse(R"({"kind": "model", "schema": 1, "name": "desk",
+      "spec": {"routes": [
+        {"method": "GET", "path_prefix": "/"},
+        {"method": "GET", "path_prefix": "/jobs", "repeatable": true}]}})");
+  ASSERT_TRUE(record.ok()) << record.status();
+  const auto& model = std::get<Model>(record->spec);
+  EXPECT_TRUE(model.is_service);
+  EXPECT_EQ(model.routes.front().path_prefix, "/jobs");
+  EXPECT_TRUE(model.routes.front().repeatable);
+  EXPECT_FALSE(model.routes.back().repeatable);
+}
+
+TEST(RecordsTest, ModelFaults) {
+  EXPECT_THAT(Faults(R"({"kind": "model", "schema": 1, "name": "quill",
+      "spec": {"versions": ["1"], "default_version": "2"}})"),
+              ElementsAre("/spec/default_version: \"2\": must be one of the "
+                          "versions"));
+  EXPECT_THAT(Faults(R"({"kind": "model", "schema": 1, "name": "quill",
+      "spec": {"versions": ["1"],
+               "routes": [{"method": "FETCH", "path_prefix": "x"}]}})"),
+              ElementsAre(StartsWith("/spec/routes/0/method: \"FETCH\""),
+                          StartsWith("/spec/routes/0/path_prefix: \"x\""),
+                          StartsWith("/spec/versions: [\"1\"]: unknown")));
+  EXPECT_THAT(Faults(R"({"kind": "policy", "schema": 1, "name": "other",
+      "spec": {"max_attempts": 0}})"),
+              ElementsAre("/name: \"other\": must be \"fleet\" for a policy",
+                          StartsWith("/spec/max_attempts: 0: must be")));
+}
+
+}  // namespace
+}  // namespace jackdawshunt::records
