--- a/jackdawshunt/fairness/request_queue.cc
+++ b/jackdawshunt/fairness/request_queue.cc
@@ -44,11 +44,7 @@
   if (location == location_.end()) {
     return false;
   }
-  const auto lane = lanes_.find(location->second);
-  Extract(lane, std::find_if(lane->second.begin(), lane->second.end(),
-                             [request](const WaitingRequest& waiting) {
-                               return waiting.request == request;
-                             }));
+  ExtractAt(location);
   return true;
 }
 
@@ -65,12 +61,7 @@
   std::sort(expired.begin(), expired.end());
   std::vector<WaitingRequest> result;
   for (const auto& [since, request] : expired) {
-    const auto lane = lanes_.find(location_.find(request)->second);
-    result.push_back(Extract(
-        lane, std::find_if(lane->second.begin(), lane->second.end(),
-                           [&request = request](const WaitingRequest& waiting) {
-                             return waiting.request == request;
-                           })));
+    result.push_back(ExtractAt(location_.find(request)));
   }
   return result;
 }
@@ -103,9 +94,18 @@
   return result;
 }
 
+WaitingRequest RequestQueue::ExtractAt(const Locations::iterator& location) {
+  const std::string& request = location->first;
+  const auto lane = lanes_.find(location->second);
+  return Extract(lane, std::find_if(lane->second.begin(), lane->second.end(),
+                                    [&](const WaitingRequest& waiting) {
+                                      return waiting.request == request;
+                                    }));
+}
+
 WaitingRequest RequestQueue::Extract(
     std::map<Lane, std::deque<WaitingRequest>>::iterator lane,
-    std::deque<WaitingRequest>::iterator position) {
+    const std::deque<WaitingRequest>::iterator& position) {
   WaitingRequest request = std::move(*position);
   lane->second.erase(position);
   if (lane->second.empty()) {
--- a/jackdawshunt/fairness/request_queue.h
+++ b/jackdawshunt/fairness/request_queue.h
@@ -61,14 +61,17 @@
  private:
   using Lane = std::tuple<std::string, std::string, protocol::RequestClass>;
 
+  using Locations = std::map<std::string, Lane, std::less<>>;  // By request.
+
   // Lane that the request is to be put into; null when it already waits.
   std::deque<WaitingRequest>* Place(const WaitingRequest& request);
+  WaitingRequest ExtractAt(const Locations::iterator& location);
   WaitingRequest Extract(
       std::map<Lane, std::deque<WaitingRequest>>::iterator lane,
-      std::deque<WaitingRequest>::iterator position);
+      const std::deque<WaitingRequest>::iterator& position);
 
   std::map<Lane, std::deque<WaitingRequest>> lanes_;  // None is empty.
-  std::map<std::string, Lane, std::less<>> location_;
+  Locations location_;
   std::map<std::string, int32_t, std::less<>> waiting_by_workspace_;
 };
 
