--- a/jackdawshunt/http/client.cc
+++ b/jackdawshunt/http/client.cc
@@ -13,9 +13,9 @@
 namespace jackdawshunt::http {
 namespace {
 
-constexpr size_t kMaxResponseHeaderBytes = 64 * 1024;
+constexpr size_t kMaxResponseHeaderBytes = size_t{64} * 1024;
 // Bound on a response that is not streamed.
-constexpr size_t kMaxResponseBodyBytes = 64 * 1024 * 1024;
+constexpr size_t kMaxResponseBodyBytes = size_t{64} * 1024 * 1024;
 // evhttp has a time limit for each read and write and none can be switched off;
 // the time limit of a call is a timer of its own.
 constexpr int kNoLimitSeconds = 365 * 24 * 3600;
@@ -230,8 +230,6 @@
 
 Client::Client(kernel::EventLoop& loop) : loop_(loop) {}
 
-Client::~Client() = default;
-
 std::unique_ptr<Call> Client::Send(const Address& address,
                                    const Request& request,
                                    CallOptions options) {
--- a/jackdawshunt/http/client.h
+++ b/jackdawshunt/http/client.h
@@ -43,7 +43,7 @@
 class Client {
  public:
   explicit Client(kernel::EventLoop& loop);
-  ~Client();
+  ~Client() = default;
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
--- a/jackdawshunt/http/http_test.cc
+++ b/jackdawshunt/http/http_test.cc
@@ -25,7 +25,9 @@
   absl::StatusOr<Response> Fetch(const Request& request,
                                  CallOptions options = {}) {
     std::optional<absl::StatusOr<Response>> result;
-    options.on_done = [&](absl::StatusOr<Response> r) { result = r; };
+    options.on_done = [&](absl::StatusOr<Response> r) {
+      result = std::move(r);
+    };
     const auto call = client_.Send(address_, request, std::move(options));
     EXPECT_TRUE(
         loop_.RunUntil([&] { return result.has_value(); }, seconds(20)));
--- a/jackdawshunt/http/server.cc
+++ b/jackdawshunt/http/server.cc
@@ -23,11 +23,11 @@
 constexpr timeval kIdleLimit = {60, 0};
 // Bytes of pipelined requests that are read while a reply is open; reading goes
 // on at all only to notice that the caller left.
-constexpr size_t kMaxPipelinedBytes = 64 * 1024;
+constexpr size_t kMaxPipelinedBytes = size_t{64} * 1024;
 // evhttp answers a request over its own limits with its own page, so its limits
 // lie above ours and the requests between both get the page of the owner.
-constexpr size_t kHeaderHeadroom = 256 * 1024;
-constexpr size_t kBodyHeadroom = 1024 * 1024;
+constexpr size_t kHeaderHeadroom = size_t{256} * 1024;
+constexpr size_t kBodyHeadroom = size_t{1024} * 1024;
 
 // The caller's connection during one request. `request_` is valid until the
 // reply has been written or the connection closed.
--- a/jackdawshunt/http/server.h
+++ b/jackdawshunt/http/server.h
@@ -53,8 +53,8 @@
 };
 
 struct ServerLimits {
-  size_t max_header_bytes = 16 * 1024;
-  size_t max_body_bytes = 1024 * 1024;
+  size_t max_header_bytes = size_t{16} * 1024;
+  size_t max_body_bytes = size_t{1024} * 1024;
 };
 
 class Server {
--- a/jackdawshunt/operator_api/operator_api_test.cc
+++ b/jackdawshunt/operator_api/operator_api_test.cc
@@ -17,9 +17,11 @@
 
   http::Response Get(const std::string& path, http::Headers headers = {}) {
     std::optional<absl::StatusOr<http::Response>> result;
-    const auto call = client_.Send(
-        address_, {.path = path, .headers = std::move(headers)},
-        {.on_done = [&](absl::StatusOr<http::Response> r) { result = r; }});
+    const auto call =
+        client_.Send(address_, {.path = path, .headers = std::move(headers)},
+                     {.on_done = [&](absl::StatusOr<http::Response> r) {
+                       result = std::move(r);
+                     }});
     EXPECT_TRUE(loop_.RunUntil([&] { return result.has_value(); },
                                std::chrono::seconds(20)));
     return result.has_value() && result->ok() ? **result : http::Response();
--- a/jackdawshunt/operator_api/server.cc
+++ b/jackdawshunt/operator_api/server.cc
@@ -12,8 +12,8 @@
 namespace jackdawshunt::operator_api {
 namespace {
 
-constexpr http::ServerLimits kLimits = {.max_header_bytes = 16 * 1024,
-                                        .max_body_bytes = 4 * 1024};
+constexpr http::ServerLimits kLimits = {.max_header_bytes = size_t{16} * 1024,
+                                        .max_body_bytes = size_t{4} * 1024};
 
 http::Response ErrorResponse(base::ErrorKind kind, std::string_view message) {
   return {.status = base::AnswerFor(kind).http_status,
--- a/jackdawshunt/protocol/codec.h
+++ b/jackdawshunt/protocol/codec.h
@@ -20,7 +20,7 @@
 namespace jackdawshunt::protocol {
 
 // 1 MiB of caller body and room for the fields around it.
-inline constexpr size_t kMaxFrameBytes = (1024 + 64) * 1024;
+inline constexpr size_t kMaxFrameBytes = size_t{1024 + 64} * 1024;
 
 enum class FrameKind : uint8_t {
   kJsonRpc = 1,
--- a/jackdawshunt/protocol/connection_test.cc
+++ b/jackdawshunt/protocol/connection_test.cc
@@ -51,12 +51,11 @@
   ConnectBoth();
   EXPECT_EQ(accepted_->peer().instance, "b");
   EXPECT_EQ(dialed_->peer().data_centre, "tacoma-a");
-  const Traffic before = ProcessTraffic();
+  const uint64_t before = ProcessTraffic().data_bytes_received;
   dialed_->Send(Decline{.grant = 1});
   dialed_->Send(Chunk{.request = "r", .data = "x"});
-  ASSERT_TRUE(Wait([&] {
-    return ProcessTraffic().data_bytes_received > before.data_bytes_received;
-  }));
+  ASSERT_TRUE(
+      Wait([&] { return ProcessTraffic().data_bytes_received > before; }));
   std::vector<std::string> names;
   accepted_->OnMessage(
       [&](const Message& m) { names.emplace_back(MessageName(m)); });
--- a/jackdawshunt/protocol/internal/handshake.h
+++ b/jackdawshunt/protocol/internal/handshake.h
@@ -19,7 +19,7 @@
 namespace jackdawshunt::protocol::internal {
 
 // Longest handshake frame; a stranger cannot make the process buffer more.
-inline constexpr size_t kMaxHandshakeBytes = 4 * 1024;
+inline constexpr size_t kMaxHandshakeBytes = size_t{4} * 1024;
 
 enum class End { kDialer, kListener };
 
--- a/jackdawshunt/protocol/messages.h
+++ b/jackdawshunt/protocol/messages.h
@@ -35,6 +35,8 @@
   std::string data_centre;
   base::Incarnation incarnation;
   std::string upstream;  // Side only: name of its upstream record.
+
+  bool operator==(const PeerInfo&) const = default;
 };
 
 struct Heartbeat {
@@ -44,6 +46,8 @@
   int32_t free_slots = 0;  // Side only.
   int32_t slots = 0;       // Side only.
   bool has_bids = false;   // Side only.
+
+  bool operator==(const Heartbeat&) const = default;
 };
 
 struct BidItem {
@@ -52,6 +56,8 @@
   int32_t waiting = 0;
   double service = 0;   // Normalised service (tokens per share), with the lift.
   double estimate = 0;  // Normalised cost expected of one request.
+
+  bool operator==(const BidItem&) const = default;
 };
 
 // Replaces the earlier bid of the sending entry for the same model. For plain
@@ -59,6 +65,8 @@
 struct Bid {
   std::string model;
   std::vector<BidItem> items;  // Empty: withdraws the bid.
+
+  bool operator==(const Bid&) const = default;
 };
 
 struct Grant {
@@ -67,6 +75,8 @@
   std::string workspace;
   RequestClass request_class = RequestClass::kShort;
   int64_t valid_ms = 0;
+
+  bool operator==(const Grant&) const = default;
 };
 
 enum class StartKind { kModel, kService };
@@ -88,10 +98,14 @@
   std::string content_type;  // Of the body.
   std::string body;
   int64_t resume_tokens = 0;  // Model: tokens that the caller already has.
+
+  bool operator==(const Start&) const = default;
 };
 
 struct Decline {
   uint64_t grant = 0;
+
+  bool operator==(const Decline&) const = default;
 };
 
 // Asks for the outcome of a start after a broken connection.
@@ -100,6 +114,8 @@
   base::Incarnation side_incarnation;
   std::string request;
   int32_t attempt = 1;
+
+  bool operator==(const Query&) const = default;
 };
 
 // The start was not run and never will be.
@@ -108,12 +124,16 @@
   std::string request;
   int32_t attempt = 1;
   std::string reason;
+
+  bool operator==(const Refused&) const = default;
 };
 
 // The start was accepted; answers a query or an attach for a running request.
 struct Accepted {
   std::string request;
   int32_t attempt = 1;
+
+  bool operator==(const Accepted&) const = default;
 };
 
 // Binary frame. For models `offset` counts tokens and `data` is a JSON array of
@@ -123,6 +143,8 @@
   int32_t attempt = 1;
   int64_t offset = 0;
   std::string data;
+
+  bool operator==(const Chunk&) const = default;
 };
 
 struct Done {
@@ -134,6 +156,8 @@
   std::string finish_reason;  // Models.
   int32_t http_status = 200;  // Services.
   std::string content_type;   // Services.
+
+  bool operator==(const Done&) const = default;
 };
 
 struct Failed {
@@ -143,23 +167,31 @@
   base::Ran ran = base::Ran::kUnknown;
   std::string message;
   int64_t tokens = 0;
+
+  bool operator==(const Failed&) const = default;
 };
 
 struct Attach {
   std::string request;
   std::string workspace;
   int64_t offset = 0;
+
+  bool operator==(const Attach&) const = default;
 };
 
 struct Credit {
   std::string request;
   int32_t attempt = 1;
   int64_t offset = 0;
+
+  bool operator==(const Credit&) const = default;
 };
 
 struct Cancel {
   std::string request;
   int32_t attempt = 1;
+
+  bool operator==(const Cancel&) const = default;
 };
 
 struct CounterEntry {
@@ -167,11 +199,15 @@
   base::Incarnation incarnation;
   std::string workspace;
   double service = 0;  // Cumulative weighted tokens, not divided by the share.
+
+  bool operator==(const CounterEntry&) const = default;
 };
 
 struct LiftEntry {
   std::string workspace;
   double lift = 0;  // Normalised service.
+
+  bool operator==(const LiftEntry&) const = default;
 };
 
 // CBOR frame.
@@ -180,11 +216,15 @@
   std::vector<LiftEntry> lifts;
   std::vector<std::string> backlogged;  // At the sender, complete list.
   double virtual_time = 0;
+
+  bool operator==(const Counters&) const = default;
 };
 
 struct ConfigPull {
   // Key and version of every record held, so that the peer sends newer ones.
   std::vector<std::pair<std::string, uint64_t>> known;
+
+  bool operator==(const ConfigPull&) const = default;
 };
 
 struct ConfigRecord {
@@ -192,10 +232,14 @@
   uint64_t version = 0;  // Object version.
   bool deleted = false;
   std::string value;  // JSON text; empty when deleted.
+
+  bool operator==(const ConfigRecord&) const = default;
 };
 
 struct ConfigPush {
   std::vector<ConfigRecord> records;
+
+  bool operator==(const ConfigPush&) const = default;
 };
 
 using Message = std::variant<Heartbeat,
