--- a/jackdawshunt/claims/claims_test.cc
+++ b/jackdawshunt/claims/claims_test.cc
@@ -439,6 +439,24 @@
   EXPECT_EQ(AcquireNow(fleet, 1, "f").kind, VerdictKind::kRun);
 }
 
+// Guards against a release that is taken for done while the write of the claim
+// is still on its way.
+TEST(ClaimsTest, AWriteThatArrivesAfterGivingUpHasNoEffect) {
+  Fleet fleet;
+  const size_t number = fleet.Acquire(0, 0);
+  fleet.Step(0, Fate::kAnswer);     // The read.
+  fleet.Step(0, Fate::kLoseLater);  // The write stays on its way.
+  fleet.Tick(internal::kAcquireLimit);
+  EXPECT_EQ(fleet.verdicts[number]->error,
+            base::ErrorKind::kPlatformUnavailable);
+  while (fleet.pending_outcomes(0) > 0) {
+    ASSERT_GT(fleet.store.calls.size(), 1U);
+    fleet.Step(1, Fate::kAnswer);
+  }
+  fleet.Step(0, Fate::kAnswer);
+  EXPECT_EQ(fleet.Stored().size(), 0U);
+}
+
 // Guards against calls that wait for the limit one after the other while the
 // platform is known to be down.
 TEST(ClaimsTest, AKnownOutageRejectsAtOnce) {
