--- a/jackdawshunt/protocol/internal/link.cc
+++ b/jackdawshunt/protocol/internal/link.cc
@@ -66,7 +66,8 @@
       handshake_(identity, end),
       started_(loop.clock().Now()),
       last_received_(started_),
-      last_sent_(started_) {}
+      last_sent_(started_),
+      last_check_(started_) {}
 
 Link::~Link() {
   if (transport_ != nullptr) {
@@ -247,6 +248,12 @@
 void Link::CheckSilence() {
   const auto self = shared_from_this();
   const kernel::TimePoint now = loop_.clock().Now();
+  const kernel::Duration since_check = now - std::exchange(last_check_, now);
+  if (since_check > limits_.silence / 2) {
+    // This process was busy or paused, so bytes of the peer may have arrived
+    // that were not read yet.
+    return;
+  }
   if (!is_ready() && now - started_ > limits_.silence) {
     Close("no handshake within the silence limit");
   } else if (!reading_stopped_ && now - last_received_ > limits_.silence) {
--- a/jackdawshunt/protocol/internal/link.h
+++ b/jackdawshunt/protocol/internal/link.h
@@ -86,6 +86,7 @@
   kernel::TimePoint started_;
   kernel::TimePoint last_received_;
   kernel::TimePoint last_sent_;
+  kernel::TimePoint last_check_;
   bool reading_stopped_ = false;
   bool kept_scheduled_ = false;
   std::deque<Message> kept_;
