Never answer a taken start with refused, give an abandoned attempt's slot back

Cause: a second copy of a start was answered 'refused', which means not run, although the first copy ran; and a later attempt of a request at the same side dropped the earlier execution without releasing its slot. Change: a copy is answered 'accepted', an overtaken one 'outcome unknown'; a later attempt cancels the earlier one.

--- a/jackdawshunt/side/dispatcher.cc
+++ b/jackdawshunt/side/dispatcher.cc
@@ -126,6 +126,9 @@
     Refuse(*connection, start, "start made for another side incarnation");
     return;
   }
+  if (AnswerCopy(*connection, start)) {
+    return;
+  }
   if (start.grant == 0) {
     if (is_draining()) {
       Refuse(*connection, start, "draining");
@@ -153,6 +156,39 @@
   Run(connection, start);
 }
 
+bool Dispatcher::AnswerCopy(protocol::Connection& connection,
+                            const protocol::Start& start) const {
+  // "Refused" means that the request was not run, so a copy of a start that was
+  // taken must not be answered with it.
+  const auto earlier = executions_.find(start.request);
+  if (earlier != executions_.end() &&
+      earlier->second->start().attempt == start.attempt) {
+    earlier->second->Announce(connection);
+    return true;
+  }
+  const bool is_overtaken = earlier != executions_.end() &&
+                            earlier->second->start().attempt > start.attempt;
+  const bool may_have_used_grant =
+      start.grant != 0 &&
+      grants_.FateOf(start.grant, start.request) != GrantFate::kNeverUsed;
+  if (is_overtaken || may_have_used_grant) {
+    SendUnknown(connection, start.request, start.attempt);
+    return true;
+  }
+  return false;
+}
+
+void Dispatcher::SendUnknown(protocol::Connection& connection,
+                             const std::string& request,
+                             int32_t attempt) {
+  connection.Send(protocol::Failed{
+      .request = request,
+      .attempt = attempt,
+      .kind = base::ErrorKind::kOutcomeUnknown,
+      .ran = base::Ran::kUnknown,
+      .message = "the side does not know the outcome of this request"});
+}
+
 void Dispatcher::Handle(const ConnectionPtr& connection,
                         const protocol::Decline& decline) {
   (void)connection;
@@ -193,12 +229,7 @@
                                        .reason = "start not received"});
     return;
   }
-  connection->Send(protocol::Failed{
-      .request = query.request,
-      .attempt = query.attempt,
-      .kind = base::ErrorKind::kOutcomeUnknown,
-      .ran = base::Ran::kUnknown,
-      .message = "the side does not know the outcome of this request"});
+  SendUnknown(*connection, query.request, query.attempt);
 }
 
 void Dispatcher::Handle(const ConnectionPtr& connection,
@@ -319,8 +350,11 @@
           .on_turned_long = [this] { slots_.TurnLong(); },
           .on_ended = [this, request] { OnExecutionEnded(request); }});
   Execution& running = *execution;
-  // An earlier attempt of the same request has ended: the entry starts another
-  // only after that.
+  if (Execution* const earlier = Find(request)) {
+    // The entry lost sight of its earlier attempt here. Cancelling it gives its
+    // slot back.
+    earlier->Cancel();
+  }
   executions_[request] = std::move(execution);
   running.AttachTo(connection, start.resume_tokens);
   running.Begin(driver_);
--- a/jackdawshunt/side/dispatcher.h
+++ b/jackdawshunt/side/dispatcher.h
@@ -102,6 +102,12 @@
   bool StartPushed();
   bool GrantNext();
   void Run(const ConnectionPtr& connection, const protocol::Start& start);
+  // Answers a start that was taken before; false when this one is new.
+  bool AnswerCopy(protocol::Connection& connection,
+                  const protocol::Start& start) const;
+  static void SendUnknown(protocol::Connection& connection,
+                          const std::string& request,
+                          int32_t attempt);
   void Refuse(protocol::Connection& connection,
               const protocol::Start& start,
               std::string_view reason);
