Answer requests over a limit with the owner's page

Cause: evhttp 2.1 answers an oversized header with 400 and writes its own HTML page for oversized and malformed requests; it has no hook for them. Change: the server counts the header's bytes and replaces evhttp's page in the output buffer before anything is sent, with 431, 413 or 400. Result: http_test, 9 tests passed; before the change the three new tests failed for a header of 3 MB, a body of 5 MB and malformed requests.

--- a/jackdawshunt/http/http_test.cc
+++ b/jackdawshunt/http/http_test.cc
@@ -1,8 +1,14 @@
+#include <arpa/inet.h>
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "jackdawshunt/http/client.h"
 #include "jackdawshunt/http/server.h"
@@ -12,6 +18,48 @@
 
 using std::chrono::seconds;
 
+// A caller under the control of the test, byte by byte.
+class RawCaller {
+ public:
+  explicit RawCaller(uint16_t port)
+      : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(port)};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(
+        connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+        0);
+    fcntl(fd_, F_SETFL, fcntl(fd_, F_GETFL) | O_NONBLOCK);
+  }
+  ~RawCaller() { close(fd_); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  // Sends as much as the buffers take at the moment; false when all was sent
+  // or the server has closed.
+  bool SendSome(std::string& bytes) {
+    const ssize_t size = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (size < 0) {
+      return errno == EAGAIN;
+    }
+    bytes.erase(0, static_cast<size_t>(size));
+    return !bytes.empty();
+  }
+  // Takes what has arrived; true once the server has closed.
+  bool IsClosed() {
+    char bytes[65536];
+    const ssize_t size = recv(fd_, bytes, sizeof(bytes), 0);
+    if (size > 0) {
+      received_.append(bytes, static_cast<size_t>(size));
+    }
+    return size == 0 || (size < 0 && errno != EAGAIN);
+  }
+  const std::string& received() const { return received_; }
+
+ private:
+  int fd_;
+  std::string received_;
+};
+
 // A server and a client in one loop.
 class HttpTest : public testing::Test {
  protected:
@@ -34,6 +82,20 @@
     return result.value_or(absl::InternalError("no result"));
   }
 
+  // Sends raw bytes and returns what the server answers until it closes.
+  std::string Talk(std::string bytes) {
+    RawCaller caller(address_.port);
+    bool sending = true;
+    EXPECT_TRUE(loop_.RunUntil(
+        [&] {
+          sending = sending && caller.SendSome(bytes);
+          return caller.IsClosed();
+        },
+        seconds(20)))
+        << caller.received();
+    return caller.received();
+  }
+
   kernel::EventLoop loop_;
   Server server_{loop_, {.max_header_bytes = 4096, .max_body_bytes = 100000}};
   Client client_{loop_};
@@ -114,5 +176,69 @@
             absl::StatusCode::kDeadlineExceeded);
 }
 
+bool Has(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+std::string RequestWithHeader(size_t header_bytes) {
+  return "GET / HTTP/1.1\r\nX-Long: " + std::string(header_bytes, 'x') +
+         "\r\n\r\n";
+}
+
+std::string RequestWithBody(size_t body_bytes) {
+  return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_bytes) +
+         "\r\n\r\n" + std::string(body_bytes, 'x');
+}
+
+class HttpLimitTest : public HttpTest {
+ protected:
+  HttpLimitTest() {
+    server_.SetHandler([this](const std::shared_ptr<Exchange>& exchange) {
+      ++handled_;
+      exchange->Reply({.headers = {{"Connection", "close"}}, .body = "ok"});
+    });
+  }
+  int handled_ = 0;
+};
+
+// Guards against an answer that names the wrong limit or lacks the owner's page
+// when a request is just over or far over the limit.
+TEST_F(HttpLimitTest, OversizedHeaderGets431) {
+  EXPECT_TRUE(Has(Talk(RequestWithHeader(3000)), "HTTP/1.1 200"));
+  for (const size_t bytes : {5000, 100'000, 3'000'000}) {
+    const std::string answer = Talk(RequestWithHeader(bytes));
+    EXPECT_TRUE(Has(answer, "HTTP/1.1 431")) << bytes << answer;
+    EXPECT_TRUE(Has(answer, "page 431")) << bytes << answer;
+  }
+  EXPECT_EQ(handled_, 1);
+  EXPECT_EQ(server_.open_exchanges(), 0);
+}
+
+TEST_F(HttpLimitTest, OversizedBodyGets413) {
+  EXPECT_TRUE(Has(Talk(RequestWithBody(90'000)), "HTTP/1.1 200"));
+  for (const size_t bytes : {110'000, 5'000'000}) {
+    const std::string answer = Talk(RequestWithBody(bytes));
+    EXPECT_TRUE(Has(answer, "HTTP/1.1 413")) << bytes << answer;
+    EXPECT_TRUE(Has(answer, "page 413")) << bytes << answer;
+  }
+  const std::string chunked =
+      Talk("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4c4b40\r\n" +
+           std::string(5'000'000, 'x') + "\r\n0\r\n\r\n");
+  EXPECT_TRUE(Has(chunked, "page 413")) << chunked;
+  EXPECT_EQ(handled_, 1);
+  EXPECT_EQ(server_.open_exchanges(), 0);
+}
+
+TEST_F(HttpLimitTest, MalformedRequestGets400) {
+  for (const char* const text :
+       {"nonsense\r\n\r\n", "GET / HTTP/1.1\r\nno colon\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n"}) {
+    const std::string answer = Talk(text);
+    EXPECT_TRUE(Has(answer, "HTTP/1.1 400")) << text << answer;
+    EXPECT_TRUE(Has(answer, "page 400")) << text << answer;
+  }
+  EXPECT_EQ(handled_, 0);
+}
+
 }  // namespace
 }  // namespace jackdawshunt::http
--- a/jackdawshunt/http/server.cc
+++ b/jackdawshunt/http/server.cc
@@ -4,7 +4,6 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
-#include <event2/http_struct.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -14,6 +13,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "jackdawshunt/base/log.h"
+#include "jackdawshunt/http/internal/error_pages.h"
 #include "jackdawshunt/http/internal/evhttp_util.h"
 
 namespace jackdawshunt::http {
@@ -24,10 +24,6 @@
 // Bytes of pipelined requests that are read while a reply is open; reading goes
 // on at all only to notice that the caller left.
 constexpr size_t kMaxPipelinedBytes = size_t{64} * 1024;
-// evhttp answers a request over its own limits with its own page, so its limits
-// lie above ours and the requests between both get the page of the owner.
-constexpr size_t kHeaderHeadroom = size_t{256} * 1024;
-constexpr size_t kBodyHeadroom = size_t{1024} * 1024;
 
 // The caller's connection during one request. `request_` is valid until the
 // reply has been written or the connection closed.
@@ -35,10 +31,12 @@
  public:
   using Remove = std::function<void(Stream*)>;
 
-  Stream(kernel::EventLoop& loop, evhttp_request* request, Remove remove);
+  Stream(kernel::EventLoop& loop,
+         internal::ErrorPages& error_pages,
+         evhttp_request* request,
+         Remove remove);
 
   const Request& request() const { return copy_; }
-  size_t header_bytes() const { return header_bytes_; }
   bool is_open() const { return request_ != nullptr; }
   bool is_answered() const { return started_; }
   void Reply(const Response& response);
@@ -64,15 +62,15 @@
   }
   void WatchForClose();
   void HandleComplete();
-  void HandleClosed();
+  void HandleClosed(evhttp_connection* closed);
   void HandleWritten();
   void Forget();
 
   kernel::EventLoop& loop_;
+  internal::ErrorPages& error_pages_;
   evhttp_request* request_;
   Remove remove_;
   Request copy_;
-  size_t header_bytes_ = 0;
   bool started_ = false;
   bool ended_ = false;
   bool closed_early_ = false;
@@ -95,12 +93,15 @@
   return copy;
 }
 
-Stream::Stream(kernel::EventLoop& loop, evhttp_request* request, Remove remove)
+Stream::Stream(kernel::EventLoop& loop,
+               internal::ErrorPages& error_pages,
+               evhttp_request* request,
+               Remove remove)
     : loop_(loop),
+      error_pages_(error_pages),
       request_(request),
       remove_(std::move(remove)),
-      copy_(CopyRequest(request)),
-      header_bytes_(request->headers_size) {
+      copy_(CopyRequest(request)) {
   evhttp_request_set_on_complete_cb(
       request,
       [](evhttp_request*, void* self) {
@@ -109,10 +110,11 @@
       this);
   evhttp_connection_set_closecb(
       connection(),
-      [](evhttp_connection*, void* self) {
-        static_cast<Stream*>(self)->HandleClosed();
+      [](evhttp_connection* closed, void* self) {
+        static_cast<Stream*>(self)->HandleClosed(closed);
       },
       this);
+  error_pages_.BeginExchange(transport());
   WatchForClose();
 }
 
@@ -134,14 +136,15 @@
 }
 
 void Stream::HandleComplete() {
-  evhttp_connection_set_closecb(connection(), nullptr, nullptr);
+  error_pages_.EndExchange(transport(), connection());
   bufferevent_setwatermark(transport(), EV_READ, 0, 0);
   bufferevent_set_timeouts(transport(), &kIdleLimit, &kIdleLimit);
   request_ = nullptr;
   Forget();
 }
 
-void Stream::HandleClosed() {
+void Stream::HandleClosed(evhttp_connection* closed) {
+  error_pages_.Forget(evhttp_connection_get_bufferevent(closed));
   // evhttp frees a request whose reply was ended, and leaves the others.
   if (!ended_) {
     evhttp_request_free(request_);
@@ -232,6 +235,7 @@
     return;
   }
   evhttp_connection* const doomed = connection();
+  error_pages_.Forget(transport());
   Detach();
   Forget();
   evhttp_connection_free(doomed);
@@ -321,14 +325,12 @@
 
   void HandleRequest(evhttp_request* request);
   void Dispatch(const std::shared_ptr<Stream>& stream);
-  void ReplyError(Stream& stream, int status) const;
 
   kernel::EventLoop& loop;
-  ServerLimits limits;
+  internal::ErrorPages error_pages;
   evhttp* http;
   evhttp_bound_socket* socket = nullptr;
   Handler handler;
-  std::function<Response(int status)> error_page;
   std::unordered_map<Stream*, std::shared_ptr<Stream>> streams;
   // Expires with the server, so that posted calls do not outlive it.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -336,12 +338,12 @@
 
 Server::Impl::Impl(kernel::EventLoop& event_loop, ServerLimits server_limits)
     : loop(event_loop),
-      limits(server_limits),
+      error_pages(server_limits.max_header_bytes),
       http(evhttp_new(event_loop.base())) {
   evhttp_set_max_headers_size(
-      http, static_cast<ev_ssize_t>(limits.max_header_bytes + kHeaderHeadroom));
+      http, static_cast<ev_ssize_t>(server_limits.max_header_bytes));
   evhttp_set_max_body_size(
-      http, static_cast<ev_ssize_t>(limits.max_body_bytes + kBodyHeadroom));
+      http, static_cast<ev_ssize_t>(server_limits.max_body_bytes));
   evhttp_set_default_content_type(http, nullptr);
   evhttp_set_timeout_tv(http, &kIdleLimit);
   evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
@@ -351,6 +353,12 @@
   // Otherwise the reset of a connection with unread data could overtake the
   // reply 413.
   evhttp_set_flags(http, EVHTTP_SERVER_LINGERING_CLOSE);
+  evhttp_set_bevcb(
+      http,
+      [](event_base* base, void* self) {
+        return static_cast<Impl*>(self)->error_pages.NewTransport(base);
+      },
+      this);
   evhttp_set_gencb(
       http,
       [](evhttp_request* request, void* self) {
@@ -368,8 +376,9 @@
 }
 
 void Server::Impl::HandleRequest(evhttp_request* request) {
-  auto stream = std::make_shared<Stream>(
-      loop, request, [this](Stream* gone) { streams.erase(gone); });
+  auto stream =
+      std::make_shared<Stream>(loop, error_pages, request,
+                               [this](Stream* gone) { streams.erase(gone); });
   streams.emplace(stream.get(), stream);
   // The handler runs outside evhttp's calls, so it may end the connection.
   loop.Post([this, stream, weak = std::weak_ptr<bool>(alive)] {
@@ -383,28 +392,13 @@
   if (!stream->is_open()) {
     return;
   }
-  if (stream->header_bytes() > limits.max_header_bytes) {
-    ReplyError(*stream, 431);
-  } else if (stream->request().body.size() > limits.max_body_bytes) {
-    ReplyError(*stream, 413);
-  } else if (handler) {
+  if (handler) {
     handler(std::make_shared<ExchangeHandle>(stream));
   } else {
     stream->Reply({.status = 503});
   }
 }
 
-void Server::Impl::ReplyError(Stream& stream, int status) const {
-  base::Log(base::LogLevel::kInfo, "request_over_limit",
-            {{"status", status},
-             {"header_bytes", stream.header_bytes()},
-             {"body_bytes", stream.request().body.size()}});
-  Response response = error_page ? error_page(status) : Response();
-  response.status = status;
-  response.headers.emplace_back("Connection", "close");
-  stream.Reply(response);
-}
-
 Server::Server(kernel::EventLoop& loop, ServerLimits limits)
     : impl_(std::make_unique<Impl>(loop, limits)) {}
 
@@ -415,7 +409,7 @@
 }
 
 void Server::SetErrorPage(std::function<Response(int status)> page) {
-  impl_->error_page = std::move(page);
+  impl_->error_pages.SetPage(std::move(page));
 }
 
 absl::StatusOr<uint16_t> Server::Listen(const Address& address) {
