--- /dev/null
+++ b/jackdawshunt/entry/charging_test.cc
@@ -0,0 +1,79 @@
+#include "jackdawshunt/entry/charging.h"
+
+#include "gtest/gtest.h"
+#include "jackdawshunt/entry/service_rate.h"
+
+namespace jackdawshunt::entry {
+namespace {
+
+class ChargingTest : public testing::Test {
+ protected:
+  double Service() const { return ledger_.NormalisedService("lodge"); }
+
+  fairness::Ledger ledger_{"entry-1", {.start_us = 1}};
+  Charging charging_{ledger_};
+  // Input costs 0.25 and output 1 per token.
+  const records::Policy policy_;
+};
+
+// Guards against requests that count as free until they end.
+TEST_F(ChargingTest, EstimateIsChargedAtTheStart) {
+  charging_.Start("lodge", 160, 100, policy_);
+  EXPECT_DOUBLE_EQ(Service(), 40 * 0.25 + 100);
+}
+
+// Guards against output beyond the estimate that is charged only at the end.
+TEST_F(ChargingTest, OutputBeyondTheEstimateIsChargedAsItPasses) {
+  Charge charge = charging_.Start("lodge", 0, 10, policy_);
+  charging_.Pass(charge, 5, policy_);
+  EXPECT_DOUBLE_EQ(Service(), 10);
+  charging_.Pass(charge, 25, policy_);
+  EXPECT_DOUBLE_EQ(Service(), 25);
+}
+
+// Guards against an estimate that stays after the cost is known: the surplus
+// covers the next charge.
+TEST_F(ChargingTest, ActualCostReplacesTheEstimate) {
+  Charge charge = charging_.Start("lodge", 0, 100, policy_);
+  charging_.Finish(charge, 8, 30, policy_);
+  EXPECT_DOUBLE_EQ(charge.charged, 32);
+  charging_.Start("lodge", 0, 100, policy_);  // Estimate 30 by the average.
+  EXPECT_DOUBLE_EQ(Service(), 100);
+}
+
+// Guards against a charge for a request that was not run.
+TEST_F(ChargingTest, CancelledChargeIsTakenBack) {
+  Charge charge = charging_.Start("lodge", 0, 100, policy_);
+  charging_.Cancel(charge);
+  charging_.Start("lodge", 0, 100, policy_);
+  EXPECT_DOUBLE_EQ(Service(), 100);
+}
+
+// Guards against hints of max_tokens that make a workspace of short answers
+// look costly.
+TEST_F(ChargingTest, EstimateIsBoundedByTheAverageOutput) {
+  Charge charge = charging_.Start("lodge", 0, 100, policy_);
+  charging_.Finish(charge, 0, 20, policy_);
+  EXPECT_DOUBLE_EQ(charging_.Estimate("lodge", 0, 1000, policy_), 20);
+  EXPECT_DOUBLE_EQ(charging_.Estimate("lodge", 0, 5, policy_), 5);
+  EXPECT_DOUBLE_EQ(charging_.Estimate("hall", 0, 1000, policy_), 1000);
+}
+
+// Guards against Retry-After values that ignore how fast the queue moves.
+TEST(ServiceRateTest, RetryAfterFollowsTheRecentRate) {
+  kernel::ManualClock clock;
+  ServiceRate rate;
+  EXPECT_EQ(rate.RetryAfter(0, clock.Now()), std::chrono::seconds(1));
+  EXPECT_EQ(rate.RetryAfter(1000, clock.Now()), std::chrono::seconds(60));
+  for (int i = 0; i < 1000; ++i) {
+    rate.Count(clock.Now());
+    clock.Advance(std::chrono::milliseconds(100));
+  }
+  EXPECT_NEAR(rate.PerSecond(clock.Now()), 10, 0.2);
+  EXPECT_EQ(rate.RetryAfter(99, clock.Now()), std::chrono::seconds(10));
+  clock.Advance(std::chrono::minutes(2));
+  EXPECT_EQ(rate.RetryAfter(99, clock.Now()), std::chrono::seconds(60));
+}
+
+}  // namespace
+}  // namespace jackdawshunt::entry
--- /dev/null
+++ b/jackdawshunt/entry/dispatcher.cc
@@ -0,0 +1,333 @@
+#include "jackdawshunt/entry/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "jackdawshunt/base/crypto.h"
+#include "jackdawshunt/base/log.h"
+#include "jackdawshunt/kernel/registry.h"
+
+namespace jackdawshunt::entry {
+namespace {
+
+// Prompts that share this many bytes go to the same sides, for their caches.
+constexpr size_t kAffinityBytes = 256;
+
+}  // namespace
+
+Dispatcher::Dispatcher(const kernel::Clock& clock,
+                       const protocol::PeerInfo& self,
+                       const configuration::Store& store,
+                       Metrics& metrics,
+                       DispatcherPorts ports)
+    : clock_(clock),
+      store_(store),
+      metrics_(metrics),
+      ports_(std::move(ports)),
+      ledger_(self.instance, self.incarnation),
+      charging_(ledger_) {
+  OnConfiguration();
+}
+
+void Dispatcher::OnConfiguration() {
+  const configuration::Snapshot& snapshot = store_.snapshot();
+  for (const auto& [name, workspace] : snapshot.workspaces) {
+    ledger_.SetShare(name, workspace.share);
+  }
+  if (strategy_name_ != policy().placement) {
+    strategy_name_ = policy().placement;
+    strategy_ = kernel::Registry<placement::Strategy>::Create(strategy_name_);
+  }
+  if (exchange_name_ != policy().exchange) {
+    exchange_name_ = policy().exchange;
+    exchange_ = kernel::Registry<fairness::Exchange>::Create(exchange_name_);
+    for (const std::string& peer : peer_entries_) {
+      SendCounters(exchange_->Connected(ledger_, peer));
+    }
+  }
+  RefreshBids();
+}
+
+void Dispatcher::OnCallerEvent(const CallerEvent& event) {
+  std::visit([this](const auto& content) { Handle(content); }, event);
+}
+
+void Dispatcher::Handle(const Submit& submit) {
+  const kernel::TimePoint now = clock_.Now();
+  const auto [position, is_new] = calls_.try_emplace(
+      submit.request, ActiveCall{.call = Call(submit, now), .submitted = now});
+  ActiveCall& active = position->second;
+  active.consumed = active.credited = submit.resume_tokens;
+  if (!is_new) {
+    return;
+  }
+  if (IsFull(submit.workspace)) {
+    Fail(active, base::ErrorKind::kQueueFull, base::Ran::kNo,
+         "the workspace has too many waiting requests");
+    return;
+  }
+  if (!submit.repeatable && !submit.idempotency_key.empty()) {
+    active.call.SetClaiming();
+    AcquireClaim(submit);
+    return;
+  }
+  Enqueue(active, /*is_first=*/false);
+}
+
+void Dispatcher::AcquireClaim(const Submit& submit) {
+  const claims::ClaimRequest claim{
+      .workspace = submit.workspace,
+      .key = submit.idempotency_key,
+      .request = submit.request,
+      .fingerprint = base::Sha256Hex(submit.method + "\n" + submit.model +
+                                     "\n" + submit.path + "\n" + submit.body)};
+  ports_.acquire_claim(
+      claim, [this, request = submit.request](const claims::Verdict& verdict) {
+        OnVerdict(request, verdict);
+      });
+}
+
+void Dispatcher::OnVerdict(const std::string& request,
+                           const claims::Verdict& verdict) {
+  ActiveCall* const active = Find(request);
+  if (active == nullptr) {
+    return;
+  }
+  if (verdict.kind == claims::VerdictKind::kReplay) {
+    ports_.answer(ServiceReply{.request = request,
+                               .http_status = verdict.answer.http_status,
+                               .content_type = verdict.answer.content_type,
+                               .body = verdict.answer.body,
+                               .is_replay = true,
+                               .has_body = verdict.answer.has_body});
+    metrics_.CountOutcome("replayed");
+    Erase(*active);
+    return;
+  }
+  if (verdict.kind == claims::VerdictKind::kRejected) {
+    Fail(*active, verdict.error, base::AnswerFor(verdict.error).ran,
+         "the call with this Idempotency-Key was not started");
+    return;
+  }
+  active->has_claim = true;
+  if (active->left_at) {
+    Abandon(*active);
+  } else if (IsFull(active->call.spec().workspace)) {
+    Fail(*active, base::ErrorKind::kQueueFull, base::Ran::kNo,
+         "the workspace has too many waiting requests");
+  } else {
+    Enqueue(*active, /*is_first=*/false);
+  }
+}
+
+void Dispatcher::Handle(const Join& join) {
+  const kernel::TimePoint now = clock_.Now();
+  if (ActiveCall* const active = Find(join.request)) {
+    if (active->call.spec().workspace != join.workspace) {
+      // The front lets nobody replace a connected caller of another workspace,
+      // so this answer reaches the one who asked.
+      ports_.answer(Failure{.request = join.request,
+                            .kind = base::ErrorKind::kNotFound,
+                            .ran = base::Ran::kNo,
+                            .message = "no such stream"});
+      return;
+    }
+    active->left_at.reset();
+    active->consumed = active->credited = join.offset;
+    const CallState before = active->call.state();
+    active->call.Rejoin(join.offset, now);
+    if (before == CallState::kStarted || before == CallState::kRunning) {
+      Apply(*active, {.step = NextStep::kAttach});
+    }
+    if (active->call.is_at_side()) {
+      ports_.answer(Opened{join.request, active->call.side()});
+    }
+    return;
+  }
+  ActiveCall& active =
+      calls_
+          .try_emplace(join.request,
+                       ActiveCall{.call = Call(join, now), .submitted = now})
+          .first->second;
+  active.consumed = active.credited = active.attempt_base = join.offset;
+  if (const protocol::PeerInfo* const side = sides_.FindUp(join.side)) {
+    Apply(active, active.call.OnLinkUp(side->incarnation, Limits(), now));
+  }
+}
+
+void Dispatcher::Handle(const Consumed& consumed) {
+  if (ActiveCall* const active = Find(consumed.request)) {
+    // Enough tokens per message that credits stay a small part of the traffic;
+    // Tick() sends the rest.
+    constexpr int64_t kCreditStep = 32;
+    active->consumed = std::max(active->consumed, consumed.offset);
+    active->call.SetConsumed(consumed.offset);
+    if (active->consumed - active->credited >= kCreditStep) {
+      SendCredit(*active);
+    }
+  }
+}
+
+void Dispatcher::Handle(const Left& left) {
+  ActiveCall* const active = Find(left.request);
+  if (active == nullptr || active->left_at) {
+    return;
+  }
+  active->left_at = clock_.Now();
+  const Submit& spec = active->call.spec();
+  const CallState state = active->call.state();
+  const bool may_resume =
+      spec.kind == protocol::StartKind::kModel && spec.is_stream;
+  if (state == CallState::kWaiting ||
+      (active->call.is_at_side() && spec.repeatable && !may_resume)) {
+    Abandon(*active);
+  }
+}
+
+bool Dispatcher::IsFull(std::string_view workspace) const {
+  return queue_.WaitingOf(workspace) >= policy().max_waiting;
+}
+
+void Dispatcher::Enqueue(ActiveCall& active, bool is_first) {
+  const Submit& spec = active.call.spec();
+  active.call.SetWaiting();
+  if (active.queued == kernel::TimePoint{}) {
+    active.queued = clock_.Now();
+  }
+  fairness::WaitingRequest waiting{
+      .request = spec.request,
+      .model = spec.model,
+      .workspace = spec.workspace,
+      .request_class = spec.request_class,
+      .estimate = charging_.Estimate(spec.workspace, spec.body.size(),
+                                     spec.max_tokens, policy()),
+      .since = active.queued};
+  const bool had_backlog = !queue_.BacklogOf(spec.model).empty();
+  if (is_first) {
+    queue_.AddFirst(std::move(waiting));
+  } else {
+    queue_.Add(std::move(waiting));
+  }
+  bidder_.SetAffinity(spec.model,
+                      spec.model + "\n" + spec.body.substr(0, kAffinityBytes));
+  const std::string model = spec.model;  // A push may end the call.
+  OnBacklogChanged(model, spec.workspace);
+  if (!strategy_->uses_bids()) {
+    PushWaiting(model);
+  } else if (!had_backlog) {
+    for (LinkCommand& bid : bidder_.FlushModel(model, Inputs())) {
+      ports_.send(std::move(bid));
+    }
+  }
+}
+
+void Dispatcher::OnBacklogChanged(const std::string& model,
+                                  std::string_view workspace) {
+  ledger_.SetBacklogged(workspace, queue_.WaitingOf(workspace) > 0);
+  bidder_.MarkChanged(model);
+  ports_.schedule_flush();
+}
+
+BidInputs Dispatcher::Inputs() {
+  return {.queue = queue_,
+          .ledger = ledger_,
+          .sides = sides_,
+          .snapshot = store_.snapshot(),
+          .strategy = *strategy_,
+          .now = clock_.Now()};
+}
+
+void Dispatcher::FlushBids() {
+  if (!strategy_->uses_bids()) {
+    PushAll();
+    return;
+  }
+  for (LinkCommand& bid : bidder_.Flush(Inputs())) {
+    ports_.send(std::move(bid));
+  }
+}
+
+void Dispatcher::RefreshBids() {
+  if (queue_.size() > 0) {
+    bidder_.MarkAll(queue_);
+    ports_.schedule_flush();
+  }
+}
+
+void Dispatcher::PushAll() {
+  for (const std::string& model : queue_.Models()) {
+    PushWaiting(model);
+  }
+}
+
+void Dispatcher::PushWaiting(const std::string& model) {
+  while (true) {
+    const std::vector<fairness::Backlog> backlogs = queue_.BacklogOf(model);
+    if (backlogs.empty()) {
+      return;
+    }
+    const std::optional<std::string> name = strategy_->Push(
+        model, sides_.CandidatesFor(model, store_.snapshot(), clock_.Now()));
+    const protocol::PeerInfo* const side =
+        name ? sides_.FindUp(*name) : nullptr;
+    if (side == nullptr) {
+      return;
+    }
+    const std::optional<fairness::WaitingRequest> next = queue_.Take(
+        model, backlogs.front().workspace, backlogs.front().request_class);
+    ActiveCall* const active = next ? Find(next->request) : nullptr;
+    if (active == nullptr) {
+      return;
+    }
+    Start(*active, *side, /*grant=*/0, strategy_name_);
+    sides_.CountStart(side->instance);
+    OnBacklogChanged(model, next->workspace);
+  }
+}
+
+void Dispatcher::Tick() {
+  const kernel::TimePoint now = clock_.Now();
+  const kernel::Duration max_wait =
+      std::chrono::milliseconds(policy().max_wait_ms);
+  for (const fairness::WaitingRequest& late :
+       queue_.TakeOlderThan(now - max_wait)) {
+    OnBacklogChanged(late.model, late.workspace);
+    if (ActiveCall* const active = Find(late.request)) {
+      Apply(*active, active->call.OnWaitLimit());
+    }
+  }
+  std::vector<std::string> requests;
+  requests.reserve(calls_.size());
+  for (const auto& [request, active] : calls_) {
+    requests.push_back(request);
+  }
+  for (const std::string& request : requests) {
+    ActiveCall* const active = Find(request);
+    if (active == nullptr) {
+      continue;
+    }
+    SendCredit(*active);
+    if (active->left_at && now - *active->left_at >= kResumeGrace &&
+        active->call.is_at_side() && active->call.spec().repeatable) {
+      Abandon(*active);
+    } else {
+      Apply(*active, active->call.OnTick(Limits(), now));
+    }
+  }
+}
+
+void Dispatcher::ExchangeCounters() {
+  SendCounters(exchange_->Tick(
+      ledger_,
+      std::vector<std::string>(peer_entries_.begin(), peer_entries_.end())));
+  RefreshBids();
+}
+
+size_t Dispatcher::running() const {
+  return static_cast<size_t>(std::count_if(
+      calls_.begin(), calls_.end(),
+      [](const auto& entry) { return entry.second.call.is_at_side(); }));
+}
+
+}  // namespace jackdawshunt::entry
--- /dev/null
+++ b/jackdawshunt/entry/dispatcher_calls.cc
@@ -0,0 +1,215 @@
+// How the dispatcher carries out the decisions of calls, and how calls end.
+#include <utility>
+
+#include "jackdawshunt/base/log.h"
+#include "jackdawshunt/entry/dispatcher.h"
+
+namespace jackdawshunt::entry {
+
+CallLimits Dispatcher::Limits() const {
+  return {
+      .max_attempts = policy().max_attempts,
+      .progress_limit = std::chrono::milliseconds(policy().progress_limit_ms)};
+}
+
+Dispatcher::ActiveCall* Dispatcher::Find(std::string_view request) {
+  const auto found = calls_.find(request);
+  return found == calls_.end() ? nullptr : &found->second;
+}
+
+Dispatcher::ActiveCall* Dispatcher::FindAt(std::string_view request,
+                                           std::string_view side) {
+  ActiveCall* const active = Find(request);
+  const bool is_there = active != nullptr && active->call.is_at_side() &&
+                        active->call.side() == side;
+  return is_there ? active : nullptr;
+}
+
+void Dispatcher::Apply(ActiveCall& active, const Decision& decision) {
+  const Call& call = active.call;
+  switch (decision.step) {
+    case NextStep::kNone:
+    case NextStep::kComplete:
+      return;
+    case NextStep::kRequeue:
+      Requeue(active, decision);
+      return;
+    case NextStep::kQuery:
+      SendToSide(active,
+                 protocol::Query{.grant = call.grant(),
+                                 .side_incarnation = call.side_incarnation(),
+                                 .request = call.spec().request,
+                                 .attempt = call.attempt()});
+      return;
+    case NextStep::kAttach:
+      SendToSide(active, protocol::Attach{.request = call.spec().request,
+                                          .workspace = call.spec().workspace,
+                                          .offset = call.next_offset()});
+      return;
+    case NextStep::kFail:
+      Fail(active, decision.error, decision.ran, decision.why);
+      return;
+  }
+}
+
+void Dispatcher::ApplyToCallsAt(std::string_view side,
+                                const std::function<Decision(Call&)>& event) {
+  std::vector<std::string> requests;
+  for (const auto& [request, active] : calls_) {
+    if (active.call.is_at_side() && active.call.side() == side) {
+      requests.push_back(request);
+    }
+  }
+  for (const std::string& request : requests) {
+    // An earlier decision may have ended or moved this call.
+    if (ActiveCall* const active = FindAt(request, side)) {
+      Apply(*active, event(active->call));
+    }
+  }
+}
+
+void Dispatcher::Requeue(ActiveCall& active, const Decision& decision) {
+  const Call& call = active.call;
+  base::Log(base::LogLevel::kWarning, "attempt_ended",
+            {{"request", call.spec().request},
+             {"side", call.side()},
+             {"attempt", call.attempt() - 1},
+             {"not_run", decision.was_refused},
+             {"why", decision.why}});
+  if (decision.was_refused) {
+    charging_.Cancel(active.charge);
+  } else {
+    charging_.Stop(active.charge, call.next_offset() - active.attempt_base,
+                   policy());
+    SendCancel(active, call.attempt() - 1);
+    active.queued = clock_.Now();  // The time at the side is not queue time.
+  }
+  active.body.clear();
+  active.consumed = active.credited = call.next_offset();
+  if (active.left_at) {
+    Abandon(active);
+  } else {
+    Enqueue(active, /*is_first=*/true);
+  }
+}
+
+void Dispatcher::Complete(ActiveCall& active, const protocol::Done& done) {
+  const Submit& spec = active.call.spec();
+  if (!active.call.is_attached()) {
+    charging_.Finish(active.charge, done.input_tokens, done.output_tokens,
+                     policy());
+  }
+  if (active.has_claim) {
+    ports_.complete_claim(spec.request, {.http_status = done.http_status,
+                                         .content_type = done.content_type,
+                                         .body = active.body});
+  }
+  if (!active.left_at) {
+    if (spec.kind == protocol::StartKind::kService) {
+      ports_.answer(ServiceReply{.request = spec.request,
+                                 .http_status = done.http_status,
+                                 .content_type = done.content_type,
+                                 .body = std::move(active.body)});
+    } else {
+      Completed completed{spec.request, done};
+      // A resumed side counts its own tokens only; the caller has them all.
+      completed.done.output_tokens = done.length;
+      ports_.answer(std::move(completed));
+    }
+  }
+  metrics_.CountOutcome("done");
+  Erase(active);
+}
+
+void Dispatcher::Fail(ActiveCall& active,
+                      base::ErrorKind kind,
+                      base::Ran ran,
+                      std::string_view why) {
+  const Submit& spec = active.call.spec();
+  Failure failure{.request = spec.request,
+                  .kind = kind,
+                  .ran = ran,
+                  .message = std::string(why)};
+  if (kind == base::ErrorKind::kQueueFull ||
+      kind == base::ErrorKind::kWaitLimit ||
+      kind == base::ErrorKind::kNoCapacity) {
+    failure.retry_after =
+        rates_[spec.model].RetryAfter(queue_.size(), clock_.Now());
+  }
+  base::Log(base::LogLevel::kInfo, "request_failed",
+            {{"request", spec.request},
+             {"workspace", spec.workspace},
+             {"model", spec.model},
+             {"kind", base::ErrorKindName(kind)},
+             {"ran", base::RanName(ran)},
+             {"attempt", active.call.attempt()},
+             {"why", why}});
+  if (ran == base::Ran::kNo) {
+    charging_.Cancel(active.charge);
+  } else if (!active.call.is_attached()) {
+    charging_.Stop(active.charge,
+                   active.call.next_offset() - active.attempt_base, policy());
+  }
+  SettleClaim(active, ran);
+  if (!active.left_at) {
+    ports_.answer(std::move(failure));
+  }
+  metrics_.CountOutcome(base::ErrorKindName(kind));
+  Erase(active);
+}
+
+void Dispatcher::SettleClaim(const ActiveCall& active, base::Ran ran) {
+  if (!active.has_claim) {
+    return;
+  }
+  if (ran == base::Ran::kNo) {
+    ports_.release_claim(active.call.spec().request);
+  } else {
+    ports_.mark_claim_unknown(active.call.spec().request);
+  }
+}
+
+void Dispatcher::Abandon(ActiveCall& active) {
+  const Submit& spec = active.call.spec();
+  if (active.call.is_at_side()) {
+    SendCancel(active, active.call.attempt());
+    if (!active.call.is_attached()) {
+      charging_.Stop(active.charge,
+                     active.call.next_offset() - active.attempt_base, policy());
+    }
+  } else if (queue_.Remove(spec.request)) {
+    OnBacklogChanged(spec.model, spec.workspace);
+  }
+  SettleClaim(active, active.call.may_have_run() || active.call.is_at_side()
+                          ? base::Ran::kUnknown
+                          : base::Ran::kNo);
+  metrics_.CountOutcome(base::ErrorKindName(base::ErrorKind::kCancelled));
+  Erase(active);
+}
+
+void Dispatcher::Erase(ActiveCall& active) {
+  active.call.SetFinished();
+  calls_.erase(calls_.find(active.call.spec().request));
+}
+
+void Dispatcher::SendToSide(const ActiveCall& active,
+                            protocol::Message message) {
+  ports_.send({active.call.side(), std::move(message)});
+}
+
+void Dispatcher::SendCancel(const ActiveCall& active, int32_t attempt) {
+  if (active.call.spec().repeatable) {
+    SendToSide(active, protocol::Cancel{active.call.spec().request, attempt});
+  }
+}
+
+void Dispatcher::SendCredit(ActiveCall& active) {
+  if (active.consumed > active.credited && active.call.is_at_side()) {
+    active.credited = active.consumed;
+    SendToSide(active,
+               protocol::Credit{active.call.spec().request,
+                                active.call.attempt(), active.consumed});
+  }
+}
+
+}  // namespace jackdawshunt::entry
--- /dev/null
+++ b/jackdawshunt/entry/dispatcher_test.cc
@@ -0,0 +1,435 @@
+#include "jackdawshunt/entry/dispatcher.h"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "gtest/gtest.h"
+
+namespace jackdawshunt::entry {
+namespace {
+
+using base::ErrorKind;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::Incarnation kSide{.start_us = 1};
+
+// Runs the dispatcher on a paused clock; what it sends is kept for the test.
+class DispatcherTest : public testing::Test {
+ protected:
+  DispatcherTest()
+      : dispatcher_(clock_,
+                    {.instance = "entry-1", .incarnation = {.start_us = 5}},
+                    store_,
+                    metrics_,
+                    Ports()) {
+    SetPolicy("{}");
+    store_.Merge({Upstream("up-1"), Upstream("up-2")});
+  }
+
+  DispatcherPorts Ports() {
+    return {.send = [this](LinkCommand c) { sent_.push_back(std::move(c)); },
+            .answer = [this](Answer a) { answers_.push_back(std::move(a)); },
+            .schedule_flush = [] {},
+            .acquire_claim =
+                [this](const claims::ClaimRequest& claim,
+                       claims::Claims::Done done) {
+                  claims_[claim.request] = std::move(done);
+                },
+            .complete_claim =
+                [this](std::string_view, const claims::RecordedAnswer& a) {
+                  claim_log_ += "complete:" + a.body + " ";
+                },
+            .mark_claim_unknown =
+                [this](std::string_view) { claim_log_ += "unknown "; },
+            .release_claim =
+                [this](std::string_view) { claim_log_ += "release "; }};
+  }
+
+  protocol::ConfigRecord Upstream(const std::string& name) {
+    return {.key = "config/upstream/" + name,
+            .version = ++version_,
+            .value = R"({"kind":"upstream","schema":1,"name":")" + name +
+                     R"(","spec":{"driver":"engine","slots":4,)"
+                     R"("models":["m","holds"]}})"};
+  }
+
+  void SetPolicy(const std::string& spec) {
+    store_.Merge(
+        {{.key = "config/policy/fleet",
+          .version = ++version_,
+          .value = R"({"kind":"policy","schema":1,"name":"fleet","spec":)" +
+                   spec + "}"}});
+    dispatcher_.OnConfiguration();
+  }
+
+  void SideUp(const std::string& side, base::Incarnation incarnation = kSide) {
+    dispatcher_.OnLinkEvent(
+        LinkUp{{.instance = side,
+                .role = protocol::Role::kSide,
+                .incarnation = incarnation,
+                .upstream = side == "side-1" ? "up-1" : "up-2"}});
+  }
+
+  void SideDown(const std::string& side) {
+    dispatcher_.OnLinkEvent(
+        LinkDown{{.instance = side, .role = protocol::Role::kSide}});
+  }
+
+  void From(const std::string& side, protocol::Message message) {
+    dispatcher_.OnLinkEvent(LinkMessage{side, std::move(message)});
+  }
+
+  void Model(
+      const std::string& request,
+      const std::string& workspace = "lodge",
+      protocol::RequestClass request_class = protocol::RequestClass::kShort) {
+    dispatcher_.OnCallerEvent(Submit{.request = request,
+                                     .workspace = workspace,
+                                     .model = "m",
+                                     .request_class = request_class,
+                                     .is_stream = true,
+                                     .max_tokens = 10});
+  }
+
+  void Hold(const std::string& request, const std::string& key) {
+    dispatcher_.OnCallerEvent(Submit{.request = request,
+                                     .workspace = "lodge",
+                                     .model = "holds",
+                                     .kind = protocol::StartKind::kService,
+                                     .repeatable = false,
+                                     .idempotency_key = key});
+  }
+
+  void Grant(
+      const std::string& side,
+      uint64_t grant,
+      const std::string& model = "m",
+      const std::string& workspace = "lodge",
+      protocol::RequestClass request_class = protocol::RequestClass::kShort) {
+    From(side, protocol::Grant{.grant = grant,
+                               .model = model,
+                               .workspace = workspace,
+                               .request_class = request_class});
+  }
+
+  // Takes the messages of one type sent to any side.
+  template <typename Message>
+  std::vector<std::pair<std::string, Message>> Take() {
+    std::vector<std::pair<std::string, Message>> taken;
+    std::erase_if(sent_, [&taken](const LinkCommand& command) {
+      const auto* message = std::get_if<Message>(&command.message);
+      if (message != nullptr) {
+        taken.emplace_back(command.instance, *message);
+      }
+      return message != nullptr;
+    });
+    return taken;
+  }
+
+  template <typename Kind>
+  std::vector<Kind> TakeAnswers() {
+    std::vector<Kind> taken;
+    std::erase_if(answers_, [&taken](const Answer& answer) {
+      const auto* content = std::get_if<Kind>(&answer);
+      if (content != nullptr) {
+        taken.push_back(*content);
+      }
+      return content != nullptr;
+    });
+    return taken;
+  }
+
+  kernel::ManualClock clock_;
+  uint64_t version_ = 0;
+  configuration::Store store_;
+  prometheus::Registry registry_;
+  Metrics metrics_{registry_};
+  std::vector<LinkCommand> sent_;
+  std::vector<Answer> answers_;
+  std::map<std::string, claims::Claims::Done> claims_;
+  std::string claim_log_;
+  Dispatcher dispatcher_;
+};
+
+// Guards against a free slot that waits for the bid delay, and against a bid
+// that stays after the backlog is gone.
+TEST_F(DispatcherTest, FirstRequestIsBidForAtOnceAndWithdrawn) {
+  SideUp("side-1");
+  SideUp("side-2");
+  Model("r1");
+  const auto bids = Take<protocol::Bid>();
+  ASSERT_EQ(bids.size(), 2U);
+  EXPECT_EQ(bids[0].second.items[0].waiting, 1);
+  Model("r2");
+  EXPECT_TRUE(Take<protocol::Bid>().empty());
+  dispatcher_.FlushBids();
+  EXPECT_EQ(Take<protocol::Bid>()[0].second.items[0].waiting, 2);
+  Grant("side-1", 1);
+  Grant("side-2", 1);
+  dispatcher_.FlushBids();
+  const auto withdrawn = Take<protocol::Bid>();
+  ASSERT_EQ(withdrawn.size(), 2U);
+  EXPECT_TRUE(withdrawn[0].second.items.empty());
+}
+
+// Guards against a grant that starts a request of the wrong order or class.
+TEST_F(DispatcherTest, GrantStartsOldestThenLowestServiceThenDeclines) {
+  SideUp("side-1");
+  Model("lodge-1");
+  Model("lodge-2");
+  Model("hall-long", "hall", protocol::RequestClass::kLong);
+  Grant("side-1", 1);
+  Grant("side-1", 2);
+  Grant("side-1", 3);  // A short slot must not run the long request.
+  auto starts = Take<protocol::Start>();
+  ASSERT_EQ(starts.size(), 2U);
+  EXPECT_EQ(starts[0].second.request, "lodge-1");
+  EXPECT_EQ(starts[1].second.request, "lodge-2");
+  const auto declined = Take<protocol::Decline>();
+  ASSERT_EQ(declined.size(), 1U);
+  EXPECT_EQ(declined[0].second.grant, 3U);
+  Model("inn-1", "inn");
+  Grant("side-1", 4, "m", "lodge", protocol::RequestClass::kLong);
+  Grant("side-1", 5, "m", "lodge", protocol::RequestClass::kLong);
+  starts = Take<protocol::Start>();
+  ASSERT_EQ(starts.size(), 2U);
+}
+
+// Guards against a refused request that loses its place in the queue.
+TEST_F(DispatcherTest, RefusedRequestReturnsToTheHeadOfTheQueue) {
+  SideUp("side-1");
+  Model("r1");
+  Model("r2");
+  Grant("side-1", 1);
+  From("side-1", protocol::Refused{.grant = 1, .request = "r1", .attempt = 1});
+  Grant("side-1", 2);
+  const auto starts = Take<protocol::Start>();
+  ASSERT_EQ(starts.size(), 2U);
+  EXPECT_EQ(starts[1].second.request, "r1");
+  EXPECT_EQ(starts[1].second.attempt, 2);
+}
+
+// Guards against tokens lost, repeated or mixed when a stream moves to another
+// side, including late tokens of the first one.
+TEST_F(DispatcherTest, StreamContinuesAtAnotherSide) {
+  SideUp("side-1");
+  SideUp("side-2");
+  Model("r1");
+  Grant("side-1", 1);
+  From("side-1", protocol::Accepted{"r1", 1});
+  From("side-1", protocol::Chunk{"r1", 1, 0, R"(["a","b"])"});
+  SideDown("side-1");
+  SideUp("side-1", {.start_us = 2});
+  Grant("side-2", 9);
+  const auto starts = Take<protocol::Start>();
+  ASSERT_EQ(starts.size(), 2U);
+  EXPECT_EQ(starts[1].second.resume_tokens, 2);
+  From("side-1", protocol::Chunk{"r1", 1, 2, R"(["x"])"});
+  From("side-2", protocol::Chunk{"r1", 2, 2, R"(["c"])"});
+  From("side-2", protocol::Done{.request = "r1", .attempt = 2, .length = 3});
+  std::string text;
+  for (const Tokens& tokens : TakeAnswers<Tokens>()) {
+    for (const std::string& token : tokens.tokens) {
+      text += token;
+    }
+  }
+  EXPECT_EQ(text, "abc");
+  const auto completed = TakeAnswers<Completed>();
+  ASSERT_EQ(completed.size(), 1U);
+  EXPECT_EQ(completed[0].done.output_tokens, 3);
+  EXPECT_EQ(dispatcher_.active(), 0U);
+}
+
+// Guards against a second start of a request that the same side still runs.
+TEST_F(DispatcherTest, BrokenLinkLeadsToAQueryOfTheSameIncarnation) {
+  SideUp("side-1");
+  Model("r1");
+  Grant("side-1", 1);
+  SideDown("side-1");
+  SideUp("side-1");
+  const auto queries = Take<protocol::Query>();
+  ASSERT_EQ(queries.size(), 1U);
+  EXPECT_EQ(queries[0].second.grant, 1U);
+  EXPECT_EQ(queries[0].second.side_incarnation, kSide);
+  From("side-1", protocol::Accepted{"r1", 1});
+  EXPECT_EQ(Take<protocol::Attach>().size(), 1U);
+  EXPECT_EQ(Take<protocol::Start>().size(), 1U);
+}
+
+// Guards against answers that are held back until a deadline.
+TEST_F(DispatcherTest, LimitsAnswerAtOnceWithRetryAfter) {
+  SetPolicy(R"({"max_waiting":1,"max_wait_ms":1000})");
+  Model("r1");
+  Model("r2");
+  auto failures = TakeAnswers<Failure>();
+  ASSERT_EQ(failures.size(), 1U);
+  EXPECT_EQ(failures[0].request, "r2");
+  EXPECT_EQ(failures[0].kind, ErrorKind::kQueueFull);
+  EXPECT_EQ(failures[0].ran, base::Ran::kNo);
+  EXPECT_TRUE(failures[0].retry_after.has_value());
+  clock_.Advance(milliseconds(1001));
+  dispatcher_.Tick();
+  failures = TakeAnswers<Failure>();
+  ASSERT_EQ(failures.size(), 1U);
+  EXPECT_EQ(failures[0].kind, ErrorKind::kWaitLimit);
+  EXPECT_EQ(failures[0].ran, base::Ran::kNo);
+  EXPECT_EQ(dispatcher_.active(), 0U);
+}
+
+// Guards against a call without its claim, and against a claim without its
+// outcome.
+TEST_F(DispatcherTest, KeyedCallIsClaimedBeforeItIsQueued) {
+  SideUp("side-1");
+  Hold("r1", "key");
+  EXPECT_EQ(dispatcher_.waiting(), 0U);
+  claims_.at("r1")({.kind = claims::VerdictKind::kRun});
+  EXPECT_EQ(dispatcher_.waiting(), 1U);
+  Grant("side-1", 1, "holds");
+  From("side-1", protocol::Chunk{"r1", 1, 0, "held"});
+  From("side-1",
+       protocol::Done{
+           .request = "r1", .attempt = 1, .length = 4, .http_status = 201});
+  EXPECT_EQ(claim_log_, "complete:held ");
+  const auto replies = TakeAnswers<ServiceReply>();
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].http_status, 201);
+  EXPECT_EQ(replies[0].body, "held");
+}
+
+// Guards against a second hold for a repeated key.
+TEST_F(DispatcherTest, RejectedAndReplayedClaimsAreNotStarted) {
+  SideUp("side-1");
+  Hold("r1", "key");
+  claims_.at("r1")({.kind = claims::VerdictKind::kRejected,
+                    .error = ErrorKind::kDuplicateRequest});
+  Hold("r2", "key");
+  claims_.at("r2")({.kind = claims::VerdictKind::kReplay,
+                    .answer = {.http_status = 201, .body = "held"}});
+  EXPECT_EQ(TakeAnswers<Failure>()[0].kind, ErrorKind::kDuplicateRequest);
+  EXPECT_TRUE(TakeAnswers<ServiceReply>()[0].is_replay);
+  EXPECT_EQ(dispatcher_.active(), 0U);
+  EXPECT_EQ(claim_log_, "");
+}
+
+// Guards against a key that can be claimed again after an unknown outcome, and
+// one that stays taken although nothing ran.
+TEST_F(DispatcherTest, ClaimFollowsWhatIsKnownOfTheRun) {
+  SideUp("side-1");
+  Hold("r1", "key");
+  claims_.at("r1")({.kind = claims::VerdictKind::kRun});
+  Grant("side-1", 1, "holds");
+  SideDown("side-1");
+  SideUp("side-1", {.start_us = 2});
+  EXPECT_EQ(TakeAnswers<Failure>()[0].kind, ErrorKind::kOutcomeUnknown);
+  EXPECT_EQ(claim_log_, "unknown ");
+  claim_log_.clear();
+  Hold("r2", "key-2");
+  claims_.at("r2")({.kind = claims::VerdictKind::kRun});
+  clock_.Advance(seconds(31));
+  dispatcher_.Tick();
+  EXPECT_EQ(claim_log_, "release ");
+}
+
+// Guards against a cancelled hold: the caller's leaving changes nothing.
+TEST_F(DispatcherTest, StartedNonRepeatableCallRunsOnWithoutItsCaller) {
+  SideUp("side-1");
+  Hold("r1", "key");
+  claims_.at("r1")({.kind = claims::VerdictKind::kRun});
+  Grant("side-1", 1, "holds");
+  dispatcher_.OnCallerEvent(Left{"r1"});
+  clock_.Advance(seconds(11));
+  dispatcher_.Tick();
+  EXPECT_TRUE(Take<protocol::Cancel>().empty());
+  From("side-1", protocol::Chunk{"r1", 1, 0, "held"});
+  From("side-1", protocol::Done{.request = "r1", .attempt = 1, .length = 4});
+  EXPECT_EQ(claim_log_, "complete:held ");
+  EXPECT_EQ(dispatcher_.active(), 0U);
+}
+
+// Guards against streams that run on for nobody, and against a resume within
+// the grace period that loses tokens.
+TEST_F(DispatcherTest, LeftStreamMayBeResumedUntilTheGraceEnds) {
+  SideUp("side-1");
+  Model("r1");
+  Grant("side-1", 1);
+  From("side-1", protocol::Accepted{"r1", 1});
+  dispatcher_.OnCallerEvent(Left{"r1"});
+  From("side-1", protocol::Chunk{"r1", 1, 0, R"(["a","b"])"});
+  clock_.Advance(kResumeGrace - milliseconds(1));
+  dispatcher_.Tick();
+  dispatcher_.OnCallerEvent(Join{
+      .request = "r1", .side = "side-1", .workspace = "lodge", .offset = 1});
+  const auto attaches = Take<protocol::Attach>();
+  ASSERT_FALSE(attaches.empty());
+  EXPECT_EQ(attaches.back().second.offset, 1);
+  From("side-1", protocol::Accepted{"r1", 1});
+  From("side-1", protocol::Chunk{"r1", 1, 1, R"(["b"])"});
+  EXPECT_EQ(TakeAnswers<Tokens>().back().offset, 1);
+  dispatcher_.OnCallerEvent(Left{"r1"});
+  clock_.Advance(kResumeGrace);
+  dispatcher_.Tick();
+  EXPECT_EQ(Take<protocol::Cancel>().size(), 1U);
+  EXPECT_EQ(dispatcher_.active(), 0U);
+}
+
+// Guards against a stream of another workspace that is taken over.
+TEST_F(DispatcherTest, StreamOfAnotherWorkspaceIsNotFound) {
+  SideUp("side-1");
+  Model("r1");
+  Grant("side-1", 1);
+  dispatcher_.OnCallerEvent(Left{"r1"});
+  dispatcher_.OnCallerEvent(
+      Join{.request = "r1", .side = "side-1", .workspace = "hall"});
+  EXPECT_EQ(TakeAnswers<Failure>()[0].kind, ErrorKind::kNotFound);
+  EXPECT_TRUE(Take<protocol::Attach>().empty());
+}
+
+// Guards against credit before the caller has taken the data.
+TEST_F(DispatcherTest, CreditFollowsTheCaller) {
+  SideUp("side-1");
+  Model("r1");
+  Grant("side-1", 1);
+  From("side-1", protocol::Chunk{"r1", 1, 0, R"(["a","b"])"});
+  dispatcher_.Tick();
+  EXPECT_TRUE(Take<protocol::Credit>().empty());
+  dispatcher_.OnCallerEvent(Consumed{"r1", 2});
+  dispatcher_.Tick();
+  const auto credits = Take<protocol::Credit>();
+  ASSERT_EQ(credits.size(), 1U);
+  EXPECT_EQ(credits[0].second.offset, 2);
+}
+
+// Guards against push strategies that wait for a grant.
+TEST_F(DispatcherTest, PushStrategyStartsWithoutAGrant) {
+  SetPolicy(R"({"placement":"round_robin"})");
+  Model("r1");
+  EXPECT_TRUE(Take<protocol::Start>().empty());
+  SideUp("side-1");
+  dispatcher_.FlushBids();
+  const auto starts = Take<protocol::Start>();
+  ASSERT_EQ(starts.size(), 1U);
+  EXPECT_EQ(starts[0].second.grant, 0U);
+  EXPECT_TRUE(Take<protocol::Bid>().empty());
+}
+
+// Guards against new work for a side that is leaving.
+TEST_F(DispatcherTest, LeavingSideGetsNoBids) {
+  SideUp("side-1");
+  SideUp("side-2");
+  dispatcher_.OnLinkEvent(InstanceLeaving{"side-1", true});
+  From("side-2", protocol::Heartbeat{.draining = true});
+  Model("r1");
+  EXPECT_TRUE(Take<protocol::Bid>().empty());
+  From("side-2", protocol::Heartbeat{});
+  dispatcher_.FlushBids();
+  const auto bids = Take<protocol::Bid>();
+  ASSERT_EQ(bids.size(), 1U);
+  EXPECT_EQ(bids[0].first, "side-2");
+}
+
+}  // namespace
+}  // namespace jackdawshunt::entry
--- /dev/null
+++ b/jackdawshunt/entry/entry_role.cc
@@ -0,0 +1,309 @@
+// The entry role: creates the tasks, joins their mailboxes, and shuts down.
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "jackdawshunt/base/id.h"
+#include "jackdawshunt/base/log.h"
+#include "jackdawshunt/claims/claims.h"
+#include "jackdawshunt/configuration/store.h"
+#include "jackdawshunt/configuration/task.h"
+#include "jackdawshunt/entry/dispatcher.h"
+#include "jackdawshunt/entry/front.h"
+#include "jackdawshunt/entry/instance_reader.h"
+#include "jackdawshunt/entry/links.h"
+#include "jackdawshunt/entry/metrics.h"
+#include "jackdawshunt/kernel/event_loop.h"
+#include "jackdawshunt/kernel/mailbox.h"
+#include "jackdawshunt/kernel/registry.h"
+#include "jackdawshunt/kernel/role.h"
+#include "jackdawshunt/membership/view.h"
+#include "jackdawshunt/operator_api/process_metrics.h"
+#include "jackdawshunt/operator_api/server.h"
+#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/settings/settings.h"
+
+namespace jackdawshunt::entry {
+namespace {
+
+constexpr kernel::Duration kExitCheckPeriod = std::chrono::milliseconds(50);
+
+enum class Phase { kServing, kLagging, kDraining };
+
+protocol::PeerInfo SelfOf(const settings::Settings& settings) {
+  return {.instance = settings.instance,
+          .role = protocol::Role::kEntry,
+          .region = settings.region,
+          .data_centre = settings.data_centre,
+          .incarnation = base::NewIncarnation()};
+}
+
+class EntryProcess {
+ public:
+  explicit EntryProcess(settings::Settings settings)
+      : settings_(std::move(settings)),
+        self_(SelfOf(settings_)),
+        platform_(loop_, settings_.platform),
+        configuration_(loop_, platform_, store_, view_, self_),
+        operator_server_(loop_, settings_.operator_token_sha256),
+        process_metrics_(operator_server_.registry()),
+        metrics_(operator_server_.registry()),
+        caller_events_(loop_,
+                       [this](const CallerEvent& event) {
+                         dispatcher_.OnCallerEvent(event);
+                       }),
+        link_events_(
+            loop_,
+            [this](const LinkEvent& event) { dispatcher_.OnLinkEvent(event); }),
+        dispatcher_(loop_.clock(), self_, store_, metrics_, Ports()),
+        links_(
+            loop_,
+            {self_, settings_.fleet_key},
+            configuration_,
+            [this](LinkEvent event) { link_events_.Post(std::move(event)); }),
+        front_(loop_,
+               store_,
+               Options(),
+               [this](CallerEvent event) {
+                 caller_events_.Post(std::move(event));
+               }),
+        instance_reader_(loop_, platform_, view_, [this] {
+          links_.UpdateInstances(view_.instances());
+        }) {}
+
+  int Run() {
+    store_.OnChange([this] { OnConfiguration(); });
+    operator_server_.SetReadiness([this] {
+      return phase_ == Phase::kServing && configuration_.is_ready();
+    });
+    operator_server_.SetStatus([this] { return Status(); });
+    operator_server_.OnCollect([this] { Collect(); });
+    if (!Listen()) {
+      return 1;
+    }
+    configuration_.Start();
+    instance_reader_.Start();
+    tick_timer_ = loop_.Every(kTickPeriod, [this] { dispatcher_.Tick(); });
+    ScheduleExchange();
+    loop_.OnSignal(SIGTERM, [this] { ShutDown(); });
+    loop_.OnSignal(SIGINT, [this] { ShutDown(); });
+    loop_.Run();
+    base::Log(base::LogLevel::kInfo, "stopped");
+    return 0;
+  }
+
+ private:
+  bool Listen() {
+    const auto caller = front_.Listen(settings_.caller);
+    const auto process = links_.Listen(settings_.process);
+    const auto operator_port =
+        operator_server_.Listen(settings_.operator_address);
+    if (!caller.ok() || !process.ok() || !operator_port.ok()) {
+      base::Log(base::LogLevel::kError, "listen_failed",
+                {{"caller", caller.status().ToString()},
+                 {"process", process.status().ToString()},
+                 {"operator", operator_port.status().ToString()}});
+      return false;
+    }
+    const nlohmann::json ports = {{"caller", *caller},
+                                  {"process", *process},
+                                  {"operator", *operator_port}};
+    base::Log(base::LogLevel::kInfo, "listening", ports);
+    if (!settings_.ports_file.empty()) {
+      // Written under another name first, so that a reader never sees half.
+      const std::string partial = settings_.ports_file + ".part";
+      std::ofstream(partial) << ports.dump() << '\n';
+      std::rename(partial.c_str(), settings_.ports_file.c_str());
+    }
+    return true;
+  }
+
+  DispatcherPorts Ports() {
+    return {
+        .send =
+            [this](LinkCommand command) { links_.Post(std::move(command)); },
+        .answer = [this](Answer answer) { front_.Post(std::move(answer)); },
+        .schedule_flush = [this] { ScheduleFlush(); },
+        .acquire_claim =
+            [this](const claims::ClaimRequest& claim,
+                   claims::Claims::Done done) {
+              Claims().Acquire(claim, std::move(done));
+            },
+        .complete_claim =
+            [this](std::string_view request,
+                   const claims::RecordedAnswer& answer) {
+              Claims().Complete(request, answer);
+            },
+        .mark_claim_unknown =
+            [this](std::string_view request) { Claims().MarkUnknown(request); },
+        .release_claim =
+            [this](std::string_view request) { Claims().Release(request); }};
+  }
+
+  FrontOptions Options() {
+    return {.limits = {static_cast<size_t>(settings_.max_header_bytes),
+                       static_cast<size_t>(settings_.max_body_bytes)},
+            .stream_buffer_bytes =
+                static_cast<size_t>(settings_.stream_buffer_bytes),
+            .refusal = [this] { return Refusal(); },
+            .on_rejected =
+                [this](base::ErrorKind kind) {
+                  metrics_.CountOutcome(base::ErrorKindName(kind));
+                }};
+  }
+
+  std::optional<base::ErrorKind> Refusal() const {
+    if (phase_ == Phase::kDraining) {
+      return base::ErrorKind::kDraining;
+    }
+    if (!configuration_.is_ready()) {
+      return base::ErrorKind::kNotReady;
+    }
+    return std::nullopt;
+  }
+
+  // Created at the first claim: the number of homes comes from the policy and
+  // must not change during the life of the process.
+  claims::Claims& Claims() {
+    if (claims_ == nullptr) {
+      claims_ = std::make_unique<claims::Claims>(
+          loop_, platform_, settings_.instance,
+          store_.snapshot().policy.claim_homes);
+    }
+    return *claims_;
+  }
+
+  void OnConfiguration() {
+    dispatcher_.OnConfiguration();
+    links_.SendHeartbeats();
+  }
+
+  void ScheduleFlush() {
+    if (!flush_timer_.is_active()) {
+      flush_timer_ = loop_.After(kBidDelay, [this] {
+        flush_timer_.Cancel();
+        dispatcher_.FlushBids();
+      });
+    }
+  }
+
+  void ScheduleExchange() {
+    const kernel::Duration period =
+        std::chrono::milliseconds(store_.snapshot().policy.exchange_period_ms);
+    exchange_timer_ = loop_.After(period, [this] {
+      dispatcher_.ExchangeCounters();
+      ScheduleExchange();
+    });
+  }
+
+  void ShutDown() {
+    if (phase_ != Phase::kServing) {
+      return;
+    }
+    phase_ = Phase::kLagging;
+    base::Log(base::LogLevel::kInfo, "shutting_down",
+              {{"active", dispatcher_.active()}});
+    links_.SetDraining();
+    // The load balancer takes this long to see that the entry is not ready.
+    drain_timer_ =
+        loop_.After(std::chrono::milliseconds(settings_.drain_lag_ms), [this] {
+          phase_ = Phase::kDraining;
+          front_.StopListening();
+          exit_timer_ =
+              loop_.Every(kExitCheckPeriod, [this] { StopWhenIdle(); });
+        });
+  }
+
+  void StopWhenIdle() {
+    const bool has_pending_outcome =
+        claims_ != nullptr && claims_->pending_outcomes() > 0;
+    if (dispatcher_.active() == 0 && front_.open_exchanges() == 0 &&
+        !has_pending_outcome && links_.is_flushed()) {
+      loop_.Stop();
+    }
+  }
+
+  void Collect() {
+    process_metrics_.Update(platform_.calls(), store_.revision());
+    metrics_.SetCalls(dispatcher_.waiting(), dispatcher_.running());
+    metrics_.SetRejectedRecords(store_.rejected().size());
+  }
+
+  nlohmann::json Status() const {
+    nlohmann::json versions = nlohmann::json::object();
+    for (const auto& [key, version] : store_.Versions()) {
+      versions[key] = version;
+    }
+    nlohmann::json rejected = nlohmann::json::array();
+    for (const auto& record : store_.rejected()) {
+      rejected.push_back({{"key", record.key},
+                          {"version", record.version},
+                          {"version_in_force", record.version_in_force},
+                          {"fault", record.fault}});
+    }
+    return {{"instance", settings_.instance},
+            {"role", "entry"},
+            {"incarnation", self_.incarnation.ToString()},
+            {"ready", phase_ == Phase::kServing && configuration_.is_ready()},
+            {"draining", phase_ != Phase::kServing},
+            {"revision", store_.revision()},
+            {"versions", std::move(versions)},
+            {"rejected", std::move(rejected)},
+            {"peers", links_.Status()},
+            {"waiting", dispatcher_.waiting()},
+            {"running", dispatcher_.running()}};
+  }
+
+  const settings::Settings settings_;
+  const protocol::PeerInfo self_;
+  Phase phase_ = Phase::kServing;
+  kernel::EventLoop loop_;
+  platform::Client platform_;
+  configuration::Store store_;
+  membership::View view_;
+  configuration::Task configuration_;
+  operator_api::Server operator_server_;
+  operator_api::ProcessMetrics process_metrics_;
+  Metrics metrics_;
+  std::unique_ptr<claims::Claims> claims_;
+  kernel::Mailbox<CallerEvent> caller_events_;
+  kernel::Mailbox<LinkEvent> link_events_;
+  kernel::Timer flush_timer_;
+  kernel::Timer tick_timer_;
+  kernel::Timer exchange_timer_;
+  kernel::Timer drain_timer_;
+  kernel::Timer exit_timer_;
+  Dispatcher dispatcher_;
+  Links links_;
+  Front front_;
+  InstanceReader instance_reader_;
+};
+
+class EntryRole final : public kernel::Role {
+ public:
+  int Run(const std::string& settings_path) override {
+    constexpr int kExitSettings = 2;
+    auto settings = settings::Load(settings_path, protocol::Role::kEntry);
+    if (!settings.ok()) {
+      std::cerr << settings.status().message() << '\n';
+      return kExitSettings;
+    }
+    base::SetLogContext({{"instance", settings->instance}, {"role", "entry"}});
+    base::SetLogLevel(base::ParseLogLevel(settings->log_level)
+                          .value_or(base::LogLevel::kInfo));
+    return EntryProcess(*std::move(settings)).Run();
+  }
+};
+
+const kernel::Registration<kernel::Role> kEntry("entry", [] {
+  return std::make_unique<EntryRole>();
+});
+
+}  // namespace
+}  // namespace jackdawshunt::entry
--- /dev/null
+++ b/jackdawshunt/entry/instance_reader.cc
@@ -0,0 +1,55 @@
+#include "jackdawshunt/entry/instance_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jackdawshunt/base/log.h"
+
+namespace jackdawshunt::entry {
+namespace {
+
+constexpr kernel::Duration kReadPeriod = std::chrono::seconds(1);
+// Longest wait between reads while the platform is unavailable.
+constexpr kernel::Duration kMaxWait = std::chrono::seconds(8);
+
+}  // namespace
+
+InstanceReader::InstanceReader(kernel::EventLoop& loop,
+                               platform::Client& client,
+                               membership::View& view,
+                               std::function<void()> on_update)
+    : loop_(loop),
+      client_(client),
+      view_(view),
+      on_update_(std::move(on_update)),
+      wait_(kReadPeriod),
+      self_(std::make_shared<InstanceReader*>(this)) {}
+
+void InstanceReader::Start() {
+  Read();
+}
+
+void InstanceReader::Read() {
+  client_.Instances([weak = std::weak_ptr<InstanceReader*>(self_)](
+                        absl::StatusOr<std::vector<platform::Instance>> list) {
+    if (const auto self = weak.lock()) {
+      (*self)->OnList(std::move(list));
+    }
+  });
+}
+
+void InstanceReader::OnList(
+    absl::StatusOr<std::vector<platform::Instance>> list) {
+  if (list.ok()) {
+    wait_ = kReadPeriod;
+    view_.Update(*std::move(list));
+    on_update_();
+  } else {
+    wait_ = std::min(wait_ * 2, kMaxWait);
+    base::Log(base::LogLevel::kWarning, "instance_list_unavailable",
+              {{"why", list.status().ToString()}});
+  }
+  timer_ = loop_.After(wait_, [this] { Read(); });
+}
+
+}  // namespace jackdawshunt::entry
--- /dev/null
+++ b/jackdawshunt/entry/instance_reader.h
@@ -0,0 +1,49 @@
+// Reads the instance list from the platform every second and keeps the last one
+// while the platform is unavailable.
+//
+// Example:
+//   entry::InstanceReader reader(loop, client, view, [&] {
+//     links.UpdateInstances(view.instances());
+//   });
+//   reader.Start();
+//
+// Not thread-safe; runs on the loop's thread.
+#ifndef JACKDAWSHUNT_ENTRY_INSTANCE_READER_H_
+#define JACKDAWSHUNT_ENTRY_INSTANCE_READER_H_
+
+#include <functional>
+#include <memory>
+
+#include "jackdawshunt/kernel/event_loop.h"
+#include "jackdawshunt/membership/view.h"
+#include "jackdawshunt/platform/client.h"
+
+namespace jackdawshunt::entry {
+
+class InstanceReader {
+ public:
+  // `on_update` is called after each successful read.
+  InstanceReader(kernel::EventLoop& loop,
+                 platform::Client& client,
+                 membership::View& view,
+                 std::function<void()> on_update);
+
+  void Start();
+
+ private:
+  void Read();
+  void OnList(absl::StatusOr<std::vector<platform::Instance>> list);
+
+  kernel::EventLoop& loop_;
+  platform::Client& client_;
+  membership::View& view_;
+  const std::function<void()> on_update_;
+  kernel::Duration wait_;
+  kernel::Timer timer_;
+  // Callbacks of the client check it, since they may outlive the reader.
+  std::shared_ptr<InstanceReader*> self_;
+};
+
+}  // namespace jackdawshunt::entry
+
+#endif  // JACKDAWSHUNT_ENTRY_INSTANCE_READER_H_
--- /dev/null
+++ b/jackdawshunt/entry/links.cc
@@ -0,0 +1,187 @@
+#include "jackdawshunt/entry/links.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "jackdawshunt/base/log.h"
+
+namespace jackdawshunt::entry {
+
+Links::Links(kernel::EventLoop& loop,
+             protocol::Identity identity,
+             configuration::Task& configuration,
+             std::function<void(LinkEvent)> post)
+    : loop_(loop),
+      identity_(std::move(identity)),
+      configuration_(configuration),
+      post_(std::move(post)),
+      listener_(loop, identity_),
+      mailbox_(loop,
+               [this](const LinkCommand& command) {
+                 const auto link = links_.find(command.instance);
+                 if (link != links_.end()) {
+                   link->second.connection->Send(command.message);
+                 }
+               }),
+      heartbeat_timer_(loop.Every(protocol::kHeartbeatPeriod,
+                                  [this] { SendHeartbeats(); })) {
+  listener_.OnConnection(
+      [this](const ConnectionPtr& connection) { Adopt(connection); });
+}
+
+absl::StatusOr<uint16_t> Links::Listen(const http::Address& address) {
+  return listener_.Listen(address);
+}
+
+bool Links::IsDialledByUs(const platform::Instance& instance) const {
+  return instance.role == protocol::RoleName(protocol::Role::kSide) ||
+         (instance.role == protocol::RoleName(protocol::Role::kEntry) &&
+          identity_.self.instance < instance.instance);
+}
+
+void Links::UpdateInstances(const std::vector<platform::Instance>& instances) {
+  std::set<std::string, std::less<>> listed;
+  for (const platform::Instance& instance : instances) {
+    if (!IsDialledByUs(instance)) {
+      continue;
+    }
+    listed.insert(instance.instance);
+    Dial(instance);
+    const bool is_leaving = instance.state == platform::InstanceState::kLeaving;
+    const bool was_leaving = leaving_.contains(instance.instance);
+    if (is_leaving != was_leaving) {
+      post_(InstanceLeaving{instance.instance, is_leaving});
+      if (is_leaving) {
+        leaving_.insert(instance.instance);
+      } else {
+        leaving_.erase(instance.instance);
+      }
+    }
+  }
+  GiveUpUnlisted(listed);
+}
+
+void Links::Dial(const platform::Instance& instance) {
+  Dialled& dialled = dialled_[instance.instance];
+  if (dialled.dialer != nullptr && dialled.address == instance.process) {
+    return;
+  }
+  dialled.address = instance.process;
+  dialled.dialer =
+      std::make_unique<protocol::Dialer>(loop_, identity_, instance.process);
+  dialled.dialer->OnConnection(
+      [this, expected = instance.instance](const ConnectionPtr& connection) {
+        // Another process may have taken over the address.
+        if (connection->peer().instance == expected) {
+          Adopt(connection);
+        } else {
+          connection->Close("another instance answered at this address");
+        }
+      });
+}
+
+void Links::GiveUpUnlisted(const std::set<std::string, std::less<>>& listed) {
+  std::erase_if(dialled_, [&](const auto& entry) {
+    const std::string& instance = entry.first;
+    if (listed.contains(instance) || links_.contains(instance)) {
+      return false;
+    }
+    leaving_.erase(instance);
+    post_(InstanceGone{instance});
+    return true;
+  });
+}
+
+void Links::Adopt(const ConnectionPtr& connection) {
+  const protocol::PeerInfo& peer = connection->peer();
+  const auto existing = links_.find(peer.instance);
+  if (existing != links_.end()) {
+    const ConnectionPtr earlier = existing->second.connection;
+    if (peer.incarnation < earlier->peer().incarnation) {
+      connection->Close("an earlier incarnation of the instance");
+      return;
+    }
+    Drop(*earlier);
+    earlier->Close("replaced by a newer connection");
+  }
+  links_[peer.instance] = {.connection = connection};
+  post_(LinkUp{peer});
+  // The connection owns its handlers, which must not own it in turn.
+  const std::weak_ptr<protocol::Connection> weak = connection;
+  connection->OnClosed([this, raw = connection.get()](std::string_view reason) {
+    base::Log(base::LogLevel::kInfo, "link_down",
+              {{"peer", raw->peer().instance}, {"why", reason}});
+    Drop(*raw);
+  });
+  connection->OnMessage([this, weak](protocol::Message message) {
+    if (const ConnectionPtr alive = weak.lock()) {
+      OnMessage(alive, std::move(message));
+    }
+  });
+  SendHeartbeat(*connection);
+}
+
+void Links::Drop(const protocol::Connection& connection) {
+  const auto link = links_.find(connection.peer().instance);
+  if (link != links_.end() && link->second.connection.get() == &connection) {
+    post_(LinkDown{connection.peer()});
+    // The closed callback of the connection may be running.
+    loop_.Post([kept = std::move(link->second.connection)] {});
+    links_.erase(link);
+  }
+}
+
+void Links::OnMessage(const ConnectionPtr& connection,
+                      protocol::Message message) {
+  const std::string& instance = connection->peer().instance;
+  const auto link = links_.find(instance);
+  if (link == links_.end() || link->second.connection != connection) {
+    return;  // A newer connection has taken over.
+  }
+  if (const auto* heartbeat = std::get_if<protocol::Heartbeat>(&message)) {
+    link->second.config_revision = heartbeat->config_revision;
+  }
+  configuration_.OnPeerMessage(connection, message);
+  post_(LinkMessage{instance, std::move(message)});
+}
+
+void Links::SetDraining() {
+  is_draining_ = true;
+  SendHeartbeats();
+}
+
+void Links::SendHeartbeats() {
+  for (const auto& [instance, link] : links_) {
+    SendHeartbeat(*link.connection);
+  }
+}
+
+void Links::SendHeartbeat(protocol::Connection& connection) {
+  protocol::Heartbeat heartbeat;
+  configuration_.FillHeartbeat(heartbeat);
+  heartbeat.draining = is_draining_;
+  connection.Send(heartbeat);
+}
+
+nlohmann::json Links::Status() const {
+  nlohmann::json peers = nlohmann::json::array();
+  for (const auto& [instance, link] : links_) {
+    const protocol::PeerInfo& peer = link.connection->peer();
+    peers.push_back({{"instance", instance},
+                     {"role", protocol::RoleName(peer.role)},
+                     {"data_centre", peer.data_centre},
+                     {"upstream", peer.upstream},
+                     {"incarnation", peer.incarnation.ToString()},
+                     {"revision", link.config_revision}});
+  }
+  return peers;
+}
+
+bool Links::is_flushed() const {
+  return std::all_of(links_.begin(), links_.end(), [](const auto& entry) {
+    return entry.second.connection->buffered_bytes() == 0;
+  });
+}
+
+}  // namespace jackdawshunt::entry
