--- a/jackdawshunt/claims/claims_test.cc
+++ b/jackdawshunt/claims/claims_test.cc
@@ -119,10 +119,12 @@
     clients_[instance] = std::make_unique<FakeClient>(loop_, store, instance);
     cores_[instance] = std::make_unique<Core>(
         *clients_[instance],
-        internal::Environment{
-            .now = [this] { return clock.Now(); },
-            .unix_seconds = [this] { return UnixSeconds(); },
-            .post = [this](std::function<void()> f) { posted_.push_back(f); }},
+        internal::Environment{.now = [this] { return clock.Now(); },
+                              .unix_seconds = [this] { return UnixSeconds(); },
+                              .post =
+                                  [this](std::function<void()> callback) {
+                                    posted_.push_back(std::move(callback));
+                                  }},
         "entry-" + std::to_string(instance), /*homes=*/1);
   }
 
--- a/jackdawshunt/claims/internal/core.h
+++ b/jackdawshunt/claims/internal/core.h
@@ -40,7 +40,7 @@
 inline constexpr kernel::Duration kTickPeriod = std::chrono::milliseconds(20);
 // A claim without outcome is taken for running up to this age, in seconds;
 // afterwards its process has probably died and its outcome is unknown.
-inline constexpr int64_t kRunningSeconds = 10 * 60;
+inline constexpr int64_t kRunningSeconds = 600;
 
 struct Environment {
   std::function<kernel::TimePoint()> now;
--- a/jackdawshunt/claims/internal/document.h
+++ b/jackdawshunt/claims/internal/document.h
@@ -26,7 +26,7 @@
 // Larger answers are not recorded.
 inline constexpr size_t kMaxRecordedBody = size_t{8} << 10;
 // Claims are removed at this age, in seconds.
-inline constexpr int64_t kExpirySeconds = 24 * 60 * 60;
+inline constexpr int64_t kExpirySeconds = 86'400;
 
 enum class State { kClaimed, kDone, kUnknown };
 
--- a/jackdawshunt/fairness/request_queue.cc
+++ b/jackdawshunt/fairness/request_queue.cc
@@ -60,6 +60,7 @@
   }
   std::sort(expired.begin(), expired.end());
   std::vector<WaitingRequest> result;
+  result.reserve(expired.size());
   for (const auto& [since, request] : expired) {
     result.push_back(ExtractAt(location_.find(request)));
   }
