--- a/jackdawshunt/cli/admin.cc
+++ b/jackdawshunt/cli/admin.cc
@@ -257,7 +257,7 @@
     } else if (object->version != expected) {
       return absl::AbortedError("another version was written");
     } else {
-      const auto version = Send(write, expected);
+      auto version = Send(write, expected);
       const bool is_open = absl::IsUnknown(version.status()) ||
                            absl::IsUnavailable(version.status()) ||
                            absl::IsAborted(version.status()) ||
--- a/jackdawshunt/cli/main.cc
+++ b/jackdawshunt/cli/main.cc
@@ -252,7 +252,7 @@
 
 int RunCommand(const std::string& name, const Options& options) {
   using Command = ExitCode (*)(const Options&);
-  static const std::map<std::string, Command> kCommands = {
+  static const std::map<std::string, Command> commands = {
       {"check", Check},   {"apply", Apply},   {"get", Get},
       {"delete", Delete}, {"status", Status},
   };
@@ -260,9 +260,9 @@
     std::cout << "jackdawshunt " << JACKDAWSHUNT_VERSION << "\n";
     return ToInt(ExitCode::kDone);
   }
-  const auto found = kCommands.find(name);
-  return found == kCommands.end() ? RunRole(name, options)
-                                  : ToInt(found->second(options));
+  const auto found = commands.find(name);
+  return found == commands.end() ? RunRole(name, options)
+                                 : ToInt(found->second(options));
 }
 
 int Main(int argc, char** argv) {
--- a/jackdawshunt/configuration/task.h
+++ b/jackdawshunt/configuration/task.h
@@ -30,7 +30,7 @@
 // Processes per data centre that watch the platform.
 inline constexpr size_t kWatchers = 2;
 // Largest sum of keys and values in one push; a longer record goes alone.
-inline constexpr size_t kMaxPushBytes = 256 * 1024;
+inline constexpr size_t kMaxPushBytes = size_t{256} * 1024;
 
 // Periods and limits; tests shorten them.
 struct TaskTimes {
--- a/jackdawshunt/configuration/task_test.cc
+++ b/jackdawshunt/configuration/task_test.cc
@@ -24,9 +24,7 @@
 using std::chrono::hours;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using ::testing::ElementsAre;
 using ::testing::IsEmpty;
-using ::testing::Le;
 using ::testing::SizeIs;
 
 // Far above what any step needs.
--- a/jackdawshunt/membership/view_test.cc
+++ b/jackdawshunt/membership/view_test.cc
@@ -38,6 +38,7 @@
   constexpr int kCandidates = 20;
   constexpr int kKeys = 200;
   std::vector<std::string> candidates;
+  candidates.reserve(kCandidates);
   for (int i = 0; i < kCandidates; ++i) {
     candidates.push_back(absl::StrCat("entry-", i));
   }
--- a/jackdawshunt/records/records.h
+++ b/jackdawshunt/records/records.h
@@ -24,7 +24,7 @@
 
 // Longest record text. Pushes between processes carry records as escaped JSON
 // strings, which at most double the length and must fit a frame of 1 MiB.
-inline constexpr size_t kMaxRecordBytes = 256 * 1024;
+inline constexpr size_t kMaxRecordBytes = size_t{256} * 1024;
 
 enum class RecordKind { kWorkspace, kModel, kUpstream, kPolicy };
 std::string_view RecordKindName(RecordKind kind);
--- a/jackdawshunt/settings/settings.h
+++ b/jackdawshunt/settings/settings.h
@@ -34,9 +34,9 @@
   std::string log_level = "info";
   std::string ports_file;       // Optional; receives the bound ports as JSON.
   int64_t drain_lag_ms = 5000;  // Entry only.
-  int64_t max_header_bytes = 16 * 1024;  // Entry only.
-  int64_t max_body_bytes = 1024 * 1024;  // Entry only.
-  int64_t stream_buffer_bytes = 256 * 1024;
+  int64_t max_header_bytes = int64_t{16} * 1024;  // Entry only.
+  int64_t max_body_bytes = int64_t{1024} * 1024;  // Entry only.
+  int64_t stream_buffer_bytes = int64_t{256} * 1024;
 };
 
 // Returns every fault as "<file>: <JSON pointer>: <value>: <what is allowed>".
