Move repeatable requests after 1 s without a link to their side

A stream whose side process was killed stalled for 6.2 s, since the entry waited the full 5 s for a new link to the side before it moved the request. Requests that can be run elsewhere now wait 1 s; the others keep 5 s. An attempt that is given up while the link is down is cancelled when the link is back, so that it does not keep its slot.

--- a/jackdawshunt/entry/call.cc
+++ b/jackdawshunt/entry/call.cc
@@ -215,7 +215,8 @@
 Decision Call::OnLinkDown(kernel::TimePoint now) {
   if (is_at_side() && state_ != CallState::kReconnecting) {
     state_ = CallState::kReconnecting;
-    deadline_ = now + kRecoveryLimit;
+    const bool can_move = spec_.repeatable && !is_attached_;
+    deadline_ = now + (can_move ? kRelinkLimit : kRecoveryLimit);
   }
   return {};
 }
--- a/jackdawshunt/entry/call.h
+++ b/jackdawshunt/entry/call.h
@@ -58,6 +58,9 @@
 
 // Longest wait for a new link to the side, or for the answer to a query.
 inline constexpr kernel::Duration kRecoveryLimit = std::chrono::seconds(5);
+// Longest wait for a new link when the request can be run elsewhere: several
+// attempts to dial, and a shorter pause for the caller than kRecoveryLimit.
+inline constexpr kernel::Duration kRelinkLimit = std::chrono::seconds(1);
 
 class Call {
  public:
--- a/jackdawshunt/entry/call_test.cc
+++ b/jackdawshunt/entry/call_test.cc
@@ -95,16 +95,32 @@
   EXPECT_EQ(call.OnAccepted(1, clock_.Now()).step, NextStep::kNone);
 }
 
-// Guards against a request that waits forever for a link or for an answer.
-TEST_F(CallTest, RecoveryIsGivenUpAfterItsLimit) {
+// Guards against a request that waits forever for a link, and against a stream
+// that stalls for longer than it takes to find out that its side is gone.
+TEST_F(CallTest, LinkIsGivenUpAfterItsLimit) {
+  for (const bool repeatable : {true, false}) {
+    Call call = Started(repeatable);
+    call.OnChunk(1, 0, 3, clock_.Now());
+    call.OnLinkDown(clock_.Now());
+    clock_.Advance((repeatable ? kRelinkLimit : kRecoveryLimit) -
+                   milliseconds(1));
+    EXPECT_EQ(call.OnTick(limits_, clock_.Now()).step, NextStep::kNone);
+    clock_.Advance(milliseconds(1));
+    EXPECT_EQ(call.OnTick(limits_, clock_.Now()).step,
+              repeatable ? NextStep::kRequeue : NextStep::kFail);
+    EXPECT_EQ(call.next_offset(), 3);  // Resumed from here.
+  }
+}
+
+// Guards against a request that waits forever for the answer to a query.
+TEST_F(CallTest, UnansweredQueryIsGivenUpAfterItsLimit) {
   Call call = Started(/*repeatable=*/true);
-  call.OnChunk(1, 0, 3, clock_.Now());
   call.OnLinkDown(clock_.Now());
+  call.OnLinkUp(kFirst, limits_, clock_.Now());
   clock_.Advance(kRecoveryLimit - milliseconds(1));
   EXPECT_EQ(call.OnTick(limits_, clock_.Now()).step, NextStep::kNone);
   clock_.Advance(milliseconds(1));
   EXPECT_EQ(call.OnTick(limits_, clock_.Now()).step, NextStep::kRequeue);
-  EXPECT_EQ(call.next_offset(), 3);  // Resumed from here.
 }
 
 // Guards against a silent stream that is never queried, and against a query
--- a/jackdawshunt/entry/dispatcher.h
+++ b/jackdawshunt/entry/dispatcher.h
@@ -154,7 +154,10 @@
   void SettleClaim(const ActiveCall& active, base::Ran ran);
   void Abandon(ActiveCall& active);
   void Erase(ActiveCall& active);
+  // Cancels an attempt of a repeatable request, at the latest when the link to
+  // its side is up again.
   void SendCancel(const ActiveCall& active, int32_t attempt);
+  void SendPendingCancels(const std::string& side);
   void SendCredit(ActiveCall& active);
   ActiveCall* Find(std::string_view request);
   ActiveCall* FindAt(std::string_view request, std::string_view side);
@@ -181,6 +184,9 @@
   std::unique_ptr<fairness::Exchange> exchange_;
   std::set<std::string, std::less<>> peer_entries_;        // With a link.
   std::map<std::string, ServiceRate, std::less<>> rates_;  // By model.
+  // Attempts given up while the link to their side was down, by side.
+  std::map<std::string, std::vector<protocol::Cancel>, std::less<>>
+      pending_cancels_;
   CallMap calls_;
 };
 
--- a/jackdawshunt/entry/dispatcher_calls.cc
+++ b/jackdawshunt/entry/dispatcher_calls.cc
@@ -198,8 +198,29 @@
 }
 
 void Dispatcher::SendCancel(const ActiveCall& active, int32_t attempt) {
-  if (active.call.spec().repeatable) {
-    SendToSide(active, protocol::Cancel{active.call.spec().request, attempt});
+  if (!active.call.spec().repeatable) {
+    return;
+  }
+  const protocol::Cancel cancel{active.call.spec().request, attempt};
+  if (sides_.FindUp(active.call.side()) != nullptr) {
+    SendToSide(active, cancel);
+    return;
+  }
+  // A side that stays away ends abandoned streams by itself, so that the list
+  // need not be complete.
+  constexpr size_t kMaxPendingCancels = 1024;
+  std::vector<protocol::Cancel>& pending = pending_cancels_[active.call.side()];
+  if (pending.size() < kMaxPendingCancels) {
+    pending.push_back(cancel);
+  }
+}
+
+void Dispatcher::SendPendingCancels(const std::string& side) {
+  const auto pending = pending_cancels_.extract(side);
+  if (!pending.empty()) {
+    for (const protocol::Cancel& cancel : pending.mapped()) {
+      ports_.send({side, cancel});
+    }
   }
 }
 
--- a/jackdawshunt/entry/dispatcher_links.cc
+++ b/jackdawshunt/entry/dispatcher_links.cc
@@ -45,6 +45,7 @@
   }
   sides_.SetUp(event.peer);
   bidder_.ForgetSide(instance);
+  SendPendingCancels(instance);
   const kernel::TimePoint now = clock_.Now();
   ApplyToCallsAt(instance, [&](Call& call) {
     return call.OnLinkUp(event.peer.incarnation, Limits(), now);
@@ -68,6 +69,7 @@
 
 void Dispatcher::Handle(const InstanceGone& event) {
   sides_.Remove(event.instance);
+  pending_cancels_.erase(event.instance);
   ApplyToCallsAt(event.instance, [this](Call& call) {
     return call.OnSideGone("the side left the instance list", Limits());
   });
--- a/jackdawshunt/entry/dispatcher_test.cc
+++ b/jackdawshunt/entry/dispatcher_test.cc
@@ -260,6 +260,23 @@
   EXPECT_EQ(Take<protocol::Start>().size(), 1U);
 }
 
+// Guards against an attempt that occupies its slot after the request moved to
+// another side.
+TEST_F(DispatcherTest, AttemptGivenUpWithoutALinkIsCancelledLater) {
+  SideUp("side-1");
+  Model("r1");
+  Grant("side-1", 1);
+  SideDown("side-1");
+  clock_.Advance(kRelinkLimit);
+  dispatcher_.Tick();
+  EXPECT_EQ(dispatcher_.waiting(), 1U);
+  EXPECT_TRUE(Take<protocol::Cancel>().empty());
+  SideUp("side-1");
+  const auto cancels = Take<protocol::Cancel>();
+  ASSERT_EQ(cancels.size(), 1U);
+  EXPECT_EQ(cancels[0].second.attempt, 1);
+}
+
 // Guards against answers that are held back until a deadline.
 TEST_F(DispatcherTest, LimitsAnswerAtOnceWithRetryAfter) {
   SetPolicy(R"({"max_waiting":1,"max_wait_ms":1000})");
