--- a/jackdawshunt/cli/admin.cc
+++ b/jackdawshunt/cli/admin.cc
@@ -18,7 +18,8 @@
 // Far above the client's own limit per call.
 constexpr kernel::Duration kAwaitLimit = seconds(60);
 constexpr kernel::Duration kStatusTimeout = seconds(2);
-constexpr kernel::Duration kPollPeriod = milliseconds(100);
+// Each poll is one billed call to the platform.
+constexpr kernel::Duration kPollPeriod = milliseconds(250);
 // Time to find out what became of a write whose answer was lost.
 constexpr kernel::Duration kSettleLimit = seconds(15);
 constexpr kernel::Duration kSettlePause = milliseconds(200);
@@ -36,6 +37,12 @@
              : absl::StrCat("version ", object.version, ": ", object.value);
 }
 
+// Tells the processes of an instance that was replaced apart.
+std::string NameAndPort(const platform::Instance& instance) {
+  return absl::StrCat(instance.instance, " ",
+                      instance.operator_address.ToString());
+}
+
 // The row of a rejected record, null when the record is not rejected.
 Json RejectedRow(const Json& status, const std::string& key) {
   for (const Json& row : status.value("rejected", Json::array())) {
@@ -324,39 +331,53 @@
   return rows;
 }
 
+std::vector<std::string> Admin::PollInForce(const Versions& versions,
+                                            const std::string& operator_token,
+                                            std::set<std::string>& confirmed,
+                                            bool& is_final) {
+  auto listed = Await<std::vector<platform::Instance>>(
+      [&](auto done) { client_.Instances(std::move(done)); });
+  if (!listed.ok()) {
+    return {listed.status().ToString()};
+  }
+  std::erase_if(*listed, [](const platform::Instance& instance) {
+    return instance.state != platform::InstanceState::kLive;
+  });
+  if (listed->empty()) {
+    return {"the instance list has no live instance"};
+  }
+  // Instances never revert, so each is asked until it confirms.
+  std::erase_if(*listed, [&](const platform::Instance& instance) {
+    return confirmed.contains(NameAndPort(instance));
+  });
+  std::vector<std::string> missing;
+  for (const InstanceStatus& row : ReadStatuses(*listed, operator_token)) {
+    const std::string why = row.status.ok()
+                                ? Missing(*row.status, versions, is_final)
+                                : row.status.status().ToString();
+    if (why.empty()) {
+      confirmed.insert(NameAndPort(row.instance));
+    } else {
+      missing.push_back(absl::StrCat(row.instance.instance, " ", why));
+    }
+  }
+  return missing;
+}
+
 ExitCode Admin::WaitInForce(const Versions& versions,
                             const WriteOptions& options) {
   if (!options.wait.has_value()) {
     return ExitCode::kDone;
   }
   const kernel::TimePoint deadline = loop_.clock().Now() + *options.wait;
+  std::set<std::string> confirmed;
   std::vector<std::string> missing;
+  bool is_final = false;
   while (true) {
-    missing = {"the instance list has no live instance"};
-    const auto listed = Await<std::vector<platform::Instance>>(
-        [&](auto done) { client_.Instances(std::move(done)); });
-    std::vector<platform::Instance> live =
-        listed.value_or(std::vector<platform::Instance>());
-    std::erase_if(live, [](const platform::Instance& instance) {
-      return instance.state != platform::InstanceState::kLive;
-    });
-    if (!listed.ok()) {
-      missing = {listed.status().ToString()};
-    } else if (!live.empty()) {
-      missing.clear();
-    }
-    bool is_final = false;
-    for (const InstanceStatus& row :
-         ReadStatuses(live, options.operator_token)) {
-      std::string why = row.status.ok()
-                            ? Missing(*row.status, versions, is_final)
-                            : row.status.status().ToString();
-      if (!why.empty()) {
-        missing.push_back(absl::StrCat(row.instance.instance, " ", why));
-      }
-    }
+    missing =
+        PollInForce(versions, options.operator_token, confirmed, is_final);
     if (missing.empty()) {
-      out_ << "in force at " << live.size() << " instances\n";
+      out_ << "in force at " << confirmed.size() << " instances\n";
       return ExitCode::kDone;
     }
     if (is_final || loop_.clock().Now() + kPollPeriod >= deadline) {
--- a/jackdawshunt/cli/admin.h
+++ b/jackdawshunt/cli/admin.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <ostream>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,12 @@
   absl::StatusOr<uint64_t> Settle(const Write& write, uint64_t expected);
   ExitCode ReportLostRace(const Write& write, uint64_t expected);
   ExitCode ReportFailure(const std::string& what, const absl::Status& status);
+  // Returns why instances do not yet show `versions`, one line each; adds those
+  // that do to `confirmed`.
+  std::vector<std::string> PollInForce(const Versions& versions,
+                                       const std::string& operator_token,
+                                       std::set<std::string>& confirmed,
+                                       bool& is_final);
   ExitCode WaitInForce(const Versions& versions, const WriteOptions& options);
   std::vector<InstanceStatus> ReadStatuses(
       const std::vector<platform::Instance>& instances,
