Pass on the counters of a lost entry

An entry that ends after it sent its last changes to only some of the others left the rest with older counters for good, because the mesh sends own counters only. On the loss of a connection the ledger now passes the lost entry's counters on with its next changes.

--- a/jackdawshunt/fairness/fairness_benchmark.cc
+++ b/jackdawshunt/fairness/fairness_benchmark.cc
@@ -37,7 +37,7 @@
 void MergeAllOrigins(benchmark::State& state) {
   Ledger ledger("self", {1, 1});
   protocol::Counters counters = CountersOf(state.range(0), 1);
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     ledger.Merge("peer", counters);
     state.PauseTiming();
     for (protocol::CounterEntry& entry : counters.counters) {
@@ -54,7 +54,7 @@
   Ledger ledger("self", {1, 1});
   ledger.Merge("peer", CountersOf(state.range(0), 1));
   protocol::Counters counters = CountersOf(1, 1);
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     ledger.Merge("peer", counters);
   }
   state.SetItemsProcessed(state.iterations() * kWorkspaces);
@@ -65,7 +65,7 @@
   Ledger ledger("self", {1, 1});
   ledger.Merge("peer", CountersOf(32, 1));
   const std::string workspace = Workspace(7);
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     ledger.Charge(workspace, 1);
   }
 }
@@ -87,7 +87,7 @@
   for (int64_t entry = 0; entry < state.range(0); ++entry) {
     book.Replace("entry-" + std::to_string(entry), BidOfAll(0));
   }
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(book.Choose(/*short_only=*/false));
   }
 }
@@ -99,7 +99,7 @@
     book.Replace("entry-" + std::to_string(entry), BidOfAll(0));
   }
   protocol::Bid bid = BidOfAll(0);
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     book.Choose(/*short_only=*/false);
     bid.items[0].service += 1;
     book.Replace("entry-0", bid);
@@ -115,7 +115,7 @@
                .model = "model",
                .workspace = Workspace(static_cast<int>(i % kWorkspaces))});
   }
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     queue.Add({.request = "request", .model = "model", .workspace = "lodge"});
     benchmark::DoNotOptimize(
         queue.Take("model", "lodge", protocol::RequestClass::kShort));
@@ -131,7 +131,7 @@
                .workspace = Workspace(static_cast<int>(i % kWorkspaces)),
                .since = kernel::TimePoint(std::chrono::seconds(1))});
   }
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(queue.TakeOlderThan(kernel::TimePoint()));
   }
 }
--- a/jackdawshunt/fairness/ledger.cc
+++ b/jackdawshunt/fairness/ledger.cc
@@ -121,6 +121,12 @@
   if (found != backlogged_at_peers_.end()) {
     backlogged_at_peers_.erase(found);
   }
+  const auto latest =
+      std::find_if(counters_.rbegin(), counters_.rend(),
+                   [peer](const auto& row) { return row.first.first == peer; });
+  if (latest != counters_.rend()) {
+    passed_on_.insert(latest->first);
+  }
 }
 
 protocol::Counters Ledger::Full() const {
@@ -148,6 +154,13 @@
   for (const std::string& workspace : changed_lifts_) {
     result.lifts.push_back({workspace, lifts_[workspace]});
   }
+  for (const OriginKey& origin : passed_on_) {
+    for (const auto& [workspace, service] : counters_[origin]) {
+      result.counters.push_back(
+          {origin.first, origin.second, workspace, service});
+    }
+  }
+  passed_on_.clear();
   changed_.clear();
   changed_lifts_.clear();
   virtual_time_ = VirtualTime();
--- a/jackdawshunt/fairness/ledger.h
+++ b/jackdawshunt/fairness/ledger.h
@@ -46,11 +46,14 @@
   // Merges a peer's counters by maximum. `peer` is the sender's instance.
   void Merge(std::string_view peer, const protocol::Counters& counters);
   // Forgets what the peer reported as backlogged, after its connection is lost.
+  // The next TakeChanges() passes the peer's own counters on: it may have ended
+  // before it sent its last changes to all.
   void ForgetPeer(std::string_view peer);
 
   // All counters of all origins; for a new peer.
   protocol::Counters Full() const;
-  // Own counters and lifts that changed since the last call of TakeChanges().
+  // Own counters and lifts that changed since the last call of TakeChanges(),
+  // and counters of forgotten peers.
   protocol::Counters TakeChanges();
 
  private:
@@ -77,6 +80,7 @@
       backlogged_at_peers_;
   std::set<std::string, std::less<>> changed_;
   std::set<std::string, std::less<>> changed_lifts_;
+  std::set<OriginKey> passed_on_;  // Latest incarnations of forgotten peers.
   double virtual_time_ = 0;
 };
 
