--- a/jackdawshunt/claims/claims_benchmark.cc
+++ b/jackdawshunt/claims/claims_benchmark.cc
@@ -85,7 +85,7 @@
   };
   acquire(state.range(0));
   const size_t bytes_before = store.bytes();
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     acquire(state.range(1));
     for (const std::string& request : batch) {
       core.Release(request);
@@ -111,7 +111,7 @@
                   .write = "entry-1/0123456789abcdef"});
   }
   const std::string text = document.Serialise();
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(Document::Parse(text));
   }
   state.counters["object_bytes"] = static_cast<double>(text.size());
--- a/jackdawshunt/claims/claims_test.cc
+++ b/jackdawshunt/claims/claims_test.cc
@@ -496,6 +496,44 @@
   EXPECT_EQ(fleet.store.writes, 0U);
 }
 
+// Guards against timers and turns of the real loop that do not drive the state
+// machine.
+TEST(ClaimsTest, RunsOnTheEventLoop) {
+  kernel::EventLoop loop;
+  FakeStore store;
+  FakeClient client(loop, store, 0);
+  Claims claims(loop, client, "entry-1", 4);
+  std::optional<Verdict> verdict;
+  const auto acquire = [&](const std::string& request) {
+    verdict.reset();
+    claims.Acquire({.workspace = "w", .key = "k", .request = request},
+                   [&verdict](const Verdict& result) { verdict = result; });
+    EXPECT_FALSE(verdict.has_value());
+  };
+  const auto run_until = [&](const std::function<bool()>& done) {
+    return loop.RunUntil(
+        [&] {
+          while (!store.calls.empty()) {
+            const auto call = store.calls.front();
+            store.calls.pop_front();
+            call->apply();
+            call->answer();
+          }
+          return done();
+        },
+        std::chrono::seconds(30));
+  };
+  acquire("first");
+  ASSERT_TRUE(run_until([&] { return verdict.has_value(); }));
+  EXPECT_EQ(verdict->kind, VerdictKind::kRun);
+  claims.Complete("first", {.body = "held"});
+  EXPECT_EQ(claims.pending_outcomes(), 1U);
+  ASSERT_TRUE(run_until([&] { return claims.pending_outcomes() == 0; }));
+  acquire("second");
+  ASSERT_TRUE(run_until([&] { return verdict.has_value(); }));
+  EXPECT_EQ(verdict->answer.body, "held");
+}
+
 Claim NumberedClaim(int number) {
   return {.key = std::to_string(number),
           .workspace = "w",
--- a/jackdawshunt/placement/strategy.cc
+++ b/jackdawshunt/placement/strategy.cc
@@ -52,6 +52,7 @@
                                  size_t fanout) override {
     std::vector<std::string> result;
     std::vector<const Candidate*> rest;
+    rest.reserve(candidates.size());
     for (const Candidate& candidate : candidates) {
       rest.push_back(&candidate);
     }
@@ -160,10 +161,10 @@
       return std::nullopt;
     }
     std::string& last = last_[std::string(model)];
-    const Candidate* first = nullptr;
+    const Candidate* first = &candidates.front();
     const Candidate* next = nullptr;
     for (const Candidate& candidate : candidates) {
-      if (first == nullptr || candidate.side < first->side) {
+      if (candidate.side < first->side) {
         first = &candidate;
       }
       if (candidate.side > last &&
--- a/jackdawshunt/placement/strategy_test.cc
+++ b/jackdawshunt/placement/strategy_test.cc
@@ -16,6 +16,7 @@
 
 std::vector<Candidate> Sides(int count) {
   std::vector<Candidate> result;
+  result.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     result.push_back({.side = "side-" + std::to_string(i), .has_bids = true});
   }
