Write stream chunks as text instead of object trees

A profile of an entry under load showed the JSON object tree of each chunk and its allocations at the top. The fixed parts are now written as text; only strings go through the JSON library.

--- a/jackdawshunt/entry/answer_format.cc
+++ b/jackdawshunt/entry/answer_format.cc
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "absl/strings/str_cat.h"
 #include "nlohmann/json.hpp"
 
 namespace jackdawshunt::entry {
@@ -14,22 +15,34 @@
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+absl::string_view View(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
 json Usage(const protocol::Done& done) {
   return {{"prompt_tokens", done.input_tokens},
           {"completion_tokens", done.output_tokens},
           {"total_tokens", done.input_tokens + done.output_tokens}};
 }
 
-json StreamChunk(std::string_view request,
-                 std::string_view model,
-                 const json& delta,
-                 const json& finish_reason) {
-  return {{"id", request},
-          {"object", "chat.completion.chunk"},
-          {"model", model},
-          {"choices", json::array({{{"index", 0},
-                                    {"delta", delta},
-                                    {"finish_reason", finish_reason}}})}};
+// Written as text, since an object tree per token takes several times the time.
+// `delta`, `finish_reason` and `usage` are JSON texts; an empty usage is left
+// out.
+std::string StreamChunk(std::string_view request,
+                        std::string_view model,
+                        std::string_view delta,
+                        std::string_view finish_reason,
+                        std::string_view usage) {
+  std::string chunk =
+      absl::StrCat(R"({"id":)", Dump(request),
+                   R"(,"object":"chat.completion.chunk","model":)", Dump(model),
+                   R"(,"choices":[{"index":0,"delta":)", View(delta),
+                   R"(,"finish_reason":)", View(finish_reason), "}]");
+  if (!usage.empty()) {
+    absl::StrAppend(&chunk, R"(,"usage":)", View(usage));
+  }
+  chunk += '}';
+  return chunk;
 }
 
 std::string Failed(const Failure& failure) {
@@ -63,17 +76,18 @@
   }
   const auto last =
       tokens.offset + static_cast<int64_t>(tokens.tokens.size()) - 1;
-  return "id: " + std::to_string(last) + "\ndata: " +
-         Dump(StreamChunk(request, model, {{"content", content}}, nullptr)) +
-         "\n\n";
+  const std::string delta = absl::StrCat(R"({"content":)", Dump(content), "}");
+  return absl::StrCat("id: ", last, "\ndata: ",
+                      StreamChunk(request, model, delta, "null", ""), "\n\n");
 }
 
 std::string FinalEvents(std::string_view request,
                         std::string_view model,
                         const protocol::Done& done) {
-  json chunk = StreamChunk(request, model, json::object(), done.finish_reason);
-  chunk["usage"] = Usage(done);
-  return "data: " + Dump(chunk) + "\n\ndata: [DONE]\n\n";
+  return absl::StrCat("data: ",
+                      StreamChunk(request, model, "{}",
+                                  Dump(done.finish_reason), Dump(Usage(done))),
+                      "\n\ndata: [DONE]\n\n");
 }
 
 std::string StreamIdComment(std::string_view stream_id) {
--- a/jackdawshunt/entry/answer_format_test.cc
+++ b/jackdawshunt/entry/answer_format_test.cc
@@ -37,6 +37,19 @@
   EXPECT_TRUE(events.ends_with("\n\ndata: [DONE]\n\n"));
 }
 
+// Guards against text that breaks the JSON of a chunk, which is written without
+// an object tree.
+TEST(AnswerFormatTest, StreamedTextIsEscaped) {
+  const std::string text = "\"}\\\n\t\x01\xc3\xa9";
+  const json chunk =
+      DataOf(TokensEvent("r", "m\"", {.request = "r", .tokens = {text}}));
+  EXPECT_EQ(chunk["choices"][0]["delta"]["content"], text);
+  EXPECT_EQ(chunk["choices"][0]["finish_reason"], nullptr);
+  EXPECT_EQ(chunk["object"], "chat.completion.chunk");
+  EXPECT_EQ(chunk["id"], "r");
+  EXPECT_EQ(chunk["model"], "m\"");
+}
+
 // Guards against tokens that break the JSON of an answer.
 TEST(AnswerFormatTest, InvalidUtf8IsReplaced) {
   const json body = json::parse(CompletionBody("r", "m", "a\xff", {}));
