--- a/jackdawshunt/testing/fleet.cc
+++ b/jackdawshunt/testing/fleet.cc
@@ -44,7 +44,7 @@
 
 absl::StatusOr<std::unique_ptr<Fleet>> Fleet::Start(FleetOptions options) {
   std::unique_ptr<Fleet> fleet(new Fleet(std::move(options)));
-  if (const absl::Status status = fleet->StartAll(); !status.ok()) {
+  if (absl::Status status = fleet->StartAll(); !status.ok()) {
     return status;
   }
   return fleet;
@@ -57,14 +57,14 @@
     return platform.status();
   }
   platform_ = *std::move(platform);
-  if (const absl::Status status = StartUpstreams(); !status.ok()) {
+  if (absl::Status status = StartUpstreams(); !status.ok()) {
     return status;
   }
-  if (const absl::Status status = WriteRecords(); !status.ok()) {
+  if (absl::Status status = WriteRecords(); !status.ok()) {
     return status;
   }
   for (SideMember& member : sides_) {
-    if (const absl::Status status = StartSide(member); !status.ok()) {
+    if (absl::Status status = StartSide(member); !status.ok()) {
       return status;
     }
   }
@@ -79,25 +79,36 @@
 }
 
 absl::Status Fleet::StartUpstreams() {
-  for (int i = 0; i < options_.engines; ++i) {
-    const std::string name = absl::StrCat("engine-", i);
-    auto engine = StartStandIn(name, "engine", options_.engine_arguments);
-    if (!engine.ok()) {
-      return engine.status();
+  absl::Status status;
+  for (const json& record : options_.records) {
+    if (record["kind"] == "upstream") {
+      status.Update(
+          StartUpstream(record["name"], record["spec"]["driver"] == "engine"));
     }
-    sides_.push_back({.name = name,
-                      .instance = absl::StrCat("side-", name),
-                      .upstream = *std::move(engine)});
+  }
+  if (!options_.records.is_null()) {
+    return status;
+  }
+  for (int i = 0; i < options_.engines; ++i) {
+    status.Update(StartUpstream(absl::StrCat("engine-", i), true));
   }
   for (const std::string& name : options_.services) {
-    auto service = StartStandIn(name, "service", options_.service_arguments);
-    if (!service.ok()) {
-      return service.status();
-    }
-    sides_.push_back({.name = name,
-                      .instance = absl::StrCat("side-", name),
-                      .upstream = *std::move(service)});
+    status.Update(StartUpstream(name, false));
+  }
+  return status;
+}
+
+absl::Status Fleet::StartUpstream(const std::string& name, bool is_engine) {
+  auto upstream = StartStandIn(
+      name, is_engine ? "engine" : "service",
+      is_engine ? options_.engine_arguments : options_.service_arguments);
+  if (!upstream.ok()) {
+    return upstream.status();
   }
+  sides_.push_back({.name = name,
+                    .instance = absl::StrCat("side-", name),
+                    .is_engine = is_engine,
+                    .upstream = *std::move(upstream)});
   return absl::OkStatus();
 }
 
@@ -177,7 +188,7 @@
   if (!entry.ok()) {
     return entry.status();
   }
-  const absl::Status registered =
+  absl::Status registered =
       Register(instance, "entry", **entry, (*entry)->Port("process"));
   if (!registered.ok()) {
     return registered;
@@ -210,7 +221,22 @@
       .status();
 }
 
+absl::Status Fleet::WriteGivenRecords() {
+  absl::Status status;
+  for (const json& record : options_.records) {
+    status.Update(
+        PutObject(PlatformAddress(),
+                  absl::StrCat("config/", record["kind"].get<std::string>(),
+                               "/", record["name"].get<std::string>()),
+                  record.dump()));
+  }
+  return status;
+}
+
 absl::Status Fleet::WriteRecords() {
+  if (!options_.records.is_null()) {
+    return WriteGivenRecords();
+  }
   absl::Status status =
       PutRecord("model", kModel, {{"versions", json::array({"v1"})}});
   for (const std::string& service : options_.services) {
@@ -223,17 +249,15 @@
                 {"path_prefix", "/"},
                 {"repeatable", false}}})}}));
   }
-  const auto engines = static_cast<size_t>(options_.engines);
-  for (size_t i = 0; i < sides_.size(); ++i) {
-    const bool is_engine = i < engines;
+  for (const SideMember& side : sides_) {
     json spec = {
-        {"driver", is_engine ? "engine" : "service"},
-        {"models", json::array({is_engine ? Text(kModel) : sides_[i].name})},
+        {"driver", side.is_engine ? "engine" : "service"},
+        {"models", json::array({side.is_engine ? Text(kModel) : side.name})},
         {"slots", options_.slots}};
-    if (is_engine && options_.short_slots > 0) {
+    if (side.is_engine && options_.short_slots > 0) {
       spec["short_slots"] = options_.short_slots;
     }
-    status.Update(PutRecord("upstream", sides_[i].name, spec));
+    status.Update(PutRecord("upstream", side.name, spec));
   }
   if (!options_.policy.is_null()) {
     status.Update(PutRecord("policy", "fleet", options_.policy));
@@ -303,7 +327,7 @@
 
 absl::Status Fleet::RestartSide(size_t i) {
   sides_[i].side.reset();
-  if (const absl::Status status = StartSide(sides_[i]); !status.ok()) {
+  if (absl::Status status = StartSide(sides_[i]); !status.ok()) {
     return status;
   }
   return WaitUntilReady();
--- a/jackdawshunt/testing/fleet.h
+++ b/jackdawshunt/testing/fleet.h
@@ -43,7 +43,10 @@
   std::map<std::string, double> workspaces;  // Names and shares.
   int slots = 4;
   int short_slots = 0;
-  nlohmann::json policy;          // Spec of the policy record; null: none.
+  nlohmann::json policy;  // Spec of the policy record; null: none.
+  // Array of whole records. When present, the upstreams are taken from them,
+  // and engines, services, workspaces, slots and policy are not used.
+  nlohmann::json records;
   nlohmann::json entry_settings;  // Merged over the defaults.
   nlohmann::json side_settings;
   // Sends the connections between the sides and the fleet through a proxy, to
@@ -55,6 +58,7 @@
 struct SideMember {
   std::string name;      // Of the upstream record.
   std::string instance;  // Of the side process.
+  bool is_engine = true;
   std::unique_ptr<Process> upstream;
   std::unique_ptr<Process> side;
   std::unique_ptr<Process> proxy;  // With FleetOptions::proxy_sides.
@@ -118,9 +122,11 @@
 
   absl::Status StartAll();
   absl::Status StartUpstreams();
+  absl::Status StartUpstream(const std::string& name, bool is_engine);
   absl::Status StartSide(SideMember& member);
   absl::StatusOr<std::unique_ptr<Process>> StartEntry(size_t i);
   absl::Status WriteRecords();
+  absl::Status WriteGivenRecords();
   absl::Status WaitUntilReady();
   nlohmann::json BaseSettings(const std::string& instance) const;
   absl::StatusOr<std::unique_ptr<Process>> StartMain(
--- a/jackdawshunt/testing/http_helper.cc
+++ b/jackdawshunt/testing/http_helper.cc
@@ -52,10 +52,10 @@
            },
        .on_done =
            [this](absl::StatusOr<http::Response> response) {
+             end_ = response.status();
              if (response.ok()) {
                head_ = *std::move(response);
              }
-             end_ = response.status();
            }});
 }
 
