--- a/jackdawshunt/cli/cli_test.cc
+++ b/jackdawshunt/cli/cli_test.cc
@@ -155,7 +155,8 @@
     return admin.Apply({Text(Workspace("lodge", share, 'a'))}, options);
   }
   // A live instance whose operator port answers with `status`.
-  void AddInstance(const std::string& name, std::function<json()> status) {
+  void AddInstance(const std::string& name,
+                   const std::function<json()>& status) {
     auto server = std::make_unique<http::Server>(loop, http::ServerLimits{});
     server->SetHandler([status](const std::shared_ptr<http::Exchange>& e) {
       const bool is_allowed = http::FindHeader(e->request().headers,
--- a/jackdawshunt/configuration/task_test.cc
+++ b/jackdawshunt/configuration/task_test.cc
@@ -384,7 +384,7 @@
 
 // Guards against a push that does not fit a frame or delays other messages.
 TEST_F(TaskTest, PushesAreSplit) {
-  constexpr size_t kPadding = 100 * 1024;
+  constexpr size_t kPadding = size_t{100} * 1024;
   for (const char* name : {"a", "b", "c", "d", "e"}) {
     client.Write(name, kPadding);
   }
