Test the lifetime of exchanges and calls

Cause: evhttp's requests may outlive or predecease their connection; the new test of a reused connection showed that evhttp's page was not replaced after the first reply, because a written output buffer is frozen. Change: the buffer is unfrozen before it is read; tests for callers that leave, slow readers, pipelined requests, a destroyed server, a paused client and calls destroyed by their own callback.

--- a/jackdawshunt/http/http_test.cc
+++ b/jackdawshunt/http/http_test.cc
@@ -176,6 +176,168 @@
             absl::StatusCode::kDeadlineExceeded);
 }
 
+class HttpLifetimeTest : public HttpTest {
+ protected:
+  HttpLifetimeTest() {
+    server_.SetHandler([this](std::shared_ptr<Exchange> exchange) {
+      exchange_ = std::move(exchange);
+      exchange_->OnClosed([this] { ++closed_; });
+    });
+  }
+  bool Wait(const std::function<bool()>& done) {
+    return loop_.RunUntil(done, seconds(20));
+  }
+  // Sends a request whose exchange stays open in exchange_.
+  std::unique_ptr<RawCaller> Open(std::string text = "GET / HTTP/1.1\r\n\r\n") {
+    auto caller = std::make_unique<RawCaller>(address_.port);
+    caller->SendSome(text);
+    EXPECT_TRUE(Wait([&] { return exchange_ != nullptr; }));
+    return caller;
+  }
+
+  std::shared_ptr<Exchange> exchange_;
+  int closed_ = 0;
+};
+
+// Guards against work that goes on for a caller that left while it waited.
+TEST_F(HttpLifetimeTest, CallerThatLeftBeforeTheReplyIsNoticed) {
+  auto caller = Open();
+  EXPECT_EQ(server_.open_exchanges(), 1);
+  caller.reset();
+  EXPECT_TRUE(Wait([&] { return closed_ == 1; }));
+  EXPECT_FALSE(exchange_->is_open());
+  EXPECT_EQ(server_.open_exchanges(), 0);
+  exchange_->Reply({.body = "late"});
+  exchange_->StartStream(200, {});
+  exchange_->Write("late");
+  exchange_->EndStream();
+  exchange_->Abort();
+}
+
+TEST_F(HttpLifetimeTest, CallerThatLeftDuringTheStreamIsNoticed) {
+  auto caller = Open();
+  exchange_->StartStream(200, {});
+  exchange_->Write("part");
+  ASSERT_TRUE(Wait([&] {
+    caller->IsClosed();
+    return caller->received().find("part") != std::string::npos;
+  }));
+  caller.reset();
+  EXPECT_TRUE(Wait([&] { return closed_ == 1; }));
+  EXPECT_EQ(exchange_->buffered_bytes(), 0);
+  exchange_->Write("late");
+  exchange_->EndStream();
+  EXPECT_EQ(server_.open_exchanges(), 0);
+}
+
+// Guards against a slow reader that is invisible to the owner of the stream.
+TEST_F(HttpLifetimeTest, SlowReaderIsVisibleAndDrains) {
+  auto caller = Open();
+  int drained = 0;
+  exchange_->OnDrained([&] { ++drained; });
+  exchange_->StartStream(200, {});
+  exchange_->Write("first");
+  EXPECT_TRUE(Wait([&] { return drained == 1; }));
+  // More than the buffers of both sockets hold.
+  const std::string block(size_t{32} * 1024 * 1024, 'x');
+  exchange_->Write(block);
+  EXPECT_GE(exchange_->buffered_bytes(), block.size());
+  EXPECT_TRUE(Wait([&] {
+    caller->IsClosed();
+    return drained == 2;
+  }));
+  EXPECT_EQ(exchange_->buffered_bytes(), 0);
+}
+
+// Guards against a second request that disturbs the first one's reply.
+TEST_F(HttpLifetimeTest, PipelinedRequestsAreAnsweredInOrder) {
+  auto caller = Open("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+  const auto first = std::exchange(exchange_, nullptr);
+  EXPECT_EQ(first->request().path, "/a");
+  first->StartStream(200, {});
+  first->Write("one");
+  EXPECT_EQ(server_.open_exchanges(), 1);
+  first->EndStream();
+  ASSERT_TRUE(Wait([&] { return exchange_ != nullptr; }));
+  EXPECT_EQ(exchange_->request().path, "/b");
+  exchange_->Reply({.headers = {{"Connection", "close"}}, .body = "two"});
+  EXPECT_TRUE(Wait([&] { return caller->IsClosed(); }));
+  EXPECT_LT(caller->received().find("one"), caller->received().find("two"));
+  EXPECT_EQ(closed_, 0);
+}
+
+TEST_F(HttpLifetimeTest, ErrorPageAlsoOnAReusedConnection) {
+  auto caller = Open("GET /a HTTP/1.1\r\n\r\nnonsense\r\n\r\n");
+  exchange_->Reply({.body = "one"});
+  EXPECT_TRUE(Wait([&] { return caller->IsClosed(); }));
+  EXPECT_NE(caller->received().find("page 400"), std::string::npos)
+      << caller->received();
+}
+
+// Guards against a use after free when the server goes before the exchange.
+TEST_F(HttpLifetimeTest, ExchangeMayOutliveTheServer) {
+  auto server = std::make_unique<Server>(loop_, ServerLimits());
+  server->SetHandler([&](std::shared_ptr<Exchange> e) { exchange_ = e; });
+  address_.port = server->Listen({}).value();
+  const auto caller = Open();
+  exchange_->StartStream(200, {});
+  exchange_->Write("part");
+  server.reset();
+  EXPECT_FALSE(exchange_->is_open());
+  exchange_->Write("late");
+  exchange_->EndStream();
+  EXPECT_TRUE(Wait([&] { return caller->IsClosed(); }));
+}
+
+// Guards against a client that reads on although its owner cannot take more.
+TEST_F(HttpLifetimeTest, PausedClientLeavesTheDataAtTheServer) {
+  size_t received = 0;
+  bool done = false;
+  std::unique_ptr<Call> call;
+  call = client_.Send(
+      address_, {},
+      {.on_chunk =
+           [&](const Response&, std::string_view part) {
+             if (received == 0) {
+               call->Pause();
+             }
+             received += part.size();
+           },
+       .on_done = [&](const absl::StatusOr<Response>& r) { done = r.ok(); }});
+  ASSERT_TRUE(Wait([&] { return exchange_ != nullptr; }));
+  exchange_->StartStream(200, {});
+  const std::string block(size_t{64} * 1024, 'x');
+  // Grows until the buffers of both sockets are full.
+  size_t written = 0;
+  ASSERT_TRUE(Wait([&] {
+    exchange_->Write(block);
+    written += block.size();
+    return received > 0 && exchange_->buffered_bytes() > 8 * block.size();
+  }));
+  const size_t before = received;
+  EXPECT_LT(before, written / 2);
+  exchange_->EndStream();
+  call->Resume();
+  EXPECT_TRUE(Wait([&] { return done; }));
+  EXPECT_EQ(received, written);
+}
+
+TEST_F(HttpLifetimeTest, CallMayBeDestroyedByItsOwnCallback) {
+  std::unique_ptr<Call> call;
+  call = client_.Send(
+      address_, {},
+      {.on_chunk = [&](const Response&, std::string_view) { call.reset(); },
+       .on_done =
+           [](const absl::StatusOr<Response>&) {
+             ADD_FAILURE() << "a cancelled call must not report its end";
+           }});
+  ASSERT_TRUE(Wait([&] { return exchange_ != nullptr; }));
+  exchange_->StartStream(200, {});
+  exchange_->Write("part");
+  EXPECT_TRUE(Wait([&] { return closed_ == 1; }));
+  EXPECT_EQ(call, nullptr);
+}
+
 bool Has(const std::string& text, std::string_view part) {
   return text.find(part) != std::string::npos;
 }
@@ -229,6 +391,14 @@
   EXPECT_EQ(server_.open_exchanges(), 0);
 }
 
+// Guards against the loss of a refusal that comes before the whole upload.
+TEST_F(HttpLimitTest, ClientSeesTheRefusalOfItsUpload) {
+  const auto response =
+      Fetch({.method = "POST", .body = std::string(5'000'000, 'x')});
+  ASSERT_TRUE(response.ok()) << response.status();
+  EXPECT_EQ(response->status, 413);
+}
+
 TEST_F(HttpLimitTest, MalformedRequestGets400) {
   for (const char* const text :
        {"nonsense\r\n\r\n", "GET / HTTP/1.1\r\nno colon\r\n\r\n",
--- a/jackdawshunt/http/internal/error_pages.cc
+++ b/jackdawshunt/http/internal/error_pages.cc
@@ -112,8 +112,14 @@
   constexpr std::string_view kStart = "HTTP/1.x ";
   constexpr size_t kStatusDigits = 3;
   char line[kStart.size() + kStatusDigits];
-  if (evbuffer_copyout(bufferevent_get_output(watch.transport), line,
-                       sizeof(line)) != sizeof(line)) {
+  evbuffer* const output = bufferevent_get_output(watch.transport);
+  // The output of a bufferevent that has written before is frozen, which also
+  // forbids copying from it.
+  evbuffer_unfreeze(output, /*at_front=*/1);
+  const bool copied =
+      evbuffer_copyout(output, line, sizeof(line)) == sizeof(line);
+  evbuffer_freeze(output, /*at_front=*/1);
+  if (!copied) {
     return 0;
   }
   int status = 0;
