Keep resumed streams where their callers are

A stream whose first side failed before its first token sent the id of that side in its headers, so that a resume at another entry failed with stream_lost; the headers now wait for the first token. An entry whose caller had left could take a stream back by an attach after the progress limit; it no longer attaches for callers who left. A side's not_found after an attach now counts as a lost attempt. A starting entry waits up to 2 s for the counters of listed peers.

--- a/jackdawshunt/entry/call.cc
+++ b/jackdawshunt/entry/call.cc
@@ -14,7 +14,6 @@
 // Faults of the request itself, which another attempt would repeat.
 bool IsCallersFault(base::ErrorKind kind) {
   return kind == base::ErrorKind::kBadRequest ||
-         kind == base::ErrorKind::kNotFound ||
          kind == base::ErrorKind::kBodyTooLarge ||
          kind == base::ErrorKind::kModelNotAllowed;
 }
@@ -64,13 +63,15 @@
   last_progress_ = now;
 }
 
-void Call::Rejoin(int64_t offset, kernel::TimePoint now) {
+Decision Call::Rejoin(int64_t offset, kernel::TimePoint now) {
   next_offset_ = offset;
   consumed_ = offset;
   first_offset_ = offset;
-  if (state_ == CallState::kRunning || state_ == CallState::kStarted) {
-    Ask(NextStep::kAttach, now);
-  }
+  // In the other states the attach follows from the answer to a query.
+  const bool can_attach =
+      state_ == CallState::kRunning || state_ == CallState::kStarted ||
+      (state_ == CallState::kQuerying && asked_ == NextStep::kAttach);
+  return can_attach ? Ask(NextStep::kAttach, now) : Decision{};
 }
 
 void Call::SetConsumed(int64_t offset) {
--- a/jackdawshunt/entry/call.h
+++ b/jackdawshunt/entry/call.h
@@ -89,8 +89,8 @@
                   const base::Incarnation& incarnation,
                   uint64_t grant,
                   kernel::TimePoint now);
-  // A new caller takes the stream from `offset` on; an attach must be sent.
-  void Rejoin(int64_t offset, kernel::TimePoint now);
+  // A new caller takes the stream from `offset` on.
+  Decision Rejoin(int64_t offset, kernel::TimePoint now);
   void SetConsumed(int64_t offset);
 
   Decision OnAccepted(int32_t attempt, kernel::TimePoint now);
--- a/jackdawshunt/entry/dispatcher.cc
+++ b/jackdawshunt/entry/dispatcher.cc
@@ -135,11 +135,7 @@
     }
     active->left_at.reset();
     active->consumed = active->credited = join.offset;
-    const CallState before = active->call.state();
-    active->call.Rejoin(join.offset, now);
-    if (before == CallState::kStarted || before == CallState::kRunning) {
-      Apply(*active, {.step = NextStep::kAttach});
-    }
+    Apply(*active, active->call.Rejoin(join.offset, now));
     if (active->call.is_at_side()) {
       ports_.answer(Opened{join.request, active->call.side()});
     }
--- a/jackdawshunt/entry/dispatcher.h
+++ b/jackdawshunt/entry/dispatcher.h
@@ -82,6 +82,8 @@
   size_t active() const { return calls_.size(); }
   size_t waiting() const { return queue_.size(); }
   size_t running() const;
+  // True once another entry has sent its service counters.
+  bool has_peer_counters() const { return has_peer_counters_; }
 
  private:
   struct ActiveCall {
@@ -182,7 +184,8 @@
   std::unique_ptr<placement::Strategy> strategy_;
   std::string exchange_name_;
   std::unique_ptr<fairness::Exchange> exchange_;
-  std::set<std::string, std::less<>> peer_entries_;        // With a link.
+  std::set<std::string, std::less<>> peer_entries_;  // With a link.
+  bool has_peer_counters_ = false;
   std::map<std::string, ServiceRate, std::less<>> rates_;  // By model.
   // Attempts given up while the link to their side was down, by side.
   std::map<std::string, std::vector<protocol::Cancel>, std::less<>>
--- a/jackdawshunt/entry/dispatcher_calls.cc
+++ b/jackdawshunt/entry/dispatcher_calls.cc
@@ -42,6 +42,11 @@
                                  .attempt = call.attempt()});
       return;
     case NextStep::kAttach:
+      // The caller may have resumed the stream at another entry, from which an
+      // attach would take it away.
+      if (active.left_at && call.spec().kind == protocol::StartKind::kModel) {
+        return;
+      }
       SendToSide(active, protocol::Attach{.request = call.spec().request,
                                           .workspace = call.spec().workspace,
                                           .offset = call.next_offset()});
--- a/jackdawshunt/entry/dispatcher_links.cc
+++ b/jackdawshunt/entry/dispatcher_links.cc
@@ -99,6 +99,7 @@
                            const protocol::Counters& message) {
   if (peer_entries_.contains(from)) {
     exchange_->Received(ledger_, from, message);
+    has_peer_counters_ = true;
     RefreshBids();
   }
 }
--- a/jackdawshunt/entry/dispatcher_test.cc
+++ b/jackdawshunt/entry/dispatcher_test.cc
@@ -393,6 +393,25 @@
   EXPECT_EQ(dispatcher_.active(), 0U);
 }
 
+// Guards against an entry that takes a stream back from the entry at which its
+// caller resumed it.
+TEST_F(DispatcherTest, LeftStreamIsNotAttachedTo) {
+  SetPolicy(R"({"progress_limit_ms":1000})");
+  SideUp("side-1");
+  Model("r1");
+  Grant("side-1", 1);
+  From("side-1", protocol::Accepted{"r1", 1});
+  dispatcher_.OnCallerEvent(Left{"r1"});
+  clock_.Advance(seconds(1));
+  dispatcher_.Tick();
+  EXPECT_EQ(Take<protocol::Query>().size(), 1U);
+  From("side-1", protocol::Accepted{"r1", 1});
+  EXPECT_TRUE(Take<protocol::Attach>().empty());
+  dispatcher_.OnCallerEvent(
+      Join{.request = "r1", .side = "side-1", .workspace = "lodge"});
+  EXPECT_EQ(Take<protocol::Attach>().size(), 1U);
+}
+
 // Guards against a stream of another workspace that is taken over.
 TEST_F(DispatcherTest, StreamOfAnotherWorkspaceIsNotFound) {
   SideUp("side-1");
--- a/jackdawshunt/entry/entry_role.cc
+++ b/jackdawshunt/entry/entry_role.cc
@@ -32,6 +32,9 @@
 namespace jackdawshunt::entry {
 namespace {
 
+// A starting entry waits this long for the counters of listed peers: without
+// them it would take workspaces that had much service for ones that had none.
+constexpr kernel::Duration kCountersWait = std::chrono::seconds(2);
 constexpr kernel::Duration kExitCheckPeriod = std::chrono::milliseconds(50);
 
 enum class Phase { kServing, kLagging, kDraining };
@@ -73,15 +76,19 @@
                [this](CallerEvent event) {
                  caller_events_.Post(std::move(event));
                }),
-        instance_reader_(loop_, platform_, view_, [this] {
-          links_.UpdateInstances(view_.instances());
-        }) {}
+        instance_reader_(loop_,
+                         platform_,
+                         view_,
+                         [this] {
+                           has_instances_ = true;
+                           links_.UpdateInstances(view_.instances());
+                         }),
+        started_(loop_.clock().Now()) {}
 
   int Run() {
     store_.OnChange([this] { OnConfiguration(); });
-    operator_server_.SetReadiness([this] {
-      return phase_ == Phase::kServing && configuration_.is_ready();
-    });
+    operator_server_.SetReadiness(
+        [this] { return phase_ == Phase::kServing && IsLoaded(); });
     operator_server_.SetStatus([this] { return Status(); });
     operator_server_.OnCollect([this] { Collect(); });
     if (!Listen()) {
@@ -158,11 +165,20 @@
                 }};
   }
 
+  // True once the records and the peers' counters are here.
+  bool IsLoaded() const {
+    const bool has_counters = dispatcher_.has_peer_counters() ||
+                              loop_.clock().Now() - started_ >= kCountersWait ||
+                              store_.snapshot().policy.exchange == "none" ||
+                              (has_instances_ && view_.Entries().size() <= 1);
+    return configuration_.is_ready() && has_counters;
+  }
+
   std::optional<base::ErrorKind> Refusal() const {
     if (phase_ == Phase::kDraining) {
       return base::ErrorKind::kDraining;
     }
-    if (!configuration_.is_ready()) {
+    if (!IsLoaded()) {
       return base::ErrorKind::kNotReady;
     }
     return std::nullopt;
@@ -283,6 +299,8 @@
   Links links_;
   Front front_;
   InstanceReader instance_reader_;
+  const kernel::TimePoint started_;
+  bool has_instances_ = false;  // The instance list has been read.
 };
 
 class EntryRole final : public kernel::Role {
--- a/jackdawshunt/entry/front.cc
+++ b/jackdawshunt/entry/front.cc
@@ -162,19 +162,16 @@
   callers_.erase(request);
 }
 
+// The headers wait for the first token: until then the request may move, and
+// the stream id in them would name a side that has nothing of it.
 void Front::Handle(const Opened& answer) {
   Caller* const caller = Find(answer.request);
-  if (caller == nullptr || !caller->is_stream) {
-    if (caller != nullptr) {
-      caller->side = answer.side;
-    }
+  if (caller == nullptr) {
     return;
   }
   const bool has_moved = caller->side != answer.side;
   caller->side = answer.side;
-  if (!caller->has_headers) {
-    OpenStream(answer.request, *caller);
-  } else if (has_moved) {
+  if (caller->has_headers && has_moved) {
     caller->exchange->Write(
         StreamIdComment(StreamId(answer.request, answer.side)));
   }
