--- a/jackdawshunt/testing/end_to_end_test.cc
+++ b/jackdawshunt/testing/end_to_end_test.cc
@@ -179,10 +179,10 @@
   bad.body = "{\"model\":";
   EXPECT_EQ(Outcome(Fetch(entry, bad)), "400 bad_request");
   http::Request large = fleet->ChatRequest("lodge", "hello", {});
-  large.body = std::string(1024 * 1024 + 1, ' ');
+  large.body = std::string(size_t{1024} * 1024 + 1, ' ');
   EXPECT_EQ(Outcome(Fetch(entry, large)), "413 body_too_large");
   http::Request headers = fleet->ChatRequest("lodge", "hello", {});
-  headers.headers.emplace_back("X-Large", std::string(32 * 1024, 'x'));
+  headers.headers.emplace_back("X-Large", std::string(size_t{32} * 1024, 'x'));
   EXPECT_EQ(Outcome(Fetch(entry, headers)), "431 headers_too_large");
   EXPECT_EQ(Outcome(Fetch(entry, {.path = "/nothing"})), "404 not_found");
   const auto stats = Fleet::Admin(*fleet->side(0).upstream, "/admin/stats");
