--- a/jackdawshunt/entry/charging_test.cc
+++ b/jackdawshunt/entry/charging_test.cc
@@ -13,7 +13,7 @@
   fairness::Ledger ledger_{"entry-1", {.start_us = 1}};
   Charging charging_{ledger_};
   // Input costs 0.25 and output 1 per token.
-  const records::Policy policy_;
+  const records::Policy policy_{};
 };
 
 // Guards against requests that count as free until they end.
