Charge the ledger with received tokens only, keep estimates beside it

Ruled out: stale bids (the services at the decisions of one second lay within 300 of each other). Change: the ledger counts received tokens, which only grow; the expected rest of running requests is added to the service that a bid states.

--- a/jackdawshunt/entry/bidder.cc
+++ b/jackdawshunt/entry/bidder.cc
@@ -57,13 +57,14 @@
                                const BidInputs& inputs) {
   Items items;
   for (const fairness::Backlog& backlog : inputs.queue.BacklogOf(model)) {
+    const double share = ShareOf(backlog.workspace, inputs.snapshot);
     items.push_back(
         {.workspace = backlog.workspace,
          .request_class = backlog.request_class,
          .waiting = backlog.waiting,
-         .service = inputs.ledger.NormalisedService(backlog.workspace),
-         .estimate = backlog.head_estimate /
-                     ShareOf(backlog.workspace, inputs.snapshot)});
+         .service = inputs.ledger.NormalisedService(backlog.workspace) +
+                    inputs.charging.Pending(backlog.workspace) / share,
+         .estimate = backlog.head_estimate / share});
   }
   return items;
 }
--- a/jackdawshunt/entry/bidder.h
+++ b/jackdawshunt/entry/bidder.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "jackdawshunt/configuration/store.h"
+#include "jackdawshunt/entry/charging.h"
 #include "jackdawshunt/entry/messages.h"
 #include "jackdawshunt/entry/side_table.h"
 #include "jackdawshunt/fairness/ledger.h"
@@ -26,6 +27,7 @@
 struct BidInputs {
   const fairness::RequestQueue& queue;
   const fairness::Ledger& ledger;
+  const Charging& charging;
   const SideTable& sides;
   const configuration::Snapshot& snapshot;
   placement::Strategy& strategy;
--- a/jackdawshunt/entry/charging.cc
+++ b/jackdawshunt/entry/charging.cc
@@ -32,31 +32,44 @@
          ExpectedOutput(workspace, max_tokens) * policy.output_weight;
 }
 
+double Charging::Pending(std::string_view workspace) const {
+  const auto found = pending_.find(workspace);
+  return found == pending_.end() ? 0 : found->second;
+}
+
 Charge Charging::Start(std::string_view workspace,
                        size_t body_bytes,
                        int64_t max_tokens,
                        const records::Policy& policy) {
   Charge charge{.workspace = std::string(workspace),
                 .input = InputCost(body_bytes, policy)};
-  Correct(charge, Estimate(workspace, body_bytes, max_tokens, policy));
+  SetExpected(charge, Estimate(workspace, body_bytes, max_tokens, policy));
   return charge;
 }
 
-void Charging::Correct(Charge& charge, double cost) {
-  if (cost != charge.charged) {
-    ledger_.Charge(charge.workspace, cost - charge.charged);
-    charge.charged = cost;
+void Charging::ChargeUpTo(Charge& charge, double cost) {
+  if (cost <= charge.charged) {
+    return;
   }
+  ledger_.Charge(charge.workspace, cost - charge.charged);
+  const double before = std::max(0.0, charge.expected - charge.charged);
+  charge.charged = cost;
+  const double after = std::max(0.0, charge.expected - charge.charged);
+  pending_[charge.workspace] -= before - after;
+}
+
+void Charging::SetExpected(Charge& charge, double expected) {
+  const double before = std::max(0.0, charge.expected - charge.charged);
+  charge.expected = expected;
+  const double after = std::max(0.0, charge.expected - charge.charged);
+  double& pending = pending_[charge.workspace];
+  pending = std::max(0.0, pending + after - before);
 }
 
 void Charging::Pass(Charge& charge,
                     int64_t output_tokens,
                     const records::Policy& policy) {
-  const double cost =
-      charge.input + static_cast<double>(output_tokens) * policy.output_weight;
-  if (cost > charge.charged) {
-    Correct(charge, cost);
-  }
+  ChargeUpTo(charge, static_cast<double>(output_tokens) * policy.output_weight);
 }
 
 void Charging::Finish(Charge& charge,
@@ -64,8 +77,9 @@
                       int64_t output_tokens,
                       const records::Policy& policy) {
   const auto output = static_cast<double>(output_tokens);
-  Correct(charge, static_cast<double>(input_tokens) * policy.input_weight +
-                      output * policy.output_weight);
+  ChargeUpTo(charge, static_cast<double>(input_tokens) * policy.input_weight +
+                         output * policy.output_weight);
+  SetExpected(charge, 0);
   const auto [average, is_first] =
       average_output_.try_emplace(charge.workspace, output);
   if (!is_first) {
@@ -76,12 +90,13 @@
 void Charging::Stop(Charge& charge,
                     int64_t output_tokens,
                     const records::Policy& policy) {
-  Correct(charge, charge.input + static_cast<double>(output_tokens) *
-                                     policy.output_weight);
+  ChargeUpTo(charge, charge.input + static_cast<double>(output_tokens) *
+                                        policy.output_weight);
+  SetExpected(charge, 0);
 }
 
 void Charging::Cancel(Charge& charge) {
-  Correct(charge, 0);
+  SetExpected(charge, 0);
 }
 
 }  // namespace jackdawshunt::entry
--- a/jackdawshunt/entry/dispatcher.cc
+++ b/jackdawshunt/entry/dispatcher.cc
@@ -228,6 +228,7 @@
 BidInputs Dispatcher::Inputs() {
   return {.queue = queue_,
           .ledger = ledger_,
+          .charging = charging_,
           .sides = sides_,
           .snapshot = store_.snapshot(),
           .strategy = *strategy_,
