Pace the bids and let the entry choose the request of a grant anew

Cause: an entry sent every change of its backlog or of a service to all sides: 3,250 bids of 931 bytes and 1,975 credits in 9 s at one entry, 547 to 608 KB/s against a limit of 19. Change: a bid names the two workspaces of lowest service per class; a side that holds one is told of changes at a paced rate; a new backlog goes to two sides per request first and to the others after a refresh period; withdrawals are paced; the entry gives a grant to its request of lowest service by its own fresh counters; credit is sent every 256 tokens or when no more follow within a tick.

--- a/jackdawshunt/entry/bidder.cc
+++ b/jackdawshunt/entry/bidder.cc
@@ -5,19 +5,68 @@
 namespace jackdawshunt::entry {
 namespace {
 
+// A side grants few requests between two refreshes, so it needs to know only
+// the next of each class.
+constexpr size_t kItemsPerClass = 2;
+// Waiting requests stated per item. A side that used them up is told at once of
+// further ones.
+constexpr int32_t kMaxWaiting = 8;
+// Part of the control budget of 19 KB/s that refreshes may use.
+constexpr double kRefreshBytesPerSecond = 8000;
+// A second side covers a first whose slot was taken since its last heartbeat.
+constexpr int64_t kFirstSidesPerRequest = 2;
+// Of a bid with four items, measured with codec_benchmark.
+constexpr double kBidBytes = 150;
+
+bool IsLower(const protocol::BidItem& a, const protocol::BidItem& b) {
+  return a.service < b.service;
+}
+
+const protocol::BidItem* LowestOf(const std::vector<protocol::BidItem>& items,
+                                  protocol::RequestClass request_class) {
+  const auto found = std::find_if(
+      items.begin(), items.end(),
+      [=](const auto& item) { return item.request_class == request_class; });
+  return found == items.end() ? nullptr : &*found;
+}
+
+// Whether the side holds a bid for the class, and whether its lowest service
+// has fallen by more than a request costs, which a lifted workspace cannot
+// cause.
+enum class BidState { kMissing, kOutdated, kCurrent };
+
+BidState StateOf(const std::vector<protocol::BidItem>& last,
+                 const std::vector<protocol::BidItem>& items,
+                 protocol::RequestClass request_class) {
+  const protocol::BidItem* const now = LowestOf(items, request_class);
+  if (now == nullptr) {
+    return BidState::kCurrent;
+  }
+  const protocol::BidItem* const before = LowestOf(last, request_class);
+  if (before == nullptr) {
+    return BidState::kMissing;
+  }
+  return now->service + now->estimate < before->service ? BidState::kOutdated
+                                                        : BidState::kCurrent;
+}
+
 bool IsEqual(const protocol::BidItem& a, const protocol::BidItem& b) {
   return a.workspace == b.workspace && a.request_class == b.request_class &&
          a.waiting == b.waiting && a.service == b.service &&
          a.estimate == b.estimate;
 }
 
-double ShareOf(std::string_view workspace,
-               const configuration::Snapshot& snapshot) {
+}  // namespace
+
+double BidInputs::ShareOf(std::string_view workspace) const {
   const auto found = snapshot.workspaces.find(workspace);
   return found == snapshot.workspaces.end() ? 1 : found->second.share;
 }
 
-}  // namespace
+double BidInputs::OrderOf(std::string_view workspace) const {
+  return ledger.NormalisedService(workspace) +
+         charging.Pending(workspace) / ShareOf(workspace);
+}
 
 void Bidder::MarkChanged(std::string_view model) {
   changed_.emplace(model);
@@ -33,16 +82,21 @@
   affinity_[model] = std::move(affinity);
 }
 
-void Bidder::ForgetSent(std::string_view side, std::string_view model) {
-  const auto sides = sent_.find(model);
+void Bidder::Consume(std::string_view side, const protocol::Grant& grant) {
+  const auto sides = sent_.find(grant.model);
   if (sides == sent_.end()) {
     return;
   }
-  if (const auto sent = sides->second.find(side); sent != sides->second.end()) {
-    // An empty list differs from every bid and still marks the side as one that
-    // must be told when nothing waits any more.
-    sent->second.clear();
+  const auto sent = sides->second.find(side);
+  if (sent == sides->second.end()) {
+    return;
   }
+  // An emptied list still marks the side as one that must be told when nothing
+  // waits any more.
+  std::erase_if(sent->second.items, [&grant](protocol::BidItem& item) {
+    return item.workspace == grant.workspace &&
+           item.request_class == grant.request_class && --item.waiting <= 0;
+  });
 }
 
 void Bidder::ForgetSide(std::string_view side) {
@@ -55,20 +109,38 @@
 
 Bidder::Items Bidder::ItemsFor(std::string_view model,
                                const BidInputs& inputs) {
-  Items items;
+  Items all;
   for (const fairness::Backlog& backlog : inputs.queue.BacklogOf(model)) {
-    const double share = ShareOf(backlog.workspace, inputs.snapshot);
-    items.push_back(
-        {.workspace = backlog.workspace,
-         .request_class = backlog.request_class,
-         .waiting = backlog.waiting,
-         .service = inputs.ledger.NormalisedService(backlog.workspace) +
-                    inputs.charging.Pending(backlog.workspace) / share,
-         .estimate = backlog.head_estimate / share});
+    all.push_back({.workspace = backlog.workspace,
+                   .request_class = backlog.request_class,
+                   .waiting = std::min(backlog.waiting, kMaxWaiting),
+                   .service = inputs.OrderOf(backlog.workspace),
+                   .estimate = backlog.head_estimate /
+                               inputs.ShareOf(backlog.workspace)});
+  }
+  std::sort(all.begin(), all.end(), IsLower);
+  Items items;
+  std::map<protocol::RequestClass, size_t> taken;
+  for (protocol::BidItem& item : all) {
+    if (taken[item.request_class]++ < kItemsPerClass) {
+      items.push_back(std::move(item));
+    }
   }
   return items;
 }
 
+kernel::Duration Bidder::RefreshPeriod(const BidInputs& inputs) const {
+  size_t bids = 0;
+  for (const auto& [model, sides] : sent_) {
+    bids += sides.size();
+  }
+  const std::chrono::duration<double> paced(static_cast<double>(bids) *
+                                            kBidBytes / kRefreshBytesPerSecond);
+  return std::max<kernel::Duration>(
+      std::chrono::milliseconds(inputs.snapshot.policy.exchange_period_ms),
+      std::chrono::duration_cast<kernel::Duration>(paced));
+}
+
 std::vector<LinkCommand> Bidder::Flush(const BidInputs& inputs) {
   std::vector<LinkCommand> commands;
   const std::set<std::string, std::less<>> models = changed_;
@@ -80,32 +152,113 @@
   return commands;
 }
 
+std::set<std::string> Bidder::UrgentTargets(
+    const std::vector<placement::Candidate>& candidates,
+    const std::vector<std::string>& targets,
+    const std::map<std::string, Sent, std::less<>>& sent,
+    const Items& items) const {
+  std::vector<const placement::Candidate*> by_free_slots;
+  for (const placement::Candidate& candidate : candidates) {
+    if (std::find(targets.begin(), targets.end(), candidate.side) !=
+        targets.end()) {
+      by_free_slots.push_back(&candidate);
+    }
+  }
+  std::stable_sort(by_free_slots.begin(), by_free_slots.end(),
+                   [](const auto* a, const auto* b) {
+                     return a->free_slots > b->free_slots;
+                   });
+  std::set<std::string> urgent;
+  for (const auto request_class :
+       {protocol::RequestClass::kShort, protocol::RequestClass::kLong}) {
+    int64_t wanted = 0;
+    for (const protocol::BidItem& item : items) {
+      wanted += item.request_class == request_class
+                    ? kFirstSidesPerRequest * item.waiting
+                    : 0;
+    }
+    std::vector<std::string> missing;
+    for (const placement::Candidate* const candidate : by_free_slots) {
+      const auto last = sent.find(candidate->side);
+      const BidState state =
+          StateOf(last == sent.end() ? Items{} : last->second.items, items,
+                  request_class);
+      if (state == BidState::kMissing) {
+        missing.push_back(candidate->side);
+        continue;
+      }
+      --wanted;
+      if (state == BidState::kOutdated) {
+        urgent.insert(candidate->side);
+      }
+    }
+    for (const std::string& side : missing) {
+      if (wanted-- > 0) {
+        urgent.insert(side);
+      }
+    }
+  }
+  return urgent;
+}
+
+void Bidder::Withdraw(const std::string& model,
+                      const std::vector<std::string>& targets,
+                      const BidInputs& inputs,
+                      std::vector<LinkCommand>& commands) {
+  const kernel::Duration period = RefreshPeriod(inputs);
+  std::erase_if(sent_[model], [&](const auto& entry) {
+    const auto& [side, last] = entry;
+    if (std::find(targets.begin(), targets.end(), side) != targets.end()) {
+      return false;
+    }
+    if (last.items.empty()) {
+      return true;  // The side used the bid up.
+    }
+    if (inputs.now - last.at < period) {
+      changed_.insert(model);
+      return false;
+    }
+    commands.push_back({side, protocol::Bid{.model = model}});
+    return true;
+  });
+}
+
 std::vector<LinkCommand> Bidder::FlushModel(const std::string& model,
                                             const BidInputs& inputs) {
   changed_.erase(model);
   const Items items = ItemsFor(model, inputs);
+  std::vector<placement::Candidate> candidates;
   std::vector<std::string> targets;
-  if (!items.empty()) {
+  if (items.empty()) {
+    waiting_since_.erase(model);
+  } else {
+    candidates = inputs.sides.CandidatesFor(model, inputs.snapshot, inputs.now);
     targets = inputs.strategy.BidAt(
-        affinity_[model],
-        inputs.sides.CandidatesFor(model, inputs.snapshot, inputs.now),
+        affinity_[model], candidates,
         static_cast<size_t>(inputs.snapshot.policy.bid_fanout));
+    waiting_since_.try_emplace(model, inputs.now);
   }
   std::vector<LinkCommand> commands;
+  Withdraw(model, targets, inputs, commands);
+  if (items.empty()) {
+    return commands;
+  }
   auto& sent = sent_[model];
-  std::erase_if(sent, [&](const auto& entry) {
-    const bool withdraw =
-        std::find(targets.begin(), targets.end(), entry.first) == targets.end();
-    if (withdraw) {
-      commands.push_back({entry.first, protocol::Bid{.model = model}});
-    }
-    return withdraw;
-  });
+  const std::set<std::string> urgent =
+      UrgentTargets(candidates, targets, sent, items);
+  const kernel::Duration period = RefreshPeriod(inputs);
+  const kernel::TimePoint since = waiting_since_[model];
   for (const std::string& side : targets) {
-    Items& last = sent[side];
-    if (!std::equal(last.begin(), last.end(), items.begin(), items.end(),
-                    IsEqual)) {
-      last = items;
+    const auto last = sent.find(side);
+    const kernel::TimePoint last_at =
+        last == sent.end() ? since : last->second.at;
+    const bool is_due =
+        inputs.now - last_at >= period &&
+        (last == sent.end() ||
+         !std::equal(last->second.items.begin(), last->second.items.end(),
+                     items.begin(), items.end(), IsEqual));
+    if (is_due || urgent.contains(side)) {
+      sent.insert_or_assign(side, Sent{items, inputs.now});
       commands.push_back({side, protocol::Bid{.model = model, .items = items}});
     }
   }
--- a/jackdawshunt/entry/bidder.h
+++ b/jackdawshunt/entry/bidder.h
@@ -1,5 +1,12 @@
 // Bids for the waiting requests: which sides must be told what. Does no I/O.
 //
+// A new backlog is announced to a few sides with free slots first and to all
+// others when it is not served within a refresh period. A bid names only the
+// workspaces with the lowest service, and a side that holds one is told of
+// changes at a paced rate, so that bids stay within the control budget. The
+// entry decides anew which request a grant goes to, so the order among its own
+// requests does not depend on how old the bid is.
+//
 // Example:
 //   bidder.MarkChanged("m");
 //   for (const entry::LinkCommand& bid : bidder.Flush(inputs)) { ... }
@@ -32,6 +39,12 @@
   const configuration::Snapshot& snapshot;
   placement::Strategy& strategy;
   kernel::TimePoint now;
+
+  // Share of the workspace; 1 when its record is unknown.
+  double ShareOf(std::string_view workspace) const;
+  // What the order of service goes by: the normalised service with what running
+  // requests are still expected to cost.
+  double OrderOf(std::string_view workspace) const;
 };
 
 class Bidder {
@@ -42,9 +55,8 @@
   void MarkAll(const fairness::RequestQueue& queue);
   // Prompt prefix of the newest request, for the choice among many sides.
   void SetAffinity(const std::string& model, std::string affinity);
-  // The side used up part of the bid, so the next one must be sent even if it
-  // equals the last.
-  void ForgetSent(std::string_view side, std::string_view model);
+  // The side used up one request of its bid.
+  void Consume(std::string_view side, const protocol::Grant& grant);
   // The link to the side is down, and with it all bids there.
   void ForgetSide(std::string_view side);
 
@@ -55,13 +67,31 @@
 
  private:
   using Items = std::vector<protocol::BidItem>;
+  struct Sent {
+    Items items;
+    kernel::TimePoint at;
+  };
 
   static Items ItemsFor(std::string_view model, const BidInputs& inputs);
+  // Time between refreshes of one side's bid.
+  kernel::Duration RefreshPeriod(const BidInputs& inputs) const;
+  // Sides that must hear of the items at once, out of `targets`.
+  std::set<std::string> UrgentTargets(
+      const std::vector<placement::Candidate>& candidates,
+      const std::vector<std::string>& targets,
+      const std::map<std::string, Sent, std::less<>>& sent,
+      const Items& items) const;
+  void Withdraw(const std::string& model,
+                const std::vector<std::string>& targets,
+                const BidInputs& inputs,
+                std::vector<LinkCommand>& commands);
 
   std::set<std::string, std::less<>> changed_;
   std::map<std::string, std::string, std::less<>> affinity_;
+  // Since when the model has had waiting requests.
+  std::map<std::string, kernel::TimePoint, std::less<>> waiting_since_;
   // Last bid per model and side.
-  std::map<std::string, std::map<std::string, Items, std::less<>>, std::less<>>
+  std::map<std::string, std::map<std::string, Sent, std::less<>>, std::less<>>
       sent_;
 };
 
--- a/jackdawshunt/entry/dispatcher.cc
+++ b/jackdawshunt/entry/dispatcher.cc
@@ -156,7 +156,7 @@
   if (ActiveCall* const active = Find(consumed.request)) {
     // Enough tokens per message that credits stay a small part of the traffic;
     // Tick() sends the rest.
-    constexpr int64_t kCreditStep = 32;
+    constexpr int64_t kCreditStep = 256;
     active->consumed = std::max(active->consumed, consumed.offset);
     active->call.SetConsumed(consumed.offset);
     if (active->consumed - active->credited >= kCreditStep) {
@@ -246,10 +246,8 @@
 }
 
 void Dispatcher::RefreshBids() {
-  if (queue_.size() > 0) {
-    bidder_.MarkAll(queue_);
-    ports_.schedule_flush();
-  }
+  bidder_.MarkAll(queue_);
+  ports_.schedule_flush();
 }
 
 void Dispatcher::PushAll() {
@@ -304,7 +302,12 @@
     if (active == nullptr) {
       continue;
     }
-    SendCredit(*active);
+    // Credits below the step are sent once nothing more is consumed, since the
+    // side may wait for them.
+    if (active->consumed == active->consumed_at_tick) {
+      SendCredit(*active);
+    }
+    active->consumed_at_tick = active->consumed;
     if (active->left_at && now - *active->left_at >= kResumeGrace &&
         active->call.is_at_side() && active->call.spec().repeatable) {
       Abandon(*active);
--- a/jackdawshunt/entry/dispatcher.h
+++ b/jackdawshunt/entry/dispatcher.h
@@ -97,6 +97,7 @@
     int64_t attempt_base = 0;  // Offset at the start of the attempt.
     int64_t consumed = 0;
     int64_t credited = 0;
+    int64_t consumed_at_tick = 0;
     std::string body;  // Plain services: the answer so far.
   };
   using CallMap = std::map<std::string, ActiveCall, std::less<>>;
--- a/jackdawshunt/entry/dispatcher_links.cc
+++ b/jackdawshunt/entry/dispatcher_links.cc
@@ -106,7 +106,7 @@
 
 void Dispatcher::OnMessage(const std::string& from,
                            const protocol::Grant& message) {
-  bidder_.ForgetSent(from, message.model);
+  bidder_.Consume(from, message);
   const protocol::PeerInfo* const side = sides_.FindUp(from);
   if (side == nullptr) {
     return;
@@ -125,28 +125,28 @@
 std::optional<fairness::WaitingRequest> Dispatcher::Pick(
     const protocol::Grant& grant,
     std::string_view& why) {
-  why = "granted workspace";
-  auto next = queue_.Take(grant.model, grant.workspace, grant.request_class);
-  if (next) {
-    return next;
-  }
-  why = "lowest service of those waiting";
+  const BidInputs inputs = Inputs();
   const std::vector<fairness::Backlog> backlogs = queue_.BacklogOf(grant.model);
   const fairness::Backlog* lowest = nullptr;
+  double lowest_service = 0;
   for (const fairness::Backlog& backlog : backlogs) {
     // A grant for a short request may come from a slot reserved for those.
     const bool is_allowed =
         grant.request_class == protocol::RequestClass::kLong ||
         backlog.request_class == protocol::RequestClass::kShort;
-    if (is_allowed && (lowest == nullptr ||
-                       ledger_.NormalisedService(backlog.workspace) <
-                           ledger_.NormalisedService(lowest->workspace))) {
+    const double service = inputs.OrderOf(backlog.workspace);
+    if (is_allowed && (lowest == nullptr || service < lowest_service)) {
       lowest = &backlog;
+      lowest_service = service;
     }
   }
-  return lowest == nullptr ? std::nullopt
-                           : queue_.Take(grant.model, lowest->workspace,
-                                         lowest->request_class);
+  if (lowest == nullptr) {
+    return std::nullopt;
+  }
+  why = lowest->workspace == grant.workspace
+            ? "granted workspace"
+            : "lower service than the granted workspace";
+  return queue_.Take(grant.model, lowest->workspace, lowest->request_class);
 }
 
 void Dispatcher::Start(ActiveCall& active,
@@ -171,7 +171,7 @@
                {"side", side.instance},
                {"attempt", active.call.attempt()},
                {"why", why},
-               {"service", ledger_.NormalisedService(spec.workspace)},
+               {"service", Inputs().OrderOf(spec.workspace)},
                {"waiting", queue_.size()}});
   }
   ports_.send(
