Send the frequent control messages as CBOR instead of JSON-RPC

Cause: with paced bids the control traffic was still 2.7 times its limit; heartbeats, bids and grants of JSON-RPC spend most bytes on names. Change: heartbeat, bid, grant, decline, accepted and credit have a compact form, a CBOR array in the order of their schema; the rarer messages stay JSON-RPC.

--- a/jackdawshunt/protocol/codec.cc
+++ b/jackdawshunt/protocol/codec.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "jackdawshunt/protocol/internal/binary.h"
+#include "jackdawshunt/protocol/internal/compact.h"
 #include "jackdawshunt/protocol/internal/frame.h"
 #include "jackdawshunt/protocol/internal/json_rpc.h"
 #include "jackdawshunt/protocol/internal/schema.h"
@@ -18,6 +19,9 @@
     return internal::BuildFrame(FrameKind::kCounters,
                                 internal::EncodeCounters(*counters));
   }
+  if (const auto body = internal::EncodeCompact(message)) {
+    return internal::BuildFrame(FrameKind::kCompact, *body);
+  }
   const internal::JsonRpcText text = internal::EncodeJsonRpc(message);
   const bool has_blob = std::visit(
       []<typename M>(const M&) { return internal::kHasBlob<M>; }, message);
--- a/jackdawshunt/protocol/codec.h
+++ b/jackdawshunt/protocol/codec.h
@@ -31,6 +31,7 @@
   // fields. Inside the JSON text the escapes of a body of 1 MiB could exceed
   // the longest frame, and a body need not be UTF-8.
   kJsonRpcWithBlob = 5,
+  kCompact = 6,  // CBOR, for the frequent control messages.
 };
 
 // Returns the whole frame of a message.
--- /dev/null
+++ b/jackdawshunt/protocol/internal/compact.cc
@@ -0,0 +1,216 @@
+#include "jackdawshunt/protocol/internal/compact.h"
+
+#include <cmath>
+#include <cstdint>
+#include <limits>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jackdawshunt/protocol/internal/binary.h"
+#include "jackdawshunt/protocol/internal/schema.h"
+#include "nlohmann/json.hpp"
+
+namespace jackdawshunt::protocol::internal {
+namespace {
+
+using nlohmann::json;
+
+// The numbers are part of the protocol.
+template <typename M>
+inline constexpr int kNumber = 0;
+template <>
+inline constexpr int kNumber<Heartbeat> = 1;
+template <>
+inline constexpr int kNumber<Bid> = 2;
+template <>
+inline constexpr int kNumber<Grant> = 3;
+template <>
+inline constexpr int kNumber<Decline> = 4;
+template <>
+inline constexpr int kNumber<Accepted> = 5;
+template <>
+inline constexpr int kNumber<Credit> = 6;
+
+json ToJson(RequestClass value) {
+  return static_cast<int>(value);
+}
+json ToJson(const BidItem& item);
+template <typename T>
+json ToJson(const T& value) {
+  return value;
+}
+json ToJson(const std::vector<BidItem>& items) {
+  json list = json::array();
+  for (const BidItem& item : items) {
+    list.push_back(ToJson(item));
+  }
+  return list;
+}
+
+// Visitor that appends the fields to an array.
+class Writer {
+ public:
+  explicit Writer(json& array) : array_(array) {}
+
+  template <typename T>
+  void operator()(const char*, const T& value) {
+    array_.push_back(ToJson(value));
+  }
+
+ private:
+  json& array_;
+};
+
+json ToJson(const BidItem& item) {
+  json fields = json::array();
+  Writer writer(fields);
+  Schema<BidItem>::Visit(writer, item);
+  return fields;
+}
+
+// Visitor that reads the fields from an array; `ok` turns false at a field of
+// another type or range.
+class Reader {
+ public:
+  Reader(const json& array, size_t first, bool& ok)
+      : array_(array), next_(first), ok_(ok) {}
+
+  template <typename T>
+  void operator()(const char*, T& value) {
+    if (next_ < array_.size()) {
+      ok_ = Read(array_[next_++], value) && ok_;
+    }
+  }
+
+ private:
+  static bool Read(const json& field, bool& value) {
+    value = field.is_boolean() && field.get<bool>();
+    return field.is_boolean();
+  }
+  static bool Read(const json& field, double& value) {
+    value = field.is_number() ? field.get<double>() : NAN;
+    return std::isfinite(value);
+  }
+  static bool Read(const json& field, std::string& value) {
+    if (!field.is_string()) {
+      return false;
+    }
+    value = field.get<std::string>();
+    return true;
+  }
+  static bool Read(const json& field, uint64_t& value) {
+    value = field.is_number_unsigned() ? field.get<uint64_t>() : 0;
+    return field.is_number_unsigned();
+  }
+  static bool Read(const json& field, int64_t& value) {
+    const bool is_small =
+        field.is_number_unsigned() &&
+        field.get<uint64_t>() >
+            static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
+    if (!field.is_number_integer() || is_small) {
+      return false;
+    }
+    value = field.get<int64_t>();
+    return true;
+  }
+  static bool Read(const json& field, int32_t& value) {
+    int64_t wide = 0;
+    if (!Read(field, wide) || wide < std::numeric_limits<int32_t>::min() ||
+        wide > std::numeric_limits<int32_t>::max()) {
+      return false;
+    }
+    value = static_cast<int32_t>(wide);
+    return true;
+  }
+  static bool Read(const json& field, RequestClass& value) {
+    int32_t number = 0;
+    if (!Read(field, number) || number < 0 ||
+        number > static_cast<int32_t>(RequestClass::kLong)) {
+      return false;
+    }
+    value = static_cast<RequestClass>(number);
+    return true;
+  }
+  static bool Read(const json& field, std::vector<BidItem>& items) {
+    if (!field.is_array()) {
+      return false;
+    }
+    bool ok = true;
+    for (const json& item : field) {
+      if (!item.is_array()) {
+        return false;
+      }
+      Reader reader(item, /*first=*/0, ok);
+      Schema<BidItem>::Visit(reader, items.emplace_back());
+    }
+    return ok;
+  }
+
+  const json& array_;
+  size_t next_;
+  bool& ok_;
+};
+
+// Reads the message when `number` is its own.
+template <typename M>
+bool ReadAs(int number, const json& array, std::optional<Message>& result) {
+  if (number != kNumber<M>) {
+    return false;
+  }
+  M message;
+  bool ok = true;
+  Reader reader(array, /*first=*/1, ok);
+  Schema<M>::Visit(reader, message);
+  if (ok) {
+    result = std::move(message);
+  }
+  return true;
+}
+
+}  // namespace
+
+std::optional<std::string> EncodeCompact(const Message& message) {
+  return std::visit(
+      []<typename M>(const M& content) -> std::optional<std::string> {
+        if constexpr (kNumber<M> == 0) {
+          return std::nullopt;
+        } else {
+          json array = json::array({kNumber<M>});
+          Writer writer(array);
+          Schema<M>::Visit(writer, content);
+          std::string body;
+          json::to_cbor(array, body);
+          return body;
+        }
+      },
+      message);
+}
+
+absl::StatusOr<Message> DecodeCompact(std::string_view body) {
+  const absl::Status malformed =
+      absl::InvalidArgumentError("malformed compact frame");
+  if (!IsBoundedCbor(body)) {
+    return malformed;
+  }
+  const json array = json::from_cbor(body.begin(), body.end(), /*strict=*/true,
+                                     /*allow_exceptions=*/false);
+  if (!array.is_array() || array.empty() || !array[0].is_number_unsigned()) {
+    return malformed;
+  }
+  const auto number = static_cast<int>(array[0].get<uint8_t>());
+  std::optional<Message> result;
+  ReadAs<Heartbeat>(number, array, result) ||
+      ReadAs<Bid>(number, array, result) ||
+      ReadAs<Grant>(number, array, result) ||
+      ReadAs<Decline>(number, array, result) ||
+      ReadAs<Accepted>(number, array, result) ||
+      ReadAs<Credit>(number, array, result);
+  if (!result.has_value()) {
+    return malformed;
+  }
+  return *std::move(result);
+}
+
+}  // namespace jackdawshunt::protocol::internal
--- /dev/null
+++ b/jackdawshunt/protocol/internal/compact.h
@@ -0,0 +1,26 @@
+// Compact form of the control messages that are sent for every request or
+// several times a second: a CBOR array of the kind and the fields in the order
+// of the schema. The rarer messages stay JSON-RPC, which is easier to read in a
+// capture and to extend.
+#ifndef JACKDAWSHUNT_PROTOCOL_INTERNAL_COMPACT_H_
+#define JACKDAWSHUNT_PROTOCOL_INTERNAL_COMPACT_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "jackdawshunt/protocol/messages.h"
+
+namespace jackdawshunt::protocol::internal {
+
+// Returns nullopt for a message without a compact form.
+std::optional<std::string> EncodeCompact(const Message& message);
+
+// Error: InvalidArgument. Fields beyond the known ones are ignored and absent
+// last ones keep their defaults, so that two releases can run side by side.
+absl::StatusOr<Message> DecodeCompact(std::string_view body);
+
+}  // namespace jackdawshunt::protocol::internal
+
+#endif  // JACKDAWSHUNT_PROTOCOL_INTERNAL_COMPACT_H_
--- a/jackdawshunt/protocol/internal/frame.cc
+++ b/jackdawshunt/protocol/internal/frame.cc
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "jackdawshunt/protocol/internal/binary.h"
+#include "jackdawshunt/protocol/internal/compact.h"
 #include "jackdawshunt/protocol/internal/json_rpc.h"
 
 namespace jackdawshunt::protocol::internal {
@@ -11,7 +12,7 @@
 
 bool IsKnownKind(unsigned char kind) {
   return kind >= static_cast<unsigned char>(FrameKind::kJsonRpc) &&
-         kind <= static_cast<unsigned char>(FrameKind::kJsonRpcWithBlob);
+         kind <= static_cast<unsigned char>(FrameKind::kCompact);
 }
 
 }  // namespace
@@ -84,6 +85,8 @@
       return DecodeChunk(frame.body);
     case FrameKind::kCounters:
       return DecodeCounters(frame.body);
+    case FrameKind::kCompact:
+      return DecodeCompact(frame.body);
     case FrameKind::kHandshake:
       break;
   }
