--- a/jackdawshunt/entry/dispatcher_test.cc
+++ b/jackdawshunt/entry/dispatcher_test.cc
@@ -98,6 +98,12 @@
                                      .max_tokens = 10});
   }
 
+  void PassRefreshPeriod() {
+    clock_.Advance(kBidRefresh);
+    dispatcher_.ExchangeCounters();
+    dispatcher_.FlushBids();
+  }
+
   void Hold(const std::string& request, const std::string& key) {
     dispatcher_.OnCallerEvent(Submit{.request = request,
                                      .workspace = "lodge",
@@ -170,15 +176,13 @@
   Model("r2");
   dispatcher_.FlushBids();
   EXPECT_TRUE(Take<protocol::Bid>().empty());
-  clock_.Advance(kBidRefresh);
-  dispatcher_.FlushBids();
+  PassRefreshPeriod();
   const auto refreshed = Take<protocol::Bid>();
   ASSERT_EQ(refreshed.size(), 2U);
   EXPECT_EQ(refreshed[0].second.items[0].waiting, 2);
   Grant("side-1", 1);
   Grant("side-2", 1);
-  clock_.Advance(kBidRefresh);
-  dispatcher_.FlushBids();
+  PassRefreshPeriod();
   const auto withdrawn = Take<protocol::Bid>();
   ASSERT_EQ(withdrawn.size(), 2U);
   EXPECT_TRUE(withdrawn[0].second.items.empty());
@@ -193,8 +197,7 @@
   }
   Model("r1");
   EXPECT_EQ(Take<protocol::Bid>().size(), 2U);
-  clock_.Advance(kBidRefresh);
-  dispatcher_.FlushBids();
+  PassRefreshPeriod();
   EXPECT_EQ(Take<protocol::Bid>().size(), 2U);
 }
 
