Let only the attached entry cancel a stream

Cause: a caller left entry 1 and resumed at entry 2; entry 1 cancelled the stream 10 s later, after its grace period, and the resumed stream ended. Change: a cancel from an entry that another one has taken over from is ignored.

--- a/jackdawshunt/side/dispatcher.cc
+++ b/jackdawshunt/side/dispatcher.cc
@@ -257,13 +257,14 @@
 
 void Dispatcher::Handle(const ConnectionPtr& connection,
                         const protocol::Cancel& cancel) {
-  (void)connection;
   std::erase_if(pushed_, [&cancel](const PushedStart& pushed) {
     return pushed.start.request == cancel.request &&
            pushed.start.attempt == cancel.attempt;
   });
   Execution* const execution = Find(cancel.request);
-  if (execution != nullptr && execution->start().attempt == cancel.attempt) {
+  // An entry whose caller resumed the stream at another entry may not end it.
+  if (execution != nullptr && execution->start().attempt == cancel.attempt &&
+      execution->IsReadBy(connection->peer().instance)) {
     execution->Cancel();
   }
 }
--- a/jackdawshunt/side/dispatcher_test.cc
+++ b/jackdawshunt/side/dispatcher_test.cc
@@ -208,6 +208,19 @@
   EXPECT_TRUE(dispatcher_.is_idle());
 }
 
+// Guards against an entry that ends a stream which its caller has resumed at
+// another one.
+TEST_F(DispatcherTest, OnlyTheAttachedEntryCancels) {
+  StartOne("r1");
+  auto other = std::make_shared<FakeConnection>("entry-2");
+  dispatcher_.AddConnection(other);
+  dispatcher_.OnMessage(other, protocol::Attach{"r1", "lodge", 0});
+  Receive(protocol::Cancel{"r1", 1});
+  EXPECT_EQ(dispatcher_.running(), 1U);
+  dispatcher_.OnMessage(other, protocol::Cancel{"r1", 1});
+  EXPECT_EQ(dispatcher_.running(), 0U);
+}
+
 // Guards against a workspace that reads the stream of another one.
 TEST_F(DispatcherTest, AttachByAnotherWorkspaceFindsNothing) {
   StartOne("r1");
--- a/jackdawshunt/side/execution.h
+++ b/jackdawshunt/side/execution.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "jackdawshunt/kernel/event_loop.h"
 #include "jackdawshunt/protocol/connection.h"
@@ -58,6 +59,10 @@
   // Class that the slot is counted under now.
   protocol::RequestClass request_class() const { return request_class_; }
   bool is_attached() const { return connection_ != nullptr; }
+  // True when no other entry is attached.
+  bool IsReadBy(std::string_view entry) const {
+    return connection_ == nullptr || connection_->peer().instance == entry;
+  }
   // True when an entry has been sent the outcome.
   bool is_outcome_sent() const { return is_outcome_sent_; }
 
