Send plain services no load requests

Cause: the side asked a plain service for GET /load four times a second, which the service counted as calls (seen in /admin/calls of the stand-in, without a request id). Change: the service driver has no load report. Result: builds; draining of a plain service is known from its record, the instance list and SIGTERM of its side only.

--- a/jackdawshunt/side/service_driver.cc
+++ b/jackdawshunt/side/service_driver.cc
@@ -1,6 +1,8 @@
 // Driver for plain HTTP services: method, path and body as the caller sent
 // them.
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -66,6 +68,13 @@
                              RunSink& sink) override {
     return std::make_unique<ServiceRun>(client(), address(), start, sink);
   }
+
+  // A plain service has no load report; asking for one would be a call that it
+  // might count.
+  void ReadLoad(
+      std::function<void(const std::optional<LoadReport>&)> done) override {
+    (void)done;
+  }
 };
 
 const kernel::Registration<UpstreamDriver> kService("service", [] {
