Take the class of a request from its expected output

Cause: the class followed the hint max_tokens, which callers leave at its default, so that look-ups counted as long. Change: the class follows the smaller of the hint and the workspace's moving average; the request parser no longer decides it, and its test moved to charging. Result: ClassFollowsTheExpectedOutput, new; entry_test passes.

--- a/jackdawshunt/entry/charging.cc
+++ b/jackdawshunt/entry/charging.cc
@@ -32,6 +32,15 @@
          ExpectedOutput(workspace, max_tokens) * policy.output_weight;
 }
 
+protocol::RequestClass Charging::ClassOf(std::string_view workspace,
+                                         int64_t max_tokens,
+                                         const records::Policy& policy) const {
+  return ExpectedOutput(workspace, max_tokens) <=
+                 static_cast<double>(policy.short_tokens)
+             ? protocol::RequestClass::kShort
+             : protocol::RequestClass::kLong;
+}
+
 double Charging::Pending(std::string_view workspace) const {
   const auto found = pending_.find(workspace);
   return found == pending_.end() ? 0 : found->second;
--- a/jackdawshunt/entry/charging.h
+++ b/jackdawshunt/entry/charging.h
@@ -21,6 +21,7 @@
 #include <string_view>
 
 #include "jackdawshunt/fairness/ledger.h"
+#include "jackdawshunt/protocol/messages.h"
 #include "jackdawshunt/records/records.h"
 
 namespace jackdawshunt::entry {
@@ -43,6 +44,13 @@
                   int64_t max_tokens,
                   const records::Policy& policy) const;
 
+  // Class by the expected output: the smaller of the hint and the moving
+  // average of the workspace, since hints are rough and often left at their
+  // default.
+  protocol::RequestClass ClassOf(std::string_view workspace,
+                                 int64_t max_tokens,
+                                 const records::Policy& policy) const;
+
   // Weighted tokens that the workspace's running requests are still expected to
   // cost.
   double Pending(std::string_view workspace) const;
--- a/jackdawshunt/entry/charging_test.cc
+++ b/jackdawshunt/entry/charging_test.cc
@@ -44,6 +44,20 @@
   EXPECT_DOUBLE_EQ(Service(), 32);
 }
 
+// Guards against look-ups that wait behind long jobs because their callers
+// leave max_tokens at its default.
+TEST_F(ChargingTest, ClassFollowsTheExpectedOutput) {
+  const auto class_of = [this](int64_t max_tokens) {
+    return charging_.ClassOf("lodge", max_tokens, policy_);
+  };
+  EXPECT_EQ(class_of(512), protocol::RequestClass::kLong);
+  EXPECT_EQ(class_of(64), protocol::RequestClass::kShort);
+  EXPECT_EQ(class_of(65), protocol::RequestClass::kLong);
+  Charge charge = charging_.Start("lodge", 0, 512, policy_);
+  charging_.Finish(charge, 0, 20, policy_);
+  EXPECT_EQ(class_of(512), protocol::RequestClass::kShort);
+}
+
 // Guards against a charge for a request that was not run.
 TEST_F(ChargingTest, CancelledRequestCostsNothing) {
   Charge charge = charging_.Start("lodge", 0, 100, policy_);
--- a/jackdawshunt/entry/dispatcher.cc
+++ b/jackdawshunt/entry/dispatcher.cc
@@ -53,8 +53,11 @@
   std::visit([this](const auto& content) { Handle(content); }, event);
 }
 
-void Dispatcher::Handle(const Submit& submit) {
+void Dispatcher::Handle(const Submit& received) {
   const kernel::TimePoint now = clock_.Now();
+  Submit submit = received;
+  submit.request_class =
+      charging_.ClassOf(submit.workspace, submit.max_tokens, policy());
   const auto [position, is_new] = calls_.try_emplace(
       submit.request, ActiveCall{.call = Call(submit, now), .submitted = now});
   ActiveCall& active = position->second;
--- a/jackdawshunt/entry/dispatcher_test.cc
+++ b/jackdawshunt/entry/dispatcher_test.cc
@@ -86,16 +86,15 @@
     dispatcher_.OnLinkEvent(LinkMessage{side, std::move(message)});
   }
 
-  void Model(
-      const std::string& request,
-      const std::string& workspace = "lodge",
-      protocol::RequestClass request_class = protocol::RequestClass::kShort) {
+  // Up to 64 tokens a request is short.
+  void Model(const std::string& request,
+             const std::string& workspace = "lodge",
+             int64_t max_tokens = 10) {
     dispatcher_.OnCallerEvent(Submit{.request = request,
                                      .workspace = workspace,
                                      .model = "m",
-                                     .request_class = request_class,
                                      .is_stream = true,
-                                     .max_tokens = 10});
+                                     .max_tokens = max_tokens});
   }
 
   void PassRefreshPeriod() {
@@ -206,7 +205,7 @@
   SideUp("side-1");
   Model("lodge-1");
   Model("lodge-2");
-  Model("hall-long", "hall", protocol::RequestClass::kLong);
+  Model("hall-long", "hall", 512);
   Grant("side-1", 1);
   Grant("side-1", 2);
   Grant("side-1", 3);  // A short slot must not run the long request.
--- a/jackdawshunt/entry/request_parser.cc
+++ b/jackdawshunt/entry/request_parser.cc
@@ -184,9 +184,6 @@
   submit.max_tokens =
       body.value("max_tokens", snapshot.policy.default_max_tokens);
   submit.resume_tokens = *resume;
-  submit.request_class = submit.max_tokens <= snapshot.policy.short_tokens
-                             ? protocol::RequestClass::kShort
-                             : protocol::RequestClass::kLong;
   return submit;
 }
 
--- a/jackdawshunt/entry/request_parser_test.cc
+++ b/jackdawshunt/entry/request_parser_test.cc
@@ -103,14 +103,10 @@
   }
 }
 
-// Guards against long requests that use the slots reserved for short ones.
-TEST_F(RequestParserTest, ClassFollowsMaxTokens) {
-  const std::string head = R"({"model":"quote","messages":[{}])";
-  EXPECT_EQ(Completion(head + R"(,"max_tokens":64})")->request_class,
-            protocol::RequestClass::kShort);
-  EXPECT_EQ(Completion(head + R"(,"max_tokens":65})")->request_class,
-            protocol::RequestClass::kLong);
-  EXPECT_EQ(Completion(head + "}")->max_tokens, 512);
+// Guards against requests without a hint that count as free.
+TEST_F(RequestParserTest, MissingMaxTokensTakesTheDefault) {
+  EXPECT_EQ(Completion(R"({"model":"quote","messages":[{}]})")->max_tokens,
+            512);
 }
 
 // Guards against a resumed stream that repeats or skips a token.
