Order a model only when the upstream has not loaded its default version

Cause: engines report a loaded model as "name@version", and the side compared that with the bare name. An engine that had its model got the same order every two seconds for ever, its side kept the lease and renewed it, and a change of the default version showed no difference.

Change: a model counts as loaded when the report has "name@default", or "name" from upstreams that do not tell versions.

--- a/jackdawshunt/side/orders.cc
+++ b/jackdawshunt/side/orders.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "jackdawshunt/base/log.h"
@@ -11,9 +12,16 @@
 
 constexpr kernel::Duration kRetryDelay = std::chrono::seconds(2);
 
-// An order must not outlive the lease that it was sent under.
-constexpr kernel::Duration kLeaseDuration =
-    kOrderTimeout + std::chrono::seconds(30);
+// Upstreams report a loaded model as "name@version", or as "name" when they do
+// not tell its version.
+bool IsLoaded(const std::vector<std::string>& loaded,
+              const std::string& name,
+              const std::string& version) {
+  return std::any_of(
+      loaded.begin(), loaded.end(), [&](const std::string& model) {
+        return model == name || model == absl::StrCat(name, "@", version);
+      });
+}
 
 }  // namespace
 
@@ -47,7 +55,7 @@
   if (lease_ == nullptr) {
     lease_ = std::make_unique<Lease>(
         loop_, clock_, platform_, "leases/" + upstream_, holder_,
-        LeaseOptions{kLeaseDuration, takeover_delay});
+        LeaseOptions{kOrdersLeaseDuration, takeover_delay});
   }
   if (!lease_->is_started()) {
     lease_->Start();
@@ -66,6 +74,12 @@
   }
 }
 
+void Orders::TickLease() {
+  if (lease_ != nullptr) {
+    lease_->Tick();
+  }
+}
+
 std::optional<Order> Orders::NextOrder(const LoadReport& report) const {
   const auto& snapshot = store_.snapshot();
   const auto upstream = snapshot.upstreams.find(upstream_);
@@ -75,8 +89,7 @@
   for (const std::string& name : upstream->second.models) {
     const auto model = snapshot.models.find(name);
     if (model != snapshot.models.end() && !model->second.is_service &&
-        std::find(report.models->begin(), report.models->end(), name) ==
-            report.models->end()) {
+        !IsLoaded(*report.models, name, model->second.default_version)) {
       return Order{.model = name, .version = model->second.default_version};
     }
   }
--- a/jackdawshunt/side/orders.h
+++ b/jackdawshunt/side/orders.h
@@ -29,6 +29,11 @@
 
 namespace jackdawshunt::side {
 
+// Duration of the lease; an order must not outlive the lease that it was sent
+// under.
+inline constexpr kernel::Duration kOrdersLeaseDuration =
+    kOrderTimeout + std::chrono::seconds(30);
+
 class Orders {
  public:
   Orders(kernel::EventLoop& loop,
@@ -43,6 +48,8 @@
   void TakeReport(const LoadReport& report);
   // Gives up the lease.
   void Stop();
+  // What the lease's timer does; for tests with a paused clock.
+  void TickLease();
 
  private:
   std::optional<Order> NextOrder(const LoadReport& report) const;
