Fold ended incarnations in the service ledger

Change: incarnations of an origin that ended more than two hours before the newest known start are folded into one row per origin. The row is a sum over all incarnations up to one of them, which merges by maximum like any counter. The ledger also keeps a lower bound of all other origins' service, for exchanges that send sums, and ignores origins reserved for them.

--- a/jackdawshunt/fairness/ledger.cc
+++ b/jackdawshunt/fairness/ledger.cc
@@ -6,6 +6,13 @@
 namespace jackdawshunt::fairness {
 namespace {
 
+constexpr char kFoldedPrefix = '~';
+constexpr char kReservedPrefix = '#';
+// An incarnation is folded this long after its successor started. By then all
+// entries have its last counters: the longest partition lasts an hour. A
+// replica that folds without them counts too little, never too much.
+constexpr int64_t kFoldAgeUs = int64_t{2} * 3600 * 1'000'000;
+
 // Keeps `value` in the register `workspace` when it is the greater one.
 // Non-finite values of a faulty peer are ignored, because a maximum never
 // recovers from them.
@@ -55,13 +62,17 @@
   service -= covered;
   if (service > 0) {
     counters_[self_][name] += service;
-    totals_[name] += service;
+    AddToTotals(self_.first, name, service);
     changed_.insert(name);
   }
 }
 
 double Ledger::NormalisedService(std::string_view workspace) const {
-  return ValueOr(totals_, workspace, 0) + ValueOr(lifts_, workspace, 0);
+  // Both are lower bounds of the service of all origins.
+  const double service = std::max(
+      ValueOr(totals_, workspace, 0),
+      ValueOr(own_totals_, workspace, 0) + ValueOr(others_, workspace, 0));
+  return service + ValueOr(lifts_, workspace, 0);
 }
 
 void Ledger::SetBacklogged(std::string_view workspace, bool backlogged) {
@@ -89,30 +100,118 @@
 }
 
 void Ledger::Merge(std::string_view peer, const protocol::Counters& counters) {
+  MergeCounters(counters);
+  backlogged_at_peers_.insert_or_assign(
+      std::string(peer),
+      std::set<std::string, std::less<>>(counters.backlogged.begin(),
+                                         counters.backlogged.end()));
+}
+
+void Ledger::MergeCounters(const protocol::Counters& counters) {
   virtual_time_ = VirtualTime();
   if (std::isfinite(counters.virtual_time)) {
     virtual_time_ = std::max(virtual_time_, counters.virtual_time);
   }
   // A message lists the counters of one origin one after the other.
-  auto row = counters_.end();
+  const protocol::CounterEntry* previous = nullptr;
+  Registers* row = nullptr;
+  const size_t rows = counters_.size();
   for (const protocol::CounterEntry& entry : counters.counters) {
-    if (row == counters_.end() || row->first.first != entry.origin ||
-        row->first.second != entry.incarnation) {
-      row = counters_.try_emplace({entry.origin, entry.incarnation}).first;
+    if (previous == nullptr || previous->origin != entry.origin ||
+        previous->incarnation != entry.incarnation) {
+      row = FindRow(entry);
+      previous = &entry;
     }
-    // Copies of the own counters are never newer than the own counters.
-    if (row->first != self_) {
-      totals_[entry.workspace] +=
-          RaiseTo(row->second, entry.workspace, entry.service);
+    if (row != nullptr) {
+      const bool is_folded = entry.origin.front() == kFoldedPrefix;
+      AddToTotals(is_folded ? entry.origin.substr(1) : entry.origin,
+                  entry.workspace,
+                  RaiseTo(*row, entry.workspace, entry.service));
     }
   }
   for (const protocol::LiftEntry& lift : counters.lifts) {
     RaiseTo(lifts_, lift.workspace, lift.lift);
   }
-  backlogged_at_peers_.insert_or_assign(
-      std::string(peer),
-      std::set<std::string, std::less<>>(counters.backlogged.begin(),
-                                         counters.backlogged.end()));
+  if (counters_.size() > rows) {
+    FoldEnded();
+  }
+}
+
+Ledger::Registers* Ledger::FindRow(const protocol::CounterEntry& entry) {
+  if (entry.origin.empty() || entry.origin.front() == kReservedPrefix) {
+    return nullptr;
+  }
+  const bool is_folded = entry.origin.front() == kFoldedPrefix;
+  const std::string origin = is_folded ? entry.origin.substr(1) : entry.origin;
+  // Copies of the own counters are never newer than the own counters.
+  if (origin == self_.first &&
+      (is_folded ? entry.incarnation >= self_.second
+                 : entry.incarnation == self_.second)) {
+    return nullptr;
+  }
+  if (is_folded) {
+    FoldThrough(origin, entry.incarnation);
+    return &folded_[origin].rows;
+  }
+  const auto folded = folded_.find(origin);
+  if (folded != folded_.end() && entry.incarnation <= folded->second.through) {
+    return &folded->second.rows;
+  }
+  return &counters_[{origin, entry.incarnation}];
+}
+
+void Ledger::FoldThrough(const std::string& origin, base::Incarnation through) {
+  Folded& folded = folded_[origin];
+  folded.through = std::max(folded.through, through);
+  auto row = counters_.lower_bound({origin, base::Incarnation{}});
+  while (row != counters_.end() && row->first.first == origin &&
+         row->first.second <= folded.through) {
+    for (const auto& [workspace, service] : row->second) {
+      folded.rows[workspace] += service;
+    }
+    row = counters_.erase(row);
+  }
+}
+
+void Ledger::FoldEnded() {
+  int64_t newest_us = self_.second.start_us;
+  for (const auto& [key, row] : counters_) {
+    newest_us = std::max(newest_us, key.second.start_us);
+  }
+  std::map<std::string, base::Incarnation> through;
+  const OriginKey* previous = nullptr;
+  for (const auto& [key, row] : counters_) {
+    if (previous != nullptr && previous->first == key.first &&
+        key.second.start_us <= newest_us - kFoldAgeUs) {
+      through[key.first] = previous->second;
+    }
+    previous = &key;
+  }
+  for (const auto& [origin, incarnation] : through) {
+    if (origin != self_.first || incarnation < self_.second) {
+      FoldThrough(origin, incarnation);
+    }
+  }
+}
+
+void Ledger::AddToTotals(const std::string& origin,
+                         const std::string& workspace,
+                         double growth) {
+  totals_[workspace] += growth;
+  if (origin == self_.first) {
+    own_totals_[workspace] += growth;
+  }
+}
+
+void Ledger::RaiseOthers(std::string_view workspace, double service) {
+  RaiseTo(others_, std::string(workspace), service);
+}
+
+void Ledger::SetBackloggedElsewhere(std::vector<std::string> workspaces) {
+  virtual_time_ = VirtualTime();
+  backlogged_at_peers_.clear();
+  backlogged_at_peers_[""] =
+      std::set<std::string, std::less<>>(workspaces.begin(), workspaces.end());
 }
 
 void Ledger::ForgetPeer(std::string_view peer) {
@@ -131,6 +230,12 @@
 
 protocol::Counters Ledger::Full() const {
   protocol::Counters result;
+  for (const auto& [origin, folded] : folded_) {
+    for (const auto& [workspace, service] : folded.rows) {
+      result.counters.push_back(
+          {kFoldedPrefix + origin, folded.through, workspace, service});
+    }
+  }
   for (const auto& [origin, row] : counters_) {
     for (const auto& [workspace, service] : row) {
       result.counters.push_back(
@@ -155,7 +260,11 @@
     result.lifts.push_back({workspace, lifts_[workspace]});
   }
   for (const OriginKey& origin : passed_on_) {
-    for (const auto& [workspace, service] : counters_[origin]) {
+    const auto row = counters_.find(origin);
+    if (row == counters_.end()) {
+      continue;  // Folded since then: all entries have had it for long.
+    }
+    for (const auto& [workspace, service] : row->second) {
       result.counters.push_back(
           {origin.first, origin.second, workspace, service});
     }
--- a/jackdawshunt/fairness/ledger_test.cc
+++ b/jackdawshunt/fairness/ledger_test.cc
@@ -301,5 +301,74 @@
   EXPECT_EQ(ledger.NormalisedService("lodge"), 125);
 }
 
+constexpr int64_t kHourUs = int64_t{3600} * 1'000'000;
+
+// Guards against service counted twice or taken back when some replicas folded
+// an ended incarnation, others did not, and not all knew its last counters.
+RC_GTEST_PROP(LedgerPropertyTest, FoldedRowsMergeByMaximum, ()) {
+  constexpr int64_t kLives = 5;
+  std::vector<Ledger> replicas;
+  for (size_t i = 0; i < kReplicas; ++i) {
+    replicas.emplace_back(Name(i), base::Incarnation{1, 0});
+  }
+  double charged = 0;
+  for (int64_t life = 1; life <= kLives; ++life) {
+    Ledger origin("origin", {life * kHourUs, 0});
+    for (const int amount :
+         *rc::gen::container<std::vector<int>>(3, rc::gen::inRange(1, 100))) {
+      origin.Charge("a", amount);
+      charged += amount;
+      const auto to = *rc::gen::inRange<size_t>(0, kReplicas);
+      const auto from = *rc::gen::inRange<size_t>(0, kReplicas);
+      for (const protocol::Counters& counters :
+           {origin.Full(), replicas[from].Full()}) {
+        const double before = replicas[to].NormalisedService("a");
+        replicas[to].Merge("peer", counters);
+        RC_ASSERT(replicas[to].NormalisedService("a") >= before);
+        RC_ASSERT(replicas[to].NormalisedService("a") <= charged);
+      }
+    }
+  }
+  for (size_t round = 0; round < 2; ++round) {
+    for (const Ledger& from : std::vector<Ledger>(replicas)) {
+      for (Ledger& to : replicas) {
+        to.Merge("peer", from.Full());
+        RC_ASSERT(to.NormalisedService("a") <= charged);
+      }
+    }
+  }
+  for (const Ledger& replica : replicas) {
+    RC_ASSERT(replica.NormalisedService("a") ==
+              replicas[0].NormalisedService("a"));
+  }
+}
+
+// Guards against state that grows with each restart, and against service lost
+// by folding when all counters had arrived.
+TEST(LedgerTest, EndedIncarnationsBecomeOneRow) {
+  constexpr int kRestarts = 100;
+  Ledger ledger("entry-1", {1, 0});
+  for (int64_t life = 1; life <= kRestarts; ++life) {
+    Ledger origin("entry-2", {life * kHourUs, 0});
+    origin.Charge("a", 1);
+    ledger.Merge("entry-2", origin.Full());
+  }
+  EXPECT_EQ(ledger.NormalisedService("a"), kRestarts);
+  // One folded row and those of the last two hours.
+  EXPECT_LE(ledger.Full().counters.size(), 4U);
+}
+
+// Guards against an entry that stops counting because a peer takes it for
+// ended.
+TEST(LedgerTest, APresentIncarnationIsNotFolded) {
+  Ledger ledger("entry-1", {5, 0});
+  ledger.Charge("a", 3);
+  protocol::Counters counters;
+  counters.counters = {{"~entry-1", {9, 0}, "a", 3}};
+  ledger.Merge("entry-2", counters);
+  ledger.Charge("a", 4);
+  EXPECT_EQ(ledger.NormalisedService("a"), 7);
+}
+
 }  // namespace
 }  // namespace jackdawshunt::fairness
