--- a/jackdawshunt/records/records_test.cc
+++ b/jackdawshunt/records/records_test.cc
@@ -3,7 +3,10 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <set>
 #include <string>
+#include <variant>
 
 #include "nlohmann/json.hpp"
 
@@ -146,5 +149,68 @@
                           StartsWith("/spec/max_attempts: 0: must be")));
 }
 
+json ReadExample(const std::string& path) {
+  std::ifstream file(std::string(EXAMPLES) + "/" + path);
+  return json::parse(file, nullptr, /*allow_exceptions=*/false,
+                     /*ignore_comments=*/true);
+}
+
+// Guards against a reference example that states other defaults than the code.
+TEST(RecordsExampleTest, ReferencePolicyShowsEveryDefault) {
+  const json example = ReadExample("reference/policy.json");
+  const auto shown = Parse(example.dump());
+  const auto empty = Parse(R"({"kind": "policy", "schema": 1, "name": "fleet",
+      "spec": {}})");
+  ASSERT_TRUE(shown.ok()) << shown.status();
+  ASSERT_TRUE(empty.ok()) << empty.status();
+  const auto& a = std::get<Policy>(shown->spec);
+  const auto& b = std::get<Policy>(empty->spec);
+  EXPECT_EQ(a.input_weight, b.input_weight);
+  EXPECT_EQ(a.output_weight, b.output_weight);
+  EXPECT_EQ(a.short_tokens, b.short_tokens);
+  EXPECT_EQ(a.default_max_tokens, b.default_max_tokens);
+  EXPECT_EQ(a.max_waiting, b.max_waiting);
+  EXPECT_EQ(a.max_wait_ms, b.max_wait_ms);
+  EXPECT_EQ(a.max_attempts, b.max_attempts);
+  EXPECT_EQ(a.bid_fanout, b.bid_fanout);
+  EXPECT_EQ(a.exchange_period_ms, b.exchange_period_ms);
+  EXPECT_EQ(a.exchange, b.exchange);
+  EXPECT_EQ(a.placement, b.placement);
+  EXPECT_EQ(a.claim_homes, b.claim_homes);
+  EXPECT_EQ(a.progress_limit_ms, b.progress_limit_ms);
+  // A field added to the policy must be shown, too.
+  EXPECT_EQ(example["spec"].size(), 13U);
+}
+
+class DeploymentRecordsTest : public ::testing::TestWithParam<const char*> {};
+
+// Guards against deployment records that the parser no longer accepts, and
+// against an upstream or a workspace that names a model without a record.
+TEST_P(DeploymentRecordsTest, AreValidAndNameRecordedModels) {
+  const json records = ReadExample(std::string(GetParam()) + "/records.json");
+  ASSERT_TRUE(records.is_array());
+  std::set<std::string> models;
+  std::set<std::string> named;
+  for (const json& text : records) {
+    const auto record = Parse(text.dump());
+    ASSERT_TRUE(record.ok()) << text << "\n" << record.status();
+    if (const auto* model = std::get_if<Model>(&record->spec)) {
+      models.insert(model->name);
+    } else if (const auto* upstream = std::get_if<Upstream>(&record->spec)) {
+      named.insert(upstream->models.begin(), upstream->models.end());
+    } else if (const auto* workspace = std::get_if<Workspace>(&record->spec)) {
+      for (const auto& [name, versions] : workspace->models) {
+        named.insert(name);
+      }
+    }
+  }
+  EXPECT_FALSE(models.empty());
+  EXPECT_EQ(named, models);
+}
+
+INSTANTIATE_TEST_SUITE_P(Deployments,
+                         DeploymentRecordsTest,
+                         ::testing::Values("cascadia", "port-of-spain"));
+
 }  // namespace
 }  // namespace jackdawshunt::records
--- a/jackdawshunt/settings/settings_test.cc
+++ b/jackdawshunt/settings/settings_test.cc
@@ -3,6 +3,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <filesystem>
+#include <fstream>
+#include <set>
 #include <string>
 
 #include "nlohmann/json.hpp"
@@ -86,5 +89,101 @@
   EXPECT_THAT(faults.front(), ::testing::Not(HasSubstr("hunter2")));
 }
 
+json ReadExample(const std::string& path) {
+  std::ifstream file(std::string(EXAMPLES) + "/" + path);
+  return json::parse(file, nullptr, /*allow_exceptions=*/false,
+                     /*ignore_comments=*/true);
+}
+
+// Guards against a reference example that states other defaults than the code.
+TEST(SettingsExampleTest, ReferenceShowsTheDefaults) {
+  const std::string folder = std::string(EXAMPLES) + "/reference/";
+  const Settings defaults;
+  for (const Role role : {Role::kEntry, Role::kSide}) {
+    const auto shown = Load(
+        folder + (role == Role::kEntry ? "entry.json" : "side.json"), role);
+    ASSERT_TRUE(shown.ok()) << shown.status();
+    EXPECT_EQ(shown->log_level, defaults.log_level);
+    EXPECT_EQ(shown->drain_lag_ms, defaults.drain_lag_ms);
+    EXPECT_EQ(shown->max_header_bytes, defaults.max_header_bytes);
+    EXPECT_EQ(shown->max_body_bytes, defaults.max_body_bytes);
+    EXPECT_EQ(shown->stream_buffer_bytes, defaults.stream_buffer_bytes);
+  }
+}
+
+class DeploymentExampleTest : public ::testing::TestWithParam<const char*> {
+ protected:
+  Settings LoadFile(const std::string& data_centre, Role role) {
+    const std::string path =
+        std::string(EXAMPLES) + "/" + GetParam() + "/settings/" + data_centre +
+        (role == Role::kEntry ? "-entry.json" : "-side.json");
+    const auto settings = Load(path, role);
+    EXPECT_TRUE(settings.ok()) << settings.status();
+    return settings.ok() ? *settings : Settings{};
+  }
+
+  // All processes of an example run on one machine, so no port may recur.
+  void ExpectUnusedPort(const http::Address& address) {
+    EXPECT_EQ(address.ip, "127.0.0.1");
+    EXPECT_NE(address.port, 0);
+    EXPECT_TRUE(ports_.insert(address.port).second) << address.ToString();
+  }
+
+  void ExpectPlaceAndPorts(const Settings& settings,
+                           const std::string& data_centre,
+                           const json& site) {
+    EXPECT_EQ(settings.data_centre, data_centre);
+    EXPECT_EQ(settings.region, site["region"].get<std::string>());
+    EXPECT_TRUE(instances_.insert(settings.instance).second);
+    fleet_keys_.insert(settings.fleet_key);
+    platforms_.insert(settings.platform.ToString());
+    ExpectUnusedPort(settings.process);
+    ExpectUnusedPort(settings.operator_address);
+  }
+
+  std::set<uint16_t> ports_;
+  std::set<std::string> instances_;
+  std::set<std::string> fleet_keys_;
+  std::set<std::string> platforms_;
+};
+
+// Guards against example settings that do not load, cannot run together on one
+// machine, or name another place or upstream than the deployment has.
+TEST_P(DeploymentExampleTest, EveryDataCentreHasAnEntryAndASide) {
+  const std::string name = GetParam();
+  const json site = ReadExample(name + "/site.json");
+  const json records = ReadExample(name + "/records.json");
+  ASSERT_TRUE(site.is_object() && records.is_array());
+  std::set<std::string> upstreams;
+  for (const json& record : records) {
+    if (record["kind"] == "upstream") {
+      upstreams.insert(record["name"]);
+    }
+  }
+  for (const std::string data_centre : site["data_centres"]) {
+    const Settings entry = LoadFile(data_centre, Role::kEntry);
+    ExpectPlaceAndPorts(entry, data_centre, site);
+    ExpectUnusedPort(entry.caller);
+    const Settings side = LoadFile(data_centre, Role::kSide);
+    ExpectPlaceAndPorts(side, data_centre, site);
+    ExpectUnusedPort(side.upstream_address);
+    EXPECT_THAT(side.upstream, StartsWith(data_centre + "-"));
+    EXPECT_TRUE(upstreams.contains(side.upstream)) << side.upstream;
+  }
+  EXPECT_EQ(fleet_keys_.size(), 1U);
+  EXPECT_EQ(platforms_.size(), 1U);
+  // No file beside those that were loaded.
+  size_t files = 0;
+  for (const auto& file : std::filesystem::directory_iterator(
+           std::string(EXAMPLES) + "/" + name + "/settings")) {
+    files += file.is_regular_file() ? 1 : 0;
+  }
+  EXPECT_EQ(files, 2 * site["data_centres"].size());
+}
+
+INSTANTIATE_TEST_SUITE_P(Deployments,
+                         DeploymentExampleTest,
+                         ::testing::Values("cascadia", "port-of-spain"));
+
 }  // namespace
 }  // namespace jackdawshunt::settings
