Add the counter exchange tree for large fleets

Cause: mesh sends every entry's counters to all others every 100 ms. With 46 backlogged workspaces that is 12.2 KB/s per peer and direction, against a control budget of 19 KB/s per process.

Change: the exchange tree sums counters over groups of origins, fixed by a hash of the origin's name, so that sums made from different lists of entries never count an origin twice and merge by maximum. Heads and deputies come from rendezvous hashing; the period follows from the bytes of the busiest head.

--- a/jackdawshunt/fairness/exchange.cc
+++ b/jackdawshunt/fairness/exchange.cc
@@ -12,6 +12,7 @@
   std::vector<CountersTo> Tick(Ledger& ledger,
                                const std::vector<std::string>&) override {
     ledger.TakeChanges();
+    ledger.SetBackloggedElsewhere({});  // Nothing would ever take it back.
     return {};
   }
   std::vector<CountersTo> Connected(Ledger&, std::string_view) override {
@@ -43,6 +44,8 @@
 
   std::vector<CountersTo> Connected(Ledger& ledger,
                                     std::string_view peer) override {
+    // What `tree` kept for all peers together, before a change of policy.
+    ledger.ForgetPeer("");
     std::vector<CountersTo> result;
     result.push_back({std::string(peer), ledger.Full()});
     return result;
--- a/jackdawshunt/fairness/exchange.h
+++ b/jackdawshunt/fairness/exchange.h
@@ -2,6 +2,8 @@
 //
 //   none  no exchange (baseline)
 //   mesh  every entry sends its changed counters to every other entry
+//   tree  heads of groups sum the counters of their members and exchange the
+//         sums; see docs/decisions/counter-exchange.md
 //
 // Example:
 //   auto exchange = kernel::Registry<fairness::Exchange>::Create("mesh");
--- a/jackdawshunt/fairness/fairness_benchmark.cc
+++ b/jackdawshunt/fairness/fairness_benchmark.cc
@@ -1,11 +1,17 @@
 #include <benchmark/benchmark.h>
 
+#include <algorithm>
+#include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jackdawshunt/fairness/bid_book.h"
+#include "jackdawshunt/fairness/exchange.h"
 #include "jackdawshunt/fairness/ledger.h"
 #include "jackdawshunt/fairness/request_queue.h"
+#include "jackdawshunt/kernel/registry.h"
+#include "jackdawshunt/protocol/codec.h"
 
 namespace jackdawshunt::fairness {
 namespace {
@@ -137,5 +143,176 @@
 }
 BENCHMARK(ExpireNone)->Arg(100)->Arg(10'000);
 
+// Entries that exchange counters over a network without latency. All serve the
+// backlogged workspaces all the time; each has served others before.
+class ExchangeFleet {
+ public:
+  ExchangeFleet(const std::string& exchange, size_t entries)
+      : entries_(entries), bytes_(entries) {
+    for (size_t i = 0; i < entries; ++i) {
+      names_.push_back("entry-" + std::to_string(i));
+    }
+    for (size_t i = 0; i < entries; ++i) {
+      Entry& entry = entries_[i];
+      entry.ledger = std::make_unique<Ledger>(
+          names_[i], base::Incarnation{static_cast<int64_t>(i + 1), 7});
+      entry.exchange = kernel::Registry<Exchange>::Create(exchange);
+      entry.peers = names_;
+      entry.peers.erase(entry.peers.begin() + static_cast<ptrdiff_t>(i));
+      for (int w = 0; w < kWorkspaces; ++w) {
+        entry.ledger->SetBacklogged(Workspace(w), true);
+      }
+    }
+  }
+
+  // One period of 100 ms. Messages arrive after all entries have sent.
+  void Tick() {
+    std::vector<std::pair<size_t, CountersTo>> messages;
+    for (size_t i = 0; i < entries_.size(); ++i) {
+      Entry& entry = entries_[i];
+      for (int w = 0; w < kWorkspaces; ++w) {
+        entry.ledger->Charge(Workspace(w), kCharge);
+      }
+      for (CountersTo& message :
+           entry.exchange->Tick(*entry.ledger, entry.peers)) {
+        messages.emplace_back(i, std::move(message));
+      }
+    }
+    for (const auto& [from, message] : messages) {
+      const size_t to = std::stoul(message.entry.substr(6));
+      const size_t bytes = protocol::Encode(message.counters).size();
+      bytes_[from].sent += bytes;
+      bytes_[to].received += bytes;
+      entries_[to].exchange->Received(*entries_[to].ledger, names_[from],
+                                      message.counters);
+    }
+    ++ticks_;
+  }
+
+  // Highest age in ticks of what an entry knows of the fleet's service, just
+  // before the next tick: the sum of charges grows by the same amount in each.
+  double Staleness() const {
+    double oldest = 0;
+    const double per_tick = kCharge * static_cast<double>(entries_.size());
+    for (const Entry& entry : entries_) {
+      for (int w = 0; w < kWorkspaces; ++w) {
+        // No lift: all were backlogged before any service.
+        const double known = entry.ledger->NormalisedService(Workspace(w));
+        oldest = std::max(oldest, 1 + ticks_ - known / per_tick);
+      }
+    }
+    return oldest;
+  }
+
+  void ResetBytes() {
+    bytes_.assign(entries_.size(), {});
+    bytes_since_ = ticks_;
+  }
+  void Report(benchmark::State& state, double staleness) const {
+    constexpr double kTickSeconds = 0.1;
+    const double seconds = (ticks_ - bytes_since_) * kTickSeconds;
+    double sent = 0;
+    double most_sent = 0;
+    double most_received = 0;
+    for (const Traffic& traffic : bytes_) {
+      sent += static_cast<double>(traffic.sent);
+      most_sent = std::max(most_sent, static_cast<double>(traffic.sent));
+      most_received =
+          std::max(most_received, static_cast<double>(traffic.received));
+    }
+    state.counters["sent_B/s"] =
+        sent / seconds / static_cast<double>(bytes_.size());
+    state.counters["max_sent_B/s"] = most_sent / seconds;
+    state.counters["max_received_B/s"] = most_received / seconds;
+    state.counters["staleness_s"] = staleness * kTickSeconds;
+  }
+
+ private:
+  struct Entry {
+    std::unique_ptr<Ledger> ledger;
+    std::unique_ptr<Exchange> exchange;
+    std::vector<std::string> peers;
+  };
+  // No short float in CBOR, as most real sums.
+  static constexpr double kCharge = 1.1;
+
+  struct Traffic {
+    size_t sent = 0;
+    size_t received = 0;
+  };
+
+  std::vector<std::string> names_;
+  std::vector<Entry> entries_;
+  std::vector<Traffic> bytes_;
+  double ticks_ = 0;
+  double bytes_since_ = 0;
+};
+
+// The time is that of one tick of all entries. Run with
+// --benchmark_min_time=1x: the counters do not depend on the iterations.
+void ExchangeTraffic(benchmark::State& state, const std::string& exchange) {
+  constexpr int kWarmUpTicks = 150;
+  constexpr int kMeasuredTicks = 150;
+  while (state.KeepRunning()) {
+    ExchangeFleet fleet(exchange, static_cast<size_t>(state.range(0)));
+    const int factor = exchange == "mesh" ? 75 : 1;  // Settles at once.
+    for (int i = 0; i < kWarmUpTicks / factor; ++i) {
+      fleet.Tick();
+    }
+    fleet.ResetBytes();
+    double staleness = 0;
+    for (int i = 0; i < kMeasuredTicks / factor; ++i) {
+      fleet.Tick();
+      staleness = std::max(staleness, fleet.Staleness());
+    }
+    fleet.Report(state, staleness);
+  }
+}
+// 530 entries with `mesh` take over a gigabyte in one process; its traffic
+// there follows from 128 entries, because every entry sends the same message
+// to each of the others.
+BENCHMARK_CAPTURE(ExchangeTraffic, mesh, "mesh")
+    ->Arg(4)
+    ->Arg(32)
+    ->Arg(128)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+BENCHMARK_CAPTURE(ExchangeTraffic, tree, "tree")
+    ->Arg(4)
+    ->Arg(32)
+    ->Arg(128)
+    ->Arg(530)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
+// Counters that a new connection gets after `range` days of 640 restarts among
+// 530 instances.
+void GrowthByRestarts(benchmark::State& state) {
+  constexpr int64_t kEntries = 530;
+  constexpr int64_t kRestarts = 640;
+  constexpr int64_t kDayUs = int64_t{24} * 3600 * 1'000'000;
+  while (state.KeepRunning()) {
+    Ledger ledger("self", {0, 0});
+    for (int64_t i = 0; i < kRestarts * state.range(0); ++i) {
+      Ledger origin("entry-" + std::to_string(i % kEntries),
+                    {i * kDayUs / kRestarts, 7});
+      for (int w = 0; w < kWorkspaces; ++w) {
+        origin.Charge(Workspace(w), 1.1);
+      }
+      ledger.Merge(origin.Full().counters.front().origin, origin.Full());
+    }
+    const protocol::Counters full = ledger.Full();
+    state.counters["rows"] = static_cast<double>(full.counters.size());
+    state.counters["bytes"] =
+        static_cast<double>(protocol::Encode(full).size());
+  }
+}
+BENCHMARK(GrowthByRestarts)
+    ->Arg(1)
+    ->Arg(7)
+    ->Arg(28)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
 }  // namespace
 }  // namespace jackdawshunt::fairness
--- /dev/null
+++ b/jackdawshunt/fairness/tree_exchange.cc
@@ -0,0 +1,531 @@
+// The exchange `tree`; docs/decisions/counter-exchange.md has the scheme and
+// the argument for it.
+//
+// The first counter of a message has no workspace; its origin names the kind of
+// the message and the role that it concerns, "#KIND/GROUPS/GROUP/SHARD":
+//
+//   up      own counters of a member, to the heads of its group
+//   orphan  counters whose origin does not send them itself, to the heads of
+//           the origin's group and to the origin's present incarnation
+//   side    the sums of a group, from its head to the heads of the others
+//   rest    sums over all origins but the receiver, from its group's head
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <cmath>
+#include <memory>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "jackdawshunt/fairness/exchange.h"
+#include "jackdawshunt/fairness/tree_layout.h"
+#include "jackdawshunt/kernel/registry.h"
+#include "jackdawshunt/protocol/codec.h"
+
+namespace jackdawshunt::fairness {
+namespace {
+
+using Sums = std::map<std::string, double, std::less<>>;
+using Names = std::vector<std::string>;
+
+// What the busiest head may send and receive per tick, on average: 15 KB/s at
+// ten ticks a second. The rest of the control budget of 19 KB/s is for bids and
+// heartbeats.
+constexpr double kBytesPerTick = 1500;
+// Weight of the present round in the average size of a message.
+constexpr double kSizeWeight = 0.2;
+// Bounds a message after a change of heads or of the exchange.
+constexpr size_t kMaxOrphansPerTick = 200;
+constexpr size_t kMaxGroups = 1024;
+
+enum class Kind { kUp, kOrphan, kSide, kRest };
+constexpr std::array<std::string_view, 4> kKindNames = {"#up", "#orphan",
+                                                        "#side", "#rest"};
+
+struct Tag {
+  Kind kind = Kind::kUp;
+  size_t groups = 1;
+  TreeRole role;
+
+  bool operator<(const Tag& other) const {
+    return std::tie(kind, groups, role) <
+           std::tie(other.kind, other.groups, other.role);
+  }
+};
+
+std::string TagText(const Tag& tag) {
+  return std::string(kKindNames[static_cast<size_t>(tag.kind)]) + "/" +
+         std::to_string(tag.groups) + "/" + std::to_string(tag.role.group) +
+         "/" + std::to_string(tag.role.shard);
+}
+
+std::optional<Tag> ParseTag(const protocol::Counters& counters) {
+  if (counters.counters.empty() ||
+      !counters.counters.front().workspace.empty()) {
+    return std::nullopt;
+  }
+  const Names parts = absl::StrSplit(counters.counters.front().origin, '/');
+  const auto kind =
+      std::find(kKindNames.begin(), kKindNames.end(), parts.front());
+  Tag tag;
+  if (parts.size() != 4 || kind == kKindNames.end() ||
+      !absl::SimpleAtoi(parts[1], &tag.groups) ||
+      !absl::SimpleAtoi(parts[2], &tag.role.group) ||
+      !absl::SimpleAtoi(parts[3], &tag.role.shard) ||
+      !std::has_single_bit(tag.groups) || tag.groups > kMaxGroups ||
+      tag.role.group >= tag.groups || tag.role.shard >= tag.groups) {
+    return std::nullopt;
+  }
+  tag.kind = static_cast<Kind>(kind - kKindNames.begin());
+  return tag;
+}
+
+// Name of the process that the counter belongs to.
+std::string_view ProcessOf(const protocol::CounterEntry& row) {
+  std::string_view origin = row.origin;
+  if (origin.starts_with('~')) {
+    origin.remove_prefix(1);
+  }
+  return origin;
+}
+
+// What one receiver was sent about one role over the present connection.
+struct Outbox {
+  std::map<std::tuple<std::string, base::Incarnation, std::string>, double>
+      rows;
+  Sums lifts;
+  Names backlogged;
+  bool is_new = true;
+  bool is_current = true;  // Used in the present tick.
+};
+
+// What the ledger holds about the workspaces of one shard.
+struct ShardState {
+  std::vector<protocol::CounterEntry> rows;
+  std::vector<protocol::LiftEntry> lifts;
+  Names backlogged;  // Here.
+};
+
+class Tree final : public Exchange {
+ public:
+  std::vector<CountersTo> Tick(Ledger& ledger, const Names& peers) override;
+  std::vector<CountersTo> Connected(Ledger& ledger,
+                                    std::string_view peer) override;
+  void Received(Ledger& ledger,
+                std::string_view peer,
+                const protocol::Counters& counters) override;
+
+ private:
+  using OutboxKey = std::pair<std::string, Tag>;  // Receiver first.
+
+  void UpdateLayout(const Ledger& ledger, const Names& peers);
+  std::vector<ShardState> SplitByShard(const protocol::Counters& full) const;
+  void SendUp(const Ledger& ledger, size_t shard, const ShardState& state);
+  void SendOrphans(const Ledger& ledger, size_t shard, const ShardState& state);
+  bool IsOrphan(const Ledger& ledger,
+                TreeRole role,
+                const protocol::CounterEntry& row) const;
+  // Sums the group's counters and sends them.
+  void Lead(Ledger& ledger, TreeRole role, const ShardState& state);
+  void SendSide(TreeRole role, const ShardState& state);
+  void SendRest(Ledger& ledger,
+                TreeRole role,
+                const ShardState& state,
+                const Names& members);
+  Names BackloggedAt(Kind kind,
+                     size_t shard,
+                     std::optional<size_t> group) const;
+  // Queues what changed since the last message of this kind to `receiver`.
+  void Send(const std::string& receiver,
+            const Tag& tag,
+            const std::vector<protocol::CounterEntry>& rows,
+            const ShardState& state,
+            const Names& backlogged);
+  void EndStaleOutboxes();
+  void SetPeriod();
+  void PublishBacklog(Ledger& ledger);
+
+  TreeLayout layout_;
+  Names peers_;
+  std::string self_;
+  base::Incarnation incarnation_;
+  double virtual_time_ = 0;
+  // By number of groups and group. Each is a lower bound of the service of the
+  // group's origins, whoever summed it.
+  std::map<std::pair<size_t, size_t>, Sums> sums_;
+  std::map<std::string, base::Incarnation, std::less<>> incarnations_;
+  std::map<OutboxKey, Names> backlogged_;  // Sender first.
+  bool is_backlog_changed_ = true;
+  std::map<OutboxKey, Outbox> outboxes_;
+  std::vector<CountersTo> queued_;
+  size_t orphans_left_ = 0;
+  double message_bytes_ = 0;  // Moving average.
+  int64_t ticks_to_wait_ = 0;
+};
+
+std::vector<CountersTo> Tree::Tick(Ledger& ledger, const Names& peers) {
+  ledger.TakeChanges();  // Outboxes tell what changed for each receiver.
+  UpdateLayout(ledger, peers);
+  PublishBacklog(ledger);
+  if (--ticks_to_wait_ > 0) {
+    return {};
+  }
+  orphans_left_ = kMaxOrphansPerTick;
+  for (auto& [key, outbox] : outboxes_) {
+    outbox.is_current = false;
+  }
+  const protocol::Counters full = ledger.Full();
+  virtual_time_ = full.virtual_time;
+  const std::vector<ShardState> shards = SplitByShard(full);
+  for (size_t shard = 0; shard < shards.size(); ++shard) {
+    SendUp(ledger, shard, shards[shard]);
+    SendOrphans(ledger, shard, shards[shard]);
+    for (size_t group = 0; group < layout_.groups(); ++group) {
+      if (layout_.IsFirstHead({group, shard}, self_)) {
+        Lead(ledger, {group, shard}, shards[shard]);
+      }
+    }
+  }
+  EndStaleOutboxes();
+  SetPeriod();
+  return std::exchange(queued_, {});
+}
+
+// All entries with the same list arrive at about the same period, so that no
+// member sends more often than a head can bear.
+void Tree::SetPeriod() {
+  double bytes = 0;
+  for (const CountersTo& message : queued_) {
+    bytes += static_cast<double>(protocol::Encode(message.counters).size());
+  }
+  if (!queued_.empty()) {
+    const double average = bytes / static_cast<double>(queued_.size());
+    message_bytes_ = message_bytes_ == 0 ? average
+                                         : (1 - kSizeWeight) * message_bytes_ +
+                                               kSizeWeight * average;
+  }
+  ticks_to_wait_ = std::lround(std::ceil(
+      message_bytes_ * static_cast<double>(layout_.busiest_messages()) /
+      kBytesPerTick));
+}
+
+std::vector<CountersTo> Tree::Connected(Ledger&, std::string_view peer) {
+  // What was sent over the earlier connection may be lost.
+  std::erase_if(outboxes_,
+                [peer](const auto& box) { return box.first.first == peer; });
+  std::erase_if(backlogged_,
+                [peer](const auto& list) { return list.first.first == peer; });
+  is_backlog_changed_ = true;
+  incarnations_.erase(std::string(peer));
+  return {};
+}
+
+void Tree::Received(Ledger& ledger,
+                    std::string_view peer,
+                    const protocol::Counters& counters) {
+  const std::optional<Tag> tag = ParseTag(counters);
+  if (!tag) {
+    ledger.MergeCounters(counters);  // From `mesh`, during a change of policy.
+    return;
+  }
+  const protocol::CounterEntry& header = counters.counters.front();
+  incarnations_.insert_or_assign(std::string(peer), header.incarnation);
+  ledger.MergeCounters(counters);
+  Sums& sums = sums_[{tag->groups, tag->role.group}];
+  for (const protocol::CounterEntry& row : counters.counters) {
+    if (row.origin != header.origin || row.workspace.empty()) {
+      continue;
+    }
+    if (tag->kind == Kind::kRest) {
+      ledger.RaiseOthers(row.workspace, row.service);
+    } else if (tag->kind == Kind::kSide && std::isfinite(row.service)) {
+      double& sum = sums[row.workspace];
+      sum = std::max(sum, row.service);
+    }
+  }
+  if (tag->kind != Kind::kOrphan) {
+    Names& names = backlogged_[{std::string(peer), *tag}];
+    is_backlog_changed_ |= names != counters.backlogged;
+    names = counters.backlogged;
+  }
+}
+
+void Tree::UpdateLayout(const Ledger& ledger, const Names& peers) {
+  Names sorted = peers;
+  std::sort(sorted.begin(), sorted.end());
+  if (sorted == peers_ && self_ == ledger.origin()) {
+    return;
+  }
+  peers_ = std::move(sorted);
+  self_ = ledger.origin();
+  incarnation_ = ledger.incarnation();
+  const auto is_gone = [this](const auto& item) {
+    return !std::binary_search(peers_.begin(), peers_.end(), item.first.first);
+  };
+  std::erase_if(outboxes_, is_gone);
+  std::erase_if(backlogged_, is_gone);
+  is_backlog_changed_ = true;
+  Names entries = peers_;
+  entries.push_back(self_);
+  layout_ = TreeLayout(entries);
+}
+
+std::vector<ShardState> Tree::SplitByShard(
+    const protocol::Counters& full) const {
+  std::vector<ShardState> shards(layout_.shards());
+  for (const protocol::CounterEntry& row : full.counters) {
+    shards[layout_.ShardOf(row.workspace)].rows.push_back(row);
+  }
+  for (const protocol::LiftEntry& lift : full.lifts) {
+    shards[layout_.ShardOf(lift.workspace)].lifts.push_back(lift);
+  }
+  for (const std::string& workspace : full.backlogged) {
+    shards[layout_.ShardOf(workspace)].backlogged.push_back(workspace);
+  }
+  return shards;
+}
+
+void Tree::SendUp(const Ledger& ledger, size_t shard, const ShardState& state) {
+  const TreeRole role{layout_.GroupOf(self_), shard};
+  std::vector<protocol::CounterEntry> rows;
+  std::copy_if(state.rows.begin(), state.rows.end(), std::back_inserter(rows),
+               [&](const auto& row) { return ProcessOf(row) == self_; });
+  for (const std::string& head : layout_.Heads(role)) {
+    if (head != ledger.origin()) {
+      Send(head, {Kind::kUp, layout_.groups(), role}, rows, state,
+           state.backlogged);
+    }
+  }
+}
+
+bool Tree::IsOrphan(const Ledger& ledger,
+                    TreeRole role,
+                    const protocol::CounterEntry& row) const {
+  const std::string_view process = ProcessOf(row);
+  if (process == ledger.origin()) {
+    return false;
+  }
+  // A head gets the counters of a connected origin from the origin, as the
+  // other head does. Who is no head any more may be the last to know some.
+  if (!layout_.IsHead(role, ledger.origin()) ||
+      !std::binary_search(peers_.begin(), peers_.end(), process)) {
+    return true;
+  }
+  const auto present = incarnations_.find(process);
+  return row.origin.starts_with('~') ||
+         (present != incarnations_.end() && present->second != row.incarnation);
+}
+
+void Tree::SendOrphans(const Ledger& ledger,
+                       size_t shard,
+                       const ShardState& state) {
+  std::map<OutboxKey, std::vector<protocol::CounterEntry>> rows;
+  for (const protocol::CounterEntry& row : state.rows) {
+    const std::string process(ProcessOf(row));
+    const TreeRole role{layout_.GroupOf(process), shard};
+    if (!IsOrphan(ledger, role, row)) {
+      continue;
+    }
+    std::set<std::string> receivers(layout_.Heads(role).begin(),
+                                    layout_.Heads(role).end());
+    if (std::binary_search(peers_.begin(), peers_.end(), process)) {
+      receivers.insert(process);
+    }
+    receivers.erase(ledger.origin());
+    for (const std::string& receiver : receivers) {
+      rows[{receiver, {Kind::kOrphan, layout_.groups(), role}}].push_back(row);
+    }
+  }
+  for (const auto& [key, orphans] : rows) {
+    Send(key.first, key.second, orphans, {}, {});
+  }
+}
+
+void Tree::Lead(Ledger& ledger, TreeRole role, const ShardState& state) {
+  Names members;
+  for (const std::string& peer : peers_) {
+    if (layout_.GroupOf(peer) == role.group) {
+      members.push_back(peer);
+    }
+  }
+  Sums here;
+  for (const protocol::CounterEntry& row : state.rows) {
+    if (layout_.GroupOf(ProcessOf(row)) == role.group) {
+      here[row.workspace] += row.service;
+    }
+  }
+  Sums& sums = sums_[{layout_.groups(), role.group}];
+  for (const auto& [workspace, sum] : here) {
+    sums[workspace] = std::max(sums[workspace], sum);
+  }
+  SendSide(role, state);
+  SendRest(ledger, role, state, members);
+}
+
+void Tree::SendSide(TreeRole role, const ShardState& state) {
+  const Tag tag{Kind::kSide, layout_.groups(), role};
+  std::vector<protocol::CounterEntry> rows;
+  for (const auto& [workspace, sum] : sums_[{layout_.groups(), role.group}]) {
+    if (layout_.ShardOf(workspace) == role.shard) {
+      rows.push_back({TagText(tag), incarnation_, workspace, sum});
+    }
+  }
+  Names backlogged = BackloggedAt(Kind::kUp, role.shard, role.group);
+  if (layout_.GroupOf(self_) == role.group) {
+    backlogged.insert(backlogged.end(), state.backlogged.begin(),
+                      state.backlogged.end());
+  }
+  for (size_t group = 0; group < layout_.groups(); ++group) {
+    const std::string& head = layout_.Heads({group, role.shard}).front();
+    if (group != role.group && head != self_) {
+      Send(head, tag, rows, state, backlogged);
+    }
+  }
+}
+
+void Tree::SendRest(Ledger& ledger,
+                    TreeRole role,
+                    const ShardState& state,
+                    const Names& members) {
+  const Tag tag{Kind::kRest, layout_.groups(), role};
+  Sums all;  // Other groups by their sums, this group by its counters.
+  for (size_t group = 0; group < layout_.groups(); ++group) {
+    if (group != role.group) {
+      for (const auto& [workspace, sum] : sums_[{layout_.groups(), group}]) {
+        if (layout_.ShardOf(workspace) == role.shard) {
+          all[workspace] += sum;
+        }
+      }
+    }
+  }
+  std::map<std::string_view, Sums> by_member;
+  for (const protocol::CounterEntry& row : state.rows) {
+    if (layout_.GroupOf(ProcessOf(row)) == role.group) {
+      all[row.workspace] += row.service;
+      by_member[ProcessOf(row)][row.workspace] += row.service;
+    }
+  }
+  const auto without = [&](std::string_view member) {
+    std::vector<protocol::CounterEntry> rows;
+    for (const auto& [workspace, sum] : all) {
+      const Sums& own = by_member[member];
+      const auto found = own.find(workspace);
+      rows.push_back({TagText(tag), incarnation_, workspace,
+                      sum - (found == own.end() ? 0 : found->second)});
+    }
+    return rows;
+  };
+  if (layout_.GroupOf(self_) == role.group) {
+    for (const protocol::CounterEntry& row : without(self_)) {
+      ledger.RaiseOthers(row.workspace, row.service);
+    }
+  }
+  Names backlogged = state.backlogged;
+  // A head of several groups has the lists of all of them and sends no `side`
+  // message to itself.
+  for (const Kind kind : {Kind::kUp, Kind::kSide}) {
+    const Names names = BackloggedAt(kind, role.shard, /*group=*/std::nullopt);
+    backlogged.insert(backlogged.end(), names.begin(), names.end());
+  }
+  for (const std::string& member : members) {
+    Send(member, tag, without(member), state, backlogged);
+  }
+}
+
+Names Tree::BackloggedAt(Kind kind,
+                         size_t shard,
+                         std::optional<size_t> group) const {
+  Names result;
+  for (const auto& [key, names] : backlogged_) {
+    const Tag& tag = key.second;
+    if (tag.kind == kind && tag.groups == layout_.groups() &&
+        tag.role.shard == shard && (!group || tag.role.group == *group)) {
+      result.insert(result.end(), names.begin(), names.end());
+    }
+  }
+  return result;
+}
+
+void Tree::Send(const std::string& receiver,
+                const Tag& tag,
+                const std::vector<protocol::CounterEntry>& rows,
+                const ShardState& state,
+                const Names& backlogged) {
+  Outbox& outbox = outboxes_[{receiver, tag}];
+  outbox.is_current = true;
+  protocol::Counters message;
+  message.virtual_time = virtual_time_;
+  message.counters.push_back({TagText(tag), incarnation_, "", 0});
+  for (const protocol::CounterEntry& row : rows) {
+    if (tag.kind == Kind::kOrphan && orphans_left_ == 0) {
+      break;
+    }
+    const auto [sent, is_new] = outbox.rows.try_emplace(
+        {row.origin, row.incarnation, row.workspace}, 0);
+    if (is_new || sent->second < row.service) {
+      sent->second = row.service;
+      message.counters.push_back(row);
+      orphans_left_ -= tag.kind == Kind::kOrphan ? 1 : 0;
+    }
+  }
+  for (const protocol::LiftEntry& lift : state.lifts) {
+    double& sent = outbox.lifts[lift.workspace];
+    if (sent < lift.lift) {
+      sent = lift.lift;
+      message.lifts.push_back(lift);
+    }
+  }
+  message.backlogged = backlogged;
+  std::sort(message.backlogged.begin(), message.backlogged.end());
+  message.backlogged.erase(
+      std::unique(message.backlogged.begin(), message.backlogged.end()),
+      message.backlogged.end());
+  // The first message tells the receiver the sender's incarnation.
+  if (outbox.is_new || message.counters.size() > 1 || !message.lifts.empty() ||
+      message.backlogged != outbox.backlogged) {
+    outbox.is_new = false;
+    outbox.backlogged = message.backlogged;
+    queued_.push_back({receiver, std::move(message)});
+  }
+}
+
+// A receiver keeps the last list of backlogged workspaces of each role, so a
+// role that ended takes its list back.
+void Tree::EndStaleOutboxes() {
+  for (auto box = outboxes_.begin(); box != outboxes_.end();) {
+    const auto& [key, outbox] = *box;
+    if (outbox.is_current) {
+      ++box;
+      continue;
+    }
+    if (!outbox.backlogged.empty()) {
+      protocol::Counters message;
+      message.virtual_time = virtual_time_;
+      message.counters.push_back({TagText(key.second), incarnation_, "", 0});
+      queued_.push_back({key.first, std::move(message)});
+    }
+    box = outboxes_.erase(box);
+  }
+}
+
+void Tree::PublishBacklog(Ledger& ledger) {
+  if (!std::exchange(is_backlog_changed_, false)) {
+    return;
+  }
+  std::set<std::string> names;
+  for (const auto& [key, list] : backlogged_) {
+    names.insert(list.begin(), list.end());
+  }
+  ledger.SetBackloggedElsewhere(Names(names.begin(), names.end()));
+}
+
+const kernel::Registration<Exchange> kTree("tree", [] {
+  return std::make_unique<Tree>();
+});
+
+}  // namespace
+}  // namespace jackdawshunt::fairness
--- a/jackdawshunt/records/records.cc
+++ b/jackdawshunt/records/records.cc
@@ -196,7 +196,8 @@
 
 Policy ReadPolicy(FieldReader& reader, int32_t, Faulted&) {
   constexpr double kMaxWeight = 1000;
-  constexpr std::array<std::string_view, 2> kExchanges = {"none", "mesh"};
+  constexpr std::array<std::string_view, 3> kExchanges = {"none", "mesh",
+                                                          "tree"};
   constexpr std::array<std::string_view, 3> kPlacements = {
       "late_binding", "least_loaded", "round_robin"};
   Policy policy;
