Tell waiting requests that may use a short slot from others

Cause: BidBook::empty() is false when only long requests wait, so a side cannot tell idle reserved slots that no waiting request may use.

Change: add BidBook::HasWaiting(short_only), with the condition that Choose() uses. The side does not call it yet.

--- a/jackdawshunt/fairness/bid_book.cc
+++ b/jackdawshunt/fairness/bid_book.cc
@@ -13,6 +13,11 @@
   return std::isfinite(value) ? std::max(0.0, value) : 0;
 }
 
+bool IsCandidate(const protocol::BidItem& item, bool short_only) {
+  return item.waiting > 0 &&
+         (!short_only || item.request_class == protocol::RequestClass::kShort);
+}
+
 }  // namespace
 
 void BidBook::Replace(std::string_view entry, const protocol::Bid& bid) {
@@ -48,15 +53,21 @@
 }
 
 bool BidBook::empty() const {
+  return !HasWaiting(/*short_only=*/false);
+}
+
+bool BidBook::HasWaiting(bool short_only) const {
   for (const auto& [name, entry] : entries_) {
     for (const auto& [model, items] : entry.bids) {
       if (std::any_of(items.begin(), items.end(),
-                      [](const Item& item) { return item.bid.waiting > 0; })) {
-        return false;
+                      [short_only](const Item& item) {
+                        return IsCandidate(item.bid, short_only);
+                      })) {
+        return true;
       }
     }
   }
-  return true;
+  return false;
 }
 
 std::optional<Choice> BidBook::Choose(bool short_only) {
@@ -70,9 +81,7 @@
   for (auto& [name, entry] : entries_) {
     for (auto& [model, items] : entry.bids) {
       for (Item& item : items) {
-        if (item.bid.waiting <= 0 ||
-            (short_only &&
-             item.bid.request_class != protocol::RequestClass::kShort)) {
+        if (!IsCandidate(item.bid, short_only)) {
           continue;
         }
         ++contenders;
--- a/jackdawshunt/fairness/bid_book.h
+++ b/jackdawshunt/fairness/bid_book.h
@@ -37,6 +37,10 @@
   // Forgets all that the entry reported, after its connection is lost.
   void RemoveEntry(std::string_view entry);
   bool empty() const;  // No request waits in any bid.
+  // True when Choose(short_only) would return a request. Slots reserved for
+  // short requests that stay free while only long ones wait are not idle for
+  // want of bids.
+  bool HasWaiting(bool short_only) const;
 
   // Removes and returns one waiting request of the bid item with the lowest
   // service; ties go to the workspace that holds fewer slots, then to the entry
--- a/jackdawshunt/fairness/bid_book_test.cc
+++ b/jackdawshunt/fairness/bid_book_test.cc
@@ -203,5 +203,22 @@
   EXPECT_FALSE(book.Choose(false).has_value());
 }
 
+// Guards against reserved slots taken for idle capacity that a waiting request
+// could use, when only long ones wait.
+TEST(BidBookTest, LongRequestsDoNotWaitForShortSlots) {
+  BidBook book;
+  protocol::Bid bid = BidFor("w", 1);
+  bid.items[0].waiting = 1;
+  bid.items[0].request_class = protocol::RequestClass::kLong;
+  book.Replace("entry-1", bid);
+  EXPECT_TRUE(book.HasWaiting(/*short_only=*/false));
+  EXPECT_FALSE(book.HasWaiting(/*short_only=*/true));
+  bid.items[0].request_class = protocol::RequestClass::kShort;
+  book.Replace("entry-1", bid);
+  EXPECT_TRUE(book.HasWaiting(/*short_only=*/true));
+  ASSERT_TRUE(book.Choose(/*short_only=*/true).has_value());
+  EXPECT_FALSE(book.HasWaiting(/*short_only=*/true));
+}
+
 }  // namespace
 }  // namespace jackdawshunt::fairness
