Choose the heads of the counter tree once per round

Cause: the layout was computed at each tick in which the list of entries had changed; at 530 entries that takes 10 ms of a tick of 100 ms (a trial with 20 layouts in a row), while a fleet starts for many ticks in a row.

Change: look at the list only in the ticks in which the entry sends.

--- a/jackdawshunt/fairness/tree_exchange.cc
+++ b/jackdawshunt/fairness/tree_exchange.cc
@@ -169,11 +169,12 @@
 
 std::vector<CountersTo> Tree::Tick(Ledger& ledger, const Names& peers) {
   ledger.TakeChanges();  // Outboxes tell what changed for each receiver.
-  UpdateLayout(ledger, peers);
   PublishBacklog(ledger);
   if (--ticks_to_wait_ > 0) {
     return {};
   }
+  // Once per round: a layout of 530 entries takes 10 ms, a tenth of a tick.
+  UpdateLayout(ledger, peers);
   orphans_left_ = kMaxOrphansPerTick;
   for (auto& [key, outbox] : outboxes_) {
     outbox.is_current = false;
