Keep a load read in flight instead of dropping it

Cause: the read of the load report was started anew every 250 ms and dropped the one in flight, so an upstream that answers slower was never heard and went on getting work while draining. Change: a read is skipped while another is in flight.

--- a/jackdawshunt/side/http_driver.cc
+++ b/jackdawshunt/side/http_driver.cc
@@ -60,11 +60,17 @@
 
 void HttpDriver::ReadLoad(
     std::function<void(const std::optional<LoadReport>&)> done) {
+  // A new read would drop the one in flight, and an upstream slower than the
+  // period of the reads would never be heard.
+  if (std::exchange(is_load_pending_, true)) {
+    return;
+  }
   load_call_ = client().Send(
       address_, {.path = "/load"},
       {.timeout = kLoadTimeout,
-       .on_done = [done = std::move(done)](
+       .on_done = [this, done = std::move(done)](
                       const absl::StatusOr<http::Response>& response) {
+         is_load_pending_ = false;
          done(ParseLoad(response));
        }});
 }
--- a/jackdawshunt/side/http_driver.h
+++ b/jackdawshunt/side/http_driver.h
@@ -29,6 +29,7 @@
   std::optional<http::Client> client_;
   http::Address address_;
   std::unique_ptr<http::Call> load_call_;
+  bool is_load_pending_ = false;
   std::unique_ptr<http::Call> order_call_;
 };
 
--- a/jackdawshunt/side/upstream_driver.h
+++ b/jackdawshunt/side/upstream_driver.h
@@ -87,8 +87,8 @@
   // `sink` outlives the returned run.
   virtual std::unique_ptr<Run> Start(const protocol::Start& start,
                                      RunSink& sink) = 0;
-  // Reads the load report; nullopt when the upstream did not answer. Never
-  // calls back for an upstream without reports.
+  // Reads the load report, unless a read is in flight; nullopt when the
+  // upstream did not answer. Never calls back for an upstream without reports.
   virtual void ReadLoad(
       std::function<void(const std::optional<LoadReport>&)> done) = 0;
   // Orders the upstream to load a model. Errors: FailedPrecondition when the
