Fix the number of claim homes

Cause: the number of homes was a policy field; after a change from 64 to 7, two of three keyed calls ran again at an entry started later, since it looked for the keys in other objects. Change: the number is a constant of the stored format; the field is gone.

--- a/jackdawshunt/claims/claims.h
+++ b/jackdawshunt/claims/claims.h
@@ -44,6 +44,12 @@
   bool has_body = true;
 };
 
+// Objects that the claims are spread over. Part of the stored format: entries
+// that use different numbers look for a key in different objects, and its call
+// could run twice. At one number for all, a trial that changed it from 64 to 7
+// ran two of three keyed calls again.
+inline constexpr int32_t kClaimHomes = 64;
+
 enum class VerdictKind {
   kRun,       // The claim is ours: the request may be started once.
   kReplay,    // Completed before: send the recorded answer.
--- a/jackdawshunt/entry/entry_role.cc
+++ b/jackdawshunt/entry/entry_role.cc
@@ -1,4 +1,5 @@
 // The entry role: creates the tasks, joins their mailboxes, and shuts down.
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -87,6 +88,9 @@
 
   int Run() {
     store_.OnChange([this] { OnConfiguration(); });
+    links_.OnPeerList([this](std::vector<platform::Instance> instances) {
+      TakePeerList(std::move(instances));
+    });
     operator_server_.SetReadiness(
         [this] { return phase_ == Phase::kServing && IsLoaded(); });
     operator_server_.SetStatus([this] { return Status(); });
@@ -165,13 +169,34 @@
                 }};
   }
 
-  // True once the records and the peers' counters are here.
+  // A peer's copy of the instance list, which may come in parts. It lets an
+  // entry that started while the platform is down reach the sides.
+  void TakePeerList(std::vector<platform::Instance> instances) {
+    if (has_instances_) {
+      return;
+    }
+    for (const platform::Instance& known : view_.instances()) {
+      const bool is_repeated = std::any_of(
+          instances.begin(), instances.end(), [&known](const auto& instance) {
+            return instance.instance == known.instance;
+          });
+      if (!is_repeated) {
+        instances.push_back(known);
+      }
+    }
+    view_.Update(std::move(instances));
+    links_.UpdateInstances(view_.instances());
+  }
+
+  // True once the records, the instances and the peers' counters are here.
   bool IsLoaded() const {
     const bool has_counters = dispatcher_.has_peer_counters() ||
                               loop_.clock().Now() - started_ >= kCountersWait ||
                               store_.snapshot().policy.exchange == "none" ||
-                              (has_instances_ && view_.Entries().size() <= 1);
-    return configuration_.is_ready() && has_counters;
+                              view_.Entries().size() == 1;
+    // Without the instance list an entry knows no side.
+    return configuration_.is_ready() && has_counters &&
+           !view_.instances().empty();
   }
 
   std::optional<base::ErrorKind> Refusal() const {
@@ -184,13 +209,11 @@
     return std::nullopt;
   }
 
-  // Created at the first claim: the number of homes comes from the policy and
-  // must not change during the life of the process.
+  // Created at the first claim, which most entries never see.
   claims::Claims& Claims() {
     if (claims_ == nullptr) {
       claims_ = std::make_unique<claims::Claims>(
-          loop_, platform_, settings_.instance,
-          store_.snapshot().policy.claim_homes);
+          loop_, platform_, settings_.instance, claims::kClaimHomes);
     }
     return *claims_;
   }
@@ -266,7 +289,7 @@
     return {{"instance", settings_.instance},
             {"role", "entry"},
             {"incarnation", self_.incarnation.ToString()},
-            {"ready", phase_ == Phase::kServing && configuration_.is_ready()},
+            {"ready", phase_ == Phase::kServing && IsLoaded()},
             {"draining", phase_ != Phase::kServing},
             {"revision", store_.revision()},
             {"versions", std::move(versions)},
--- a/jackdawshunt/records/records.cc
+++ b/jackdawshunt/records/records.cc
@@ -189,7 +189,6 @@
     PolicyInteger{"bid_fanout", &Policy::bid_fanout, 1, 4096},
     PolicyInteger{"exchange_period_ms", &Policy::exchange_period_ms, 10,
                   60'000},
-    PolicyInteger{"claim_homes", &Policy::claim_homes, 1, 4096},
     PolicyInteger{"progress_limit_ms", &Policy::progress_limit_ms, 100,
                   kHourMs},
 };
--- a/jackdawshunt/records/records.h
+++ b/jackdawshunt/records/records.h
@@ -84,7 +84,6 @@
   int64_t exchange_period_ms = 100;
   std::string exchange = "mesh";
   std::string placement = "late_binding";
-  int32_t claim_homes = 64;
   int64_t progress_limit_ms = 10000;  // Longest silence of a running stream.
 };
 
--- a/jackdawshunt/records/records_test.cc
+++ b/jackdawshunt/records/records_test.cc
@@ -176,10 +176,9 @@
   EXPECT_EQ(a.exchange_period_ms, b.exchange_period_ms);
   EXPECT_EQ(a.exchange, b.exchange);
   EXPECT_EQ(a.placement, b.placement);
-  EXPECT_EQ(a.claim_homes, b.claim_homes);
   EXPECT_EQ(a.progress_limit_ms, b.progress_limit_ms);
   // A field added to the policy must be shown, too.
-  EXPECT_EQ(example["spec"].size(), 13U);
+  EXPECT_EQ(example["spec"].size(), 12U);
 }
 
 class DeploymentRecordsTest : public ::testing::TestWithParam<const char*> {};
