Give an entry its peer's instance list while the platform is down

Cause: an entry restarted in an outage was ready without knowing any side; a call got no answer in 12 s. And every entry read the list each second, so the calls grew with the fleet. An entry that its peers do not dial (its name sorts before theirs) still waits for the platform.

--- a/jackdawshunt/entry/instance_reader.cc
+++ b/jackdawshunt/entry/instance_reader.cc
@@ -8,7 +8,11 @@
 namespace jackdawshunt::entry {
 namespace {
 
+// Each entry reads the list, so the period grows with their number and the
+// reads of the whole fleet stay below 20 a second. That a side leaves is heard
+// from its heartbeats before.
 constexpr kernel::Duration kReadPeriod = std::chrono::seconds(1);
+constexpr kernel::Duration kPeriodPerEntry = std::chrono::milliseconds(50);
 // Longest wait between reads while the platform is unavailable.
 constexpr kernel::Duration kMaxWait = std::chrono::seconds(8);
 
@@ -41,8 +45,9 @@
 void InstanceReader::OnList(
     absl::StatusOr<std::vector<platform::Instance>> list) {
   if (list.ok()) {
-    wait_ = kReadPeriod;
     view_.Update(*std::move(list));
+    wait_ = std::max(kReadPeriod, static_cast<int64_t>(view_.Entries().size()) *
+                                      kPeriodPerEntry);
     on_update_();
   } else {
     wait_ = std::min(wait_ * 2, kMaxWait);
--- a/jackdawshunt/entry/links.cc
+++ b/jackdawshunt/entry/links.cc
@@ -1,12 +1,48 @@
 #include "jackdawshunt/entry/links.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <variant>
 
 #include "jackdawshunt/base/log.h"
+#include "jackdawshunt/platform/address.h"
 
 namespace jackdawshunt::entry {
+namespace {
+
+// Keeps a message far below the largest frame.
+constexpr size_t kInstancesPerMessage = 1000;
+
+protocol::ListedInstance ToRow(const platform::Instance& instance) {
+  return {.instance = instance.instance,
+          .role = instance.role,
+          .region = instance.region,
+          .data_centre = instance.data_centre,
+          .process = instance.process.ToString(),
+          .operator_address = instance.operator_address.ToString(),
+          .is_leaving = instance.state == platform::InstanceState::kLeaving};
+}
+
+// Returns nullopt for a row with a malformed address.
+std::optional<platform::Instance> FromRow(const protocol::ListedInstance& row) {
+  const auto process = platform::ParseAddress(row.process);
+  const auto operator_address = platform::ParseAddress(row.operator_address);
+  if (!process.has_value() || !operator_address.has_value()) {
+    return std::nullopt;
+  }
+  return platform::Instance{.instance = row.instance,
+                            .role = row.role,
+                            .region = row.region,
+                            .data_centre = row.data_centre,
+                            .process = *process,
+                            .operator_address = *operator_address,
+                            .state = row.is_leaving
+                                         ? platform::InstanceState::kLeaving
+                                         : platform::InstanceState::kLive};
+}
+
+}  // namespace
 
 Links::Links(kernel::EventLoop& loop,
              protocol::Identity identity,
@@ -41,6 +77,7 @@
 }
 
 void Links::UpdateInstances(const std::vector<platform::Instance>& instances) {
+  instances_ = instances;
   std::set<std::string, std::less<>> listed;
   for (const platform::Instance& instance : instances) {
     if (!IsDialledByUs(instance)) {
@@ -120,6 +157,22 @@
     }
   });
   SendHeartbeat(*connection);
+  if (peer.role == protocol::Role::kEntry) {
+    SendInstances(*connection);
+  }
+}
+
+void Links::SendInstances(protocol::Connection& connection) const {
+  for (size_t first = 0; first < instances_.size();
+       first += kInstancesPerMessage) {
+    const size_t last =
+        std::min(first + kInstancesPerMessage, instances_.size());
+    protocol::InstanceList list;
+    for (size_t i = first; i < last; ++i) {
+      list.instances.push_back(ToRow(instances_[i]));
+    }
+    connection.Send(list);
+  }
 }
 
 void Links::Drop(const protocol::Connection& connection) {
@@ -142,6 +195,16 @@
   if (const auto* heartbeat = std::get_if<protocol::Heartbeat>(&message)) {
     link->second.config_revision = heartbeat->config_revision;
   }
+  if (const auto* list = std::get_if<protocol::InstanceList>(&message)) {
+    std::vector<platform::Instance> instances;
+    for (const protocol::ListedInstance& row : list->instances) {
+      if (auto read = FromRow(row)) {
+        instances.push_back(*std::move(read));
+      }
+    }
+    on_peer_list_(std::move(instances));
+    return;
+  }
   configuration_.OnPeerMessage(connection, message);
   post_(LinkMessage{instance, std::move(message)});
 }
--- a/jackdawshunt/entry/links.h
+++ b/jackdawshunt/entry/links.h
@@ -40,6 +40,11 @@
 
   // Error: Unavailable.
   absl::StatusOr<uint16_t> Listen(const http::Address& address);
+  // Takes the list that a peer sent, as long as the platform has not been read.
+  void OnPeerList(
+      std::function<void(std::vector<platform::Instance>)> callback) {
+    on_peer_list_ = std::move(callback);
+  }
   // Dials what is new in the list and gives up what is no longer in it, once
   // its connection is down too: the list may lag behind.
   void UpdateInstances(const std::vector<platform::Instance>& instances);
@@ -74,6 +79,7 @@
   void Drop(const protocol::Connection& connection);
   void OnMessage(const ConnectionPtr& connection, protocol::Message message);
   void SendHeartbeat(protocol::Connection& connection);
+  void SendInstances(protocol::Connection& connection) const;
 
   kernel::EventLoop& loop_;
   const protocol::Identity identity_;
@@ -84,6 +90,8 @@
   std::map<std::string, Dialled, std::less<>> dialled_;
   std::map<std::string, Link, std::less<>> links_;
   std::set<std::string, std::less<>> leaving_;
+  std::vector<platform::Instance> instances_;  // The list in use.
+  std::function<void(std::vector<platform::Instance>)> on_peer_list_;
   bool is_draining_ = false;
   kernel::Timer heartbeat_timer_;
 };
--- a/jackdawshunt/protocol/codec_benchmark.cc
+++ b/jackdawshunt/protocol/codec_benchmark.cc
@@ -63,7 +63,7 @@
 
 void BM_Encode(benchmark::State& state, Message (*make)()) {
   const Message message = make();
-  for (auto unused : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(Encode(message));
   }
   state.counters["bytes"] = static_cast<double>(Encode(message).size());
@@ -72,7 +72,7 @@
 void BM_Decode(benchmark::State& state, Message (*make)()) {
   const std::string frame = Encode(make());
   Decoder decoder;
-  for (auto unused : state) {
+  while (state.KeepRunning()) {
     decoder.Append(frame);
     auto message = decoder.Next();
     if (!message.ok() || !message->has_value()) {
--- a/jackdawshunt/protocol/codec_test.cc
+++ b/jackdawshunt/protocol/codec_test.cc
@@ -159,6 +159,15 @@
                   gen::set(&T::deleted),
                   gen::set(&T::value));
 ARBITRARY_MESSAGE(ConfigPush, gen::set(&T::records));
+ARBITRARY_MESSAGE(ListedInstance,
+                  gen::set(&T::instance),
+                  gen::set(&T::role),
+                  gen::set(&T::region),
+                  gen::set(&T::data_centre),
+                  gen::set(&T::process),
+                  gen::set(&T::operator_address),
+                  gen::set(&T::is_leaving));
+ARBITRARY_MESSAGE(InstanceList, gen::set(&T::instances));
 
 }  // namespace rc
 
--- a/jackdawshunt/protocol/internal/schema.h
+++ b/jackdawshunt/protocol/internal/schema.h
@@ -231,6 +231,29 @@
   }
 };
 
+template <>
+struct Schema<ListedInstance> {
+  template <typename V, typename M>
+  static void Visit(V& v, M& m) {
+    v("instance", m.instance);
+    v("role", m.role);
+    v("region", m.region);
+    v("data_centre", m.data_centre);
+    v("process", m.process);
+    v("operator", m.operator_address);
+    v("leaving", m.is_leaving);
+  }
+};
+
+template <>
+struct Schema<InstanceList> {
+  static constexpr std::string_view kName = "instance_list";
+  template <typename V, typename M>
+  static void Visit(V& v, M& m) {
+    v("instances", m.instances);
+  }
+};
+
 // True for the messages with fields that travel outside the JSON text.
 template <typename M>
 inline constexpr bool kHasBlob =
--- a/jackdawshunt/protocol/messages.h
+++ b/jackdawshunt/protocol/messages.h
@@ -242,6 +242,27 @@
   bool operator==(const ConfigPush&) const = default;
 };
 
+// One row of the instance list; addresses as "ip:port".
+struct ListedInstance {
+  std::string instance;
+  std::string role;
+  std::string region;
+  std::string data_centre;
+  std::string process;
+  std::string operator_address;
+  bool is_leaving = false;
+
+  bool operator==(const ListedInstance&) const = default;
+};
+
+// The sender's copy of the instance list, for an entry that started while the
+// platform is down.
+struct InstanceList {
+  std::vector<ListedInstance> instances;
+
+  bool operator==(const InstanceList&) const = default;
+};
+
 using Message = std::variant<Heartbeat,
                              Bid,
                              Grant,
@@ -258,7 +279,8 @@
                              Cancel,
                              Counters,
                              ConfigPull,
-                             ConfigPush>;
+                             ConfigPush,
+                             InstanceList>;
 
 // Name used in frames, logs and metrics.
 std::string_view MessageName(const Message& message);
--- a/jackdawshunt/testing/configuration_process_test.cc
+++ b/jackdawshunt/testing/configuration_process_test.cc
@@ -181,6 +181,11 @@
   ASSERT_TRUE(PollUntil([&] { return fleet_->IsReady(operator_address); }))
       << (*entry)->Log();
   EXPECT_EQ(VersionAt(operator_address, kKey), version);
+  // It reaches the sides with its peer's copy of the instance list.
+  const auto reply = Fetch({"127.0.0.1", (*entry)->Port("caller")},
+                           fleet_->ChatRequest("lodge", "hello", {}));
+  ASSERT_TRUE(reply.ok()) << reply.status();
+  EXPECT_EQ(reply->status, 200) << reply->body;
 }
 
 // Guards against a deleted record that comes back from a process which missed
