Treat busy engines as busy, count only usable idle slots; clear lint findings

Change: 408 and 429 mean not run and go elsewhere; idle_with_bids asks the bid book for requests that may use the slot.

--- a/jackdawshunt/base/id.h
+++ b/jackdawshunt/base/id.h
@@ -25,6 +25,7 @@
   int64_t start_us = 0;  // Unix time in microseconds.
   uint32_t random = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false report on a defaulted <=>.
   auto operator<=>(const Incarnation&) const = default;
 
   // Returns "<start_us>-<random>" in hexadecimal.
--- a/jackdawshunt/configuration/store.cc
+++ b/jackdawshunt/configuration/store.cc
@@ -21,7 +21,7 @@
 constexpr size_t kHistory = 4;
 // Invalid values are passed on so that every process reports the same fault,
 // but a longer one may not fit a frame when it is escaped.
-constexpr size_t kMaxInvalidBytes = 64 * 1024;
+constexpr size_t kMaxInvalidBytes = size_t{64} * 1024;
 
 std::string FaultOf(const ConfigRecord& record,
                     const absl::StatusOr<records::Record>& parsed) {
--- a/jackdawshunt/entry/metrics.cc
+++ b/jackdawshunt/entry/metrics.cc
@@ -9,9 +9,9 @@
 
 // From a local model's first token to the default wait limit.
 const prometheus::Histogram::BucketBoundaries& SecondBuckets() {
-  static const prometheus::Histogram::BucketBoundaries kBuckets = {
+  static const prometheus::Histogram::BucketBoundaries buckets = {
       0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30};
-  return kBuckets;
+  return buckets;
 }
 
 prometheus::Gauge& AddGauge(prometheus::Registry& registry,
--- a/jackdawshunt/http/http_test.cc
+++ b/jackdawshunt/http/http_test.cc
@@ -277,7 +277,8 @@
 // Guards against a use after free when the server goes before the exchange.
 TEST_F(HttpLifetimeTest, ExchangeMayOutliveTheServer) {
   auto server = std::make_unique<Server>(loop_, ServerLimits());
-  server->SetHandler([&](std::shared_ptr<Exchange> e) { exchange_ = e; });
+  server->SetHandler(
+      [&](std::shared_ptr<Exchange> e) { exchange_ = std::move(e); });
   address_.port = server->Listen({}).value();
   const auto caller = Open();
   exchange_->StartStream(200, {});
--- a/jackdawshunt/side/dispatcher.cc
+++ b/jackdawshunt/side/dispatcher.cc
@@ -429,7 +429,8 @@
   accounted_until_ = now;
   counters_.slot_seconds_busy += seconds * slots_.used();
   counters_.slot_seconds_idle += seconds * slots_.free();
-  if (!bids_.empty()) {
+  const bool short_only = !slots_.HasRoomFor(RequestClass::kLong);
+  if (bids_.HasWaiting(short_only)) {
     counters_.slot_seconds_idle_with_bids += seconds * slots_.free();
   }
 }
--- a/jackdawshunt/side/engine_driver.cc
+++ b/jackdawshunt/side/engine_driver.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr int kHttpOk = 200;
+constexpr int kHttpRequestTimeout = 408;
+constexpr int kHttpTooManyRequests = 429;
 
 // Engines take the number of tokens that the caller already has as
 // resume_tokens and continue from there.
@@ -120,10 +122,12 @@
 
   RunFailure RejectedBy(int status) const {
     constexpr int kFirstServerError = 500;
-    const bool is_caller_fault = status < kFirstServerError;
-    return {.kind = is_caller_fault ? base::ErrorKind::kBadRequest
-                                    : base::ErrorKind::kUpstreamFailed,
-            .ran = is_caller_fault ? base::Ran::kNo : base::Ran::kUnknown,
+    const bool is_busy =
+        status == kHttpRequestTimeout || status == kHttpTooManyRequests;
+    const bool is_rejected = status < kFirstServerError;
+    return {.kind = is_rejected && !is_busy ? base::ErrorKind::kBadRequest
+                                            : base::ErrorKind::kUpstreamFailed,
+            .ran = is_rejected ? base::Ran::kNo : base::Ran::kUnknown,
             .message = absl::StrCat("the engine answered ", status, ": ",
                                     error_body_)};
   }
--- a/jackdawshunt/side/output_buffer_test.cc
+++ b/jackdawshunt/side/output_buffer_test.cc
@@ -38,7 +38,8 @@
       buffer.Append({part});
       whole += part;
     } else {
-      credit = *rc::gen::inRange<int64_t>(credit, whole.size() + 1);
+      credit = *rc::gen::inRange<int64_t>(
+          credit, static_cast<int64_t>(whole.size()) + 1);
       buffer.SetCredit(credit);
     }
     RC_ASSERT(buffer.end() == static_cast<int64_t>(whole.size()));
--- a/jackdawshunt/side/side_role.cc
+++ b/jackdawshunt/side/side_role.cc
@@ -57,9 +57,10 @@
   int Run() {
     store_.OnChange([this] { OnConfiguration(); });
     configuration_.Start();
-    listener_.OnConnection([this](std::shared_ptr<protocol::Connection> c) {
-      AddConnection(std::move(c));
-    });
+    listener_.OnConnection(
+        [this](const std::shared_ptr<protocol::Connection>& c) {
+          AddConnection(c);
+        });
     operator_server_.SetReadiness([this] { return IsReady(); });
     operator_server_.SetStatus([this] { return Status(); });
     operator_server_.OnCollect([this] { Collect(); });
@@ -99,7 +100,7 @@
     return true;
   }
 
-  void AddConnection(std::shared_ptr<protocol::Connection> connection) {
+  void AddConnection(const std::shared_ptr<protocol::Connection>& connection) {
     connections_[connection.get()] = connection;
     // The connection owns its handlers, which must not own it in turn.
     const std::weak_ptr<protocol::Connection> weak = connection;
