--- a/jackdawshunt/testing/stream_failure_test.cc
+++ b/jackdawshunt/testing/stream_failure_test.cc
@@ -71,7 +71,10 @@
 };
 
 TEST_P(SilentConnectionTest, FreshConnectionTakesOver) {
-  StartFleet(FleetBuilder().ProxySides());
+  // The answer is longer than the buffer, so that it also needs the direction
+  // that carries the credit.
+  StartFleet(FleetBuilder().ProxySides().SideSettings(
+      {{"stream_buffer_bytes", 4096}}));
   const http::Request request = Stream(1500);
   StreamReader reader(fleet_->EntryAddress(0), request);
   ASSERT_TRUE(reader.ReadUntil(
