Count an attach as credit for what its reader has

Cause: after a connection went silent from entry to side, the credits sent over it were lost; the entry did not send them again, and the side stayed paused with a full buffer. Ruled out: the silence limit (the connection was replaced). Change: an attach credits everything below its offset.

--- a/jackdawshunt/side/dispatcher_test.cc
+++ b/jackdawshunt/side/dispatcher_test.cc
@@ -265,6 +265,18 @@
   EXPECT_EQ(driver_.paused, 0);
 }
 
+// Guards against a stream that stays paused after its credits were lost with
+// their connection.
+TEST_F(DispatcherTest, AttachCountsAsCredit) {
+  StartOne("r1");
+  driver_.sinks[0]->OnOutput({std::string(64, 'x')});
+  ASSERT_EQ(driver_.paused, 1);
+  dispatcher_.RemoveConnection(*entry_);
+  dispatcher_.AddConnection(entry_);
+  Receive(protocol::Attach{"r1", "lodge", 1});
+  EXPECT_EQ(driver_.paused, 0);
+}
+
 TEST_F(DispatcherTest, LeavingUpstreamGrantsNothingAndFinishesWhatRuns) {
   StartOne("r1");
   BidFor("lodge", 0);
--- a/jackdawshunt/side/execution.cc
+++ b/jackdawshunt/side/execution.cc
@@ -44,6 +44,9 @@
   Announce(*connection_);
   SendOutput();
   SendOutcome();
+  // The reader has everything below the offset. Credits that it sent over the
+  // earlier connection may be lost, and it does not send them again.
+  SetCredit(offset);
 }
 
 void Execution::Announce(protocol::Connection& connection) const {
