Share the start-up and the records' status of entry and side

Cause: both roles loaded settings, announced ports and reported records with code of their own. Change: settings/startup and configuration/store_status serve both.

--- /dev/null
+++ b/jackdawshunt/configuration/store_status.h
@@ -0,0 +1,16 @@
+// The records' part of a process's /status.
+#ifndef JACKDAWSHUNT_CONFIGURATION_STORE_STATUS_H_
+#define JACKDAWSHUNT_CONFIGURATION_STORE_STATUS_H_
+
+#include "jackdawshunt/configuration/store.h"
+#include "nlohmann/json.hpp"
+
+namespace jackdawshunt::configuration {
+
+// Returns {"revision", "versions": {key: version in force}, "rejected":
+// [{"key", "version", "version_in_force", "fault"}]}.
+nlohmann::json StatusOf(const Store& store);
+
+}  // namespace jackdawshunt::configuration
+
+#endif  // JACKDAWSHUNT_CONFIGURATION_STORE_STATUS_H_
--- a/jackdawshunt/entry/entry_role.cc
+++ b/jackdawshunt/entry/entry_role.cc
@@ -1,9 +1,6 @@
 // The entry role: creates the tasks, joins their mailboxes, and shuts down.
 #include <algorithm>
 #include <csignal>
-#include <cstdio>
-#include <fstream>
-#include <iostream>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,6 +11,7 @@
 #include "jackdawshunt/base/log.h"
 #include "jackdawshunt/claims/claims.h"
 #include "jackdawshunt/configuration/store.h"
+#include "jackdawshunt/configuration/store_status.h"
 #include "jackdawshunt/configuration/task.h"
 #include "jackdawshunt/entry/dispatcher.h"
 #include "jackdawshunt/entry/front.h"
@@ -29,6 +27,7 @@
 #include "jackdawshunt/operator_api/server.h"
 #include "jackdawshunt/platform/client.h"
 #include "jackdawshunt/settings/settings.h"
+#include "jackdawshunt/settings/startup.h"
 
 namespace jackdawshunt::entry {
 namespace {
@@ -125,13 +124,7 @@
     const nlohmann::json ports = {{"caller", *caller},
                                   {"process", *process},
                                   {"operator", *operator_port}};
-    base::Log(base::LogLevel::kInfo, "listening", ports);
-    if (!settings_.ports_file.empty()) {
-      // Written under another name first, so that a reader never sees half.
-      const std::string partial = settings_.ports_file + ".part";
-      std::ofstream(partial) << ports.dump() << '\n';
-      std::rename(partial.c_str(), settings_.ports_file.c_str());
-    }
+    settings::AnnouncePorts(settings_, ports);
     return true;
   }
 
@@ -275,28 +268,16 @@
   }
 
   nlohmann::json Status() const {
-    nlohmann::json versions = nlohmann::json::object();
-    for (const auto& [key, version] : store_.Versions()) {
-      versions[key] = version;
-    }
-    nlohmann::json rejected = nlohmann::json::array();
-    for (const auto& record : store_.rejected()) {
-      rejected.push_back({{"key", record.key},
-                          {"version", record.version},
-                          {"version_in_force", record.version_in_force},
-                          {"fault", record.fault}});
-    }
-    return {{"instance", settings_.instance},
-            {"role", "entry"},
-            {"incarnation", self_.incarnation.ToString()},
-            {"ready", phase_ == Phase::kServing && IsLoaded()},
-            {"draining", phase_ != Phase::kServing},
-            {"revision", store_.revision()},
-            {"versions", std::move(versions)},
-            {"rejected", std::move(rejected)},
-            {"peers", links_.Status()},
-            {"waiting", dispatcher_.waiting()},
-            {"running", dispatcher_.running()}};
+    nlohmann::json status = {{"instance", settings_.instance},
+                             {"role", "entry"},
+                             {"incarnation", self_.incarnation.ToString()},
+                             {"ready", phase_ == Phase::kServing && IsLoaded()},
+                             {"draining", phase_ != Phase::kServing},
+                             {"peers", links_.Status()},
+                             {"waiting", dispatcher_.waiting()},
+                             {"running", dispatcher_.running()}};
+    status.update(configuration::StatusOf(store_));
+    return status;
   }
 
   const settings::Settings settings_;
@@ -329,15 +310,11 @@
 class EntryRole final : public kernel::Role {
  public:
   int Run(const std::string& settings_path) override {
-    constexpr int kExitSettings = 2;
-    auto settings = settings::Load(settings_path, protocol::Role::kEntry);
-    if (!settings.ok()) {
-      std::cerr << settings.status().message() << '\n';
-      return kExitSettings;
+    auto settings =
+        settings::LoadForProcess(settings_path, protocol::Role::kEntry);
+    if (!settings.has_value()) {
+      return settings::kExitWrongSettings;
     }
-    base::SetLogContext({{"instance", settings->instance}, {"role", "entry"}});
-    base::SetLogLevel(base::ParseLogLevel(settings->log_level)
-                          .value_or(base::LogLevel::kInfo));
     return EntryProcess(*std::move(settings)).Run();
   }
 };
--- a/jackdawshunt/side/side_role.cc
+++ b/jackdawshunt/side/side_role.cc
@@ -1,8 +1,5 @@
 // The side role: wires the dispatcher to its ports and to the configuration.
 #include <csignal>
-#include <cstdio>
-#include <fstream>
-#include <iostream>
 #include <map>
 #include <memory>
 #include <string>
@@ -11,6 +8,7 @@
 #include "jackdawshunt/base/id.h"
 #include "jackdawshunt/base/log.h"
 #include "jackdawshunt/configuration/store.h"
+#include "jackdawshunt/configuration/store_status.h"
 #include "jackdawshunt/configuration/task.h"
 #include "jackdawshunt/kernel/event_loop.h"
 #include "jackdawshunt/kernel/registry.h"
@@ -21,6 +19,7 @@
 #include "jackdawshunt/platform/client.h"
 #include "jackdawshunt/protocol/connection.h"
 #include "jackdawshunt/settings/settings.h"
+#include "jackdawshunt/settings/startup.h"
 #include "jackdawshunt/side/dispatcher.h"
 #include "jackdawshunt/side/orders.h"
 #include "jackdawshunt/side/side_metrics.h"
@@ -90,13 +89,7 @@
     }
     const nlohmann::json ports = {{"process", *process_port},
                                   {"operator", *operator_port}};
-    base::Log(base::LogLevel::kInfo, "listening", ports);
-    if (!settings_.ports_file.empty()) {
-      // Written under another name first, so that a reader never sees half.
-      const std::string partial = settings_.ports_file + ".part";
-      std::ofstream(partial) << ports.dump() << '\n';
-      std::rename(partial.c_str(), settings_.ports_file.c_str());
-    }
+    settings::AnnouncePorts(settings_, ports);
     return true;
   }
 
@@ -238,25 +231,11 @@
   }
 
   nlohmann::json Status() const {
-    nlohmann::json versions = nlohmann::json::object();
-    for (const auto& [key, version] : store_.Versions()) {
-      versions[key] = version;
-    }
-    nlohmann::json rejected = nlohmann::json::array();
-    for (const auto& record : store_.rejected()) {
-      rejected.push_back({{"key", record.key},
-                          {"version", record.version},
-                          {"version_in_force", record.version_in_force},
-                          {"fault", record.fault}});
-    }
     nlohmann::json status = {{"instance", settings_.instance},
                              {"role", "side"},
                              {"incarnation", self_.incarnation.ToString()},
                              {"upstream", settings_.upstream},
                              {"ready", IsReady()},
-                             {"revision", store_.revision()},
-                             {"versions", versions},
-                             {"rejected", rejected},
                              {"draining", true},
                              {"running", 0}};
     if (dispatcher_ != nullptr) {
@@ -264,6 +243,7 @@
       status["running"] = dispatcher_->running();
       status["slots"] = dispatcher_->slots().slots();
     }
+    status.update(configuration::StatusOf(store_));
     return status;
   }
 
@@ -294,15 +274,11 @@
 class SideRole final : public kernel::Role {
  public:
   int Run(const std::string& settings_path) override {
-    constexpr int kExitSettings = 2;
-    auto settings = settings::Load(settings_path, protocol::Role::kSide);
-    if (!settings.ok()) {
-      std::cerr << settings.status().message() << '\n';
-      return kExitSettings;
+    auto settings =
+        settings::LoadForProcess(settings_path, protocol::Role::kSide);
+    if (!settings.has_value()) {
+      return settings::kExitWrongSettings;
     }
-    base::SetLogContext({{"instance", settings->instance}, {"role", "side"}});
-    base::SetLogLevel(base::ParseLogLevel(settings->log_level)
-                          .value_or(base::LogLevel::kInfo));
     return SideProcess(*std::move(settings)).Run();
   }
 };
