Correct three comments and names

Cause: CounterEntry.service was described as not divided by the share, which it is since the ledger charges normalised service; a limit was named is_small; a constant's comment named a measurement that was not made. Change: comments and one local name.

--- a/jackdawshunt/entry/bidder.cc
+++ b/jackdawshunt/entry/bidder.cc
@@ -15,7 +15,7 @@
 constexpr double kRefreshBytesPerSecond = 8000;
 // A second side covers a first whose slot was taken since its last heartbeat.
 constexpr int64_t kFirstSidesPerRequest = 2;
-// Of a bid with four items, measured with codec_benchmark.
+// Encoded size of a bid with four items, by which refreshes are paced.
 constexpr double kBidBytes = 150;
 
 bool IsLower(const protocol::BidItem& a, const protocol::BidItem& b) {
--- a/jackdawshunt/protocol/internal/compact.cc
+++ b/jackdawshunt/protocol/internal/compact.cc
@@ -105,11 +105,11 @@
     return field.is_number_unsigned();
   }
   static bool Read(const json& field, int64_t& value) {
-    const bool is_small =
+    const bool is_too_large =
         field.is_number_unsigned() &&
         field.get<uint64_t>() >
             static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
-    if (!field.is_number_integer() || is_small) {
+    if (!field.is_number_integer() || is_too_large) {
       return false;
     }
     value = field.get<int64_t>();
--- a/jackdawshunt/protocol/messages.h
+++ b/jackdawshunt/protocol/messages.h
@@ -198,7 +198,8 @@
   std::string origin;
   base::Incarnation incarnation;
   std::string workspace;
-  double service = 0;  // Cumulative weighted tokens, not divided by the share.
+  // Cumulative weighted tokens, divided by the share at the time of the charge.
+  double service = 0;
 
   bool operator==(const CounterEntry&) const = default;
 };
