Drop a stale remark from the demo

Cause: the demo said that a side reads /load of a plain service, which it no longer does. Change: one line of output.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -163,7 +163,7 @@
 cat "$folder/repeated"
 echo
 calls=$(curl -sf "http://127.0.0.1:$(port holds admin_port)/admin/calls")
-echo "== The calls that the service ran, by body (empty: /load of the side)"
+echo "== The calls that the service ran, by body"
 echo "$calls"
 grep -qF '"{\"guests\":200}":1' <<<"$calls"
 
