Rename the library platform to object_api

Cause: the folder platform/ is to hold the adapter to the users' platform; the client of the product's own object API had that name. Ruled out: two folders named platform, one nested in the other, which a reader would confuse.

--- a/jackdawshunt/claims/claims.cc
+++ b/jackdawshunt/claims/claims.cc
@@ -9,7 +9,7 @@
 
 struct Claims::Impl {
   Impl(kernel::EventLoop& event_loop,
-       platform::Client& client,
+       object_api::Client& client,
        std::string instance,
        int32_t homes)
       : loop(event_loop),
@@ -46,7 +46,7 @@
 };
 
 Claims::Claims(kernel::EventLoop& loop,
-               platform::Client& client,
+               object_api::Client& client,
                std::string instance,
                int32_t homes)
     : impl_(std::make_unique<Impl>(loop, client, std::move(instance), homes)) {}
--- a/jackdawshunt/claims/claims.h
+++ b/jackdawshunt/claims/claims.h
@@ -24,7 +24,7 @@
 
 #include "jackdawshunt/base/error.h"
 #include "jackdawshunt/kernel/event_loop.h"
-#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/object_api/client.h"
 
 namespace jackdawshunt::claims {
 
@@ -70,7 +70,7 @@
   using Done = std::function<void(Verdict)>;
 
   Claims(kernel::EventLoop& loop,
-         platform::Client& client,
+         object_api::Client& client,
          std::string instance,
          int32_t homes);
   ~Claims();
--- a/jackdawshunt/claims/claims_benchmark.cc
+++ b/jackdawshunt/claims/claims_benchmark.cc
@@ -10,19 +10,19 @@
 namespace {
 
 // Answers at once, in the next turn.
-class InstantStore final : public platform::Client {
+class InstantStore final : public object_api::Client {
  public:
   InstantStore(kernel::EventLoop& loop,
                std::vector<std::function<void()>>& posted)
       : Client(loop, {}), posted_(posted) {}
 
   void Get(const std::string& key,
-           platform::Callback<platform::Object> done) override {
+           object_api::Callback<object_api::Object> done) override {
     posted_.emplace_back([this, key, done = std::move(done)] {
       done(version_ == 0
-               ? absl::StatusOr<platform::Object>(
+               ? absl::StatusOr<object_api::Object>(
                      absl::NotFoundError("no such object"))
-               : platform::Object{
+               : object_api::Object{
                      .key = key, .version = version_, .value = value_});
     });
   }
@@ -30,7 +30,7 @@
   void Put(const std::string&,
            const std::string& value,
            std::optional<uint64_t>,
-           platform::Callback<uint64_t> done) override {
+           object_api::Callback<uint64_t> done) override {
     value_ = value;
     bytes_ += value.size();
     ++version_;
--- a/jackdawshunt/claims/claims_test.cc
+++ b/jackdawshunt/claims/claims_test.cc
@@ -35,7 +35,7 @@
     bool answered = false;
   };
 
-  std::map<std::string, platform::Object> objects;
+  std::map<std::string, object_api::Object> objects;
   uint64_t revision = 0;
   std::deque<std::shared_ptr<Call>> calls;
   size_t writes = 0;
@@ -43,14 +43,14 @@
   size_t bytes = 0;  // Of values written and read.
 };
 
-class FakeClient final : public platform::Client {
+class FakeClient final : public object_api::Client {
  public:
   FakeClient(kernel::EventLoop& loop, FakeStore& store, size_t instance)
       : Client(loop, {}), store_(store), instance_(instance) {}
 
   void Get(const std::string& key,
-           platform::Callback<platform::Object> done) override {
-    auto result = std::make_shared<absl::StatusOr<platform::Object>>(
+           object_api::Callback<object_api::Object> done) override {
+    auto result = std::make_shared<absl::StatusOr<object_api::Object>>(
         absl::NotFoundError("no such object"));
     ++store_.reads;
     store_.calls.push_back(std::make_shared<FakeStore::Call>(
@@ -69,14 +69,14 @@
   void Put(const std::string& key,
            const std::string& value,
            std::optional<uint64_t> expected,
-           platform::Callback<uint64_t> done) override {
+           object_api::Callback<uint64_t> done) override {
     auto result = std::make_shared<absl::StatusOr<uint64_t>>(
         absl::AbortedError("other version"));
     ++store_.writes;
     store_.calls.push_back(std::make_shared<FakeStore::Call>(FakeStore::Call{
         instance_, /*is_write=*/true,
         [&store = store_, key, value, expected, result] {
-          platform::Object& object = store.objects[key];
+          object_api::Object& object = store.objects[key];
           if (object.version == expected) {
             object = {.key = key, .version = ++store.revision, .value = value};
             store.bytes += value.size();
--- a/jackdawshunt/claims/internal/core.cc
+++ b/jackdawshunt/claims/internal/core.cc
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-Core::Core(platform::Client& client,
+Core::Core(object_api::Client& client,
            Environment environment,
            std::string instance,
            int32_t homes)
@@ -150,15 +150,17 @@
 void Core::Read(Home& home) {
   home.document.reset();
   home.is_calling = true;
-  client_.Get(home.object, [this, &home, alive = std::weak_ptr<bool>(alive_)](
-                               const absl::StatusOr<platform::Object>& object) {
-    if (!alive.expired()) {
-      OnRead(home, object);
-    }
-  });
+  client_.Get(home.object,
+              [this, &home, alive = std::weak_ptr<bool>(alive_)](
+                  const absl::StatusOr<object_api::Object>& object) {
+                if (!alive.expired()) {
+                  OnRead(home, object);
+                }
+              });
 }
 
-void Core::OnRead(Home& home, const absl::StatusOr<platform::Object>& object) {
+void Core::OnRead(Home& home,
+                  const absl::StatusOr<object_api::Object>& object) {
   home.is_calling = false;
   if (absl::IsNotFound(object.status()) || (object.ok() && object->deleted)) {
     home.document.emplace();
--- a/jackdawshunt/claims/internal/core.h
+++ b/jackdawshunt/claims/internal/core.h
@@ -31,7 +31,7 @@
 #include "jackdawshunt/claims/claims.h"
 #include "jackdawshunt/claims/internal/document.h"
 #include "jackdawshunt/kernel/clock.h"
-#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/object_api/client.h"
 
 namespace jackdawshunt::claims::internal {
 
@@ -53,7 +53,7 @@
  public:
   using Done = std::function<void(Verdict)>;
 
-  Core(platform::Client& client,
+  Core(object_api::Client& client,
        Environment environment,
        std::string instance,
        int32_t homes);
@@ -108,7 +108,7 @@
 
   void Pump(Home& home, bool is_fresh);
   void Read(Home& home);
-  void OnRead(Home& home, const absl::StatusOr<platform::Object>& object);
+  void OnRead(Home& home, const absl::StatusOr<object_api::Object>& object);
   void Decide(Home& home, bool is_fresh);
   Step Apply(Home& home, Operation& operation, bool is_fresh);
   Step ApplyAcquire(Home& home, Operation& operation, bool is_fresh);
@@ -128,7 +128,7 @@
   void RejectUnavailable(Home& home);
   std::function<void()> Guarded(std::function<void()> callback) const;
 
-  platform::Client& client_;
+  object_api::Client& client_;
   const Environment environment_;
   const std::string instance_;
   std::vector<Home> homes_;
--- a/jackdawshunt/cli/admin.cc
+++ b/jackdawshunt/cli/admin.cc
@@ -31,14 +31,14 @@
   return a == b || (!left.is_discarded() && left == right);
 }
 
-std::string Described(const platform::Object& object) {
+std::string Described(const object_api::Object& object) {
   return object.version == 0
              ? std::string("does not exist")
              : absl::StrCat("version ", object.version, ": ", object.value);
 }
 
 // Tells the processes of an instance that was replaced apart.
-std::string NameAndPort(const platform::Instance& instance) {
+std::string NameAndPort(const object_api::Instance& instance) {
   return absl::StrCat(instance.instance, " ",
                       instance.operator_address.ToString());
 }
@@ -84,14 +84,14 @@
 }  // namespace
 
 Admin::Admin(kernel::EventLoop& loop,
-             platform::Client& client,
+             object_api::Client& client,
              std::ostream& out,
              std::ostream& err)
     : loop_(loop), client_(client), out_(out), err_(err) {}
 
 template <typename T>
 absl::StatusOr<T> Admin::Await(
-    const std::function<void(platform::Callback<T>)>& start) {
+    const std::function<void(object_api::Callback<T>)>& start) {
   // Shared, because an answer may come after the wait was given up.
   auto answer = std::make_shared<std::optional<absl::StatusOr<T>>>();
   start([answer](absl::StatusOr<T> result) { *answer = std::move(result); });
@@ -105,11 +105,11 @@
   loop_.RunUntil([] { return false; }, time);
 }
 
-absl::StatusOr<platform::Object> Admin::Read(const std::string& key) {
-  auto object = Await<platform::Object>(
+absl::StatusOr<object_api::Object> Admin::Read(const std::string& key) {
+  auto object = Await<object_api::Object>(
       [&](auto done) { client_.Get(key, std::move(done)); });
   if (absl::IsNotFound(object.status())) {
-    return platform::Object{.key = key};
+    return object_api::Object{.key = key};
   }
   return object;
 }
@@ -130,12 +130,12 @@
   if (workspaces.empty()) {
     return ExitCode::kDone;
   }
-  const auto listing = Await<platform::Listing>(
+  const auto listing = Await<object_api::Listing>(
       [&](auto done) { client_.List("config/workspace/", std::move(done)); });
   if (!listing.ok()) {
     return ReportFailure("cannot list the workspaces", listing.status());
   }
-  for (const platform::Object& object : listing->objects) {
+  for (const object_api::Object& object : listing->objects) {
     const auto record = records::Parse(object.value);
     if (record.ok() && records::KeyOf(*record) == object.key) {
       workspaces.emplace(record->name,
@@ -256,7 +256,7 @@
     if (is_written) {
       // The version of a deletion is not readable; the revision of a list that
       // lacks the key is at least as high.
-      const auto listing = Await<platform::Listing>(
+      const auto listing = Await<object_api::Listing>(
           [&](auto done) { client_.List(write.key, std::move(done)); });
       if (listing.ok()) {
         return listing->revision;
@@ -292,14 +292,14 @@
 }
 
 std::vector<Admin::InstanceStatus> Admin::ReadStatuses(
-    const std::vector<platform::Instance>& instances,
+    const std::vector<object_api::Instance>& instances,
     const std::string& operator_token) {
   http::Client http_client(loop_);
   std::vector<InstanceStatus> rows;
   std::vector<std::unique_ptr<http::Call>> calls;
   size_t pending = instances.size();
   rows.reserve(instances.size());
-  for (const platform::Instance& instance : instances) {
+  for (const object_api::Instance& instance : instances) {
     rows.push_back({instance, absl::UnavailableError("no answer")});
   }
   for (InstanceStatus& row : rows) {
@@ -335,19 +335,19 @@
                                             const std::string& operator_token,
                                             std::set<std::string>& confirmed,
                                             bool& is_final) {
-  auto listed = Await<std::vector<platform::Instance>>(
+  auto listed = Await<std::vector<object_api::Instance>>(
       [&](auto done) { client_.Instances(std::move(done)); });
   if (!listed.ok()) {
     return {listed.status().ToString()};
   }
-  std::erase_if(*listed, [](const platform::Instance& instance) {
-    return instance.state != platform::InstanceState::kLive;
+  std::erase_if(*listed, [](const object_api::Instance& instance) {
+    return instance.state != object_api::InstanceState::kLive;
   });
   if (listed->empty()) {
     return {"the instance list has no live instance"};
   }
   // Instances never revert, so each is asked until it confirms.
-  std::erase_if(*listed, [&](const platform::Instance& instance) {
+  std::erase_if(*listed, [&](const object_api::Instance& instance) {
     return confirmed.contains(NameAndPort(instance));
   });
   std::vector<std::string> missing;
@@ -406,12 +406,12 @@
          << object->value << "\n";
     return ExitCode::kDone;
   }
-  const auto listing = Await<platform::Listing>(
+  const auto listing = Await<object_api::Listing>(
       [&](auto done) { client_.List(key, std::move(done)); });
   if (!listing.ok()) {
     return ReportFailure(absl::StrCat("cannot list ", key), listing.status());
   }
-  for (const platform::Object& object : listing->objects) {
+  for (const object_api::Object& object : listing->objects) {
     out_ << "// " << object.key << " version " << object.version << "\n"
          << object.value << "\n";
   }
@@ -419,7 +419,7 @@
 }
 
 ExitCode Admin::Status(const std::string& operator_token, bool as_json) {
-  const auto instances = Await<std::vector<platform::Instance>>(
+  const auto instances = Await<std::vector<object_api::Instance>>(
       [&](auto done) { client_.Instances(std::move(done)); });
   if (!instances.ok()) {
     return ReportFailure("cannot read the instance list", instances.status());
@@ -427,7 +427,7 @@
   bool is_complete = true;
   Json document = Json::array();
   for (const InstanceStatus& row : ReadStatuses(*instances, operator_token)) {
-    const bool is_live = row.instance.state == platform::InstanceState::kLive;
+    const bool is_live = row.instance.state == object_api::InstanceState::kLive;
     Json line = {{"instance", row.instance.instance},
                  {"role", row.instance.role},
                  {"data_centre", row.instance.data_centre},
--- a/jackdawshunt/cli/admin.h
+++ b/jackdawshunt/cli/admin.h
@@ -20,7 +20,7 @@
 #include "jackdawshunt/cli/exit_code.h"
 #include "jackdawshunt/cli/files.h"
 #include "jackdawshunt/kernel/event_loop.h"
-#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/object_api/client.h"
 #include "nlohmann/json.hpp"
 
 namespace jackdawshunt::cli {
@@ -42,7 +42,7 @@
  public:
   // The references must outlive the object.
   Admin(kernel::EventLoop& loop,
-        platform::Client& client,
+        object_api::Client& client,
         std::ostream& out,
         std::ostream& err);
 
@@ -63,15 +63,15 @@
   };
   // Status of one instance; an error when it cannot be read.
   struct InstanceStatus {
-    platform::Instance instance;
+    object_api::Instance instance;
     absl::StatusOr<nlohmann::json> status;
   };
 
   template <typename T>
   absl::StatusOr<T> Await(
-      const std::function<void(platform::Callback<T>)>& start);
+      const std::function<void(object_api::Callback<T>)>& start);
   // The object at `key`; version 0 when it does not exist.
-  absl::StatusOr<platform::Object> Read(const std::string& key);
+  absl::StatusOr<object_api::Object> Read(const std::string& key);
   ExitCode CheckTokens(const std::vector<RecordText>& records);
   ExitCode WriteOne(const Write& write,
                     std::optional<uint64_t> expect,
@@ -88,12 +88,12 @@
                                        bool& is_final);
   ExitCode WaitInForce(const Versions& versions, const WriteOptions& options);
   std::vector<InstanceStatus> ReadStatuses(
-      const std::vector<platform::Instance>& instances,
+      const std::vector<object_api::Instance>& instances,
       const std::string& operator_token);
   void Pause(kernel::Duration time);
 
   kernel::EventLoop& loop_;
-  platform::Client& client_;
+  object_api::Client& client_;
   std::ostream& out_;
   std::ostream& err_;
 };
--- a/jackdawshunt/cli/cli_test.cc
+++ b/jackdawshunt/cli/cli_test.cc
@@ -36,51 +36,51 @@
 enum class Fate { kDone, kLostBefore, kLostAfter, kDown };
 
 // An object store in memory whose writes fail as the test says.
-class FakeClient final : public platform::Client {
+class FakeClient final : public object_api::Client {
  public:
   explicit FakeClient(kernel::EventLoop& loop)
-      : platform::Client(loop, {}), loop_(loop) {}
+      : object_api::Client(loop, {}), loop_(loop) {}
 
   void Get(const std::string& key,
-           platform::Callback<platform::Object> done) override {
+           object_api::Callback<object_api::Object> done) override {
     const auto found = objects.find(key);
-    Answer<platform::Object>(
-        std::move(done),
-        found == objects.end()
-            ? absl::StatusOr<platform::Object>(absl::NotFoundError("no object"))
-            : found->second);
+    Answer<object_api::Object>(std::move(done),
+                               found == objects.end()
+                                   ? absl::StatusOr<object_api::Object>(
+                                         absl::NotFoundError("no object"))
+                                   : found->second);
   }
   void List(const std::string& prefix,
-            platform::Callback<platform::Listing> done) override {
-    platform::Listing listing{.revision = revision};
+            object_api::Callback<object_api::Listing> done) override {
+    object_api::Listing listing{.revision = revision};
     for (const auto& [key, object] : objects) {
       if (key.starts_with(prefix)) {
         listing.objects.push_back(object);
       }
     }
-    Answer<platform::Listing>(std::move(done), listing);
+    Answer<object_api::Listing>(std::move(done), listing);
   }
   void Put(const std::string& key,
            const std::string& value,
            std::optional<uint64_t> expected,
-           platform::Callback<uint64_t> done) override {
+           object_api::Callback<uint64_t> done) override {
     Write(key, expected, std::move(done), [&](uint64_t version) {
       objects[key] = {.key = key, .version = version, .value = value};
     });
   }
   void Delete(const std::string& key,
               std::optional<uint64_t> expected,
-              platform::Callback<uint64_t> done) override {
+              object_api::Callback<uint64_t> done) override {
     Write(key, expected, std::move(done),
           [&](uint64_t) { objects.erase(key); });
   }
   void Instances(
-      platform::Callback<std::vector<platform::Instance>> done) override {
-    Answer<std::vector<platform::Instance>>(std::move(done), instances);
+      object_api::Callback<std::vector<object_api::Instance>> done) override {
+    Answer<std::vector<object_api::Instance>>(std::move(done), instances);
   }
 
-  std::map<std::string, platform::Object> objects;
-  std::vector<platform::Instance> instances;
+  std::map<std::string, object_api::Object> objects;
+  std::vector<object_api::Instance> instances;
   std::deque<Fate> fates;              // Of the next writes.
   std::function<void()> before_write;  // Runs once, before the next write.
   uint64_t revision = 0;
@@ -88,13 +88,13 @@
 
  private:
   template <typename T>
-  void Answer(platform::Callback<T> done, absl::StatusOr<T> answer) {
+  void Answer(object_api::Callback<T> done, absl::StatusOr<T> answer) {
     loop_.Post(
         [done = std::move(done), answer = std::move(answer)] { done(answer); });
   }
   void Write(const std::string& key,
              std::optional<uint64_t> expected,
-             platform::Callback<uint64_t> done,
+             object_api::Callback<uint64_t> done,
              const std::function<void(uint64_t)>& effect) {
     ++writes;
     if (const auto race = std::exchange(before_write, nullptr)) {
@@ -240,7 +240,7 @@
     return json{{"revision", 5}, {"versions", {{kKey, version}}}};
   });
   client.instances.push_back(
-      {.instance = "leaving", .state = platform::InstanceState::kLeaving});
+      {.instance = "leaving", .state = object_api::InstanceState::kLeaving});
   EXPECT_EQ(Apply(1, {.wait = seconds(60), .operator_token = "tok"}),
             ExitCode::kDone);
   EXPECT_EQ(polls, 3);
--- a/jackdawshunt/configuration/task.cc
+++ b/jackdawshunt/configuration/task.cc
@@ -26,10 +26,10 @@
 constexpr size_t kPullsWhenReady = 1;
 constexpr size_t kPullsWhenStarting = 3;
 
-std::vector<ConfigRecord> ToRecords(std::vector<platform::Object> objects) {
+std::vector<ConfigRecord> ToRecords(std::vector<object_api::Object> objects) {
   std::vector<ConfigRecord> records;
   records.reserve(objects.size());
-  for (platform::Object& object : objects) {
+  for (object_api::Object& object : objects) {
     records.push_back({.key = std::move(object.key),
                        .version = object.version,
                        .deleted = object.deleted,
@@ -69,7 +69,7 @@
   };
 
   Impl(kernel::EventLoop& event_loop,
-       platform::Client& platform_client,
+       object_api::Client& platform_client,
        Store& record_store,
        const membership::View& membership_view,
        protocol::PeerInfo self_info,
@@ -138,22 +138,22 @@
     // revision is that of the platform's own answers: the store may hold newer
     // records from peers and still lack older ones.
     if (platform_revision == 0) {
-      client.List(kPrefix, Guarded([this](platform::Listing listing) {
+      client.List(kPrefix, Guarded([this](object_api::Listing listing) {
                     OnListing(std::move(listing));
                   }));
     } else {
       client.Watch(kPrefix, platform_revision, times.watch_wait,
-                   Guarded([this](platform::Listing changes) {
+                   Guarded([this](object_api::Listing changes) {
                      OnChanges(std::move(changes));
                    }));
     }
   }
 
   // Wraps a handler of a successful answer; drops answers after destruction.
-  platform::Callback<platform::Listing> Guarded(
-      std::function<void(platform::Listing)> handler) {
+  object_api::Callback<object_api::Listing> Guarded(
+      std::function<void(object_api::Listing)> handler) {
     return [weak = weak_from_this(), handler = std::move(handler)](
-               absl::StatusOr<platform::Listing> answer) {
+               absl::StatusOr<object_api::Listing> answer) {
       const auto impl = weak.lock();
       if (impl == nullptr) {
         return;
@@ -168,14 +168,14 @@
     };
   }
 
-  void OnListing(platform::Listing listing) {
+  void OnListing(object_api::Listing listing) {
     platform_revision = listing.revision;
     store.MergeListing(listing.revision, ToRecords(std::move(listing.objects)));
     BecomeReady("platform");
     CallPlatform();
   }
 
-  void OnChanges(platform::Listing changes) {
+  void OnChanges(object_api::Listing changes) {
     if (changes.revision < platform_revision) {
       // The platform lost writes; its complete list shows what it holds now.
       platform_revision = 0;
@@ -278,7 +278,7 @@
   }
 
   kernel::EventLoop& loop;
-  platform::Client& client;
+  object_api::Client& client;
   Store& store;
   const membership::View& view;
   const protocol::PeerInfo self;
@@ -302,7 +302,7 @@
 };
 
 Task::Task(kernel::EventLoop& loop,
-           platform::Client& client,
+           object_api::Client& client,
            Store& store,
            const membership::View& view,
            protocol::PeerInfo self,
--- a/jackdawshunt/configuration/task.h
+++ b/jackdawshunt/configuration/task.h
@@ -22,7 +22,7 @@
 #include "jackdawshunt/configuration/store.h"
 #include "jackdawshunt/kernel/event_loop.h"
 #include "jackdawshunt/membership/view.h"
-#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/object_api/client.h"
 #include "jackdawshunt/protocol/connection.h"
 
 namespace jackdawshunt::configuration {
@@ -54,7 +54,7 @@
  public:
   // The references must outlive the task.
   Task(kernel::EventLoop& loop,
-       platform::Client& client,
+       object_api::Client& client,
        Store& store,
        const membership::View& view,
        protocol::PeerInfo self,
--- a/jackdawshunt/configuration/task_test.cc
+++ b/jackdawshunt/configuration/task_test.cc
@@ -37,10 +37,10 @@
 }
 
 // An object store in memory with its history, and failures on demand.
-class FakeClient final : public platform::Client {
+class FakeClient final : public object_api::Client {
  public:
   explicit FakeClient(kernel::EventLoop& loop)
-      : platform::Client(loop, {}), loop_(loop) {}
+      : object_api::Client(loop, {}), loop_(loop) {}
 
   void Write(const std::string& name, size_t padding = 0) {
     objects_["config/model/" + name] = {.key = "config/model/" + name,
@@ -53,14 +53,14 @@
   }
 
   void List(const std::string&,
-            platform::Callback<platform::Listing> done) override {
+            object_api::Callback<object_api::Listing> done) override {
     ++lists;
     Answer(std::move(done), Changes(0));
   }
   void Watch(const std::string&,
              uint64_t from,
              kernel::Duration,
-             platform::Callback<platform::Listing> done) override {
+             object_api::Callback<object_api::Listing> done) override {
     watched_from.push_back(from);
     if (!failures.empty() || revision > from) {
       Answer(std::move(done), Changes(from));
@@ -84,8 +84,8 @@
   std::deque<absl::Status> failures;  // Of the next calls.
 
  private:
-  platform::Listing Changes(uint64_t from) const {
-    platform::Listing listing{.revision = revision};
+  object_api::Listing Changes(uint64_t from) const {
+    object_api::Listing listing{.revision = revision};
     for (const auto& [key, object] : objects_) {
       if (object.version > from) {
         listing.objects.push_back(object);
@@ -93,8 +93,8 @@
     }
     return listing;
   }
-  void Answer(platform::Callback<platform::Listing> done,
-              absl::StatusOr<platform::Listing> answer) {
+  void Answer(object_api::Callback<object_api::Listing> done,
+              absl::StatusOr<object_api::Listing> answer) {
     if (!failures.empty()) {
       answer = failures.front();
       failures.pop_front();
@@ -103,8 +103,8 @@
   }
 
   kernel::EventLoop& loop_;
-  std::map<std::string, platform::Object> objects_;
-  std::list<std::pair<uint64_t, platform::Callback<platform::Listing>>>
+  std::map<std::string, object_api::Object> objects_;
+  std::list<std::pair<uint64_t, object_api::Callback<object_api::Listing>>>
       watches_;
 };
 
@@ -149,7 +149,7 @@
   return {.instance = name, .data_centre = "tacoma-a"};
 }
 
-platform::Instance Row(const std::string& name) {
+object_api::Instance Row(const std::string& name) {
   return {.instance = name, .role = "entry", .data_centre = "tacoma-a"};
 }
 
@@ -246,7 +246,7 @@
   // Pulls from peers that are still starting are not answered.
   times.pull_limit = milliseconds(20);
   client.Write("quill");
-  std::vector<platform::Instance> rows;
+  std::vector<object_api::Instance> rows;
   for (const char* name : {"e1", "e2", "e3", "e4", "e5"}) {
     rows.push_back(Row(name));
     Add(name);
@@ -406,7 +406,7 @@
   times.silence_limit = milliseconds(1);
   client.Write("quill");
   Process& process = Add("e1");
-  std::vector<platform::Instance> rows = {Row("e1")};
+  std::vector<object_api::Instance> rows = {Row("e1")};
   for (int i = 0; i < 50; ++i) {
     rows.push_back(Row(absl::StrCat("silent-", i)));
   }
--- a/jackdawshunt/entry/entry_role.cc
+++ b/jackdawshunt/entry/entry_role.cc
@@ -23,9 +23,9 @@
 #include "jackdawshunt/kernel/registry.h"
 #include "jackdawshunt/kernel/role.h"
 #include "jackdawshunt/membership/view.h"
+#include "jackdawshunt/object_api/client.h"
 #include "jackdawshunt/operator_api/process_metrics.h"
 #include "jackdawshunt/operator_api/server.h"
-#include "jackdawshunt/platform/client.h"
 #include "jackdawshunt/settings/settings.h"
 #include "jackdawshunt/settings/startup.h"
 
@@ -87,7 +87,7 @@
 
   int Run() {
     store_.OnChange([this] { OnConfiguration(); });
-    links_.OnPeerList([this](std::vector<platform::Instance> instances) {
+    links_.OnPeerList([this](std::vector<object_api::Instance> instances) {
       TakePeerList(std::move(instances));
     });
     operator_server_.SetReadiness(
@@ -164,11 +164,11 @@
 
   // A peer's copy of the instance list, which may come in parts. It lets an
   // entry that started while the platform is down reach the sides.
-  void TakePeerList(std::vector<platform::Instance> instances) {
+  void TakePeerList(std::vector<object_api::Instance> instances) {
     if (has_instances_) {
       return;
     }
-    for (const platform::Instance& known : view_.instances()) {
+    for (const object_api::Instance& known : view_.instances()) {
       const bool is_repeated = std::any_of(
           instances.begin(), instances.end(), [&known](const auto& instance) {
             return instance.instance == known.instance;
@@ -284,7 +284,7 @@
   const protocol::PeerInfo self_;
   Phase phase_ = Phase::kServing;
   kernel::EventLoop loop_;
-  platform::Client platform_;
+  object_api::Client platform_;
   configuration::Store store_;
   membership::View view_;
   configuration::Task configuration_;
--- a/jackdawshunt/entry/instance_reader.cc
+++ b/jackdawshunt/entry/instance_reader.cc
@@ -19,7 +19,7 @@
 }  // namespace
 
 InstanceReader::InstanceReader(kernel::EventLoop& loop,
-                               platform::Client& client,
+                               object_api::Client& client,
                                membership::View& view,
                                std::function<void()> on_update)
     : loop_(loop),
@@ -34,16 +34,17 @@
 }
 
 void InstanceReader::Read() {
-  client_.Instances([weak = std::weak_ptr<InstanceReader*>(self_)](
-                        absl::StatusOr<std::vector<platform::Instance>> list) {
-    if (const auto self = weak.lock()) {
-      (*self)->OnList(std::move(list));
-    }
-  });
+  client_.Instances(
+      [weak = std::weak_ptr<InstanceReader*>(self_)](
+          absl::StatusOr<std::vector<object_api::Instance>> list) {
+        if (const auto self = weak.lock()) {
+          (*self)->OnList(std::move(list));
+        }
+      });
 }
 
 void InstanceReader::OnList(
-    absl::StatusOr<std::vector<platform::Instance>> list) {
+    absl::StatusOr<std::vector<object_api::Instance>> list) {
   if (list.ok()) {
     view_.Update(*std::move(list));
     wait_ = std::max(kReadPeriod, static_cast<int64_t>(view_.Entries().size()) *
--- a/jackdawshunt/entry/instance_reader.h
+++ b/jackdawshunt/entry/instance_reader.h
@@ -16,7 +16,7 @@
 
 #include "jackdawshunt/kernel/event_loop.h"
 #include "jackdawshunt/membership/view.h"
-#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/object_api/client.h"
 
 namespace jackdawshunt::entry {
 
@@ -24,7 +24,7 @@
  public:
   // `on_update` is called after each successful read.
   InstanceReader(kernel::EventLoop& loop,
-                 platform::Client& client,
+                 object_api::Client& client,
                  membership::View& view,
                  std::function<void()> on_update);
 
@@ -32,10 +32,10 @@
 
  private:
   void Read();
-  void OnList(absl::StatusOr<std::vector<platform::Instance>> list);
+  void OnList(absl::StatusOr<std::vector<object_api::Instance>> list);
 
   kernel::EventLoop& loop_;
-  platform::Client& client_;
+  object_api::Client& client_;
   membership::View& view_;
   const std::function<void()> on_update_;
   kernel::Duration wait_;
--- a/jackdawshunt/entry/links.cc
+++ b/jackdawshunt/entry/links.cc
@@ -6,7 +6,7 @@
 #include <variant>
 
 #include "jackdawshunt/base/log.h"
-#include "jackdawshunt/platform/address.h"
+#include "jackdawshunt/object_api/address.h"
 
 namespace jackdawshunt::entry {
 namespace {
@@ -14,32 +14,33 @@
 // Keeps a message far below the largest frame.
 constexpr size_t kInstancesPerMessage = 1000;
 
-protocol::ListedInstance ToRow(const platform::Instance& instance) {
+protocol::ListedInstance ToRow(const object_api::Instance& instance) {
   return {.instance = instance.instance,
           .role = instance.role,
           .region = instance.region,
           .data_centre = instance.data_centre,
           .process = instance.process.ToString(),
           .operator_address = instance.operator_address.ToString(),
-          .is_leaving = instance.state == platform::InstanceState::kLeaving};
+          .is_leaving = instance.state == object_api::InstanceState::kLeaving};
 }
 
 // Returns nullopt for a row with a malformed address.
-std::optional<platform::Instance> FromRow(const protocol::ListedInstance& row) {
-  const auto process = platform::ParseAddress(row.process);
-  const auto operator_address = platform::ParseAddress(row.operator_address);
+std::optional<object_api::Instance> FromRow(
+    const protocol::ListedInstance& row) {
+  const auto process = object_api::ParseAddress(row.process);
+  const auto operator_address = object_api::ParseAddress(row.operator_address);
   if (!process.has_value() || !operator_address.has_value()) {
     return std::nullopt;
   }
-  return platform::Instance{.instance = row.instance,
-                            .role = row.role,
-                            .region = row.region,
-                            .data_centre = row.data_centre,
-                            .process = *process,
-                            .operator_address = *operator_address,
-                            .state = row.is_leaving
-                                         ? platform::InstanceState::kLeaving
-                                         : platform::InstanceState::kLive};
+  return object_api::Instance{.instance = row.instance,
+                              .role = row.role,
+                              .region = row.region,
+                              .data_centre = row.data_centre,
+                              .process = *process,
+                              .operator_address = *operator_address,
+                              .state = row.is_leaving
+                                           ? object_api::InstanceState::kLeaving
+                                           : object_api::InstanceState::kLive};
 }
 
 }  // namespace
@@ -70,22 +71,24 @@
   return listener_.Listen(address);
 }
 
-bool Links::IsDialledByUs(const platform::Instance& instance) const {
+bool Links::IsDialledByUs(const object_api::Instance& instance) const {
   return instance.role == protocol::RoleName(protocol::Role::kSide) ||
          (instance.role == protocol::RoleName(protocol::Role::kEntry) &&
           identity_.self.instance < instance.instance);
 }
 
-void Links::UpdateInstances(const std::vector<platform::Instance>& instances) {
+void Links::UpdateInstances(
+    const std::vector<object_api::Instance>& instances) {
   instances_ = instances;
   std::set<std::string, std::less<>> listed;
-  for (const platform::Instance& instance : instances) {
+  for (const object_api::Instance& instance : instances) {
     if (!IsDialledByUs(instance)) {
       continue;
     }
     listed.insert(instance.instance);
     Dial(instance);
-    const bool is_leaving = instance.state == platform::InstanceState::kLeaving;
+    const bool is_leaving =
+        instance.state == object_api::InstanceState::kLeaving;
     const bool was_leaving = leaving_.contains(instance.instance);
     if (is_leaving != was_leaving) {
       post_(InstanceLeaving{instance.instance, is_leaving});
@@ -99,7 +102,7 @@
   GiveUpUnlisted(listed);
 }
 
-void Links::Dial(const platform::Instance& instance) {
+void Links::Dial(const object_api::Instance& instance) {
   Dialled& dialled = dialled_[instance.instance];
   if (dialled.dialer != nullptr && dialled.address == instance.process) {
     return;
@@ -196,7 +199,7 @@
     link->second.config_revision = heartbeat->config_revision;
   }
   if (const auto* list = std::get_if<protocol::InstanceList>(&message)) {
-    std::vector<platform::Instance> instances;
+    std::vector<object_api::Instance> instances;
     for (const protocol::ListedInstance& row : list->instances) {
       if (auto read = FromRow(row)) {
         instances.push_back(*std::move(read));
--- a/jackdawshunt/entry/links.h
+++ b/jackdawshunt/entry/links.h
@@ -25,7 +25,7 @@
 #include "jackdawshunt/configuration/task.h"
 #include "jackdawshunt/entry/messages.h"
 #include "jackdawshunt/kernel/mailbox.h"
-#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/object_api/client.h"
 #include "jackdawshunt/protocol/connection.h"
 #include "nlohmann/json.hpp"
 
@@ -42,12 +42,12 @@
   absl::StatusOr<uint16_t> Listen(const http::Address& address);
   // Takes the list that a peer sent, as long as the platform has not been read.
   void OnPeerList(
-      std::function<void(std::vector<platform::Instance>)> callback) {
+      std::function<void(std::vector<object_api::Instance>)> callback) {
     on_peer_list_ = std::move(callback);
   }
   // Dials what is new in the list and gives up what is no longer in it, once
   // its connection is down too: the list may lag behind.
-  void UpdateInstances(const std::vector<platform::Instance>& instances);
+  void UpdateInstances(const std::vector<object_api::Instance>& instances);
   // Sends a message in a later turn of the loop; dropped without a connection.
   void Post(LinkCommand command) { mailbox_.Post(std::move(command)); }
 
@@ -72,8 +72,8 @@
     uint64_t config_revision = 0;
   };
 
-  bool IsDialledByUs(const platform::Instance& instance) const;
-  void Dial(const platform::Instance& instance);
+  bool IsDialledByUs(const object_api::Instance& instance) const;
+  void Dial(const object_api::Instance& instance);
   void GiveUpUnlisted(const std::set<std::string, std::less<>>& listed);
   void Adopt(const ConnectionPtr& connection);
   void Drop(const protocol::Connection& connection);
@@ -90,8 +90,8 @@
   std::map<std::string, Dialled, std::less<>> dialled_;
   std::map<std::string, Link, std::less<>> links_;
   std::set<std::string, std::less<>> leaving_;
-  std::vector<platform::Instance> instances_;  // The list in use.
-  std::function<void(std::vector<platform::Instance>)> on_peer_list_;
+  std::vector<object_api::Instance> instances_;  // The list in use.
+  std::function<void(std::vector<object_api::Instance>)> on_peer_list_;
   bool is_draining_ = false;
   kernel::Timer heartbeat_timer_;
 };
--- a/jackdawshunt/membership/view.cc
+++ b/jackdawshunt/membership/view.cc
@@ -16,16 +16,16 @@
 
 }  // namespace
 
-void View::Update(std::vector<platform::Instance> instances) {
-  std::erase_if(instances, [](const platform::Instance& instance) {
+void View::Update(std::vector<object_api::Instance> instances) {
+  std::erase_if(instances, [](const object_api::Instance& instance) {
     return instance.instance.empty();
   });
   instances_ = std::move(instances);
 }
 
-const platform::Instance* View::Find(std::string_view instance) const {
+const object_api::Instance* View::Find(std::string_view instance) const {
   const auto found = std::find_if(instances_.begin(), instances_.end(),
-                                  [instance](const platform::Instance& row) {
+                                  [instance](const object_api::Instance& row) {
                                     return row.instance == instance;
                                   });
   return found == instances_.end() ? nullptr : &*found;
@@ -33,8 +33,8 @@
 
 std::vector<std::string> View::Entries(std::string_view data_centre) const {
   std::vector<std::string> names;
-  for (const platform::Instance& row : instances_) {
-    if (row.role == "entry" && row.state == platform::InstanceState::kLive &&
+  for (const object_api::Instance& row : instances_) {
+    if (row.role == "entry" && row.state == object_api::InstanceState::kLive &&
         (data_centre.empty() || row.data_centre == data_centre)) {
       names.push_back(row.instance);
     }
--- a/jackdawshunt/membership/view.h
+++ b/jackdawshunt/membership/view.h
@@ -13,19 +13,19 @@
 #include <string_view>
 #include <vector>
 
-#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/object_api/client.h"
 
 namespace jackdawshunt::membership {
 
 class View {
  public:
   // Replaces the list. Rows without an instance name are ignored.
-  void Update(std::vector<platform::Instance> instances);
+  void Update(std::vector<object_api::Instance> instances);
 
-  const std::vector<platform::Instance>& instances() const {
+  const std::vector<object_api::Instance>& instances() const {
     return instances_;
   }
-  const platform::Instance* Find(std::string_view instance) const;
+  const object_api::Instance* Find(std::string_view instance) const;
   // Names of the live entries, of one data centre or (empty) of all.
   std::vector<std::string> Entries(std::string_view data_centre = {}) const;
 
@@ -37,7 +37,7 @@
       size_t count);
 
  private:
-  std::vector<platform::Instance> instances_;
+  std::vector<object_api::Instance> instances_;
 };
 
 }  // namespace jackdawshunt::membership
--- a/jackdawshunt/membership/view_test.cc
+++ b/jackdawshunt/membership/view_test.cc
@@ -12,7 +12,7 @@
 namespace jackdawshunt::membership {
 namespace {
 
-using platform::InstanceState;
+using object_api::InstanceState;
 using ::testing::ElementsAre;
 using ::testing::SizeIs;
 
--- a/jackdawshunt/platform/address.cc
+++ b/jackdawshunt/object_api/address.cc
@@ -1,4 +1,4 @@
-#include "jackdawshunt/platform/address.h"
+#include "jackdawshunt/object_api/address.h"
 
 #include <arpa/inet.h>
 
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <string>
 
-namespace jackdawshunt::platform {
+namespace jackdawshunt::object_api {
 
 std::optional<http::Address> ParseAddress(std::string_view text) {
   const size_t colon = text.rfind(':');
@@ -38,4 +38,4 @@
   return address;
 }
 
-}  // namespace jackdawshunt::platform
+}  // namespace jackdawshunt::object_api
--- a/jackdawshunt/platform/client.cc
+++ b/jackdawshunt/object_api/client.cc
@@ -1,4 +1,4 @@
-#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/object_api/client.h"
 
 #include <array>
 #include <map>
@@ -8,10 +8,10 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "jackdawshunt/http/client.h"
-#include "jackdawshunt/platform/address.h"
+#include "jackdawshunt/object_api/address.h"
 #include "nlohmann/json.hpp"
 
-namespace jackdawshunt::platform {
+namespace jackdawshunt::object_api {
 namespace {
 
 using Json = nlohmann::json;
@@ -281,4 +281,4 @@
   return impl_->calls;
 }
 
-}  // namespace jackdawshunt::platform
+}  // namespace jackdawshunt::object_api
--- a/jackdawshunt/platform/client.h
+++ b/jackdawshunt/object_api/client.h
@@ -20,8 +20,8 @@
 // over all keys. Values are JSON texts of at most 1 MiB.
 //
 // Example:
-//   platform::Client client(loop, {"127.0.0.1", 9000});
-//   client.Get("config/policy/fleet", [](absl::StatusOr<platform::Object> o)
+//   object_api::Client client(loop, {"127.0.0.1", 9000});
+//   client.Get("config/policy/fleet", [](absl::StatusOr<object_api::Object> o)
 //   {});
 //
 // 429 and 503 mean that nothing was written; after other 5xx a write may have
@@ -34,8 +34,8 @@
 // race, nothing written); Unavailable (certainly not written); Unknown (the
 // write may have taken effect); DeadlineExceeded for reads; InvalidArgument
 // (the platform refused the request, nothing written). Not thread-safe.
-#ifndef JACKDAWSHUNT_PLATFORM_CLIENT_H_
-#define JACKDAWSHUNT_PLATFORM_CLIENT_H_
+#ifndef JACKDAWSHUNT_OBJECT_API_CLIENT_H_
+#define JACKDAWSHUNT_OBJECT_API_CLIENT_H_
 
 #include <cstdint>
 #include <functional>
@@ -48,7 +48,7 @@
 #include "jackdawshunt/http/http.h"
 #include "jackdawshunt/kernel/event_loop.h"
 
-namespace jackdawshunt::platform {
+namespace jackdawshunt::object_api {
 
 struct Object {
   std::string key;
@@ -117,6 +117,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace jackdawshunt::platform
+}  // namespace jackdawshunt::object_api
 
-#endif  // JACKDAWSHUNT_PLATFORM_CLIENT_H_
+#endif  // JACKDAWSHUNT_OBJECT_API_CLIENT_H_
--- a/jackdawshunt/platform/client_test.cc
+++ b/jackdawshunt/object_api/client_test.cc
@@ -1,4 +1,4 @@
-#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/object_api/client.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "jackdawshunt/http/server.h"
-#include "jackdawshunt/platform/address.h"
+#include "jackdawshunt/object_api/address.h"
 
-namespace jackdawshunt::platform {
+namespace jackdawshunt::object_api {
 namespace {
 
 using std::chrono::milliseconds;
@@ -179,4 +179,4 @@
 }
 
 }  // namespace
-}  // namespace jackdawshunt::platform
+}  // namespace jackdawshunt::object_api
--- a/jackdawshunt/settings/settings.cc
+++ b/jackdawshunt/settings/settings.cc
@@ -9,7 +9,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
-#include "jackdawshunt/platform/address.h"
+#include "jackdawshunt/object_api/address.h"
 #include "jackdawshunt/records/fields.h"
 
 namespace jackdawshunt::settings {
@@ -20,11 +20,11 @@
 using records::TextRule;
 
 bool IsListenAddress(std::string_view text) {
-  return platform::ParseAddress(text).has_value();
+  return object_api::ParseAddress(text).has_value();
 }
 
 bool IsRemoteAddress(std::string_view text) {
-  const auto address = platform::ParseAddress(text);
+  const auto address = object_api::ParseAddress(text);
   return address.has_value() && address->port != 0;
 }
 
@@ -132,7 +132,7 @@
     if (AppliesTo(field, role)) {
       reader.Text(field.name, Presence::kRequired, field.rule, text);
       settings.*field.member =
-          platform::ParseAddress(text).value_or(http::Address{});
+          object_api::ParseAddress(text).value_or(http::Address{});
     }
   }
   for (const IntegerField& field : kIntegerFields) {
--- a/jackdawshunt/side/lease.cc
+++ b/jackdawshunt/side/lease.cc
@@ -8,7 +8,7 @@
 namespace jackdawshunt::side {
 namespace {
 
-std::string HolderOf(const platform::Object& object) {
+std::string HolderOf(const object_api::Object& object) {
   const auto value = nlohmann::json::parse(object.value, nullptr,
                                            /*allow_exceptions=*/false);
   if (!value.is_object() || !value.contains("holder") ||
@@ -26,7 +26,7 @@
 
 Lease::Lease(kernel::EventLoop& loop,
              const kernel::Clock& clock,
-             platform::Client& client,
+             object_api::Client& client,
              std::string key,
              std::string holder,
              LeaseOptions options)
@@ -79,7 +79,7 @@
 
 void Lease::Read() {
   is_call_pending_ = true;
-  client_.Get(key_, [this](const absl::StatusOr<platform::Object>& object) {
+  client_.Get(key_, [this](const absl::StatusOr<object_api::Object>& object) {
     is_call_pending_ = false;
     if (object.ok()) {
       Observe(*object);
@@ -90,7 +90,7 @@
   });
 }
 
-void Lease::Observe(const platform::Object& object) {
+void Lease::Observe(const object_api::Object& object) {
   const std::string holder = HolderOf(object);
   if (is_released_) {
     return;
--- a/jackdawshunt/side/lease.h
+++ b/jackdawshunt/side/lease.h
@@ -21,7 +21,7 @@
 
 #include "jackdawshunt/kernel/clock.h"
 #include "jackdawshunt/kernel/event_loop.h"
-#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/object_api/client.h"
 
 namespace jackdawshunt::side {
 
@@ -38,7 +38,7 @@
   // Tick() themselves instead of Start().
   Lease(kernel::EventLoop& loop,
         const kernel::Clock& clock,
-        platform::Client& client,
+        object_api::Client& client,
         std::string key,
         std::string holder,
         LeaseOptions options);
@@ -62,7 +62,7 @@
 
  private:
   void Read();
-  void Observe(const platform::Object& object);
+  void Observe(const object_api::Object& object);
   void Write(uint64_t expected);
   void GiveUp(uint64_t version);
   void OnWritten(const absl::StatusOr<uint64_t>& version,
@@ -70,7 +70,7 @@
 
   kernel::EventLoop& loop_;
   const kernel::Clock& clock_;
-  platform::Client& client_;
+  object_api::Client& client_;
   const std::string key_;
   const std::string holder_;
   LeaseOptions options_;
--- a/jackdawshunt/side/lease_test.cc
+++ b/jackdawshunt/side/lease_test.cc
@@ -17,25 +17,25 @@
 using std::chrono::seconds;
 
 // One object, answered at once; writes can lose their answer.
-class FakePlatform final : public platform::Client {
+class FakePlatform final : public object_api::Client {
  public:
   explicit FakePlatform(kernel::EventLoop& loop) : Client(loop, {}) {}
 
   void Get(const std::string&,
-           platform::Callback<platform::Object> done) override {
+           object_api::Callback<object_api::Object> done) override {
     if (is_down) {
       done(absl::DeadlineExceededError("down"));
     } else if (version == 0) {
       done(absl::NotFoundError("none"));
     } else {
-      done(platform::Object{"k", version, false, value});
+      done(object_api::Object{"k", version, false, value});
     }
   }
 
   void Put(const std::string&,
            const std::string& text,
            std::optional<uint64_t> expected,
-           platform::Callback<uint64_t> done) override {
+           object_api::Callback<uint64_t> done) override {
     if (is_down) {
       done(absl::UnavailableError("down"));
     } else if (expected != version) {
--- a/jackdawshunt/side/orders.cc
+++ b/jackdawshunt/side/orders.cc
@@ -27,7 +27,7 @@
 
 Orders::Orders(kernel::EventLoop& loop,
                const kernel::Clock& clock,
-               platform::Client& platform,
+               object_api::Client& platform,
                const configuration::Store& store,
                UpstreamDriver& driver,
                const protocol::PeerInfo& self)
--- a/jackdawshunt/side/orders.h
+++ b/jackdawshunt/side/orders.h
@@ -22,7 +22,7 @@
 
 #include "jackdawshunt/configuration/store.h"
 #include "jackdawshunt/kernel/event_loop.h"
-#include "jackdawshunt/platform/client.h"
+#include "jackdawshunt/object_api/client.h"
 #include "jackdawshunt/protocol/messages.h"
 #include "jackdawshunt/side/lease.h"
 #include "jackdawshunt/side/upstream_driver.h"
@@ -38,7 +38,7 @@
  public:
   Orders(kernel::EventLoop& loop,
          const kernel::Clock& clock,
-         platform::Client& platform,
+         object_api::Client& platform,
          const configuration::Store& store,
          UpstreamDriver& driver,
          const protocol::PeerInfo& self);
@@ -57,7 +57,7 @@
 
   kernel::EventLoop& loop_;
   const kernel::Clock& clock_;
-  platform::Client& platform_;
+  object_api::Client& platform_;
   const configuration::Store& store_;
   UpstreamDriver& driver_;
   const std::string upstream_;
--- a/jackdawshunt/side/orders_test.cc
+++ b/jackdawshunt/side/orders_test.cc
@@ -17,22 +17,22 @@
 using std::chrono::seconds;
 
 // Objects in memory, answered at once.
-class FakePlatform final : public platform::Client {
+class FakePlatform final : public object_api::Client {
  public:
   explicit FakePlatform(kernel::EventLoop& loop) : Client(loop, {}) {}
 
   void Get(const std::string&,
-           platform::Callback<platform::Object> done) override {
+           object_api::Callback<object_api::Object> done) override {
     if (version_ == 0) {
       done(absl::NotFoundError("none"));
     } else {
-      done(platform::Object{"k", version_, false, value_});
+      done(object_api::Object{"k", version_, false, value_});
     }
   }
   void Put(const std::string&,
            const std::string& text,
            std::optional<uint64_t> expected,
-           platform::Callback<uint64_t> done) override {
+           object_api::Callback<uint64_t> done) override {
     ++writes;
     if (expected != version_) {
       done(absl::AbortedError("lost race"));
--- a/jackdawshunt/side/side_role.cc
+++ b/jackdawshunt/side/side_role.cc
@@ -14,9 +14,9 @@
 #include "jackdawshunt/kernel/registry.h"
 #include "jackdawshunt/kernel/role.h"
 #include "jackdawshunt/membership/view.h"
+#include "jackdawshunt/object_api/client.h"
 #include "jackdawshunt/operator_api/process_metrics.h"
 #include "jackdawshunt/operator_api/server.h"
-#include "jackdawshunt/platform/client.h"
 #include "jackdawshunt/protocol/connection.h"
 #include "jackdawshunt/settings/settings.h"
 #include "jackdawshunt/settings/startup.h"
@@ -250,7 +250,7 @@
   const settings::Settings settings_;
   const protocol::PeerInfo self_;
   kernel::EventLoop loop_;
-  platform::Client platform_;
+  object_api::Client platform_;
   configuration::Store store_;
   // Stays empty: a side takes its records from entries, so that the calls at
   // the platform do not grow with the number of sides.
