Add strict HTTP/1.1 connections in both directions

Cause: the gateway needs to see foreign, extra, late, truncated and unframed answers, callers that leave while they wait, and requests whose framing two readers could understand differently. evhttp hides the connection, buffers whole requests on its own terms and gives an answer's end no reason. Ruled out: evhttp with hooks; a parser of our own. Change: http_parser (Debian's libhttp-parser-dev) on bufferevents, with our own checks of header names, values and framing; a build without tests.

--- a/cmake/jackdawshunt.cmake
+++ b/cmake/jackdawshunt.cmake
@@ -44,7 +44,7 @@
     target_link_libraries(${library} INTERFACE ${ARG_DEPS})
     set(link ${library})
   endif()
-  if(tests)
+  if(tests AND JACKDAWSHUNT_TESTS)
     add_executable(${folder}_test ${tests})
     jackdawshunt_configure(${folder}_test)
     target_link_libraries(${folder}_test PRIVATE ${link} rapidcheck
@@ -52,7 +52,7 @@
     gtest_discover_tests(${folder}_test TEST_PREFIX ${folder}. DISCOVERY_TIMEOUT 60
       PROPERTIES TIMEOUT 120 ENVIRONMENT "RC_PARAMS=seed=20261203")
   endif()
-  if(benchmarks)
+  if(benchmarks AND JACKDAWSHUNT_TESTS)
     add_executable(${folder}_benchmark ${benchmarks})
     jackdawshunt_configure(${folder}_benchmark)
     target_link_libraries(${folder}_benchmark PRIVATE ${link}
--- /dev/null
+++ b/jackdawshunt/http/socket_address.h
@@ -0,0 +1,18 @@
+// Conversion of Address to what the socket calls take.
+#ifndef JACKDAWSHUNT_HTTP_SOCKET_ADDRESS_H_
+#define JACKDAWSHUNT_HTTP_SOCKET_ADDRESS_H_
+
+#include <netinet/in.h>
+
+#include <optional>
+
+#include "jackdawshunt/http/http.h"
+
+namespace jackdawshunt::http {
+
+// Returns nothing when the IP is not an IPv4 address. Port 0 is allowed.
+std::optional<sockaddr_in> ToSocketAddress(const Address& address);
+
+}  // namespace jackdawshunt::http
+
+#endif  // JACKDAWSHUNT_HTTP_SOCKET_ADDRESS_H_
--- /dev/null
+++ b/jackdawshunt/http1/connection_test.cc
@@ -0,0 +1,320 @@
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "event2/buffer.h"
+#include "event2/bufferevent.h"
+#include "event2/util.h"
+#include "gtest/gtest.h"
+#include "jackdawshunt/http1/client.h"
+#include "jackdawshunt/http1/server.h"
+
+namespace jackdawshunt::http1 {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A server whose raw answers the test writes.
+class RawServer {
+ public:
+  explicit RawServer(kernel::EventLoop& loop) : loop_(loop) {
+    listener_ = *Listener::Bind(loop, {"127.0.0.1", 0},
+                                [this](int fd) { fds_.push_back(fd); });
+  }
+  ~RawServer() {
+    for (const int fd : fds_) {
+      close(fd);
+    }
+  }
+
+  http::Address address() const { return {"127.0.0.1", listener_->port()}; }
+  void AwaitConnections(size_t count) {
+    ASSERT_TRUE(
+        loop_.RunUntil([&] { return fds_.size() >= count; }, seconds(20)));
+  }
+  void Write(std::string_view text) {
+    ASSERT_EQ(write(fds_.back(), text.data(), text.size()),
+              static_cast<ssize_t>(text.size()));
+  }
+  void Close() {
+    // Reads what was sent, so that the close is orderly.
+    std::array<char, 4096> buffer;
+    while (recv(fds_.back(), buffer.data(), buffer.size(), MSG_DONTWAIT) > 0) {
+    }
+    close(fds_.back());
+    fds_.pop_back();
+  }
+  void Reset() {
+    const linger now{.l_onoff = 1, .l_linger = 0};
+    setsockopt(fds_.back(), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    close(fds_.back());
+    fds_.pop_back();
+  }
+
+ private:
+  kernel::EventLoop& loop_;
+  std::unique_ptr<Listener> listener_;
+  std::vector<int> fds_;
+};
+
+// Receives one answer; those with another "Id" are foreign.
+struct Receiver final : ResponseReceiver {
+  bool IsOwn(const ResponseHead& head) override {
+    return http::FindHeader(head.headers, "Id") == id;
+  }
+  void OnHead(const ResponseHead& head) override { status = head.status; }
+  void OnBody(std::string_view data) override { body.append(data); }
+  void OnEnd() override { ended = true; }
+  void OnLost(Loss with) override { loss = with; }
+  bool is_done() const { return ended || loss.has_value(); }
+
+  std::string id = "1";
+  int status = 0;
+  std::string body;
+  bool ended = false;
+  std::optional<Loss> loss;
+};
+
+class ClientConnectionTest : public ::testing::Test {
+ protected:
+  void Send() {
+    connection_.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", false, receiver_);
+    server_.AwaitConnections(1);
+  }
+  void AwaitDone() {
+    ASSERT_TRUE(
+        loop_.RunUntil([&] { return receiver_.is_done(); }, seconds(20)));
+  }
+
+  kernel::EventLoop loop_;
+  RawServer server_{loop_};
+  ClientConnection connection_{loop_, server_.address(), {}};
+  Receiver receiver_;
+};
+
+TEST_F(ClientConnectionTest, KeepsTheConnectionAfterAnAnswer) {
+  Send();
+  server_.Write(
+      "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=4\r\n"
+      "Content-Length: 2\r\n\r\nok");
+  AwaitDone();
+  EXPECT_TRUE(receiver_.ended);
+  EXPECT_EQ(receiver_.body, "ok");
+  EXPECT_TRUE(connection_.is_usable());
+  EXPECT_EQ(connection_.keep_alive(), kernel::Duration(seconds(4)));
+}
+
+TEST_F(ClientConnectionTest, SkipsTheAnswerToAnotherRequest) {
+  Send();
+  server_.Write("HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 5\r\n\r\nother");
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  AwaitDone();
+  EXPECT_EQ(receiver_.body, "ok");
+  EXPECT_FALSE(connection_.is_usable());
+}
+
+TEST_F(ClientConnectionTest, AnExtraAnswerMakesTheConnectionUnusable) {
+  Send();
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok";
+  server_.Write(answer + answer);
+  AwaitDone();
+  EXPECT_EQ(receiver_.body, "ok");
+  EXPECT_FALSE(connection_.is_usable());
+}
+
+TEST_F(ClientConnectionTest, ALateExtraAnswerMakesAnIdleConnectionUnusable) {
+  Send();
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  AwaitDone();
+  ASSERT_TRUE(connection_.is_usable());
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return !connection_.is_usable(); }, seconds(20)));
+}
+
+TEST_F(ClientConnectionTest, AnOrderlyCloseEndsABodyWithoutLength) {
+  Send();
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall");
+  loop_.RunUntil([&] { return receiver_.body == "all"; }, seconds(20));
+  server_.Close();
+  AwaitDone();
+  EXPECT_TRUE(receiver_.ended);
+}
+
+TEST_F(ClientConnectionTest, AResetDoesNotEndABodyWithoutLength) {
+  Send();
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart");
+  loop_.RunUntil([&] { return receiver_.body == "part"; }, seconds(20));
+  server_.Reset();
+  AwaitDone();
+  EXPECT_EQ(receiver_.loss, Loss::kReset);
+}
+
+TEST_F(ClientConnectionTest, ATruncatedAnswerIsLost) {
+  Send();
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\npart");
+  loop_.RunUntil([&] { return receiver_.body == "part"; }, seconds(20));
+  server_.Close();
+  AwaitDone();
+  EXPECT_EQ(receiver_.loss, Loss::kClosed);
+}
+
+TEST_F(ClientConnectionTest, BytesThatAreNoAnswerAreMalformed) {
+  Send();
+  server_.Write("garbage\r\n\r\n");
+  AwaitDone();
+  EXPECT_EQ(receiver_.loss, Loss::kMalformed);
+}
+
+TEST(ClientConnectionRefusedTest, ARefusedConnectSentNothing) {
+  kernel::EventLoop loop;
+  http::Address closed{"127.0.0.1", 0};
+  {
+    RawServer server(loop);
+    closed = server.address();
+  }
+  ClientConnection connection(loop, closed, {});
+  Receiver receiver;
+  connection.Send("GET / HTTP/1.1\r\n\r\n", false, receiver);
+  ASSERT_TRUE(loop.RunUntil([&] { return receiver.is_done(); }, seconds(20)));
+  EXPECT_EQ(receiver.loss, Loss::kNotConnected);
+}
+
+// Answers requests with "<target>" and remembers what happened.
+class EchoHandler final : public ServerConnection::Handler {
+ public:
+  void OnRequest(ServerConnection& connection,
+                 const RequestHead& head,
+                 std::string&) override {
+    targets.push_back(head.target);
+    if (answers) {
+      connection.Reply({.status = 200, .headers = {}}, head.target);
+    }
+  }
+  void OnFault(ServerConnection& connection, RequestFault with) override {
+    fault = with;
+    connection.Reply({.status = 400, .headers = {}}, "bad");
+  }
+  void OnDrained(ServerConnection&) override {}
+  void OnGone(ServerConnection&) override { is_gone = true; }
+
+  std::vector<std::string> targets;
+  std::optional<RequestFault> fault;
+  bool answers = true;
+  bool is_gone = false;
+};
+
+class ServerConnectionTest : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    int fds[2];
+    ASSERT_EQ(evutil_socketpair(AF_UNIX, SOCK_STREAM, 0, fds), 0);
+    evutil_make_socket_nonblocking(fds[0]);
+    caller_ = fds[1];
+    evutil_make_socket_nonblocking(caller_);
+    connection_ = std::make_unique<ServerConnection>(
+        loop_, fds[0],
+        ServerConnectionLimits{.parse = {},
+                               .request_timeout = milliseconds(200),
+                               .idle_timeout = milliseconds(300)},
+        handler_);
+  }
+  void TearDown() override {
+    if (caller_ >= 0) {
+      close(caller_);
+    }
+  }
+
+  void Write(std::string_view text) {
+    ASSERT_EQ(write(caller_, text.data(), text.size()),
+              static_cast<ssize_t>(text.size()));
+  }
+  // Reads until the text contains `wanted`.
+  bool AwaitText(std::string_view wanted) {
+    return loop_.RunUntil(
+        [&] {
+          std::array<char, 4096> buffer;
+          const ssize_t count = read(caller_, buffer.data(), buffer.size());
+          if (count > 0) {
+            text_.append(buffer.data(), static_cast<size_t>(count));
+          }
+          return text_.find(wanted) != std::string::npos;
+        },
+        seconds(20));
+  }
+
+  kernel::EventLoop loop_;
+  EchoHandler handler_;
+  int caller_ = -1;
+  std::string text_;
+  std::unique_ptr<ServerConnection> connection_;
+};
+
+TEST_F(ServerConnectionTest, AnswersPipelinedRequestsInOrder) {
+  Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(AwaitText("/2"));
+  EXPECT_EQ(handler_.targets, (std::vector<std::string>{"/1", "/2"}));
+  EXPECT_LT(text_.find("/1"), text_.find("/2"));
+}
+
+TEST_F(ServerConnectionTest, AFaultIsAnsweredAndEndsTheConnection) {
+  Write("GET / HTTP/1.1\r\nContent-Length: x\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(AwaitText("bad"));
+  EXPECT_EQ(handler_.fault, RequestFault::kMalformed);
+  EXPECT_NE(text_.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(handler_.targets.empty());
+}
+
+TEST_F(ServerConnectionTest, ASlowRequestTimesOut) {
+  Write("GET / HTTP/1.1\r\n");
+  ASSERT_TRUE(AwaitText("bad"));
+  EXPECT_EQ(handler_.fault, RequestFault::kTimeout);
+}
+
+TEST_F(ServerConnectionTest, SeesACallerLeaveWhileItWaits) {
+  handler_.answers = false;
+  Write("GET /slow HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return !handler_.targets.empty(); }, seconds(20)));
+  close(std::exchange(caller_, -1));
+  EXPECT_TRUE(loop_.RunUntil([&] { return handler_.is_gone; }, seconds(20)));
+}
+
+TEST_F(ServerConnectionTest, ClosesAnIdleConnection) {
+  EXPECT_TRUE(loop_.RunUntil([&] { return handler_.is_gone; }, seconds(20)));
+}
+
+TEST_F(ServerConnectionTest, AnAbortedStreamDoesNotLookComplete) {
+  handler_.answers = false;
+  Write("GET /stream HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return !handler_.targets.empty(); }, seconds(20)));
+  connection_->StartResponse({.status = 200, .headers = {}},
+                             BodyFraming::Chunked());
+  connection_->WriteBody("part");
+  ASSERT_TRUE(AwaitText("part"));
+  connection_->Abort();
+  EXPECT_TRUE(handler_.is_gone);
+  EXPECT_EQ(text_.find(kLastChunk), std::string::npos);
+}
+
+TEST_F(ServerConnectionTest, ClosingWaitsForTheAnswer) {
+  handler_.answers = false;
+  Write("GET /last HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return !handler_.targets.empty(); }, seconds(20)));
+  connection_->CloseWhenIdle();
+  EXPECT_TRUE(connection_->is_open());
+  connection_->Reply({.status = 200, .headers = {}}, "done");
+  ASSERT_TRUE(AwaitText("done"));
+  EXPECT_NE(text_.find("Connection: close"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace jackdawshunt::http1
--- /dev/null
+++ b/jackdawshunt/http1/internal/socket_options.cc
@@ -0,0 +1,57 @@
+#include "jackdawshunt/http1/internal/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include "jackdawshunt/base/log.h"
+
+namespace jackdawshunt::http1::internal {
+namespace {
+
+// A caller that vanished is found after kProbeIdle + kProbes * kProbeInterval.
+constexpr int kProbeIdleSeconds = 2;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbes = 3;
+
+void Set(int fd, int level, int option, int value) {
+  if (setsockopt(fd, level, option, &value, sizeof(value)) != 0) {
+    base::Log(base::LogLevel::kDebug, "socket_option_failed",
+              {{"option", option}, {"error", strerror(errno)}});
+  }
+}
+
+void SetKeepAlive(int fd) {
+  Set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  Set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  Set(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
+  Set(fd, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  Set(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+}  // namespace
+
+void SetCallerSocketOptions(int fd) {
+  SetKeepAlive(fd);
+}
+
+void SetUpstreamSocketOptions(int fd, kernel::Duration silence) {
+  SetKeepAlive(fd);
+  Set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+      static_cast<int>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(silence)
+              .count()));
+}
+
+void ResetOnClose(int fd) {
+  const linger now{.l_onoff = 1, .l_linger = 0};
+  if (setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now)) != 0) {
+    base::Log(base::LogLevel::kDebug, "socket_option_failed",
+              {{"option", SO_LINGER}, {"error", strerror(errno)}});
+  }
+}
+
+}  // namespace jackdawshunt::http1::internal
--- /dev/null
+++ b/jackdawshunt/http1/parser.cc
@@ -0,0 +1,308 @@
+#include "jackdawshunt/http1/parser.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "http_parser.h"
+#include "jackdawshunt/http1/internal/header_collector.h"
+
+namespace jackdawshunt::http1 {
+namespace {
+
+using internal::HeaderCollector;
+
+// Responses come from upstreams with few headers; a larger head is a fault.
+constexpr size_t kMaxResponseHeadBytes = size_t{64} * 1024;
+
+template <typename Owner>
+Owner& OwnerOf(http_parser* parser) {
+  return *static_cast<Owner*>(parser->data);
+}
+
+// Callbacks that requests and responses share. `Owner` has the members
+// `collector` and `state`.
+template <typename Owner>
+void SetHeaderCallbacks(http_parser_settings& settings) {
+  settings.on_message_begin = [](http_parser* parser) {
+    OwnerOf<Owner>(parser).state = ParseState::kHead;
+    return 0;
+  };
+  settings.on_header_field = [](http_parser* parser, const char* at,
+                                size_t length) {
+    OwnerOf<Owner>(parser).collector.AppendName({at, length});
+    return 0;
+  };
+  settings.on_header_value = [](http_parser* parser, const char* at,
+                                size_t length) {
+    OwnerOf<Owner>(parser).collector.AppendValue({at, length});
+    return 0;
+  };
+}
+
+}  // namespace
+
+struct RequestParser::Impl {
+  explicit Impl(ParseLimits with_limits) : limits(with_limits) { Start(); }
+
+  void Start() {
+    http_parser_init(&parser, HTTP_REQUEST);
+    parser.data = this;
+    state = ParseState::kStart;
+    fault = ParseFault::kNone;
+    head = {};
+    body.clear();
+    collector.Clear();
+    head_bytes = 0;
+    keep_alive = false;
+    expects_continue = false;
+  }
+
+  void Fail(ParseFault kind) {
+    state = ParseState::kInvalid;
+    fault = kind;
+  }
+
+  // Returns a non-zero value, which stops the parser, when the head is invalid.
+  int FinishHead() {
+    head.method = http_method_str(static_cast<http_method>(parser.method));
+    head.headers = collector.Take();
+    const bool is_http_1_1 = parser.http_major == 1 && parser.http_minor == 1;
+    if (!is_http_1_1 || !internal::HasPlainFraming(head.headers) ||
+        parser.method == HTTP_CONNECT) {
+      Fail(ParseFault::kMalformed);
+      return -1;
+    }
+    keep_alive = http_should_keep_alive(&parser) != 0;
+    parser.upgrade = 0;  // No other protocol is spoken; the body follows.
+    const std::string_view expect = http::FindHeader(head.headers, "Expect");
+    expects_continue = EqualsIgnoreCase(expect, "100-continue");
+    if (parser.content_length != ULLONG_MAX &&
+        parser.content_length > limits.body_bytes) {
+      Fail(ParseFault::kBodyTooLarge);
+      return -1;
+    }
+    state = ParseState::kBody;
+    return 0;
+  }
+
+  static http_parser_settings MakeSettings() {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    SetHeaderCallbacks<Impl>(settings);
+    settings.on_url = [](http_parser* parser, const char* at, size_t length) {
+      OwnerOf<Impl>(parser).head.target.append(at, length);
+      return 0;
+    };
+    settings.on_headers_complete = [](http_parser* parser) {
+      return OwnerOf<Impl>(parser).FinishHead();
+    };
+    settings.on_body = [](http_parser* parser, const char* at, size_t length) {
+      Impl& self = OwnerOf<Impl>(parser);
+      if (self.body.size() + length > self.limits.body_bytes) {
+        self.Fail(ParseFault::kBodyTooLarge);
+        return -1;
+      }
+      self.body.append(at, length);
+      return 0;
+    };
+    settings.on_message_complete = [](http_parser* parser) {
+      OwnerOf<Impl>(parser).state = ParseState::kComplete;
+      http_parser_pause(parser, 1);
+      return 0;
+    };
+    return settings;
+  }
+
+  http_parser parser;
+  ParseLimits limits;
+  ParseState state = ParseState::kStart;
+  ParseFault fault = ParseFault::kNone;
+  RequestHead head;
+  std::string body;
+  HeaderCollector collector;
+  size_t head_bytes = 0;
+  bool keep_alive = false;
+  bool expects_continue = false;
+};
+
+RequestParser::RequestParser(ParseLimits limits)
+    : impl_(std::make_unique<Impl>(limits)) {}
+RequestParser::~RequestParser() = default;
+
+size_t RequestParser::Feed(std::string_view data) {
+  static const http_parser_settings settings = Impl::MakeSettings();
+  Impl& self = *impl_;
+  if (self.state == ParseState::kComplete ||
+      self.state == ParseState::kInvalid || data.empty()) {
+    return 0;
+  }
+  const bool in_head = self.state != ParseState::kBody;
+  const size_t consumed =
+      http_parser_execute(&self.parser, &settings, data.data(), data.size());
+  if (self.state == ParseState::kComplete) {
+    return consumed;
+  }
+  if (self.state != ParseState::kInvalid &&
+      HTTP_PARSER_ERRNO(&self.parser) != HPE_OK) {
+    self.Fail(HTTP_PARSER_ERRNO(&self.parser) == HPE_HEADER_OVERFLOW
+                  ? ParseFault::kHeadTooLarge
+                  : ParseFault::kMalformed);
+  }
+  if (in_head) {
+    self.head_bytes += consumed;
+    if (self.state == ParseState::kHead &&
+        self.head_bytes > self.limits.header_bytes) {
+      self.Fail(ParseFault::kHeadTooLarge);
+    }
+  }
+  return consumed;
+}
+
+void RequestParser::Reset() {
+  impl_->Start();
+}
+void RequestParser::set_limits(ParseLimits limits) {
+  impl_->limits = limits;
+}
+ParseState RequestParser::state() const {
+  return impl_->state;
+}
+ParseFault RequestParser::fault() const {
+  return impl_->fault;
+}
+const RequestHead& RequestParser::head() const {
+  return impl_->head;
+}
+std::string& RequestParser::body() {
+  return impl_->body;
+}
+bool RequestParser::keep_alive() const {
+  return impl_->keep_alive;
+}
+bool RequestParser::expects_continue() const {
+  return impl_->expects_continue;
+}
+
+struct ResponseParser::Impl {
+  Impl() { Start(false); }
+
+  void Start(bool is_to_head_request) {
+    http_parser_init(&parser, HTTP_RESPONSE);
+    parser.data = this;
+    state = ParseState::kStart;
+    collector.Clear();
+    head_bytes = 0;
+    keep_alive = false;
+    to_head_request = is_to_head_request;
+    is_informational = false;
+  }
+
+  int FinishHead() {
+    ResponseHead head;
+    head.status = static_cast<int>(parser.status_code);
+    head.headers = collector.Take();
+    is_informational = head.status < 200;
+    if (!internal::HasPlainFraming(head.headers) || parser.http_major != 1 ||
+        head.status == 101) {
+      state = ParseState::kInvalid;
+      return -1;
+    }
+    parser.upgrade = 0;
+    if (!is_informational) {
+      state = ParseState::kBody;
+      sink->OnHead(head);
+    }
+    return to_head_request ? 1 : 0;
+  }
+
+  static http_parser_settings MakeSettings() {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    SetHeaderCallbacks<Impl>(settings);
+    settings.on_headers_complete = [](http_parser* parser) {
+      return OwnerOf<Impl>(parser).FinishHead();
+    };
+    settings.on_body = [](http_parser* parser, const char* at, size_t length) {
+      OwnerOf<Impl>(parser).sink->OnBody({at, length});
+      return 0;
+    };
+    settings.on_message_complete = [](http_parser* parser) {
+      Impl& self = OwnerOf<Impl>(parser);
+      if (self.is_informational) {
+        self.state = ParseState::kStart;
+        return 0;
+      }
+      self.keep_alive = http_should_keep_alive(parser) != 0;
+      self.state = ParseState::kComplete;
+      http_parser_pause(parser, 1);
+      return 0;
+    };
+    return settings;
+  }
+
+  static const http_parser_settings& Settings() {
+    static const http_parser_settings settings = MakeSettings();
+    return settings;
+  }
+
+  http_parser parser;
+  ParseState state = ParseState::kStart;
+  HeaderCollector collector;
+  ResponseSink* sink = nullptr;
+  size_t head_bytes = 0;
+  bool keep_alive = false;
+  bool to_head_request = false;
+  bool is_informational = false;
+};
+
+ResponseParser::ResponseParser() : impl_(std::make_unique<Impl>()) {}
+ResponseParser::~ResponseParser() = default;
+
+size_t ResponseParser::Feed(std::string_view data, ResponseSink& sink) {
+  Impl& self = *impl_;
+  if (self.state == ParseState::kComplete ||
+      self.state == ParseState::kInvalid || data.empty()) {
+    return 0;
+  }
+  self.sink = &sink;
+  const size_t consumed = http_parser_execute(&self.parser, &Impl::Settings(),
+                                              data.data(), data.size());
+  if (self.state == ParseState::kComplete) {
+    return consumed;
+  }
+  if (HTTP_PARSER_ERRNO(&self.parser) != HPE_OK) {
+    self.state = ParseState::kInvalid;
+  }
+  if (self.state == ParseState::kHead) {
+    self.head_bytes += consumed;
+    if (self.head_bytes > kMaxResponseHeadBytes) {
+      self.state = ParseState::kInvalid;
+    }
+  }
+  return consumed;
+}
+
+void ResponseParser::FeedEnd(ResponseSink& sink) {
+  Impl& self = *impl_;
+  if (self.state != ParseState::kBody) {
+    return;
+  }
+  self.sink = &sink;
+  http_parser_execute(&self.parser, &Impl::Settings(), nullptr, 0);
+  if (self.state != ParseState::kComplete) {
+    self.state = ParseState::kInvalid;
+  }
+}
+
+void ResponseParser::Reset(bool to_head_request) {
+  impl_->Start(to_head_request);
+}
+ParseState ResponseParser::state() const {
+  return impl_->state;
+}
+bool ResponseParser::keep_alive() const {
+  return impl_->keep_alive;
+}
+
+}  // namespace jackdawshunt::http1
--- /dev/null
+++ b/jackdawshunt/http1/parser_test.cc
@@ -0,0 +1,192 @@
+#include "jackdawshunt/http1/parser.h"
+
+#include <string>
+
+#include "gtest/gtest.h"
+
+namespace jackdawshunt::http1 {
+namespace {
+
+constexpr char kPost[] =
+    "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+
+// Collects one response.
+struct Collected final : ResponseSink {
+  void OnHead(const ResponseHead& with) override { head = with; }
+  void OnBody(std::string_view data) override { body.append(data); }
+  ResponseHead head;
+  std::string body;
+};
+
+ParseState StateAfter(std::string_view text) {
+  RequestParser parser({.header_bytes = 1024, .body_bytes = 100});
+  parser.Feed(text);
+  return parser.state();
+}
+
+TEST(RequestParserTest, ReadsARequestInAnyPieces) {
+  const std::string text = kPost;
+  for (size_t cut = 1; cut < text.size(); ++cut) {
+    RequestParser parser({});
+    parser.Feed(std::string_view(text).substr(0, cut));
+    parser.Feed(std::string_view(text).substr(cut));
+    ASSERT_EQ(parser.state(), ParseState::kComplete) << cut;
+    EXPECT_EQ(parser.head().method, "POST");
+    EXPECT_EQ(parser.head().target, "/a/b?c=d");
+    EXPECT_EQ(parser.body(), "body");
+    EXPECT_TRUE(parser.keep_alive());
+  }
+}
+
+TEST(RequestParserTest, LeavesTheNextRequest) {
+  RequestParser parser({});
+  std::string two = kPost;
+  two.append(kPost);
+  EXPECT_EQ(parser.Feed(two), sizeof(kPost) - 1);
+  EXPECT_EQ(parser.Feed(two), 0u);
+  parser.Reset();
+  EXPECT_EQ(parser.state(), ParseState::kStart);
+}
+
+TEST(RequestParserTest, JoinsChunks) {
+  RequestParser parser({});
+  parser.Feed(
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2;e=1\r\nde\r\n0\r\n\r\n");
+  ASSERT_EQ(parser.state(), ParseState::kComplete);
+  EXPECT_EQ(parser.body(), "abcde");
+}
+
+TEST(RequestParserTest, KeepsHeadersWithoutAValueApart) {
+  RequestParser parser({});
+  parser.Feed("GET / HTTP/1.1\r\nEmpty:\r\nHost: x\r\n\r\n");
+  ASSERT_EQ(parser.state(), ParseState::kComplete);
+  ASSERT_EQ(parser.head().headers.size(), 2u);
+  EXPECT_EQ(parser.head().headers[0].first, "Empty");
+  EXPECT_EQ(http::FindHeader(parser.head().headers, "Host"), "x");
+}
+
+// Two readers could see different requests in each of these.
+TEST(RequestParserTest, RejectsAmbiguousFraming) {
+  for (const char* const headers : {
+           "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+           "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+           "Content-Length: 4\r\nContent-Length: 5\r\n",
+           "Content-Length: 4\r\nContent-Length: 4\r\n",
+           "Content-Length: 4, 4\r\n",
+           "Content-Length: +4\r\n",
+           "Content-Length: -1\r\n",
+           "Transfer-Encoding: gzip, chunked\r\n",
+           "Transfer-Encoding: xchunked\r\n",
+           "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+           "Transfer-Encoding : chunked\r\n",
+           "Content-Length : 4\r\n",
+           "Bad Name: 1\r\n",
+       }) {
+    EXPECT_EQ(StateAfter(std::string("POST / HTTP/1.1\r\nHost: x\r\n") +
+                         headers + "\r\nbody"),
+              ParseState::kInvalid)
+        << headers;
+  }
+}
+
+TEST(RequestParserTest, RejectsOtherProtocols) {
+  EXPECT_EQ(StateAfter("GET / HTTP/1.0\r\n\r\n"), ParseState::kInvalid);
+  EXPECT_EQ(StateAfter("CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"),
+            ParseState::kInvalid);
+  EXPECT_EQ(StateAfter("\x16\x03\x01"), ParseState::kInvalid);
+}
+
+TEST(RequestParserTest, ReadsTheBodyOfAnUpgradeRequest) {
+  RequestParser parser({});
+  parser.Feed(
+      "POST / HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\nUpgrade: h2c\r\n"
+      "Content-Length: 2\r\n\r\nok");
+  ASSERT_EQ(parser.state(), ParseState::kComplete);
+  EXPECT_EQ(parser.body(), "ok");
+}
+
+TEST(RequestParserTest, EnforcesLimits) {
+  RequestParser head({.header_bytes = 64, .body_bytes = 100});
+  head.Feed("GET / HTTP/1.1\r\nLong: " + std::string(200, 'a'));
+  EXPECT_EQ(head.fault(), ParseFault::kHeadTooLarge);
+  RequestParser length({.header_bytes = 1024, .body_bytes = 3});
+  length.Feed(kPost);
+  EXPECT_EQ(length.fault(), ParseFault::kBodyTooLarge);
+  RequestParser chunked({.header_bytes = 1024, .body_bytes = 3});
+  chunked.Feed(
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n");
+  EXPECT_EQ(chunked.fault(), ParseFault::kBodyTooLarge);
+}
+
+TEST(ResponseParserTest, ReadsAllFramings) {
+  for (const char* const text : {
+           "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "1\r\na\r\n2\r\nbc\r\n0\r\n\r\n",
+           "HTTP/1.1 100 Continue\r\n\r\n"
+           "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+       }) {
+    ResponseParser parser;
+    Collected sink;
+    parser.Feed(text, sink);
+    EXPECT_EQ(parser.state(), ParseState::kComplete) << text;
+    EXPECT_EQ(sink.head.status, 200);
+    EXPECT_EQ(sink.body, "abc");
+    EXPECT_TRUE(parser.keep_alive());
+  }
+}
+
+TEST(ResponseParserTest, OnlyAnOrderlyCloseEndsABodyWithoutLength) {
+  ResponseParser parser;
+  Collected sink;
+  parser.Feed("HTTP/1.1 200 OK\r\n\r\nabc", sink);
+  EXPECT_EQ(parser.state(), ParseState::kBody);
+  parser.FeedEnd(sink);
+  EXPECT_EQ(parser.state(), ParseState::kComplete);
+  EXPECT_EQ(sink.body, "abc");
+  EXPECT_FALSE(parser.keep_alive());
+}
+
+TEST(ResponseParserTest, ATruncatedBodyIsNotComplete) {
+  for (const char* const text : {
+           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+       }) {
+    ResponseParser parser;
+    Collected sink;
+    parser.Feed(text, sink);
+    parser.FeedEnd(sink);
+    EXPECT_EQ(parser.state(), ParseState::kInvalid) << text;
+  }
+}
+
+TEST(ResponseParserTest, LeavesAnExtraResponse) {
+  ResponseParser parser;
+  Collected sink;
+  const std::string_view one = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+  std::string two(one);
+  two.append(one);
+  EXPECT_EQ(parser.Feed(two, sink), one.size());
+  EXPECT_EQ(sink.body, "a");
+}
+
+TEST(ResponseParserTest, RejectsWhatIsNoResponse) {
+  ResponseParser parser;
+  Collected sink;
+  parser.Feed("hello\r\n\r\n", sink);
+  EXPECT_EQ(parser.state(), ParseState::kInvalid);
+}
+
+TEST(MessageTest, DropsHopByHopHeaders) {
+  const http::Headers kept = EndToEndHeaders({{"Connection", "close, X-Hop"},
+                                              {"X-Hop", "1"},
+                                              {"Keep-Alive", "timeout=5"},
+                                              {"Content-Length", "3"},
+                                              {"X-Kept", "2"}});
+  ASSERT_EQ(kept.size(), 1u);
+  EXPECT_EQ(kept[0].first, "X-Kept");
+}
+
+}  // namespace
+}  // namespace jackdawshunt::http1
