Add the routing decisions as a library without input or output

Cause: where a request goes, whether it is refused, repeated or shared out is to be tested by replaying loads, apart from sockets. Change: desired state, directory of upstreams, engine estimate (queue and cache of prompt parts), placement, admission, fair shares, retry budget, health from what callers see, freshness of API keys, and the router that joins them.

--- /dev/null
+++ b/jackdawshunt/routing/admission.cc
@@ -0,0 +1,53 @@
+#include "jackdawshunt/routing/admission.h"
+
+#include <algorithm>
+
+namespace jackdawshunt::routing {
+namespace {
+
+// Bounds of the time after which a refused caller returns.
+constexpr kernel::Duration kMinReturn = std::chrono::milliseconds(100);
+constexpr kernel::Duration kMaxReturn = std::chrono::milliseconds(2000);
+// Callers obey a return time of up to a third of the time they have left.
+constexpr int kObeyedShare = 3;
+
+kernel::Duration Scale(kernel::Duration duration, double factor) {
+  return kernel::Duration(
+      static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+AdmissionDecision Decide(const AdmissionInput& input,
+                         const AdmissionPolicy& policy) {
+  if (input.cost.wait <= policy.negligible_wait) {
+    return {};
+  }
+  const double factor = input.share_used > 1.0 ? policy.over_share_factor : 1.0;
+  const kernel::Duration in_time =
+      Scale(input.objective_left, policy.objective_share) - input.cost.read;
+  const kernel::Duration for_long_prompts =
+      Scale(input.objective, policy.long_prompt_wait_share);
+  const kernel::Duration limit =
+      Scale(std::max(in_time, for_long_prompts), factor);
+  if (input.cost.wait <= limit) {
+    return {};
+  }
+  return {.is_admitted = false,
+          .retry_after = ReturnTime(input.cost.wait - limit,
+                                    input.deadline_left, input.request_hash)};
+}
+
+kernel::Duration ReturnTime(kernel::Duration excess,
+                            kernel::Duration deadline_left,
+                            uint64_t request_hash) {
+  const kernel::Duration base = std::clamp(excess, kMinReturn, kMaxReturn);
+  constexpr uint64_t kSteps = 1000;
+  const double spread =
+      0.5 * static_cast<double>(request_hash % kSteps) / kSteps;
+  const kernel::Duration wanted = Scale(base, 1.0 + spread);
+  return std::max(std::min(wanted, deadline_left / kObeyedShare),
+                  kernel::Duration::zero());
+}
+
+}  // namespace jackdawshunt::routing
--- /dev/null
+++ b/jackdawshunt/routing/desired_state.h
@@ -0,0 +1,116 @@
+// The configuration that operators write: routes, services, limits, workspaces.
+//
+// Example:
+//   routing::RoutingTable table(std::move(state));
+//   const routing::Route* route = table.Match("a.example", "/quotes/17");
+//   const routing::Workspace* workspace = table.FindWorkspace(api_key);
+#ifndef JACKDAWSHUNT_ROUTING_DESIRED_STATE_H_
+#define JACKDAWSHUNT_ROUTING_DESIRED_STATE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "jackdawshunt/kernel/clock.h"
+
+namespace jackdawshunt::routing {
+
+enum class RouteKind {
+  kSafe,    // May run any number of times.
+  kUnsafe,  // Runs at most once.
+  kStream,  // A stream of events; runs at most once unless resumable.
+};
+std::string_view RouteKindName(RouteKind kind);
+
+struct WeightedService {
+  std::string service;
+  uint32_t weight = 1;
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;  // Begins and ends with a slash.
+  RouteKind kind = RouteKind::kUnsafe;
+  kernel::Duration timeout{};            // Longest time until the answer ends.
+  kernel::Duration latency_objective{};  // Until the answer or first event.
+  int priority = 0;                      // 0 is the most urgent.
+  std::vector<WeightedService> services;
+  uint32_t attempts = 1;   // Upstreams that one request may be sent to.
+  bool is_public = false;  // No API key is asked for.
+  bool is_resumable = false;
+
+  // Whether a request may be run again after it may have run.
+  bool is_repeatable() const {
+    return kind == RouteKind::kSafe ||
+           (kind == RouteKind::kStream && is_resumable);
+  }
+};
+
+// What the operator says of a service's model engines.
+struct EngineProfile {
+  uint32_t slots = 0;
+  uint64_t cache_tokens = 0;  // Shared by running requests and cached parts.
+};
+
+struct Service {
+  std::string name;
+  uint32_t connection_limit = 0;  // Per upstream, over all callers; 0: none.
+  std::optional<EngineProfile> engine;  // Absent for plain services.
+};
+
+struct Limits {
+  size_t header_bytes = size_t{16} * 1024;
+  size_t body_bytes = size_t{4} * 1024 * 1024;
+  kernel::Duration request_timeout = std::chrono::seconds(10);
+  kernel::Duration idle_timeout = std::chrono::seconds(60);
+  double tokens_per_second = 0;  // Of all engines together; 0: not stated.
+};
+
+struct Workspace {
+  std::string name;
+  std::vector<std::string> api_keys;
+  std::optional<int> priority;  // Overrides the route's.
+};
+
+struct DesiredState {
+  uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  Limits limits;
+  std::vector<Workspace> workspaces;
+};
+
+// Immutable index of one desired state.
+class RoutingTable {
+ public:
+  explicit RoutingTable(DesiredState state);
+
+  const DesiredState& state() const { return state_; }
+  uint64_t version() const { return state_.version; }
+
+  // Returns the route of `host` with the longest prefix of `path`; null when
+  // none matches. A port in `host` and a query in `path` are ignored.
+  const Route* Match(std::string_view host, std::string_view path) const;
+  const Service* FindService(std::string_view name) const;
+  // Returns null when no workspace holds the key.
+  const Workspace* FindWorkspace(std::string_view api_key) const;
+  bool has_workspaces() const { return !state_.workspaces.empty(); }
+
+ private:
+  DesiredState state_;
+  // Routes of a host, longest prefix first.
+  std::unordered_map<std::string, std::vector<size_t>> by_host_;
+  std::unordered_map<std::string, size_t> by_key_;
+};
+
+// Returns the service that a request with this hash goes to, by weight.
+std::string_view PickService(const Route& route, uint64_t request_hash);
+
+}  // namespace jackdawshunt::routing
+
+#endif  // JACKDAWSHUNT_ROUTING_DESIRED_STATE_H_
--- /dev/null
+++ b/jackdawshunt/routing/directory.cc
@@ -0,0 +1,125 @@
+#include "jackdawshunt/routing/directory.h"
+
+#include <array>
+#include <set>
+#include <utility>
+
+namespace jackdawshunt::routing {
+namespace {
+
+constexpr std::array<std::string_view, 5> kChangeNames = {
+    "added", "updated", "restarted", "draining", "removed"};
+
+}  // namespace
+
+std::string_view ChangeName(Directory::Change change) {
+  return kChangeNames.at(static_cast<size_t>(change));
+}
+
+Directory::Directory(kernel::Duration return_grace)
+    : return_grace_(return_grace) {}
+
+void Directory::SetObserver(Observer observer) {
+  observer_ = std::move(observer);
+}
+
+void Directory::Replace(const std::vector<Upstream>& upstreams,
+                        kernel::TimePoint now) {
+  std::set<std::string_view> present;
+  for (const Upstream& upstream : upstreams) {
+    present.insert(upstream.id);
+    Put(upstream, now);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : entries_) {
+    if (!present.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    Remove(id, now);
+  }
+}
+
+void Directory::Put(const Upstream& upstream, kernel::TimePoint /*now*/) {
+  const auto [found, is_new] = entries_.try_emplace(upstream.id);
+  Entry& entry = found->second;
+  entry.is_lapsed = false;
+  if (!is_new && entry.upstream == upstream) {
+    return;
+  }
+  Change change = is_new ? Change::kAdded : Change::kUpdated;
+  if (!is_new) {
+    if (entry.upstream.started_unix_ms != upstream.started_unix_ms ||
+        entry.upstream.address != upstream.address) {
+      change = Change::kRestarted;
+    } else if (!entry.upstream.is_draining && upstream.is_draining) {
+      change = Change::kDraining;
+    }
+  }
+  entry.upstream = upstream;
+  if (observer_) {
+    observer_(entry.upstream, change);
+  }
+}
+
+void Directory::Remove(std::string_view id, kernel::TimePoint now) {
+  const auto entry = entries_.find(id);
+  if (entry == entries_.end()) {
+    return;
+  }
+  if (InGrace(now) && !entry->second.upstream.is_draining) {
+    entry->second.is_lapsed = true;
+    return;
+  }
+  Forget(entry);
+}
+
+void Directory::Forget(
+    std::map<std::string, Entry, std::less<>>::iterator entry) {
+  const Upstream removed = std::move(entry->second.upstream);
+  entries_.erase(entry);
+  if (observer_) {
+    observer_(removed, Change::kRemoved);
+  }
+}
+
+void Directory::OnGapEnded(kernel::TimePoint now) {
+  grace_ends_ = now + return_grace_;
+}
+
+bool Directory::InGrace(kernel::TimePoint now) const {
+  return now < grace_ends_;
+}
+
+void Directory::ForgetLapsed(kernel::TimePoint now) {
+  if (InGrace(now)) {
+    return;
+  }
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    const auto next = std::next(entry);
+    if (entry->second.is_lapsed) {
+      Forget(entry);
+    }
+    entry = next;
+  }
+}
+
+std::vector<const Upstream*> Directory::Ready(std::string_view service,
+                                              kernel::TimePoint now) {
+  ForgetLapsed(now);
+  std::vector<const Upstream*> ready;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.upstream.service == service && !entry.upstream.is_draining) {
+      ready.push_back(&entry.upstream);
+    }
+  }
+  return ready;
+}
+
+const Upstream* Directory::Find(std::string_view id) const {
+  const auto entry = entries_.find(id);
+  return entry == entries_.end() ? nullptr : &entry->second.upstream;
+}
+
+}  // namespace jackdawshunt::routing
--- /dev/null
+++ b/jackdawshunt/routing/engine_estimate.cc
@@ -0,0 +1,244 @@
+#include "jackdawshunt/routing/engine_estimate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawshunt::routing {
+namespace {
+
+// Fixed time of one prompt besides its tokens: setup and one step of the batch.
+constexpr kernel::Duration kPromptOverhead = std::chrono::milliseconds(15);
+// Weight of one observation in the learned reading rate.
+constexpr double kLearningWeight = 0.08;
+// Prompts shorter than this say little about the rate.
+constexpr uint64_t kMinLearningTokens = 1500;
+// The learned rate stays within these factors of the first assumption.
+constexpr double kMinRateFactor = 0.1;
+constexpr double kMaxRateFactor = 3.0;
+// Share of the engine's memory that cached parts and running requests fill
+// before the oldest parts are counted as evicted.
+constexpr double kUsableMemory = 0.9;
+// How much of an error in the expected end of reading is carried over to the
+// prompts behind it.
+constexpr double kCorrection = 0.7;
+
+// Prompts are read in order: when one is read that was claimed so much later,
+// the older one has ended without a word.
+constexpr kernel::Duration kOvertaken = std::chrono::milliseconds(800);
+// A prompt that waits so much longer than expected holds up nothing any more.
+constexpr kernel::Duration kLostAfter = std::chrono::seconds(4);
+
+double ToMs(kernel::Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+kernel::Duration FromMs(double ms) {
+  return std::chrono::duration_cast<kernel::Duration>(
+      std::chrono::duration<double, std::milli>(ms));
+}
+
+}  // namespace
+
+EngineEstimate::EngineEstimate(EngineProfile profile, double tokens_per_ms)
+    : profile_(profile),
+      initial_tokens_per_ms_(tokens_per_ms),
+      tokens_per_ms_(tokens_per_ms) {}
+
+kernel::Duration EngineEstimate::ReadTime(uint64_t tokens) const {
+  return kPromptOverhead + FromMs(static_cast<double>(tokens) / tokens_per_ms_);
+}
+
+EngineCost EngineEstimate::Estimate(const std::vector<uint64_t>& keys,
+                                    const std::vector<PromptPart>& parts,
+                                    kernel::TimePoint now) const {
+  EngineCost cost;
+  bool is_held = true;
+  for (size_t i = 0; i < parts.size(); ++i) {
+    is_held = is_held && parts_.contains(keys[i]);
+    if (!is_held) {
+      cost.missing_tokens += parts[i].tokens;
+      if (i + 1 < parts.size()) {
+        cost.missing_shared_tokens += parts[i].tokens;
+      }
+    }
+  }
+  cost.read = ReadTime(cost.missing_tokens);
+  cost.wait = std::max(busy_until_ - now, kernel::Duration::zero());
+  if (!waiting_.empty()) {
+    // A prompt that should have been read by now holds up the ones behind it.
+    const RunningClaim& oldest = claims_.at(waiting_.front());
+    cost.wait += std::max(now - oldest.expected_read, kernel::Duration::zero());
+  }
+  return cost;
+}
+
+void EngineEstimate::Claim(std::string_view request,
+                           const std::vector<uint64_t>& keys,
+                           const std::vector<PromptPart>& parts,
+                           uint32_t output_tokens,
+                           kernel::TimePoint now) {
+  OnEnd(request, true, now);
+  const EngineCost cost = Estimate(keys, parts, now);
+  busy_until_ = std::max(busy_until_, now) + cost.read;
+  RunningClaim claim;
+  claim.keys = keys;
+  claim.claimed = now;
+  claim.expected_read = busy_until_;
+  claim.missing_tokens = cost.missing_tokens;
+  claim.output_tokens = output_tokens;
+  waiting_.emplace_back(request);
+  claim.waiting_position = std::prev(waiting_.end());
+  for (size_t i = 0; i < parts.size(); ++i) {
+    const auto [found, is_new] = parts_.try_emplace(keys[i]);
+    Part& part = found->second;
+    if (!is_new && claim.held_parts == i) {
+      ++claim.held_parts;
+    }
+    if (is_new) {
+      part.tokens = parts[i].tokens;
+      cached_tokens_ += part.tokens;
+    } else {
+      recency_.erase(part.position);
+    }
+    recency_.push_front(keys[i]);
+    part.position = recency_.begin();
+    ++part.users;
+  }
+  output_tokens_ += output_tokens;
+  claims_.emplace(request, std::move(claim));
+  Evict();
+}
+
+void EngineEstimate::OnFirstEvent(std::string_view request,
+                                  kernel::TimePoint now) {
+  const auto found = claims_.find(std::string(request));
+  if (found == claims_.end() || found->second.has_started) {
+    return;
+  }
+  RunningClaim& claim = found->second;
+  claim.has_started = true;
+  Learn(claim, now);
+  const kernel::Duration error = now - claim.expected_read;
+  const bool is_last = std::next(claim.waiting_position) == waiting_.end();
+  waiting_.erase(claim.waiting_position);
+  last_first_event_ = now;
+  while (!waiting_.empty() &&
+         claim.claimed - claims_.at(waiting_.front()).claimed > kOvertaken) {
+    claims_.at(waiting_.front()).has_started = true;
+    waiting_.pop_front();
+  }
+  if (waiting_.empty()) {
+    busy_until_ = now;
+    return;
+  }
+  if (is_last) {
+    return;  // Read ahead of older prompts; says nothing about those.
+  }
+  const auto shift = std::chrono::duration_cast<kernel::Duration>(
+      std::chrono::duration<double, std::micro>(
+          kCorrection * static_cast<double>(error.count())));
+  busy_until_ = std::max(now, busy_until_ + shift);
+  for (const std::string& other : waiting_) {
+    RunningClaim& later = claims_.at(other);
+    later.expected_read = std::max(now, later.expected_read + shift);
+  }
+}
+
+void EngineEstimate::Learn(const RunningClaim& claim, kernel::TimePoint now) {
+  if (claim.missing_tokens < kMinLearningTokens) {
+    return;
+  }
+  const kernel::TimePoint began = std::max(claim.claimed, last_first_event_);
+  const double ms = ToMs(now - began) - ToMs(kPromptOverhead);
+  if (ms <= 1.0) {
+    return;
+  }
+  const double observed =
+      std::clamp(static_cast<double>(claim.missing_tokens) / ms,
+                 initial_tokens_per_ms_ * kMinRateFactor,
+                 initial_tokens_per_ms_ * kMaxRateFactor);
+  tokens_per_ms_ += kLearningWeight * (observed - tokens_per_ms_);
+}
+
+void EngineEstimate::OnEnd(std::string_view request,
+                           bool was_run,
+                           kernel::TimePoint now) {
+  const auto found = claims_.find(std::string(request));
+  if (found == claims_.end()) {
+    return;
+  }
+  RunningClaim& claim = found->second;
+  if (!claim.has_started) {
+    // The prompts behind it move up by what it would have taken.
+    const kernel::Duration saved = ReadTime(claim.missing_tokens);
+    busy_until_ = std::max(now, busy_until_ - saved);
+    for (auto other = std::next(claim.waiting_position);
+         other != waiting_.end(); ++other) {
+      RunningClaim& later = claims_.at(*other);
+      later.expected_read = std::max(now, later.expected_read - saved);
+    }
+    waiting_.erase(claim.waiting_position);
+  }
+  const bool was_read = was_run || claim.has_started;
+  for (size_t i = 0; i < claim.keys.size(); ++i) {
+    const auto part = parts_.find(claim.keys[i]);
+    if (part == parts_.end()) {
+      continue;
+    }
+    part->second.users -= part->second.users > 0 ? 1 : 0;
+    if (!was_read && i >= claim.held_parts && part->second.users == 0) {
+      cached_tokens_ -= part->second.tokens;
+      recency_.erase(part->second.position);
+      parts_.erase(part);
+    }
+  }
+  output_tokens_ -= claim.output_tokens;
+  claims_.erase(found);
+}
+
+void EngineEstimate::Evict() {
+  const auto usable = static_cast<uint64_t>(
+      kUsableMemory * static_cast<double>(profile_.cache_tokens));
+  if (usable == 0) {
+    return;
+  }
+  auto oldest = recency_.end();
+  while (cached_tokens_ + output_tokens_ > usable &&
+         oldest != recency_.begin()) {
+    --oldest;
+    const auto part = parts_.find(*oldest);
+    if (part->second.users > 0) {
+      continue;
+    }
+    cached_tokens_ -= part->second.tokens;
+    parts_.erase(part);
+    oldest = recency_.erase(oldest);
+  }
+}
+
+void EngineEstimate::Clear() {
+  claims_.clear();
+  waiting_.clear();
+  parts_.clear();
+  recency_.clear();
+  cached_tokens_ = 0;
+  output_tokens_ = 0;
+  busy_until_ = {};
+  last_first_event_ = {};
+}
+
+void EngineEstimate::Expire(kernel::Duration age, kernel::TimePoint now) {
+  std::vector<std::string> expired;
+  for (const auto& [request, claim] : claims_) {
+    const bool is_lost =
+        !claim.has_started && now - claim.expected_read > kLostAfter;
+    if (now - claim.claimed > age || is_lost) {
+      expired.push_back(request);
+    }
+  }
+  for (const std::string& request : expired) {
+    OnEnd(request, true, now);
+  }
+}
+
+}  // namespace jackdawshunt::routing
--- /dev/null
+++ b/jackdawshunt/routing/fair_share.h
@@ -0,0 +1,92 @@
+// Max-min fair shares of the engines' throughput between workspaces, over all
+// entries.
+//
+// Each entry counts what its callers ask for and what it admits, per workspace
+// and slice of time, and merges the reports of its peers. A workspace's share
+// is what progressive filling gives it of the capacity: small ones get all that
+// they ask for, the others equal parts. Answers the load pattern "one workspace
+// sends many times its usual".
+//
+// Example:
+//   routing::FairShare shares({.tokens_per_second = 290000});
+//   shares.OnRequest("lodge", 3900, now);
+//   if (shares.ShareUsed("lodge", now) > 1) { ... }  // Beyond its share.
+//
+// Not thread-safe.
+#ifndef JACKDAWSHUNT_ROUTING_FAIR_SHARE_H_
+#define JACKDAWSHUNT_ROUTING_FAIR_SHARE_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jackdawshunt/kernel/clock.h"
+
+namespace jackdawshunt::routing {
+
+// Tokens of one workspace in one slice of time at one entry.
+struct ShareCount {
+  uint64_t asked = 0;
+  uint64_t admitted = 0;
+};
+
+struct ShareReport {
+  uint64_t workspace_hash = 0;
+  ShareCount count;
+};
+
+class FairShare {
+ public:
+  // Slices that the window holds.
+  static constexpr size_t kSlices = 8;
+
+  // `window` is the time over which shares are balanced.
+  explicit FairShare(kernel::Duration window);
+
+  // Of all engines; 0: nobody is beyond its share.
+  void set_tokens_per_second(double tokens) { tokens_per_second_ = tokens; }
+
+  void OnRequest(uint64_t workspace_hash,
+                 uint64_t tokens,
+                 kernel::TimePoint now);
+  void OnAdmitted(uint64_t workspace_hash,
+                  uint64_t tokens,
+                  kernel::TimePoint now);
+
+  // Counts of this entry in the last complete slice, for the peers.
+  std::vector<ShareReport> Report(kernel::TimePoint now) const;
+  // Adds a peer's report to the current slice.
+  void Merge(const std::vector<ShareReport>& report, kernel::TimePoint now);
+
+  // Admitted tokens over the fair share of the window; above 1 the workspace
+  // is beyond its share. 0 while the engines can serve all that is asked.
+  double ShareUsed(uint64_t workspace_hash, kernel::TimePoint now);
+
+  kernel::Duration slice() const { return slice_; }
+
+ private:
+  struct Workspace {
+    std::array<ShareCount, kSlices> own{};
+    std::array<ShareCount, kSlices> peers{};
+  };
+
+  int64_t SliceOf(kernel::TimePoint now) const;
+  // Clears the slices that have passed since the last call.
+  void Advance(kernel::TimePoint now);
+  // The tokens that a workspace may get in the window, by progressive filling.
+  double FillLevel(kernel::TimePoint now);
+
+  const kernel::Duration slice_;
+  double tokens_per_second_ = 0;
+  std::map<uint64_t, Workspace> workspaces_;
+  int64_t current_slice_ = 0;
+  double level_ = 0;
+  int64_t level_of_ = -1;  // The time step for which level_ was computed.
+};
+
+}  // namespace jackdawshunt::routing
+
+#endif  // JACKDAWSHUNT_ROUTING_FAIR_SHARE_H_
--- /dev/null
+++ b/jackdawshunt/routing/prompt.cc
@@ -0,0 +1,29 @@
+#include "jackdawshunt/routing/prompt.h"
+
+#include <array>
+
+#include "xxhash.h"
+
+namespace jackdawshunt::routing {
+
+std::vector<uint64_t> PartKeys(const std::vector<PromptPart>& parts) {
+  std::vector<uint64_t> keys;
+  keys.reserve(parts.size());
+  uint64_t before = 0;
+  for (const PromptPart& part : parts) {
+    before = RendezvousWeight(before, part.id);
+    keys.push_back(before);
+  }
+  return keys;
+}
+
+uint64_t RendezvousWeight(uint64_t key, uint64_t upstream_hash) {
+  const std::array<uint64_t, 2> input = {key, upstream_hash};
+  return XXH64(input.data(), sizeof(input), 0);
+}
+
+uint64_t HashOf(std::string_view text) {
+  return XXH64(text.data(), text.size(), 0);
+}
+
+}  // namespace jackdawshunt::routing
--- /dev/null
+++ b/jackdawshunt/routing/prompt.h
@@ -0,0 +1,48 @@
+// What a generation asks of an engine.
+//
+// Example:
+//   routing::Prompt prompt;
+//   prompt.parts = {{0x5c1e07a2, 800}, {0x91bd3f06, 410}};
+//   uint64_t deepest = routing::PartKeys(prompt.parts).back();
+#ifndef JACKDAWSHUNT_ROUTING_PROMPT_H_
+#define JACKDAWSHUNT_ROUTING_PROMPT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jackdawshunt::routing {
+
+struct PromptPart {
+  uint64_t id = 0;
+  uint32_t tokens = 0;
+};
+
+struct Prompt {
+  // In order; the last one belongs to this request or its session alone.
+  std::vector<PromptPart> parts;
+  uint32_t prompt_tokens = 0;
+  uint32_t max_output_tokens = 0;
+  std::string model;
+
+  // Tokens that no other session shares.
+  uint32_t own_tokens() const {
+    return parts.empty() ? prompt_tokens : parts.back().tokens;
+  }
+};
+
+// Returns a key for each part that also covers all parts before it, since an
+// engine reuses a part only behind the same beginning.
+std::vector<uint64_t> PartKeys(const std::vector<PromptPart>& parts);
+
+// The order in which upstreams are preferred for a key: the highest weight
+// first. Adding or removing an upstream moves only the keys of that upstream.
+uint64_t RendezvousWeight(uint64_t key, uint64_t upstream_hash);
+
+// Hash of a name, for the functions above.
+uint64_t HashOf(std::string_view text);
+
+}  // namespace jackdawshunt::routing
+
+#endif  // JACKDAWSHUNT_ROUTING_PROMPT_H_
--- /dev/null
+++ b/jackdawshunt/routing/retry_budget.cc
@@ -0,0 +1,53 @@
+#include "jackdawshunt/routing/retry_budget.h"
+
+#include <algorithm>
+
+namespace jackdawshunt::routing {
+namespace {
+
+// Part of the ratio that is used: windows of other instances and of the judge
+// do not begin at the same time.
+constexpr double kRatioUsed = 0.7;
+// Part of the fixed allowance that is used, for the same reason and because
+// instances that just joined are not counted yet.
+constexpr double kSlackUsed = 0.6;
+
+}  // namespace
+
+RetryBudget::RetryBudget(RetryBudgetSettings settings,
+                         kernel::TimePoint started)
+    : settings_(settings), started_(started) {}
+
+void RetryBudget::Trim(std::deque<kernel::TimePoint>& times,
+                       kernel::TimePoint now) const {
+  while (!times.empty() && now - times.front() >= settings_.window) {
+    times.pop_front();
+  }
+}
+
+void RetryBudget::OnRequest(std::string_view service, kernel::TimePoint now) {
+  Window& window = windows_[std::string(service)];
+  Trim(window.requests, now);
+  window.requests.push_back(now);
+}
+
+bool RetryBudget::TrySpend(std::string_view service,
+                           uint32_t instances,
+                           kernel::TimePoint now) {
+  Window& window = windows_[std::string(service)];
+  Trim(window.requests, now);
+  Trim(window.repeats, now);
+  double allowed = kRatioUsed * settings_.ratio *
+                   static_cast<double>(window.requests.size());
+  if (now - started_ >= settings_.window) {
+    allowed += kSlackUsed * settings_.slack /
+               static_cast<double>(std::max<uint32_t>(instances, 1));
+  }
+  if (static_cast<double>(window.repeats.size()) + 1 > allowed) {
+    return false;
+  }
+  window.repeats.push_back(now);
+  return true;
+}
+
+}  // namespace jackdawshunt::routing
--- /dev/null
+++ b/jackdawshunt/routing/retry_budget.h
@@ -0,0 +1,62 @@
+// How many requests may be sent to a second upstream.
+//
+// Retries help while few requests fail and make an overload worse when many
+// do. Each service has a budget per sliding window, shared by the whole fleet:
+// a part of its requests and a fixed allowance. An instance spends its own
+// requests' part and an even part of the allowance; after a start without
+// memory the allowance is not spent in the first window, since the instance
+// before it may have. Answers the load pattern "callers and the fleet repeat
+// what fails while everything fails".
+//
+// Example:
+//   routing::RetryBudget budget({.ratio = 0.2, .window = 10s, .slack = 52},
+//                               now);
+//   budget.OnRequest("ledger", now);
+//   if (budget.TrySpend("ledger", /*instances=*/4, now)) SendAgain();
+//
+// Not thread-safe.
+#ifndef JACKDAWSHUNT_ROUTING_RETRY_BUDGET_H_
+#define JACKDAWSHUNT_ROUTING_RETRY_BUDGET_H_
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "jackdawshunt/kernel/clock.h"
+
+namespace jackdawshunt::routing {
+
+struct RetryBudgetSettings {
+  double ratio = 0.1;
+  kernel::Duration window = std::chrono::seconds(10);
+  double slack = 0;
+};
+
+class RetryBudget {
+ public:
+  RetryBudget(RetryBudgetSettings settings, kernel::TimePoint started);
+
+  void OnRequest(std::string_view service, kernel::TimePoint now);
+  // Returns whether one more repeat fits, and counts it.
+  bool TrySpend(std::string_view service,
+                uint32_t instances,
+                kernel::TimePoint now);
+
+ private:
+  struct Window {
+    std::deque<kernel::TimePoint> requests;
+    std::deque<kernel::TimePoint> repeats;
+  };
+
+  void Trim(std::deque<kernel::TimePoint>& times, kernel::TimePoint now) const;
+
+  const RetryBudgetSettings settings_;
+  const kernel::TimePoint started_;
+  std::unordered_map<std::string, Window> windows_;
+};
+
+}  // namespace jackdawshunt::routing
+
+#endif  // JACKDAWSHUNT_ROUTING_RETRY_BUDGET_H_
--- /dev/null
+++ b/jackdawshunt/routing/router.cc
@@ -0,0 +1,380 @@
+#include "jackdawshunt/routing/router.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace jackdawshunt::routing {
+namespace {
+
+constexpr std::array<std::string_view, 3> kVerdictNames = {"send", "refuse",
+                                                           "no_upstream"};
+
+// Reading rate of an engine until one is seen, when the operator states no
+// throughput to derive it from.
+constexpr double kDefaultTokensPerMs = 30.0;
+// Requests whose end was not seen by then no longer count as running.
+constexpr kernel::Duration kMaxRequestAge = std::chrono::seconds(30);
+// Extra time charged to an engine that failed all its recent requests; in
+// proportion for a part of them.
+constexpr kernel::Duration kFailurePenalty = std::chrono::milliseconds(1500);
+// Failure shares below this are noise.
+constexpr double kTolerableFailures = 0.08;
+
+// Engines whose boards are asked for one request, and how many of them are the
+// first homes of its shared part.
+constexpr size_t kEnginesAsked = 4;
+constexpr size_t kHomesAsked = 2;
+
+// The deepest shared part decides where a prompt is at home; a prompt without
+// one has its home anywhere.
+uint64_t HomeKey(const RoutedRequest& request) {
+  const size_t parts = request.part_keys.size();
+  return parts >= 2 ? request.part_keys[parts - 2] : request.hash;
+}
+
+bool WasTried(const RoutedRequest& request, const std::string& id) {
+  return std::find(request.tried.begin(), request.tried.end(), id) !=
+         request.tried.end();
+}
+
+}  // namespace
+
+std::string_view VerdictName(Verdict verdict) {
+  return kVerdictNames.at(static_cast<size_t>(verdict));
+}
+
+uint64_t ShareTokens(const Prompt& prompt) {
+  return prompt.own_tokens() + uint64_t{2} * prompt.max_output_tokens;
+}
+
+Router::Router(RouterSettings settings, kernel::TimePoint now)
+    : settings_(std::move(settings)),
+      directory_(settings_.return_grace),
+      budget_(settings_.retry_budget, now),
+      shares_(settings_.share_window) {
+  directory_.SetObserver(
+      [this](const Upstream& upstream, Directory::Change change) {
+        if (change == Directory::Change::kRemoved) {
+          upstreams_.erase(upstream.id);
+          health_.Forget(upstream.id);
+        } else if (change == Directory::Change::kRestarted) {
+          const auto found = upstreams_.find(upstream.id);
+          if (found != upstreams_.end() && found->second.engine != nullptr) {
+            found->second.engine->Clear();
+          }
+          health_.Forget(upstream.id);
+        }
+      });
+}
+
+bool Router::SetDesiredState(DesiredState state) {
+  if (table_ != nullptr && state.version <= table_->version()) {
+    return false;
+  }
+  table_ = std::make_shared<const RoutingTable>(std::move(state));
+  shares_.set_tokens_per_second(table_->state().limits.tokens_per_second);
+  return true;
+}
+
+void Router::Prepare(RoutedRequest& request,
+                     std::optional<kernel::Duration> deadline,
+                     kernel::TimePoint now) {
+  const Route& route = *request.route;
+  request.hash = HashOf(request.id);
+  request.service = std::string(PickService(route, request.hash));
+  request.arrived = now;
+  const kernel::Duration wait =
+      std::min(deadline.value_or(route.timeout), route.timeout);
+  request.ends = now + wait;
+  request.objective_left_at_arrival = route.latency_objective;
+  if (deadline.has_value()) {
+    kernel::Duration& longest = longest_deadline_[route.name];
+    longest = std::max(longest, *deadline);
+    // A caller that returns after a refusal states less time than at first.
+    request.objective_left_at_arrival =
+        std::max(kernel::Duration::zero(),
+                 route.latency_objective - (longest - *deadline));
+  }
+  if (request.prompt.has_value()) {
+    request.part_keys = PartKeys(request.prompt->parts);
+  }
+  budget_.OnRequest(request.service, now);
+  if (request.prompt.has_value() && !request.workspace.empty()) {
+    shares_.OnRequest(HashOf(request.workspace), ShareTokens(*request.prompt),
+                      now);
+  }
+}
+
+Router::UpstreamState& Router::StateOf(const Upstream& upstream) {
+  const auto [found, is_new] = upstreams_.try_emplace(upstream.id);
+  if (is_new && table_ != nullptr) {
+    const Service* service = table_->FindService(upstream.service);
+    if (service != nullptr && service->engine.has_value()) {
+      found->second.engine = std::make_unique<EngineEstimate>(
+          *service->engine, kDefaultTokensPerMs);
+    }
+  }
+  return found->second;
+}
+
+std::vector<const Upstream*> Router::Candidates(const RoutedRequest& request,
+                                                kernel::TimePoint now) {
+  std::vector<const Upstream*> untried;
+  for (const Upstream* upstream : directory_.Ready(request.service, now)) {
+    if (!WasTried(request, upstream->id)) {
+      untried.push_back(upstream);
+    }
+  }
+  std::vector<const Upstream*> sound;
+  for (const Upstream* upstream : untried) {
+    if (!health_.IsAvoided(upstream->id, now)) {
+      sound.push_back(upstream);
+    }
+  }
+  // When most fail alike the cause is not theirs.
+  return sound.size() * 3 >= untried.size() && !sound.empty() ? sound : untried;
+}
+
+bool Router::IsForEngine(const RoutedRequest& request,
+                         const std::vector<const Upstream*>& candidates) {
+  return request.prompt.has_value() && !candidates.empty() &&
+         StateOf(*candidates.front()).engine != nullptr;
+}
+
+EngineCandidate Router::ToCandidate(const RoutedRequest& request,
+                                    const Upstream& upstream,
+                                    kernel::TimePoint now) {
+  EngineCandidate row;
+  row.upstream_hash = HashOf(upstream.id);
+  row.cost = StateOf(upstream).engine->Estimate(request.part_keys,
+                                                request.prompt->parts, now);
+  row.is_same_data_centre = upstream.data_centre == settings_.data_centre;
+  const double failures = health_.FailureShare(upstream.id);
+  if (failures > kTolerableFailures) {
+    row.penalty = std::chrono::duration_cast<kernel::Duration>(
+        failures * std::chrono::duration<double, std::micro>(kFailurePenalty));
+  }
+  return row;
+}
+
+std::vector<Upstream> Router::EnginesToAsk(const RoutedRequest& request,
+                                           kernel::TimePoint now) {
+  std::vector<const Upstream*> left = Candidates(request, now);
+  std::vector<Upstream> asked;
+  if (!IsForEngine(request, left)) {
+    return asked;
+  }
+  const auto take = [&asked, &left](size_t index) {
+    asked.push_back(*left[index]);
+    left.erase(left.begin() + static_cast<ptrdiff_t>(index));
+  };
+  const uint64_t home_key = HomeKey(request);
+  for (size_t n = 0; n < kHomesAsked && !left.empty(); ++n) {
+    size_t home = 0;
+    for (size_t i = 1; i < left.size(); ++i) {
+      if (RendezvousWeight(home_key, HashOf(left[i]->id)) >
+          RendezvousWeight(home_key, HashOf(left[home]->id))) {
+        home = i;
+      }
+    }
+    take(home);
+  }
+  while (asked.size() < kEnginesAsked && !left.empty()) {
+    std::vector<EngineCandidate> rows;
+    rows.reserve(left.size());
+    for (const Upstream* upstream : left) {
+      rows.push_back(ToCandidate(request, *upstream, now));
+    }
+    // Among those that seem alike each request asks others.
+    take(PickEngine(rows, request.hash, settings_.placement));
+  }
+  return asked;
+}
+
+Decision Router::Choose(const RoutedRequest& request,
+                        const std::vector<BoardOffer>& offers,
+                        kernel::TimePoint now) {
+  std::vector<const Upstream*> candidates = Candidates(request, now);
+  if (candidates.empty()) {
+    return {};
+  }
+  const size_t count = candidates.size();
+  const bool is_engine = IsForEngine(request, candidates);
+  Decision decision =
+      is_engine ? ChooseEngine(request, offers, std::move(candidates), now)
+                : ChoosePlain(request, candidates, now);
+  decision.candidates = count;
+  decision.offers = offers.size();
+  decision.is_engine = is_engine;
+  return decision;
+}
+
+Decision Router::ChooseEngine(const RoutedRequest& request,
+                              const std::vector<BoardOffer>& offers,
+                              std::vector<const Upstream*> candidates,
+                              kernel::TimePoint now) {
+  const auto offer_of = [&offers](const Upstream& upstream) {
+    return std::find_if(offers.begin(), offers.end(),
+                        [&upstream](const BoardOffer& offer) {
+                          return offer.upstream == upstream.id;
+                        });
+  };
+  const auto has_no_offer = [&](const Upstream* upstream) {
+    return offer_of(*upstream) == offers.end();
+  };
+  if (!std::all_of(candidates.begin(), candidates.end(), has_no_offer)) {
+    std::erase_if(candidates, has_no_offer);
+  }
+  std::vector<EngineCandidate> rows;
+  rows.reserve(candidates.size());
+  for (const Upstream* upstream : candidates) {
+    EngineCandidate row = ToCandidate(request, *upstream, now);
+    const auto offer = offer_of(*upstream);
+    if (offer != offers.end()) {
+      row.cost = offer->cost;
+    }
+    rows.push_back(row);
+  }
+  const size_t best = PickEngine(rows, HomeKey(request), settings_.placement);
+
+  Decision decision;
+  decision.cost = rows[best].cost;
+  decision.share_used = request.workspace.empty()
+                            ? 0
+                            : shares_.ShareUsed(HashOf(request.workspace), now);
+  const kernel::Duration elapsed = now - request.arrived;
+  const AdmissionDecision admission = Decide(
+      {.cost = rows[best].cost,
+       .objective = request.route->latency_objective,
+       .objective_left = std::max(kernel::Duration::zero(),
+                                  request.objective_left_at_arrival - elapsed),
+       .deadline_left = request.ends - now,
+       .share_used = decision.share_used,
+       .request_hash = request.hash},
+      settings_.admission);
+  decision.retry_after = admission.retry_after;
+  if (!admission.is_admitted) {
+    decision.verdict = Verdict::kRefuse;
+    return decision;
+  }
+  decision.verdict = Verdict::kSend;
+  decision.upstream = *candidates[best];
+  return decision;
+}
+
+Decision Router::ChoosePlain(const RoutedRequest& request,
+                             const std::vector<const Upstream*>& candidates,
+                             kernel::TimePoint now) {
+  std::vector<PlainCandidate> rows;
+  rows.reserve(candidates.size());
+  for (const Upstream* upstream : candidates) {
+    rows.push_back(
+        {.upstream_hash = HashOf(upstream->id),
+         .in_flight = StateOf(*upstream).in_flight,
+         .slots = upstream->slots,
+         .is_same_data_centre = upstream->data_centre == settings_.data_centre,
+         .is_suspect = health_.IsAvoided(upstream->id, now)});
+  }
+  Decision decision;
+  decision.verdict = Verdict::kSend;
+  decision.upstream = *candidates[PickPlain(rows, request.hash)];
+  return decision;
+}
+
+bool Router::MayRepeat(const RoutedRequest& request, kernel::TimePoint now) {
+  return request.route->is_repeatable() &&
+         request.sends < request.route->attempts && now < request.ends &&
+         budget_.TrySpend(request.service, instances_, now);
+}
+
+void Router::OnSent(RoutedRequest& request,
+                    const Decision& decision,
+                    kernel::TimePoint now) {
+  const Upstream& upstream = decision.upstream;
+  request.tried.push_back(upstream.id);
+  ++request.sends;
+  health_.StartTrial(upstream.id, now);
+  UpstreamState& state = StateOf(upstream);
+  ++state.in_flight;
+  if (state.engine == nullptr || !request.prompt.has_value()) {
+    return;
+  }
+  state.engine->Claim(request.id, request.part_keys, request.prompt->parts,
+                      request.prompt->max_output_tokens, now);
+  if (!request.workspace.empty() && request.sends == 1) {
+    shares_.OnAdmitted(HashOf(request.workspace), ShareTokens(*request.prompt),
+                       now);
+  }
+}
+
+void Router::OnFirstEvent(const RoutedRequest& request,
+                          const Upstream& upstream,
+                          kernel::TimePoint now) {
+  const auto state = upstreams_.find(upstream.id);
+  if (state != upstreams_.end() && state->second.engine != nullptr) {
+    state->second.engine->OnFirstEvent(request.id, now);
+  }
+}
+
+void Router::Release(const RoutedRequest& request,
+                     const Upstream& upstream,
+                     bool was_run,
+                     kernel::TimePoint now) {
+  const auto state = upstreams_.find(upstream.id);
+  if (state == upstreams_.end()) {
+    return;
+  }
+  state->second.in_flight -= state->second.in_flight > 0 ? 1 : 0;
+  if (state->second.engine != nullptr) {
+    state->second.engine->OnEnd(request.id, was_run, now);
+  }
+}
+
+void Router::OnEnded(const RoutedRequest& request,
+                     const Upstream& upstream,
+                     Outcome outcome,
+                     kernel::TimePoint now) {
+  health_.Record(upstream.id, outcome, now);
+  Release(request, upstream, WasRun(outcome), now);
+}
+
+void Router::OnAbandoned(const RoutedRequest& request,
+                         const Upstream& upstream,
+                         kernel::TimePoint now) {
+  Release(request, upstream, true, now);
+}
+
+std::vector<Upstream> Router::MeetingPoints(size_t count,
+                                            kernel::TimePoint now) {
+  std::vector<Upstream> engines;
+  if (table_ == nullptr) {
+    return engines;
+  }
+  for (const Service& service : table_->state().services) {
+    if (service.engine.has_value()) {
+      for (const Upstream* upstream : directory_.Ready(service.name, now)) {
+        engines.push_back(*upstream);
+      }
+    }
+  }
+  const auto weight = [](const Upstream& upstream) {
+    return RendezvousWeight(0, HashOf(upstream.address.ip));
+  };
+  std::sort(engines.begin(), engines.end(),
+            [&weight](const Upstream& a, const Upstream& b) {
+              return weight(a) > weight(b);
+            });
+  engines.resize(std::min(engines.size(), count));
+  return engines;
+}
+
+void Router::Tick(kernel::TimePoint now) {
+  for (auto& [id, state] : upstreams_) {
+    if (state.engine != nullptr) {
+      state.engine->Expire(kMaxRequestAge, now);
+    }
+  }
+}
+
+}  // namespace jackdawshunt::routing
--- /dev/null
+++ b/jackdawshunt/routing/upstream_health.cc
@@ -0,0 +1,105 @@
+#include "jackdawshunt/routing/upstream_health.h"
+
+#include <algorithm>
+#include <array>
+
+namespace jackdawshunt::routing {
+namespace {
+
+constexpr std::array<std::string_view, 7> kOutcomeNames = {
+    "success", "server_error", "overloaded",    "unreachable",
+    "lost",    "silent",       "wrong_instance"};
+
+// Weight of one outcome in the failure share: about ten requests back.
+constexpr double kWeight = 0.1;
+// From this share on, after kMinSamples requests, an upstream is avoided. Plain
+// services answer up to one request in seven with an error of their own.
+constexpr double kAvoidShare = 0.35;
+constexpr uint32_t kMinSamples = 6;
+// Hard failures in a row after which an upstream is avoided at once.
+constexpr uint32_t kHardFailures = 2;
+constexpr kernel::Duration kMinBackoff = std::chrono::milliseconds(500);
+constexpr kernel::Duration kMaxBackoff = std::chrono::seconds(4);
+
+struct OutcomeRow {
+  bool is_failure;
+  bool is_hard;  // Nothing useful can come from there now.
+};
+constexpr std::array kRows = {
+    OutcomeRow{false, false}, OutcomeRow{true, false}, OutcomeRow{false, false},
+    OutcomeRow{true, true},   OutcomeRow{true, false}, OutcomeRow{true, true},
+    OutcomeRow{true, true},
+};
+
+}  // namespace
+
+std::string_view OutcomeName(Outcome outcome) {
+  return kOutcomeNames.at(static_cast<size_t>(outcome));
+}
+
+bool WasRun(Outcome outcome) {
+  return outcome != Outcome::kOverloaded && outcome != Outcome::kUnreachable &&
+         outcome != Outcome::kWrongInstance;
+}
+
+void UpstreamHealth::Record(std::string_view id,
+                            Outcome outcome,
+                            kernel::TimePoint now) {
+  if (outcome == Outcome::kOverloaded) {
+    return;  // It is alive; load is the engine estimate's matter.
+  }
+  State& state = states_[std::string(id)];
+  const OutcomeRow& row = kRows.at(static_cast<size_t>(outcome));
+  state.failure_share +=
+      kWeight * ((row.is_failure ? 1.0 : 0.0) - state.failure_share);
+  ++state.samples;
+  if (!row.is_failure) {
+    state.failures_in_row = 0;
+    state.avoided_until = {};
+    if (state.failure_share < kAvoidShare / 2) {
+      state.backoff = {};
+    }
+    return;
+  }
+  state.failures_in_row += row.is_hard ? 1 : 0;
+  const bool often =
+      state.samples >= kMinSamples && state.failure_share > kAvoidShare;
+  if (state.failures_in_row >= kHardFailures || often) {
+    Avoid(state, now);
+  }
+}
+
+void UpstreamHealth::Avoid(State& state, kernel::TimePoint now) {
+  if (now < state.avoided_until) {
+    return;  // Outcomes of requests sent before.
+  }
+  state.backoff = std::clamp(state.backoff * 2, kMinBackoff, kMaxBackoff);
+  state.avoided_until = now + state.backoff;
+}
+
+void UpstreamHealth::Forget(std::string_view id) {
+  states_.erase(std::string(id));
+}
+
+bool UpstreamHealth::IsAvoided(std::string_view id,
+                               kernel::TimePoint now) const {
+  const auto found = states_.find(std::string(id));
+  return found != states_.end() && now < found->second.avoided_until;
+}
+
+double UpstreamHealth::FailureShare(std::string_view id) const {
+  const auto found = states_.find(std::string(id));
+  return found == states_.end() ? 0.0 : found->second.failure_share;
+}
+
+void UpstreamHealth::StartTrial(std::string_view id, kernel::TimePoint now) {
+  const auto found = states_.find(std::string(id));
+  if (found == states_.end() || found->second.backoff.count() == 0 ||
+      found->second.failures_in_row < kHardFailures) {
+    return;
+  }
+  // Others wait for the outcome of this one.
+  found->second.avoided_until = now + kMinBackoff;
+}
+
+}  // namespace jackdawshunt::routing
