Add the adapter to the users' platform

Cause: settings, records of the store, headers and statuses are the platform's; the product keeps its own words. Change: settings file, requests and answers, records with unusable entries set apart, one client that lists and watches.

--- /dev/null
+++ b/jackdawshunt/platform/record_source.cc
@@ -0,0 +1,148 @@
+#include "jackdawshunt/platform/record_source.h"
+
+#include <string>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "jackdawshunt/http1/client.h"
+
+namespace jackdawshunt::platform {
+namespace {
+
+// Answers above this size are not read.
+constexpr size_t kMaxAnswerBytes = size_t{8} * 1024 * 1024;
+constexpr int kGone = 410;
+
+}  // namespace
+
+struct RecordSource::Impl final : http1::ResponseReceiver {
+  Impl(kernel::EventLoop& on_loop, const http::Address& store, RecordKind of)
+      : loop(on_loop), address(store), kind(of) {}
+
+  ~Impl() override {
+    if (connection != nullptr) {
+      connection->Forget();
+    }
+  }
+
+  using Decoder = absl::StatusOr<RecordList> (*)(RecordKind, std::string_view);
+
+  void Call(const std::string& path,
+            kernel::Duration wait,
+            Decoder with_decoder,
+            Callback then) {
+    if (connection == nullptr || !connection->is_usable() ||
+        connection->is_busy()) {
+      connection = std::make_unique<http1::ClientConnection>(
+          loop, address, http1::ClientConnectionOptions{});
+    }
+    decoder = with_decoder;
+    done = std::move(then);
+    body.clear();
+    status = 0;
+    ++calls;
+    http1::RequestHead head;
+    head.target = path;
+    head.headers = {{"Host", address.ToString()}};
+    connection->Send(http1::Serialize(head, std::nullopt), false, *this);
+    timer = loop.After(wait + kStoreAnswerTimeout, [this] {
+      Finish(absl::DeadlineExceededError("no answer in time"));
+    });
+  }
+
+  bool IsOwn(const http1::ResponseHead&) override { return true; }
+  void OnHead(const http1::ResponseHead& head) override {
+    status = head.status;
+  }
+  void OnBody(std::string_view data) override {
+    if (body.size() + data.size() <= kMaxAnswerBytes) {
+      body.append(data);
+    }
+  }
+  void OnEnd() override {
+    if (status == kGone) {
+      Finish(absl::OutOfRangeError("the store dropped this history"));
+    } else if (status != 200) {
+      Finish(absl::UnavailableError(absl::StrCat("answer ", status)));
+    } else {
+      Finish(decoder(kind, body));
+    }
+  }
+  void OnLost(http1::Loss loss) override {
+    Finish(absl::UnavailableError(
+        absl::StrCat("connection ", std::string(http1::LossName(loss)))));
+  }
+
+  // Ends the call in a later turn, in which the callback may start another.
+  void Finish(absl::StatusOr<RecordList> result) {
+    const bool drops_connection = !result.ok();
+    timer = loop.After(
+        kernel::Duration::zero(),
+        [this, drops_connection, outcome = std::move(result)]() mutable {
+          if (drops_connection && connection != nullptr) {
+            connection->Forget();
+            connection.reset();
+          }
+          std::exchange(done, nullptr)(std::move(outcome));
+        });
+  }
+
+  // Collects the pages of a list.
+  void ListPages(RecordList so_far, const std::string& after, Callback then) {
+    Call(ListPath(kind, after), kernel::Duration::zero(), &DecodeList,
+         [this, collected = std::move(so_far),
+          then = std::move(then)](absl::StatusOr<RecordList> page) mutable {
+           if (!page.ok()) {
+             then(page.status());
+             return;
+           }
+           // Changes after the first page are seen by watching from there.
+           if (collected.revision == 0) {
+             collected.revision = page->revision;
+           }
+           const std::string last =
+               page->records.empty() ? "" : page->records.back().name;
+           std::move(page->records.begin(), page->records.end(),
+                     std::back_inserter(collected.records));
+           if (page->has_more && !last.empty()) {
+             ListPages(std::move(collected), last, std::move(then));
+             return;
+           }
+           then(std::move(collected));
+         });
+  }
+
+  kernel::EventLoop& loop;
+  const http::Address address;
+  const RecordKind kind;
+  std::unique_ptr<http1::ClientConnection> connection;
+  kernel::Timer timer;
+  Decoder decoder = nullptr;
+  Callback done;
+  std::string body;
+  int status = 0;
+  uint64_t calls = 0;
+};
+
+RecordSource::RecordSource(kernel::EventLoop& loop,
+                           const http::Address& store,
+                           RecordKind kind)
+    : impl_(std::make_unique<Impl>(loop, store, kind)) {}
+RecordSource::~RecordSource() = default;
+
+void RecordSource::List(Callback done) {
+  impl_->ListPages({}, {}, std::move(done));
+}
+
+void RecordSource::Watch(uint64_t revision,
+                         std::chrono::milliseconds wait,
+                         Callback done) {
+  impl_->Call(WatchPath(impl_->kind, revision, wait), wait, &DecodeWatch,
+              std::move(done));
+}
+
+uint64_t RecordSource::calls() const {
+  return impl_->calls;
+}
+
+}  // namespace jackdawshunt::platform
--- /dev/null
+++ b/jackdawshunt/platform/records.cc
@@ -0,0 +1,468 @@
+#include "jackdawshunt/platform/records.h"
+
+#include <array>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "jackdawshunt/base/log.h"
+#include "jackdawshunt/object_api/address.h"
+
+namespace jackdawshunt::platform {
+namespace {
+
+using nlohmann::json;
+
+// The one object of its kind that holds the configuration.
+constexpr char kDesiredStateName[] = "main";
+
+struct KindRow {
+  std::string_view name;       // In our logs.
+  std::string_view wire_name;  // In paths of the store.
+};
+constexpr std::array kKinds = {KindRow{"desired_state", "config"},
+                               KindRow{"upstream", "servers"}};
+
+const KindRow& RowFor(RecordKind kind) {
+  return kKinds.at(static_cast<size_t>(kind));
+}
+
+// Reads fields of one JSON object; keeps the first fault.
+class ObjectReader {
+ public:
+  explicit ObjectReader(const json& object) : object_(object) {
+    if (!object.is_object()) {
+      status_ = absl::InvalidArgumentError("not an object");
+    }
+  }
+
+  std::string RequiredText(const char* name) {
+    const json* field = Find(name);
+    if (field == nullptr || !field->is_string() ||
+        field->get_ref<const std::string&>().empty()) {
+      Fail(name);
+      return {};
+    }
+    return field->get<std::string>();
+  }
+
+  uint64_t RequiredUnsigned(const char* name) {
+    const auto value = Unsigned(name);
+    if (!value.has_value()) {
+      Fail(name);
+    }
+    return value.value_or(0);
+  }
+
+  // Absent when the field is missing or null.
+  std::optional<uint64_t> Unsigned(const char* name) {
+    const json* field = Find(name);
+    if (field == nullptr || field->is_null()) {
+      return std::nullopt;
+    }
+    if (field->is_number_float()) {
+      const double number = field->get<double>();
+      if (std::isfinite(number) && number >= 0 && number < 1e18) {
+        return static_cast<uint64_t>(number);
+      }
+    } else if (field->is_number_unsigned()) {
+      return field->get<uint64_t>();
+    }
+    Fail(name);
+    return std::nullopt;
+  }
+
+  bool Boolean(const char* name) {
+    const json* field = Find(name);
+    if (field == nullptr || field->is_null()) {
+      return false;
+    }
+    if (!field->is_boolean()) {
+      Fail(name);
+      return false;
+    }
+    return field->get<bool>();
+  }
+
+  const json* Find(const char* name) const {
+    if (!object_.is_object()) {
+      return nullptr;
+    }
+    const auto found = object_.find(name);
+    return found == object_.end() ? nullptr : &*found;
+  }
+
+  const json* Array(const char* name) const {
+    const json* field = Find(name);
+    return field != nullptr && field->is_array() ? field : nullptr;
+  }
+
+  void Fail(const char* name) {
+    if (status_.ok()) {
+      status_ = absl::InvalidArgumentError(
+          absl::StrCat("field ", name, " is missing or has another type"));
+    }
+  }
+
+  const absl::Status& status() const { return status_; }
+
+ private:
+  const json& object_;
+  absl::Status status_;
+};
+
+kernel::Duration Milliseconds(uint64_t count) {
+  return std::chrono::milliseconds(static_cast<int64_t>(count));
+}
+
+std::optional<routing::RouteKind> ParseKind(std::string_view name) {
+  if (name == "safe") {
+    return routing::RouteKind::kSafe;
+  }
+  if (name == "unsafe") {
+    return routing::RouteKind::kUnsafe;
+  }
+  if (name == "streaming") {
+    return routing::RouteKind::kStream;
+  }
+  return std::nullopt;
+}
+
+void DecodeServicesOfRoute(ObjectReader& reader, routing::Route& route) {
+  const json* split = reader.Array("split");
+  if (split == nullptr) {
+    route.services.push_back({reader.RequiredText("service"), 1});
+    return;
+  }
+  for (const json& item : *split) {
+    ObjectReader entry(item);
+    routing::WeightedService service;
+    service.service = entry.RequiredText("service");
+    service.weight = static_cast<uint32_t>(entry.RequiredUnsigned("weight"));
+    if (!entry.status().ok()) {
+      reader.Fail("split");
+      return;
+    }
+    route.services.push_back(std::move(service));
+  }
+}
+
+absl::StatusOr<routing::Route> DecodeRoute(const json& object) {
+  ObjectReader reader(object);
+  routing::Route route;
+  route.name = reader.RequiredText("name");
+  route.host = reader.RequiredText("host");
+  route.path_prefix = reader.RequiredText("pathPrefix");
+  const auto kind = ParseKind(reader.RequiredText("kind"));
+  if (kind.has_value()) {
+    route.kind = *kind;
+  } else {
+    reader.Fail("kind");
+  }
+  route.timeout = Milliseconds(reader.RequiredUnsigned("timeoutMs"));
+  route.latency_objective =
+      Milliseconds(reader.Unsigned("targetLatencyMs").value_or(0));
+  route.priority = static_cast<int>(reader.Unsigned("priority").value_or(0));
+  route.attempts = static_cast<uint32_t>(
+      std::max<uint64_t>(1, reader.Unsigned("attempts").value_or(1)));
+  route.is_public = reader.Boolean("public");
+  route.is_resumable = reader.Boolean("resumable");
+  DecodeServicesOfRoute(reader, route);
+  if (!reader.status().ok()) {
+    return reader.status();
+  }
+  return route;
+}
+
+absl::StatusOr<routing::Service> DecodeService(const json& object) {
+  ObjectReader reader(object);
+  routing::Service service;
+  service.name = reader.RequiredText("name");
+  service.connection_limit =
+      static_cast<uint32_t>(reader.Unsigned("connectionLimit").value_or(0));
+  const json* engine = reader.Find("engine");
+  if (engine != nullptr && engine->is_object()) {
+    ObjectReader fields(*engine);
+    routing::EngineProfile profile;
+    profile.slots = static_cast<uint32_t>(fields.Unsigned("slots").value_or(0));
+    profile.cache_tokens = fields.Unsigned("kvTokens").value_or(0);
+    if (!fields.status().ok()) {
+      reader.Fail("engine");
+    }
+    service.engine = profile;
+  }
+  if (!reader.status().ok()) {
+    return reader.status();
+  }
+  return service;
+}
+
+absl::StatusOr<routing::Workspace> DecodeWorkspace(const json& object) {
+  ObjectReader reader(object);
+  routing::Workspace workspace;
+  workspace.name = reader.RequiredText("name");
+  if (const json* keys = reader.Array("apiKeys")) {
+    for (const json& key : *keys) {
+      if (key.is_string()) {
+        workspace.api_keys.push_back(key.get<std::string>());
+      }
+    }
+  }
+  if (const auto priority = reader.Unsigned("priority")) {
+    workspace.priority = static_cast<int>(*priority);
+  }
+  if (!reader.status().ok()) {
+    return reader.status();
+  }
+  return workspace;
+}
+
+routing::Limits DecodeLimits(const json* object) {
+  routing::Limits limits;
+  if (object == nullptr) {
+    return limits;
+  }
+  ObjectReader reader(*object);
+  limits.header_bytes =
+      reader.Unsigned("headerBytes").value_or(limits.header_bytes);
+  limits.body_bytes = reader.Unsigned("bodyBytes").value_or(limits.body_bytes);
+  if (const auto ms = reader.Unsigned("headerTimeoutMs")) {
+    limits.request_timeout = Milliseconds(*ms);
+  }
+  if (const auto ms = reader.Unsigned("idleTimeoutMs")) {
+    limits.idle_timeout = Milliseconds(*ms);
+  }
+  limits.tokens_per_second =
+      static_cast<double>(reader.Unsigned("tokensPerS").value_or(0));
+  return limits;
+}
+
+// Decodes the entries that can be read and logs the others.
+template <typename T>
+std::vector<T> DecodeArray(ObjectReader& reader,
+                           const char* name,
+                           absl::StatusOr<T> (*decode)(const json&)) {
+  std::vector<T> decoded;
+  const json* array = reader.Array(name);
+  if (array == nullptr) {
+    return decoded;
+  }
+  for (const json& item : *array) {
+    absl::StatusOr<T> entry = decode(item);
+    if (entry.ok()) {
+      decoded.push_back(*std::move(entry));
+    } else {
+      base::Log(
+          base::LogLevel::kWarning, "record_entry_unusable",
+          {{"field", name}, {"error", std::string(entry.status().message())}});
+    }
+  }
+  return decoded;
+}
+
+// Replaces bytes that would make the whole text unreadable: raw control
+// characters and what is not UTF-8. They can only stand inside one record.
+std::string Readable(std::string_view body) {
+  std::string text(body);
+  size_t i = 0;
+  while (i < text.size()) {
+    const auto byte = static_cast<unsigned char>(text[i]);
+    size_t length = 1;
+    bool is_valid = byte >= 0x20 && byte < 0x80;
+    if (byte >= 0xc2 && byte <= 0xf4) {
+      length = byte >= 0xf0 ? 4 : byte >= 0xe0 ? 3 : 2;
+      is_valid = i + length <= text.size();
+      for (size_t k = 1; is_valid && k < length; ++k) {
+        const auto next = static_cast<unsigned char>(text[i + k]);
+        is_valid = (next & 0xc0) == 0x80;
+      }
+      if (is_valid && length > 2) {
+        const auto next = static_cast<unsigned char>(text[i + 1]);
+        is_valid =
+            !(byte == 0xe0 && next < 0xa0) && !(byte == 0xed && next > 0x9f) &&
+            !(byte == 0xf0 && next < 0x90) && !(byte == 0xf4 && next > 0x8f);
+      }
+    }
+    if (!is_valid) {
+      text[i] = byte < 0x20 ? ' ' : '?';
+      length = 1;
+    }
+    i += length;
+  }
+  return text;
+}
+
+absl::StatusOr<json> ParseBody(std::string_view body) {
+  json parsed = json::parse(Readable(body), nullptr, false);
+  if (!parsed.is_object()) {
+    return absl::InvalidArgumentError("the store's answer is not JSON");
+  }
+  return parsed;
+}
+
+RecordValue DecodeValue(RecordKind kind,
+                        const std::string& name,
+                        const json& object) {
+  const auto specification = object.find("specification");
+  if (specification == object.end()) {
+    return Absent{};
+  }
+  absl::Status status;
+  if (kind == RecordKind::kDesiredState) {
+    auto state = DecodeDesiredState(*specification);
+    if (state.ok()) {
+      return *std::move(state);
+    }
+    status = state.status();
+  } else {
+    auto upstream = DecodeUpstream(name, *specification);
+    if (upstream.ok()) {
+      return *std::move(upstream);
+    }
+    status = upstream.status();
+  }
+  base::Log(base::LogLevel::kWarning, "record_unusable",
+            {{"kind", RecordKindName(kind)},
+             {"name", name},
+             {"error", std::string(status.message())}});
+  return Absent{};
+}
+
+// Appends the object's record; an object without a name says nothing.
+void AppendRecord(RecordKind kind,
+                  const json& object,
+                  bool is_removed,
+                  RecordList& list) {
+  const json* metadata = ObjectReader(object).Find("metadata");
+  if (metadata == nullptr) {
+    return;
+  }
+  ObjectReader fields(*metadata);
+  const std::string name = fields.RequiredText("name");
+  if (!fields.status().ok() ||
+      (kind == RecordKind::kDesiredState && name != kDesiredStateName)) {
+    return;
+  }
+  list.records.push_back({name, is_removed ? RecordValue(Absent{})
+                                           : DecodeValue(kind, name, object)});
+}
+
+}  // namespace
+
+std::string_view RecordKindName(RecordKind kind) {
+  return RowFor(kind).name;
+}
+
+absl::StatusOr<routing::DesiredState> DecodeDesiredState(
+    const json& specification) {
+  ObjectReader reader(specification);
+  routing::DesiredState state;
+  state.version = reader.RequiredUnsigned("version");
+  if (reader.Array("routes") == nullptr) {
+    reader.Fail("routes");
+  }
+  if (!reader.status().ok()) {
+    return reader.status();
+  }
+  state.routes = DecodeArray(reader, "routes", &DecodeRoute);
+  state.services = DecodeArray(reader, "services", &DecodeService);
+  state.workspaces = DecodeArray(reader, "tenants", &DecodeWorkspace);
+  state.limits = DecodeLimits(reader.Find("limits"));
+  return state;
+}
+
+absl::StatusOr<routing::Upstream> DecodeUpstream(std::string_view name,
+                                                 const json& specification) {
+  ObjectReader reader(specification);
+  routing::Upstream upstream;
+  upstream.id = std::string(name);
+  upstream.service = reader.RequiredText("service");
+  upstream.data_centre = reader.RequiredText("zone");
+  const auto address = object_api::ParseAddress(reader.RequiredText("address"));
+  if (address.has_value()) {
+    upstream.address = *address;
+  } else {
+    reader.Fail("address");
+  }
+  upstream.slots = static_cast<uint32_t>(
+      std::max<uint64_t>(1, reader.RequiredUnsigned("slots")));
+  const std::string state = reader.RequiredText("state");
+  if (state == "draining") {
+    upstream.is_draining = true;
+  } else if (state != "ready") {
+    reader.Fail("state");
+  }
+  // The start of the process, not of the entry.
+  upstream.started_unix_ms =
+      static_cast<int64_t>(reader.Unsigned("born").value_or(0));
+  if (!reader.status().ok()) {
+    return reader.status();
+  }
+  return upstream;
+}
+
+absl::StatusOr<RecordList> DecodeList(RecordKind kind, std::string_view body) {
+  const absl::StatusOr<json> parsed = ParseBody(body);
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
+  ObjectReader reader(*parsed);
+  RecordList list;
+  list.revision = reader.RequiredUnsigned("storeRevision");
+  list.has_more = reader.Boolean("hasMore");
+  const json* items = reader.Array("items");
+  if (items == nullptr) {
+    reader.Fail("items");
+  }
+  if (!reader.status().ok()) {
+    return reader.status();
+  }
+  for (const json& item : *items) {
+    AppendRecord(kind, item, false, list);
+  }
+  return list;
+}
+
+absl::StatusOr<RecordList> DecodeWatch(RecordKind kind, std::string_view body) {
+  const absl::StatusOr<json> parsed = ParseBody(body);
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
+  ObjectReader reader(*parsed);
+  RecordList list;
+  list.revision = reader.RequiredUnsigned("storeRevision");
+  const json* events = reader.Array("events");
+  if (events == nullptr) {
+    reader.Fail("events");
+  }
+  if (!reader.status().ok()) {
+    return reader.status();
+  }
+  for (const json& event : *events) {
+    ObjectReader fields(event);
+    const bool is_removed = fields.Boolean("removed");
+    if (const json* object = fields.Find("object")) {
+      AppendRecord(kind, *object, is_removed, list);
+    }
+  }
+  return list;
+}
+
+std::string ListPath(RecordKind kind, std::string_view after) {
+  std::string path = absl::StrCat("/jackdawshunt/objects/",
+                                  std::string(RowFor(kind).wire_name));
+  if (!after.empty()) {
+    absl::StrAppend(&path, "?after=", std::string(after));
+  }
+  return path;
+}
+
+std::string WatchPath(RecordKind kind,
+                      uint64_t revision,
+                      std::chrono::milliseconds wait) {
+  return absl::StrCat(ListPath(kind, {}), "?watch=", revision,
+                      "&waitMs=", wait.count());
+}
+
+}  // namespace jackdawshunt::platform
--- /dev/null
+++ b/jackdawshunt/platform/records_test.cc
@@ -0,0 +1,125 @@
+#include "jackdawshunt/platform/records.h"
+
+#include <string>
+
+#include "gtest/gtest.h"
+
+namespace jackdawshunt::platform {
+namespace {
+
+constexpr char kServer[] =
+    R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1",)"
+    R"("slots":64,"state":"ready","coldRemainingMs":0,"sequence":4,)"
+    R"("born":1790000000123})";
+
+std::string ListOf(const std::string& items) {
+  return R"({"items":[)" + items + R"(],"hasMore":false,"storeRevision":530})";
+}
+
+std::string Item(const std::string& name, const std::string& specification) {
+  return R"({"metadata":{"name":")" + name +
+         R"(","revision":7},"specification":)" + specification +
+         R"(,"status":null})";
+}
+
+TEST(RecordsTest, DecodesAnUpstream) {
+  const auto list =
+      DecodeList(RecordKind::kUpstream, ListOf(Item("i-1", kServer)));
+  ASSERT_TRUE(list.ok());
+  EXPECT_EQ(list->revision, 530u);
+  ASSERT_EQ(list->records.size(), 1u);
+  const auto* upstream =
+      std::get_if<routing::Upstream>(&list->records[0].value);
+  ASSERT_NE(upstream, nullptr);
+  EXPECT_EQ(upstream->id, "i-1");
+  EXPECT_EQ(upstream->service, "s");
+  EXPECT_EQ(upstream->address, (http::Address{"10.128.0.9", 8080}));
+  EXPECT_EQ(upstream->slots, 64u);
+  EXPECT_EQ(upstream->started_unix_ms, 1790000000123);
+  EXPECT_FALSE(upstream->is_draining);
+}
+
+// Each of these names no upstream to use, and the entry beside it holds.
+TEST(RecordsTest, AnUnusableEntryLeavesTheOthers) {
+  const std::string good = Item("i-good", kServer);
+  std::string unknown_state = kServer;
+  unknown_state.replace(unknown_state.find("ready"), 5, "asleep");
+  std::string text_slots = kServer;
+  text_slots.replace(text_slots.find("64"), 2, "\"64\"");
+  std::string bad_bytes = kServer;
+  bad_bytes.replace(bad_bytes.find("10.128"), 6, "\xff\xfe\x01");
+  for (const std::string& bad :
+       {std::string("null"), std::string("7"), std::string("{}"),
+        std::string(R"({"service":"s"})"), unknown_state, text_slots, bad_bytes,
+        std::string("\"\xc3\x28\x02\"")}) {
+    const auto list = DecodeList(RecordKind::kUpstream,
+                                 ListOf(Item("i-bad", bad) + "," + good));
+    ASSERT_TRUE(list.ok()) << bad;
+    ASSERT_EQ(list->records.size(), 2u) << bad;
+    EXPECT_TRUE(std::holds_alternative<Absent>(list->records[0].value)) << bad;
+    EXPECT_TRUE(
+        std::holds_alternative<routing::Upstream>(list->records[1].value))
+        << bad;
+  }
+}
+
+TEST(RecordsTest, EntriesWithoutANameSayNothing) {
+  const auto list = DecodeList(
+      RecordKind::kUpstream,
+      ListOf(R"({}, 5, null, {"metadata":7}, {"metadata":{"name":3}},)" +
+             Item("i-good", kServer)));
+  ASSERT_TRUE(list.ok());
+  EXPECT_EQ(list->records.size(), 1u);
+}
+
+TEST(RecordsTest, DecodesChanges) {
+  const auto changes =
+      DecodeWatch(RecordKind::kUpstream,
+                  R"({"events":[{"removed":true,"object":)" +
+                      Item("i-1", kServer) + R"(},{"removed":false,"object":)" +
+                      Item("i-2", kServer) + R"(}],"storeRevision":533})");
+  ASSERT_TRUE(changes.ok());
+  EXPECT_EQ(changes->revision, 533u);
+  ASSERT_EQ(changes->records.size(), 2u);
+  EXPECT_TRUE(std::holds_alternative<Absent>(changes->records[0].value));
+  EXPECT_EQ(changes->records[1].name, "i-2");
+}
+
+TEST(RecordsTest, DecodesTheDesiredState) {
+  const auto parsed = nlohmann::json::parse(R"({"version":7,"routes":[
+    {"name":"r1","host":"h","pathPrefix":"/a/","kind":"streaming",
+     "timeoutMs":8000,"targetLatencyMs":1000,"priority":1,
+     "split":[{"service":"a","weight":90},{"service":"b","weight":10}],
+     "attempts":2,"public":false,"sticky":true,"resumable":true},
+    {"name":"broken","host":"h"},
+    {"name":"r2","host":"h","pathPrefix":"/b/","kind":"unsafe",
+     "timeoutMs":1000,"service":"b","attempts":1,"public":true}],
+   "services":[{"name":"a","connectionLimit":360,
+     "engine":{"slots":64,"kvTokens":557973}},{"name":"b"}],
+   "limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,
+     "idleTimeoutMs":15000,"tokensPerS":290000},
+   "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1}]})");
+  const auto state = DecodeDesiredState(parsed);
+  ASSERT_TRUE(state.ok());
+  EXPECT_EQ(state->version, 7u);
+  ASSERT_EQ(state->routes.size(), 2u);
+  EXPECT_EQ(state->routes[0].kind, routing::RouteKind::kStream);
+  EXPECT_EQ(state->routes[0].services.size(), 2u);
+  EXPECT_TRUE(state->routes[0].is_repeatable());
+  EXPECT_TRUE(state->routes[1].is_public);
+  EXPECT_FALSE(state->routes[1].is_repeatable());
+  ASSERT_TRUE(state->services[0].engine.has_value());
+  EXPECT_EQ(state->services[0].engine->cache_tokens, 557973u);
+  EXPECT_EQ(state->limits.tokens_per_second, 290000);
+  EXPECT_EQ(state->workspaces[0].api_keys.size(), 2u);
+}
+
+TEST(RecordsTest, AnAnswerThatIsNoListIsAnError) {
+  for (const char* const body : {"", "[]", "{}", "{\"items\":3}", "garbage"}) {
+    EXPECT_FALSE(DecodeList(RecordKind::kUpstream, body).ok()) << body;
+    EXPECT_FALSE(DecodeWatch(RecordKind::kDesiredState, body).ok()) << body;
+  }
+}
+
+}  // namespace
+}  // namespace jackdawshunt::platform
--- /dev/null
+++ b/jackdawshunt/platform/wire_test.cc
@@ -0,0 +1,132 @@
+#include "jackdawshunt/platform/wire.h"
+
+#include "absl/strings/str_cat.h"
+#include "gtest/gtest.h"
+#include "jackdawshunt/platform/settings.h"
+
+namespace jackdawshunt::platform {
+namespace {
+
+http1::RequestHead Generation() {
+  return {.method = "POST",
+          .target = "/lohu930/2f",
+          .headers = {{"Host", "ficu95.example"},
+                      {"Request-Id", "9c41"},
+                      {"Model", "m"},
+                      {"Token-Counts", "1460,80"},
+                      {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4:250"},
+                      {"Deadline-Milliseconds", "12000"},
+                      {"Authorization", "Token secret"}}};
+}
+
+size_t Count(const http1::RequestHead& head, std::string_view name) {
+  return http1::CountHeader(head.headers, name);
+}
+
+TEST(WireTest, DecodesAGeneration) {
+  const auto request = DecodeRequest(Generation());
+  ASSERT_TRUE(request.ok());
+  EXPECT_EQ(request->id, "9c41");
+  EXPECT_EQ(request->api_key, "secret");
+  EXPECT_EQ(request->deadline, kernel::Duration(std::chrono::seconds(12)));
+  ASSERT_TRUE(request->prompt.has_value());
+  EXPECT_EQ(request->prompt->prompt_tokens, 1460u);
+  EXPECT_EQ(request->prompt->max_output_tokens, 80u);
+  ASSERT_EQ(request->prompt->parts.size(), 3u);
+  EXPECT_EQ(request->prompt->parts[0].id, 0x5c1e07a2u);
+  EXPECT_EQ(request->prompt->own_tokens(), 250u);
+}
+
+TEST(WireTest, RejectsWhatCannotBeRouted) {
+  http1::RequestHead no_id = Generation();
+  no_id.headers.erase(no_id.headers.begin() + 1);
+  EXPECT_FALSE(DecodeRequest(no_id).ok());
+  http1::RequestHead two_hosts = Generation();
+  two_hosts.headers.emplace_back("host", "other.example");
+  EXPECT_FALSE(DecodeRequest(two_hosts).ok());
+  http1::RequestHead bad_counts = Generation();
+  bad_counts.headers[3].second = "many";
+  EXPECT_FALSE(DecodeRequest(bad_counts).ok());
+}
+
+TEST(WireTest, SystemHeadersAreTakenFromNoCaller) {
+  http1::RequestHead head = Generation();
+  for (const char* const name :
+       {"Tenant", "Expected-Instance", "Hold", "Pin-Milliseconds",
+        "Cache-Backup", "Kv-From", "Kv-Fetch", "Expected-Version"}) {
+    head.headers.emplace_back(name, "forged");
+  }
+  const http1::RequestHead sent =
+      EncodeUpstreamRequest(head, {.deadline_left = std::chrono::seconds(2),
+                                   .upstream_id = "i-1",
+                                   .workspace = "lodge",
+                                   .last_event_id = std::nullopt});
+  EXPECT_EQ(sent.target, head.target);
+  EXPECT_EQ(Count(sent, "Authorization"), 0u);
+  EXPECT_EQ(Count(sent, "Hold"), 0u);
+  EXPECT_EQ(Count(sent, "Kv-From"), 0u);
+  EXPECT_EQ(Count(sent, "Expected-Version"), 0u);
+  EXPECT_EQ(Count(sent, "Tenant"), 1u);
+  EXPECT_EQ(http::FindHeader(sent.headers, "Tenant"), "lodge");
+  EXPECT_EQ(http::FindHeader(sent.headers, "Expected-Instance"), "i-1");
+  EXPECT_EQ(http::FindHeader(sent.headers, "Deadline-Milliseconds"), "2000");
+  EXPECT_EQ(http::FindHeader(sent.headers, "Prompt-Prefix"),
+            http::FindHeader(head.headers, "Prompt-Prefix"));
+}
+
+TEST(WireTest, AResumedStreamNamesItsLastEvent) {
+  http1::RequestHead head = Generation();
+  head.headers.emplace_back("Last-Event-Id", "3");
+  const http1::RequestHead sent =
+      EncodeUpstreamRequest(head, {.deadline_left = std::chrono::seconds(1),
+                                   .upstream_id = "i-2",
+                                   .workspace = {},
+                                   .last_event_id = 9});
+  EXPECT_EQ(Count(sent, "Last-Event-Id"), 1u);
+  EXPECT_EQ(http::FindHeader(sent.headers, "Last-Event-Id"), "9");
+  EXPECT_EQ(Count(sent, "Tenant"), 0u);
+}
+
+TEST(WireTest, DecodesAnswers) {
+  const UpstreamAnswer shed = DecodeAnswer(
+      {.status = 503, .headers = {{"Not-Executed", "1"}, {"Request-Id", "a"}}});
+  EXPECT_TRUE(shed.is_not_run);
+  EXPECT_FALSE(shed.is_wrong_instance);
+  EXPECT_TRUE(DecodeAnswer({.status = 421, .headers = {}}).is_not_run);
+  EXPECT_FALSE(DecodeAnswer({.status = 503, .headers = {}}).is_not_run);
+  const UpstreamAnswer good =
+      DecodeAnswer({.status = 200, .headers = {{"Response-Seal", "x"}}});
+  EXPECT_TRUE(good.is_sealed);
+  EXPECT_TRUE(good.is_success());
+}
+
+constexpr char kSettings[] =
+    "node=front-1\nip=10.1.0.33\nzone=z\nlisten.front=10.1.0.33:8783\n"
+    "internalPorts=7400,7415\nseeds=10.1.0.33:8785,10.2.0.18:8785\n"
+    "platform.address=10.200.1.7:8781\nbounds.drainMs=3000\n"
+    "bounds.strictRevocation=true\nnew.field=x\nlimits.memoryMb=260\n";
+
+TEST(SettingsTest, DecodesLines) {
+  const auto settings = ParseSettings(kSettings, "file");
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  EXPECT_EQ(settings->instance, "front-1");
+  EXPECT_EQ(settings->callers, (http::Address{"10.1.0.33", 8783}));
+  EXPECT_FALSE(settings->readiness.has_value());
+  EXPECT_EQ(settings->seeds.size(), 2u);
+  EXPECT_EQ(settings->promises.drain,
+            kernel::Duration(std::chrono::seconds(3)));
+  EXPECT_EQ(settings->last_internal_port, 7415);
+}
+
+TEST(SettingsTest, NamesTheFault) {
+  const auto settings = ParseSettings(
+      absl::StrCat(kSettings, "bounds.graceS=soon\n"), "the/file");
+  ASSERT_FALSE(settings.ok());
+  EXPECT_EQ(std::string(settings.status().message()),
+            "the/file: bounds.graceS is \"soon\", allowed is a number of at "
+            "least 0");
+  EXPECT_FALSE(ParseSettings("node=a\n", "f").ok());
+}
+
+}  // namespace
+}  // namespace jackdawshunt::platform
