--- a/jackdawshunt/base/error.h
+++ b/jackdawshunt/base/error.h
@@ -33,6 +33,8 @@
   kDuplicateRequest,
   kKeyReused,
   kOutcomeUnknown,
+  kTimedOut,
+  kRequestTimeout,
   kUpstreamFailed,
   kStreamLost,
   kCancelled,
--- /dev/null
+++ b/jackdawshunt/board/board.cc
@@ -0,0 +1,128 @@
+#include "jackdawshunt/board/board.h"
+
+#include <string>
+#include <utility>
+
+namespace jackdawshunt::board {
+namespace {
+
+// Reading rate until one is observed.
+constexpr double kInitialTokensPerMs = 30.0;
+// Claims whose end was not heard; longer than any route's timeout.
+constexpr kernel::Duration kMaxClaimAge = std::chrono::seconds(20);
+// A gateway that did not report for so long is gone.
+constexpr kernel::Duration kMaxGatewaySilence = std::chrono::seconds(3);
+
+std::string ClaimName(uint64_t request) {
+  return std::to_string(request);
+}
+
+}  // namespace
+
+std::optional<Message> Board::Handle(const Message& message,
+                                     kernel::TimePoint now) {
+  return std::visit([&](const auto& typed) { return On(typed, now); }, message);
+}
+
+void Board::Meet(const EngineIdentity& engine) {
+  if (engine_ != nullptr && engine_life_ == engine.life) {
+    return;
+  }
+  engine_life_ = engine.life;
+  engine_ = std::make_unique<routing::EngineEstimate>(
+      routing::EngineProfile{.slots = 0, .cache_tokens = engine.cache_tokens},
+      kInitialTokensPerMs);
+}
+
+std::optional<Message> Board::On(const Query& query, kernel::TimePoint now) {
+  if (query.part_keys.size() != query.part_tokens.size()) {
+    return std::nullopt;
+  }
+  Meet(query.engine);
+  return Offer{.nonce = query.nonce,
+               .cost = engine_->Estimate(query.part_keys,
+                                         ToParts(query.part_tokens), now)};
+}
+
+std::optional<Message> Board::On(const Claim& claim, kernel::TimePoint now) {
+  if (claim.part_keys.size() == claim.part_tokens.size()) {
+    Meet(claim.engine);
+    engine_->Claim(ClaimName(claim.request), claim.part_keys,
+                   ToParts(claim.part_tokens), claim.output_tokens, now);
+  }
+  return std::nullopt;
+}
+
+std::optional<Message> Board::On(const ProgressReport& report,
+                                 kernel::TimePoint now) {
+  if (engine_ == nullptr) {
+    return std::nullopt;
+  }
+  const std::string name = ClaimName(report.request);
+  if (report.progress == Progress::kFirstEvent) {
+    engine_->OnFirstEvent(name, now);
+  } else {
+    engine_->OnEnd(name, report.progress == Progress::kEnded, now);
+  }
+  return std::nullopt;
+}
+
+std::optional<Message> Board::On(const ShareUpdate& update,
+                                 kernel::TimePoint now) {
+  const auto [found, is_new] = gateways_.try_emplace(update.gateway);
+  Gateway& gateway = found->second;
+  if (is_new) {
+    gateway.told = totals_;  // What came before does not concern it.
+  }
+  gateway.heard = now;
+  if (update.sequence <= gateway.sequence) {
+    return std::nullopt;  // A late copy.
+  }
+  gateway.sequence = update.sequence;
+  for (const routing::ShareReport& row : update.reports) {
+    routing::ShareCount& own = gateway.own[row.workspace_hash];
+    own.asked += row.count.asked;
+    own.admitted += row.count.admitted;
+    routing::ShareCount& total = totals_[row.workspace_hash];
+    total.asked += row.count.asked;
+    total.admitted += row.count.admitted;
+    // Its own tokens are not told back to it.
+    routing::ShareCount& told = gateway.told[row.workspace_hash];
+    told.asked += row.count.asked;
+    told.admitted += row.count.admitted;
+  }
+  ShareTotals answer;
+  answer.sequence = update.sequence;
+  answer.gateways = static_cast<uint32_t>(gateways_.size());
+  for (const auto& [workspace, total] : totals_) {
+    routing::ShareCount& told = gateway.told[workspace];
+    if (total.asked != told.asked || total.admitted != told.admitted) {
+      answer.reports.push_back(
+          {workspace,
+           {total.asked - told.asked, total.admitted - told.admitted}});
+      told = total;
+    }
+  }
+  return answer;
+}
+
+std::optional<Message> Board::On(const Offer& /*offer*/,
+                                 kernel::TimePoint /*now*/) {
+  return std::nullopt;
+}
+
+std::optional<Message> Board::On(const ShareTotals& /*totals*/,
+                                 kernel::TimePoint /*now*/) {
+  return std::nullopt;
+}
+
+void Board::Tick(kernel::TimePoint now) {
+  if (engine_ != nullptr) {
+    engine_->Expire(kMaxClaimAge, now);
+  }
+  std::erase_if(gateways_, [now](const auto& row) {
+    return now - row.second.heard > kMaxGatewaySilence;
+  });
+}
+
+}  // namespace jackdawshunt::board
--- /dev/null
+++ b/jackdawshunt/board/board_role.cc
@@ -0,0 +1,96 @@
+// The board role: stands beside an engine and answers gateways over datagrams.
+#include <csignal>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "jackdawshunt/base/log.h"
+#include "jackdawshunt/board/board.h"
+#include "jackdawshunt/board/datagram_socket.h"
+#include "jackdawshunt/kernel/registry.h"
+#include "jackdawshunt/kernel/role.h"
+#include "jackdawshunt/platform/settings.h"
+
+namespace jackdawshunt::board {
+namespace {
+
+constexpr int kExitUnavailable = 1;
+constexpr int kExitWrongSettings = 2;
+constexpr kernel::Duration kTick = std::chrono::seconds(1);
+
+class BoardProcess {
+ public:
+  explicit BoardProcess(platform::InstanceSettings settings)
+      : settings_(std::move(settings)) {}
+
+  int Run() {
+    base::SetLogContext({{"instance", settings_.instance}});
+    auto socket = DatagramSocket::Bind(
+        loop_, {settings_.ip, settings_.first_internal_port},
+        [this](const http::Address& from, std::string_view bytes) {
+          OnDatagram(from, bytes);
+        });
+    if (!socket.ok()) {
+      base::Log(base::LogLevel::kError, "listen_failed",
+                {{"error", std::string(socket.status().message())}});
+      return kExitUnavailable;
+    }
+    socket_ = *std::move(socket);
+    base::Log(base::LogLevel::kInfo, "started",
+              {{"role", "board"},
+               {"address", settings_.ip},
+               {"upstream", settings_.local_upstream.has_value()
+                                ? settings_.local_upstream->ToString()
+                                : ""}});
+    tick_ = loop_.Every(kTick, [this] { board_.Tick(loop_.clock().Now()); });
+    loop_.OnSignal(SIGTERM, [this] { loop_.Stop(); });
+    loop_.OnSignal(SIGINT, [this] { loop_.Stop(); });
+    loop_.OnSignal(SIGHUP, [] {});  // Nothing of the settings may change.
+    loop_.Run();
+    base::Log(base::LogLevel::kInfo, "stopped",
+              {{"datagrams_dropped", socket_->dropped()},
+               {"datagrams_unreadable", unreadable_}});
+    return 0;
+  }
+
+ private:
+  void OnDatagram(const http::Address& from, std::string_view bytes) {
+    const auto message = Decode(bytes);
+    if (!message.ok()) {
+      ++unreadable_;
+      return;
+    }
+    if (const auto reply = board_.Handle(*message, loop_.clock().Now())) {
+      socket_->Send(from, Encode(*reply));
+    }
+  }
+
+  const platform::InstanceSettings settings_;
+  kernel::EventLoop loop_;
+  Board board_;
+  std::unique_ptr<DatagramSocket> socket_;
+  kernel::Timer tick_;
+  uint64_t unreadable_ = 0;
+};
+
+class BoardRole final : public kernel::Role {
+ public:
+  int Run(const std::string& settings_path) override {
+    const std::string path =
+        settings_path.empty() ? platform::SettingsPath() : settings_path;
+    auto settings = platform::LoadSettings(path);
+    if (!settings.ok()) {
+      base::Log(base::LogLevel::kError, "settings_invalid",
+                {{"error", std::string(settings.status().message())}});
+      return kExitWrongSettings;
+    }
+    return BoardProcess(*std::move(settings)).Run();
+  }
+};
+
+const kernel::Registration<kernel::Role> kBoard("board", [] {
+  return std::make_unique<BoardRole>();
+});
+
+}  // namespace
+}  // namespace jackdawshunt::board
--- /dev/null
+++ b/jackdawshunt/board/messages.cc
@@ -0,0 +1,260 @@
+#include "jackdawshunt/board/messages.h"
+
+#include <array>
+#include <utility>
+
+#include "nlohmann/json.hpp"
+
+namespace jackdawshunt::board {
+namespace {
+
+using nlohmann::json;
+
+// A message is an array: its type, then its fields in order.
+enum class Type : uint8_t {
+  kQuery = 1,
+  kOffer,
+  kClaim,
+  kProgress,
+  kShareUpdate,
+  kShareTotals,
+};
+
+// Longest lists that are read.
+constexpr size_t kMaxParts = 64;
+constexpr size_t kMaxReports = 4096;
+
+json EncodeReports(const std::vector<routing::ShareReport>& reports) {
+  json rows = json::array();
+  for (const routing::ShareReport& row : reports) {
+    rows.push_back({row.workspace_hash, row.count.asked, row.count.admitted});
+  }
+  return rows;
+}
+
+json Tag(Type type) {
+  return json::array({static_cast<uint8_t>(type)});
+}
+
+json ToJson(const Query& query) {
+  json out = Tag(Type::kQuery);
+  out.insert(out.end(),
+             {query.nonce, query.engine.life, query.engine.cache_tokens,
+              query.part_keys, query.part_tokens});
+  return out;
+}
+
+json ToJson(const Offer& offer) {
+  json out = Tag(Type::kOffer);
+  out.insert(out.end(),
+             {offer.nonce, offer.cost.wait.count(), offer.cost.read.count(),
+              offer.cost.missing_tokens, offer.cost.missing_shared_tokens});
+  return out;
+}
+
+json ToJson(const Claim& claim) {
+  json out = Tag(Type::kClaim);
+  out.insert(out.end(),
+             {claim.request, claim.engine.life, claim.engine.cache_tokens,
+              claim.part_keys, claim.part_tokens, claim.output_tokens});
+  return out;
+}
+
+json ToJson(const ProgressReport& report) {
+  json out = Tag(Type::kProgress);
+  out.insert(out.end(),
+             {report.request, static_cast<uint8_t>(report.progress)});
+  return out;
+}
+
+json ToJson(const ShareUpdate& update) {
+  json out = Tag(Type::kShareUpdate);
+  out.insert(out.end(),
+             {update.gateway, update.sequence, EncodeReports(update.reports)});
+  return out;
+}
+
+json ToJson(const ShareTotals& totals) {
+  json out = Tag(Type::kShareTotals);
+  out.insert(out.end(),
+             {totals.sequence, totals.gateways, EncodeReports(totals.reports)});
+  return out;
+}
+
+// Takes the fields of a message one by one; keeps whether all were there.
+class FieldReader {
+ public:
+  explicit FieldReader(const json& message) : message_(message) {}
+
+  uint64_t Unsigned() {
+    const json* field = Next();
+    if (field == nullptr || !field->is_number_unsigned()) {
+      is_valid_ = false;
+      return 0;
+    }
+    return field->get<uint64_t>();
+  }
+
+  template <typename T>
+  std::vector<T> Numbers() {
+    std::vector<T> numbers;
+    const json* field = Array(kMaxParts);
+    if (field == nullptr) {
+      return numbers;
+    }
+    for (const json& item : *field) {
+      is_valid_ = is_valid_ && item.is_number_unsigned();
+      numbers.push_back(is_valid_ ? static_cast<T>(item.get<uint64_t>()) : T{});
+    }
+    return numbers;
+  }
+
+  std::vector<routing::ShareReport> Reports() {
+    std::vector<routing::ShareReport> reports;
+    const json* field = Array(kMaxReports);
+    if (field == nullptr) {
+      return reports;
+    }
+    for (const json& item : *field) {
+      FieldReader row(item);
+      row.position_ = 0;
+      routing::ShareReport report;
+      report.workspace_hash = row.Unsigned();
+      report.count.asked = row.Unsigned();
+      report.count.admitted = row.Unsigned();
+      is_valid_ = is_valid_ && row.is_valid_;
+      reports.push_back(report);
+    }
+    return reports;
+  }
+
+  EngineIdentity Engine() {
+    EngineIdentity engine;
+    engine.life = Unsigned();
+    engine.cache_tokens = Unsigned();
+    return engine;
+  }
+
+  bool is_valid() const { return is_valid_; }
+
+ private:
+  const json* Next() {
+    if (!message_.is_array() || position_ >= message_.size()) {
+      is_valid_ = false;
+      return nullptr;
+    }
+    return &message_[position_++];
+  }
+
+  const json* Array(size_t longest) {
+    const json* field = Next();
+    if (field == nullptr || !field->is_array() || field->size() > longest) {
+      is_valid_ = false;
+      return nullptr;
+    }
+    return field;
+  }
+
+  const json& message_;
+  size_t position_ = 1;  // After the type.
+  bool is_valid_ = true;
+};
+
+Message ReadQuery(FieldReader& reader) {
+  Query query;
+  query.nonce = reader.Unsigned();
+  query.engine = reader.Engine();
+  query.part_keys = reader.Numbers<uint64_t>();
+  query.part_tokens = reader.Numbers<uint32_t>();
+  return query;
+}
+
+Message ReadOffer(FieldReader& reader) {
+  Offer offer;
+  offer.nonce = reader.Unsigned();
+  offer.cost.wait = kernel::Duration(static_cast<int64_t>(reader.Unsigned()));
+  offer.cost.read = kernel::Duration(static_cast<int64_t>(reader.Unsigned()));
+  offer.cost.missing_tokens = reader.Unsigned();
+  offer.cost.missing_shared_tokens = reader.Unsigned();
+  return offer;
+}
+
+Message ReadClaim(FieldReader& reader) {
+  Claim claim;
+  claim.request = reader.Unsigned();
+  claim.engine = reader.Engine();
+  claim.part_keys = reader.Numbers<uint64_t>();
+  claim.part_tokens = reader.Numbers<uint32_t>();
+  claim.output_tokens = static_cast<uint32_t>(reader.Unsigned());
+  return claim;
+}
+
+Message ReadProgress(FieldReader& reader) {
+  ProgressReport report;
+  report.request = reader.Unsigned();
+  const uint64_t progress = reader.Unsigned();
+  report.progress = progress == 0   ? Progress::kFirstEvent
+                    : progress == 1 ? Progress::kEnded
+                                    : Progress::kNotRun;
+  return report;
+}
+
+Message ReadShareUpdate(FieldReader& reader) {
+  ShareUpdate update;
+  update.gateway = reader.Unsigned();
+  update.sequence = reader.Unsigned();
+  update.reports = reader.Reports();
+  return update;
+}
+
+Message ReadShareTotals(FieldReader& reader) {
+  ShareTotals totals;
+  totals.sequence = reader.Unsigned();
+  totals.gateways = static_cast<uint32_t>(reader.Unsigned());
+  totals.reports = reader.Reports();
+  return totals;
+}
+
+using MessageReader = Message (*)(FieldReader&);
+constexpr std::array<MessageReader, 6> kReaders = {
+    &ReadQuery,    &ReadOffer,       &ReadClaim,
+    &ReadProgress, &ReadShareUpdate, &ReadShareTotals};
+
+}  // namespace
+
+std::vector<routing::PromptPart> ToParts(const std::vector<uint32_t>& tokens) {
+  std::vector<routing::PromptPart> parts;
+  parts.reserve(tokens.size());
+  for (const uint32_t count : tokens) {
+    parts.push_back({.id = 0, .tokens = count});
+  }
+  return parts;
+}
+
+std::string Encode(const Message& message) {
+  const json fields =
+      std::visit([](const auto& typed) { return ToJson(typed); }, message);
+  std::string bytes;
+  json::to_cbor(fields, bytes);
+  return bytes;
+}
+
+absl::StatusOr<Message> Decode(std::string_view bytes) {
+  const json message = json::from_cbor(bytes, true, false);
+  if (!message.is_array() || message.empty() ||
+      !message[0].is_number_unsigned()) {
+    return absl::InvalidArgumentError("not a message");
+  }
+  const auto type = message[0].get<uint64_t>();
+  if (type < 1 || type > kReaders.size()) {
+    return absl::InvalidArgumentError("unknown type of message");
+  }
+  FieldReader reader(message);
+  Message decoded = kReaders.at(type - 1)(reader);
+  if (!reader.is_valid()) {
+    return absl::InvalidArgumentError("a field is missing or has another type");
+  }
+  return decoded;
+}
+
+}  // namespace jackdawshunt::board
--- a/jackdawshunt/cli/main.cc
+++ b/jackdawshunt/cli/main.cc
@@ -14,7 +14,7 @@
 #include "jackdawshunt/cli/files.h"
 #include "jackdawshunt/kernel/registry.h"
 #include "jackdawshunt/kernel/role.h"
-#include "jackdawshunt/platform/address.h"
+#include "jackdawshunt/object_api/address.h"
 #include "jackdawshunt/records/records.h"
 
 namespace jackdawshunt::cli {
@@ -83,7 +83,7 @@
 template <typename Command>
 ExitCode WithAdmin(const Options& options, const Command& command) {
   kernel::EventLoop loop;
-  platform::Client client(loop, *platform::ParseAddress(options.platform));
+  object_api::Client client(loop, *object_api::ParseAddress(options.platform));
   Admin admin(loop, client, std::cout, std::cerr);
   return command(admin);
 }
@@ -143,7 +143,7 @@
 }
 
 std::string CheckAddress(const std::string& text) {
-  const auto address = platform::ParseAddress(text);
+  const auto address = object_api::ParseAddress(text);
   return address.has_value() && address->port != 0
              ? ""
              : "must be IP:PORT without host name";
@@ -203,10 +203,11 @@
 CLI::App* AddRole(CLI::App& app,
                   const std::string& name,
                   const std::string& description,
+                  bool needs_settings,
                   Options& options) {
   CLI::App* command = app.add_subcommand(name, description);
   command->add_option("--settings", options.settings, "Settings file")
-      ->required()
+      ->required(needs_settings)
       ->type_name("FILE");
   return command;
 }
@@ -275,10 +276,18 @@
   app.footer(kFooter);
   AddRole(app, "entry",
           "Run the entry role: accept requests of callers and queue them",
-          options);
+          /*needs_settings=*/true, options);
+  AddRole(app, "gateway",
+          "Run the gateway role: serve callers on the users' platform; without "
+          "--settings the platform names the file",
+          /*needs_settings=*/false, options);
+  AddRole(app, "board",
+          "Run the board role: tell gateways the load of the engine beside it; "
+          "without --settings the platform names the file",
+          /*needs_settings=*/false, options);
   AddRole(app, "side",
           "Run the side role: the only path to the upstream beside it",
-          options);
+          /*needs_settings=*/true, options);
   AddChecks(app, options);
   AddAdministration(app, options);
   app.add_subcommand("version", "Print the version");
--- /dev/null
+++ b/jackdawshunt/gateway/call.cc
@@ -0,0 +1,441 @@
+#include "jackdawshunt/gateway/call.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jackdawshunt/base/log.h"
+
+namespace jackdawshunt::gateway {
+namespace {
+
+// Answers of plain services up to this size are forwarded when complete, so
+// that a truncated one can be replaced by another upstream's.
+constexpr size_t kMaxCollectedBytes = size_t{256} * 1024;
+// A caller that does not read stops the upstream's stream at this many bytes.
+constexpr size_t kMaxUnreadBytes = size_t{128} * 1024;
+// Idle connections that a request may take: upstreams drop idle connections
+// without notice, and a request that was lost on one cannot be repeated unless
+// its route allows it.
+constexpr kernel::Duration kMaxIdleRepeatable = std::chrono::seconds(8);
+constexpr kernel::Duration kMaxIdleOnce = std::chrono::milliseconds(1500);
+// An attempt without an answer for this many objectives counts against its
+// upstream when the time runs out.
+constexpr int kSilentObjectives = 2;
+
+// Statuses by which a server promises that it did not run the request.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+double Milliseconds(kernel::Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace
+
+Call::Call(CallContext& context,
+           http1::ServerConnection& caller,
+           http1::RequestHead head,
+           std::string body,
+           routing::RoutedRequest request)
+    : context_(context),
+      caller_(&caller),
+      head_(std::move(head)),
+      body_(std::move(body)),
+      request_(std::move(request)) {}
+
+Call::~Call() {
+  AbandonAttempt();
+}
+
+std::string_view Call::kind_name() const {
+  return routing::RouteKindName(request_.route->kind);
+}
+
+void Call::Start() {
+  deadline_ = context_.loop.After(
+      std::max(request_.ends - Now(), kernel::Duration::zero()),
+      [this] { OnTimeout(); });
+  Attempt();
+}
+
+void Call::Attempt() {
+  const std::vector<routing::Upstream> engines =
+      context_.router.EnginesToAsk(request_, Now());
+  if (engines.empty()) {
+    Place({});
+    return;
+  }
+  question_ = context_.boards.Ask(
+      engines, request_,
+      [this](const std::vector<routing::BoardOffer>& offers) {
+        Place(offers);
+      });
+}
+
+void Call::Place(const std::vector<routing::BoardOffer>& offers) {
+  question_.reset();
+  const routing::Decision decision =
+      context_.router.Choose(request_, offers, Now());
+  LogDecision(decision);
+  if (decision.verdict == routing::Verdict::kSend) {
+    Send(decision);
+    return;
+  }
+  if (is_answer_started_) {
+    BreakOff("no upstream to resume at");
+  } else if (may_have_run_) {
+    Fail(base::ErrorKind::kOutcomeUnknown);
+  } else if (decision.verdict == routing::Verdict::kRefuse) {
+    Refuse(base::ErrorKind::kWaitLimit, decision.retry_after);
+  } else {
+    Refuse(base::ErrorKind::kNoCapacity,
+           routing::ReturnTime(kernel::Duration::zero(), request_.ends - Now(),
+                               request_.hash));
+  }
+}
+
+void Call::LogDecision(const routing::Decision& decision) {
+  if (!base::IsLogged(base::LogLevel::kInfo)) {
+    return;
+  }
+  nlohmann::json fields = {{"request", request_.id},
+                           {"route", request_.route->name},
+                           {"service", request_.service},
+                           {"workspace", request_.workspace},
+                           {"configuration", request_.table->version()},
+                           {"attempt", request_.sends + 1},
+                           {"verdict", routing::VerdictName(decision.verdict)},
+                           {"candidates", decision.candidates},
+                           {"offers", decision.offers},
+                           {"left_ms", Milliseconds(request_.ends - Now())}};
+  if (decision.verdict == routing::Verdict::kSend) {
+    fields["upstream"] = decision.upstream.id;
+  }
+  if (decision.is_engine) {
+    fields["wait_ms"] = Milliseconds(decision.cost.wait);
+    fields["read_ms"] = Milliseconds(decision.cost.read);
+    fields["missing_tokens"] = decision.cost.missing_tokens;
+    fields["share_used"] = decision.share_used;
+    fields["objective_left_ms"] =
+        Milliseconds(request_.objective_left_at_arrival);
+  }
+  base::Log(base::LogLevel::kInfo, "request_placed", fields);
+}
+
+void Call::Send(const routing::Decision& decision) {
+  upstream_ = decision.upstream;
+  sent_at_ = Now();
+  mode_ = Mode::kDiscard;
+  collected_.clear();
+  platform::ForwardedFields fields;
+  fields.deadline_left = request_.ends - sent_at_;
+  fields.upstream_id = upstream_.id;
+  fields.workspace = request_.workspace;
+  fields.last_event_id = events_.last_event_id();
+  const http1::RequestHead forwarded =
+      platform::EncodeUpstreamRequest(head_, fields);
+  const bool has_body = !body_.empty() || head_.method != "GET";
+  std::string bytes = http1::Serialize(
+      forwarded,
+      has_body ? std::optional<uint64_t>(body_.size()) : std::nullopt);
+  bytes.append(body_);
+  connection_ = context_.pool.Acquire(upstream_, request_.route->is_repeatable()
+                                                     ? kMaxIdleRepeatable
+                                                     : kMaxIdleOnce);
+  context_.router.OnSent(request_, decision, sent_at_);
+  is_at_engine_ = decision.is_engine;
+  if (is_at_engine_) {
+    context_.boards.Claim(upstream_, request_);
+  }
+  connection_->Send(bytes, head_.method == "HEAD", *this);
+}
+
+bool Call::IsOwn(const http1::ResponseHead& head) {
+  return platform::DecodeAnswer(head).request_id == request_.id;
+}
+
+void Call::OnHead(const http1::ResponseHead& head) {
+  answer_ = platform::DecodeAnswer(head);
+  answer_head_.status = head.status;
+  answer_head_.headers = http1::EndToEndHeaders(head.headers);
+  collected_.clear();
+  if (answer_.is_not_run || (answer_.is_success() && !answer_.is_sealed) ||
+      (is_answer_started_ && !answer_.is_success()) ||
+      (!answer_.is_success() && PromisesNotRun(answer_.status))) {
+    mode_ = Mode::kDiscard;
+    return;
+  }
+  const bool is_stream = request_.route->kind == routing::RouteKind::kStream;
+  if (!answer_.is_success() || !is_stream) {
+    mode_ = Mode::kCollect;
+    return;
+  }
+  mode_ = Mode::kEvents;
+  if (!is_answer_started_) {
+    StartForwarding(http1::BodyFraming::Chunked());
+  }
+}
+
+void Call::StartForwarding(http1::BodyFraming framing) {
+  is_answer_started_ = true;
+  final_status_ = answer_head_.status;
+  caller_->StartResponse(answer_head_, framing, context_.is_draining);
+}
+
+void Call::OnBody(std::string_view data) {
+  if (caller_ == nullptr || is_done_) {
+    return;
+  }
+  if (mode_ == Mode::kCollect) {
+    collected_.append(data);
+    if (collected_.size() > kMaxCollectedBytes) {
+      mode_ = Mode::kForward;
+      StartForwarding(http1::BodyFraming::Chunked());
+      caller_->WriteBody(std::exchange(collected_, {}));
+    }
+    return;
+  }
+  if (mode_ == Mode::kForward) {
+    caller_->WriteBody(data);
+  } else if (mode_ == Mode::kEvents) {
+    const std::string_view whole = events_.Feed(data);
+    if (!whole.empty() && !has_first_event_) {
+      has_first_event_ = true;
+      context_.router.OnFirstEvent(request_, upstream_, Now());
+      if (is_at_engine_) {
+        context_.boards.Report(upstream_, request_,
+                               board::Progress::kFirstEvent);
+      }
+      context_.metrics.ObserveFirstByte(kind_name(), Now() - request_.arrived);
+    }
+    caller_->WriteBody(whole);
+  }
+  if (!is_reading_paused_ && caller_->buffered_bytes() > kMaxUnreadBytes) {
+    is_reading_paused_ = true;
+    connection_->PauseReading();
+  }
+}
+
+void Call::OnCallerDrained() {
+  if (is_reading_paused_ && connection_ != nullptr) {
+    is_reading_paused_ = false;
+    connection_->ResumeReading();
+  }
+}
+
+void Call::OnEnd() {
+  if (is_done_) {
+    return;
+  }
+  if (answer_.is_not_run) {
+    EndAttempt(answer_.is_wrong_instance ? routing::Outcome::kWrongInstance
+                                         : routing::Outcome::kOverloaded);
+    AfterNotRun();
+    return;
+  }
+  if (mode_ == Mode::kDiscard) {
+    may_have_run_ = true;
+    EndAttempt(routing::Outcome::kServerError);
+    AfterFailure();
+    return;
+  }
+  if (mode_ == Mode::kEvents && !events_.partial().empty()) {
+    // Ended in the middle of an event: not complete, whatever the framing says.
+    EndAttempt(routing::Outcome::kLost);
+    Resume();
+    return;
+  }
+  const bool is_server_error = answer_.status >= 500;
+  EndAttempt(is_server_error ? routing::Outcome::kServerError
+                             : routing::Outcome::kSuccess);
+  if (mode_ != Mode::kCollect) {
+    caller_->FinishResponse();
+    Finish(final_status_, "forwarded");
+    return;
+  }
+  if (is_server_error && context_.router.MayRepeat(request_, Now())) {
+    may_have_run_ = true;
+    Attempt();
+    return;
+  }
+  ForwardCollected();
+}
+
+void Call::ForwardCollected() {
+  is_answer_started_ = true;
+  context_.metrics.ObserveFirstByte(kind_name(), Now() - request_.arrived);
+  caller_->Reply(answer_head_, collected_, context_.is_draining);
+  Finish(answer_head_.status, "forwarded");
+}
+
+void Call::OnLost(http1::Loss loss) {
+  if (is_done_) {
+    return;
+  }
+  base::Log(base::LogLevel::kInfo, "attempt_lost",
+            {{"request", request_.id},
+             {"upstream", upstream_.id},
+             {"loss", http1::LossName(loss)},
+             {"reused_connection", connection_->was_reused()},
+             {"after_ms", Milliseconds(Now() - sent_at_)}});
+  if (loss == http1::Loss::kNotConnected) {
+    EndAttempt(routing::Outcome::kUnreachable);
+    --request_.sends;  // Nothing was sent.
+    Attempt();
+    return;
+  }
+  EndAttempt(routing::Outcome::kLost);
+  if (is_answer_started_) {
+    Resume();
+    return;
+  }
+  may_have_run_ = true;
+  AfterFailure();
+}
+
+void Call::AfterNotRun() {
+  if (request_.sends < request_.route->attempts && Now() < request_.ends) {
+    Attempt();
+    return;
+  }
+  if (is_answer_started_) {
+    BreakOff("resuming upstream refused");
+  } else if (may_have_run_) {
+    Fail(base::ErrorKind::kOutcomeUnknown);
+  } else {
+    Refuse(base::ErrorKind::kNoCapacity,
+           routing::ReturnTime(kernel::Duration::zero(), request_.ends - Now(),
+                               request_.hash));
+  }
+}
+
+void Call::AfterFailure() {
+  if (is_answer_started_) {
+    Resume();
+  } else if (context_.router.MayRepeat(request_, Now())) {
+    Attempt();
+  } else {
+    Fail(base::ErrorKind::kOutcomeUnknown);
+  }
+}
+
+void Call::Resume() {
+  events_.DropPartial();
+  if (mode_ == Mode::kForward || !context_.router.MayRepeat(request_, Now())) {
+    BreakOff("upstream lost");
+    return;
+  }
+  Attempt();
+}
+
+void Call::EndAttempt(routing::Outcome outcome) {
+  const kernel::TimePoint now = Now();
+  context_.router.OnEnded(request_, upstream_, outcome, now);
+  context_.metrics.CountAttempt(routing::OutcomeName(outcome));
+  if (is_at_engine_) {
+    context_.boards.Report(upstream_, request_,
+                           routing::WasRun(outcome) ? board::Progress::kEnded
+                                                    : board::Progress::kNotRun);
+  }
+  is_reading_paused_ = false;
+  if (connection_ != nullptr) {
+    // Kept for other requests, or destroyed after this callback.
+    context_.pool.Release(upstream_, std::move(connection_));
+  }
+}
+
+void Call::AbandonAttempt() {
+  if (connection_ == nullptr) {
+    return;
+  }
+  context_.router.OnAbandoned(request_, upstream_, Now());
+  if (is_at_engine_) {
+    context_.boards.Report(upstream_, request_, board::Progress::kEnded);
+  }
+  connection_->Forget();
+  context_.pool.Discard(std::move(connection_));
+}
+
+void Call::OnTimeout() {
+  if (is_done_) {
+    return;
+  }
+  if (connection_ != nullptr) {
+    const bool is_silent =
+        mode_ == Mode::kDiscard &&
+        Now() - sent_at_ >
+            request_.route->latency_objective * kSilentObjectives;
+    may_have_run_ = true;
+    if (is_silent) {
+      connection_->Forget();
+      EndAttempt(routing::Outcome::kSilent);
+    } else {
+      AbandonAttempt();
+    }
+  }
+  if (is_answer_started_) {
+    BreakOff("timeout");
+  } else {
+    Fail(may_have_run_ ? base::ErrorKind::kTimedOut
+                       : base::ErrorKind::kNoCapacity);
+  }
+}
+
+void Call::OnCallerGone() {
+  caller_ = nullptr;
+  if (!is_done_) {
+    AbandonAttempt();
+    Finish(0, "caller left");
+  }
+}
+
+void Call::BreakOff(std::string_view reason) {
+  Finish(final_status_, reason);
+  if (caller_ != nullptr) {
+    std::exchange(caller_, nullptr)->Abort();
+  }
+}
+
+void Call::Refuse(base::ErrorKind kind,
+                  std::optional<kernel::Duration> retry_after) {
+  ReplyError(kind, retry_after);
+}
+
+void Call::Fail(base::ErrorKind kind) {
+  ReplyError(kind, std::nullopt);
+}
+
+void Call::ReplyError(base::ErrorKind kind,
+                      std::optional<kernel::Duration> retry_after) {
+  const base::ErrorAnswer& row = base::AnswerFor(kind);
+  http1::ResponseHead head;
+  head.status = row.http_status;
+  head.headers = platform::AnswerHeaders(request_.id, retry_after);
+  head.headers.emplace_back("Content-Type", "application/json");
+  is_answer_started_ = true;
+  caller_->Reply(head, base::ErrorBody(kind, row.name, request_.id),
+                 context_.is_draining);
+  Finish(row.http_status, row.name);
+}
+
+void Call::Finish(int status, std::string_view reason) {
+  is_done_ = true;
+  question_.reset();
+  deadline_.Cancel();
+  const kernel::Duration total = Now() - request_.arrived;
+  context_.metrics.CountAnswer(kind_name(), status, reason);
+  context_.metrics.ObserveTotal(kind_name(), total);
+  if (base::IsLogged(base::LogLevel::kInfo)) {
+    base::Log(base::LogLevel::kInfo, "request_done",
+              {{"request", request_.id},
+               {"status", status},
+               {"reason", reason},
+               {"upstream", upstream_.id},
+               {"sends", request_.sends},
+               {"events", events_.events()},
+               {"ms", Milliseconds(total)}});
+  }
+}
+
+}  // namespace jackdawshunt::gateway
--- /dev/null
+++ b/jackdawshunt/gateway/event_splitter.cc
@@ -0,0 +1,87 @@
+#include "jackdawshunt/gateway/event_splitter.h"
+
+#include <charconv>
+
+namespace jackdawshunt::gateway {
+namespace {
+
+// Returns the length of the line end at `position`, 0 when there is none.
+size_t LineEnd(std::string_view text, size_t position) {
+  if (position >= text.size()) {
+    return 0;
+  }
+  if (text[position] == '\n') {
+    return 1;
+  }
+  return text[position] == '\r' && position + 1 < text.size() &&
+                 text[position + 1] == '\n'
+             ? 2
+             : 0;
+}
+
+// Returns the position after the first event of `text`; npos when incomplete.
+size_t EndOfEvent(std::string_view text, size_t from) {
+  for (size_t i = text.find('\n', from); i != std::string_view::npos;
+       i = text.find('\n', i + 1)) {
+    if (const size_t blank = LineEnd(text, i + 1)) {
+      return i + 1 + blank;
+    }
+  }
+  return std::string_view::npos;
+}
+
+}  // namespace
+
+std::string_view EventSplitter::Feed(std::string_view data) {
+  buffer_.erase(0, handed_out_);
+  handed_out_ = 0;
+  buffer_.append(data);
+  size_t end = EndOfEvent(buffer_, handed_out_);
+  while (end != std::string_view::npos) {
+    ReadEventId(
+        std::string_view(buffer_).substr(handed_out_, end - handed_out_));
+    ++events_;
+    handed_out_ = end;
+    end = EndOfEvent(buffer_, handed_out_);
+  }
+  if (buffer_.size() - handed_out_ > kMaxEventBytes) {
+    handed_out_ = buffer_.size();
+  }
+  return std::string_view(buffer_).substr(0, handed_out_);
+}
+
+void EventSplitter::ReadEventId(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  size_t start = 0;
+  while (start < event.size()) {
+    const size_t end = event.find('\n', start);
+    std::string_view line = event.substr(start, end - start);
+    if (line.starts_with(kField)) {
+      line.remove_prefix(kField.size());
+      while (line.starts_with(' ')) {
+        line.remove_prefix(1);
+      }
+      uint64_t id = 0;
+      const auto result =
+          std::from_chars(line.data(), line.data() + line.size(), id);
+      if (result.ec == std::errc()) {
+        last_event_id_ = id;
+      }
+    }
+    if (end == std::string_view::npos) {
+      return;
+    }
+    start = end + 1;
+  }
+}
+
+void EventSplitter::DropPartial() {
+  buffer_.clear();
+  handed_out_ = 0;
+}
+
+std::string_view EventSplitter::partial() const {
+  return std::string_view(buffer_).substr(handed_out_);
+}
+
+}  // namespace jackdawshunt::gateway
--- /dev/null
+++ b/jackdawshunt/gateway/front.cc
@@ -0,0 +1,238 @@
+#include "jackdawshunt/gateway/front.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <utility>
+
+#include "jackdawshunt/base/log.h"
+
+namespace jackdawshunt::gateway {
+namespace {
+
+// Retry-After of answers that another instance, or this one a moment later,
+// would not give.
+constexpr kernel::Duration kSoon = std::chrono::milliseconds(200);
+
+struct FaultRow {
+  http1::RequestFault fault;
+  base::ErrorKind kind;
+};
+constexpr std::array kFaults = {
+    FaultRow{http1::RequestFault::kMalformed, base::ErrorKind::kBadRequest},
+    FaultRow{http1::RequestFault::kHeadTooLarge,
+             base::ErrorKind::kHeadersTooLarge},
+    FaultRow{http1::RequestFault::kBodyTooLarge,
+             base::ErrorKind::kBodyTooLarge},
+    FaultRow{http1::RequestFault::kTimeout, base::ErrorKind::kRequestTimeout},
+};
+
+}  // namespace
+
+// One caller's connection with the call that it waits for.
+class Front::Session final : public http1::ServerConnection::Handler {
+ public:
+  Session(Front& front, int fd, http1::ServerConnectionLimits limits)
+      : front_(front), connection_(front.context_.loop, fd, limits, *this) {}
+
+  http1::ServerConnection& connection() { return connection_; }
+  bool is_busy() const { return call_ != nullptr && !call_->is_done(); }
+  void StartCall(std::unique_ptr<Call> call) {
+    call_ = std::move(call);
+    call_->Start();
+  }
+
+  void OnRequest(http1::ServerConnection&,
+                 const http1::RequestHead& head,
+                 std::string& body) override {
+    front_.OnRequest(*this, head, body);
+  }
+  void OnFault(http1::ServerConnection& connection,
+               http1::RequestFault fault) override {
+    front_.ReplyError(connection, {},
+                      kFaults.at(static_cast<size_t>(fault)).kind,
+                      "the request cannot be read");
+  }
+  void OnDrained(http1::ServerConnection&) override {
+    if (call_ != nullptr) {
+      call_->OnCallerDrained();
+    }
+  }
+  void OnGone(http1::ServerConnection&) override {
+    if (call_ != nullptr) {
+      call_->OnCallerGone();
+    }
+    front_.Remove(this);
+  }
+
+ private:
+  Front& front_;
+  http1::ServerConnection connection_;
+  std::unique_ptr<Call> call_;
+};
+
+Front::Front(CallContext& context,
+             const routing::KeyFreshness& freshness,
+             size_t max_connections)
+    : context_(context),
+      freshness_(freshness),
+      max_connections_(max_connections) {}
+
+Front::~Front() = default;
+
+absl::Status Front::Listen(const http::Address& address) {
+  auto listener = http1::Listener::Bind(context_.loop, address,
+                                        [this](int fd) { Accept(fd); });
+  if (!listener.ok()) {
+    return listener.status();
+  }
+  listener_ = *std::move(listener);
+  return absl::OkStatus();
+}
+
+uint16_t Front::port() const {
+  return listener_ == nullptr ? 0 : listener_->port();
+}
+
+void Front::Accept(int fd) {
+  if (sessions_.size() >= max_connections_) {
+    base::Log(base::LogLevel::kWarning, "connection_limit",
+              {{"open", sessions_.size()}});
+    close(fd);
+    return;
+  }
+  const auto& table = context_.router.table();
+  const routing::Limits limits =
+      table == nullptr ? routing::Limits{} : table->state().limits;
+  auto session = std::make_unique<Session>(
+      *this, fd,
+      http1::ServerConnectionLimits{
+          .parse = {.header_bytes = limits.header_bytes,
+                    .body_bytes = limits.body_bytes},
+          .request_timeout = limits.request_timeout,
+          .idle_timeout = limits.idle_timeout});
+  Session* const key = session.get();
+  sessions_.emplace(key, std::move(session));
+}
+
+void Front::Remove(Session* session) {
+  const auto found = sessions_.find(session);
+  if (found == sessions_.end()) {
+    return;
+  }
+  // Destroyed in a later turn: its connection may be calling.
+  context_.loop.Post(
+      [gone = std::shared_ptr<Session>(std::move(found->second))] {});
+  sessions_.erase(found);
+}
+
+void Front::StartDraining() {
+  context_.is_draining = true;
+}
+
+void Front::StopAccepting() {
+  refuses_all_ = true;
+  listener_.reset();
+  std::vector<Session*> open;
+  open.reserve(sessions_.size());
+  for (const auto& [key, session] : sessions_) {
+    open.push_back(key);
+  }
+  for (Session* const session : open) {
+    session->connection().CloseWhenIdle();
+  }
+}
+
+size_t Front::busy_calls() const {
+  size_t busy = 0;
+  for (const auto& [key, session] : sessions_) {
+    busy += session->is_busy() ? 1 : 0;
+  }
+  return busy;
+}
+
+void Front::ReplyError(http1::ServerConnection& connection,
+                       std::string_view request_id,
+                       base::ErrorKind kind,
+                       std::string_view message) {
+  const base::ErrorAnswer& row = base::AnswerFor(kind);
+  http1::ResponseHead head;
+  head.status = row.http_status;
+  head.headers = platform::AnswerHeaders(request_id, row.retry_after.has_value()
+                                                         ? std::optional(kSoon)
+                                                         : std::nullopt);
+  head.headers.emplace_back("Content-Type", "application/json");
+  context_.metrics.CountAnswer("unrouted", row.http_status, row.name);
+  base::Log(base::LogLevel::kInfo, "request_rejected",
+            {{"request", request_id},
+             {"status", row.http_status},
+             {"reason", row.name},
+             {"detail", message},
+             {"configuration", context_.router.table() == nullptr
+                                   ? 0
+                                   : context_.router.table()->version()},
+             {"configuration_age_ms",
+              freshness_.Age(boot_clock_.Now()).count() / 1000}});
+  connection.Reply(head, base::ErrorBody(kind, message, request_id),
+                   context_.is_draining);
+}
+
+void Front::OnRequest(Session& session,
+                      const http1::RequestHead& head,
+                      std::string& body) {
+  http1::ServerConnection& connection = session.connection();
+  auto decoded = platform::DecodeRequest(head);
+  if (!decoded.ok()) {
+    ReplyError(connection, {}, base::ErrorKind::kBadRequest,
+               std::string(decoded.status().message()));
+    return;
+  }
+  const auto table = context_.router.table();
+  if (table == nullptr) {
+    ReplyError(connection, decoded->id, base::ErrorKind::kNotReady,
+               "no configuration is known");
+    return;
+  }
+  if (refuses_all_) {
+    ReplyError(connection, decoded->id, base::ErrorKind::kDraining,
+               "the process is shutting down");
+    return;
+  }
+  routing::RoutedRequest request;
+  request.id = decoded->id;
+  request.table = table;
+  request.route = table->Match(decoded->host, head.target);
+  if (request.route == nullptr) {
+    ReplyError(connection, decoded->id, base::ErrorKind::kNotFound,
+               "no route matches");
+    return;
+  }
+  if (table->has_workspaces()) {
+    const routing::Workspace* workspace =
+        decoded->api_key.empty() ? nullptr
+                                 : table->FindWorkspace(decoded->api_key);
+    if (!request.route->is_public) {
+      if (!freshness_.MayAccept(boot_clock_.Now())) {
+        ReplyError(connection, decoded->id,
+                   base::ErrorKind::kPlatformUnavailable,
+                   "the configuration is too old to accept API keys");
+        return;
+      }
+      if (workspace == nullptr) {
+        ReplyError(connection, decoded->id, base::ErrorKind::kUnauthenticated,
+                   "the API key is not known");
+        return;
+      }
+    }
+    if (workspace != nullptr) {
+      request.workspace = workspace->name;
+    }
+  }
+  request.prompt = std::move(decoded->prompt);
+  context_.router.Prepare(request, decoded->deadline,
+                          context_.loop.clock().Now());
+  session.StartCall(std::make_unique<Call>(
+      context_, connection, head, std::move(body), std::move(request)));
+}
+
+}  // namespace jackdawshunt::gateway
--- /dev/null
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -0,0 +1,343 @@
+// The gateway role: serves callers on the users' platform, sending each request
+// straight to an upstream.
+#include <sys/stat.h>
+
+#include <csignal>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jackdawshunt/base/id.h"
+#include "jackdawshunt/base/log.h"
+#include "jackdawshunt/gateway/front.h"
+#include "jackdawshunt/gateway/metrics.h"
+#include "jackdawshunt/gateway/readiness_server.h"
+#include "jackdawshunt/gateway/record_follower.h"
+#include "jackdawshunt/kernel/registry.h"
+#include "jackdawshunt/kernel/role.h"
+#include "jackdawshunt/operator_api/server.h"
+#include "jackdawshunt/platform/settings.h"
+
+namespace jackdawshunt::gateway {
+namespace {
+
+constexpr int kExitUnavailable = 1;
+constexpr int kExitWrongSettings = 2;
+
+// How long a watch waits. For the configuration it bounds the age of what is
+// known of API keys; for upstreams it bounds how long a connection that went
+// silent is not noticed.
+constexpr std::chrono::milliseconds kConfigurationWatch{1500};
+constexpr std::chrono::milliseconds kUpstreamWatch{2500};
+// A store that was away for less than this has let no entries lapse.
+constexpr kernel::Duration kLapseGap = std::chrono::milliseconds(800);
+
+// Boards that sum the workspaces' tokens; more than one, in case one is lost.
+constexpr size_t kShareBoards = 2;
+
+constexpr kernel::Duration kTick = std::chrono::seconds(1);
+// The balancer needs two failed checks, one a second, to take an instance out.
+constexpr kernel::Duration kAcceptWhileDraining =
+    std::chrono::milliseconds(2700);
+// Left of the termination grace when what still runs is broken off.
+constexpr kernel::Duration kExitMargin = std::chrono::milliseconds(400);
+constexpr kernel::Duration kExitPoll = std::chrono::milliseconds(50);
+// Descriptors that are not sockets of callers: upstreams, store, files.
+constexpr uint32_t kReservedDescriptors = 1000;
+
+class GatewayProcess {
+ public:
+  GatewayProcess(platform::InstanceSettings settings, std::string settings_path)
+      : settings_(std::move(settings)),
+        settings_path_(std::move(settings_path)),
+        router_(MakeRouterSettings(settings_), loop_.clock().Now()),
+        freshness_({.revocation = settings_.promises.revocation,
+                    .is_strict = settings_.promises.is_revocation_strict}),
+        operator_server_(loop_, ""),
+        metrics_(operator_server_.registry()),
+        pool_(loop_),
+        boards_(loop_, settings_.ip, settings_.first_internal_port),
+        context_{loop_, router_, pool_, boards_, metrics_},
+        front_(context_, freshness_, MaxConnections(settings_)),
+        readiness_(loop_, [this] { return IsReady(); }),
+        configuration_(loop_,
+                       settings_.store,
+                       platform::RecordKind::kDesiredState,
+                       kConfigurationWatch,
+                       ConfigurationCallbacks()),
+        upstreams_(loop_,
+                   settings_.store,
+                   platform::RecordKind::kUpstream,
+                   kUpstreamWatch,
+                   UpstreamCallbacks()) {}
+
+  int Run() {
+    base::SetLogContext({{"instance", settings_.instance}});
+    base::Log(base::LogLevel::kInfo, "started",
+              {{"role", "gateway"},
+               {"data_centre", settings_.data_centre},
+               {"settings", settings_path_}});
+    if (!Listen()) {
+      return kExitUnavailable;
+    }
+    configuration_.Start();
+    upstreams_.Start();
+    tick_ = loop_.Every(kTick, [this] { Tick(); });
+    boards_.OnTotals(
+        [this](const board::ShareTotals& totals) { OnTotals(totals); });
+    share_timer_ =
+        loop_.Every(router_.shares().slice(), [this] { ExchangeShares(); });
+    loop_.OnSignal(SIGTERM, [this] { Drain(); });
+    loop_.OnSignal(SIGINT, [this] { Drain(); });
+    loop_.OnSignal(SIGHUP, [this] { ReloadSettings("signal"); });
+    loop_.Run();
+    base::Log(base::LogLevel::kInfo, "stopped",
+              {{"busy_calls", front_.busy_calls()}});
+    return 0;
+  }
+
+ private:
+  static routing::RouterSettings MakeRouterSettings(
+      const platform::InstanceSettings& settings) {
+    routing::RouterSettings router;
+    router.data_centre = settings.data_centre;
+    router.retry_budget = {.ratio = settings.promises.retry_ratio,
+                           .window = settings.promises.retry_window,
+                           .slack = settings.promises.retry_slack};
+    router.share_window = settings.promises.share_window;
+    return router;
+  }
+
+  static size_t MaxConnections(const platform::InstanceSettings& settings) {
+    return settings.file_descriptors > 2 * kReservedDescriptors
+               ? settings.file_descriptors - kReservedDescriptors
+               : settings.file_descriptors / 2;
+  }
+
+  RecordFollowerCallbacks ConfigurationCallbacks() {
+    const auto apply = [this](const std::vector<platform::Record>& records) {
+      for (const platform::Record& record : records) {
+        if (const auto* state =
+                std::get_if<routing::DesiredState>(&record.value)) {
+          ApplyDesiredState(*state);
+        }
+      }
+    };
+    return {.on_list = apply,
+            .on_change = apply,
+            .on_current =
+                [this](kernel::TimePoint as_of) {
+                  if (router_.table() != nullptr) {
+                    freshness_.OnCurrentAsOf(as_of);
+                  }
+                },
+            .on_regained = [](kernel::Duration) {}};
+  }
+
+  void ApplyDesiredState(const routing::DesiredState& state) {
+    const bool is_newer = router_.SetDesiredState(state);
+    base::Log(base::LogLevel::kInfo,
+              is_newer ? "configuration_applied" : "configuration_not_newer",
+              {{"version", state.version},
+               {"in_force", router_.table()->version()},
+               {"routes", state.routes.size()},
+               {"workspaces", state.workspaces.size()}});
+  }
+
+  RecordFollowerCallbacks UpstreamCallbacks() {
+    return {.on_list =
+                [this](const std::vector<platform::Record>& records) {
+                  std::vector<routing::Upstream> all;
+                  for (const platform::Record& record : records) {
+                    if (const auto* upstream =
+                            std::get_if<routing::Upstream>(&record.value)) {
+                      all.push_back(*upstream);
+                    }
+                  }
+                  router_.directory().Replace(all, loop_.clock().Now());
+                  has_upstreams_ = true;
+                },
+            .on_change =
+                [this](const std::vector<platform::Record>& records) {
+                  const kernel::TimePoint now = loop_.clock().Now();
+                  for (const platform::Record& record : records) {
+                    if (const auto* upstream =
+                            std::get_if<routing::Upstream>(&record.value)) {
+                      router_.directory().Put(*upstream, now);
+                    } else {
+                      router_.directory().Remove(record.name, now);
+                    }
+                  }
+                },
+            .on_current = [](kernel::TimePoint) {},
+            .on_regained =
+                [this](kernel::Duration gap) {
+                  if (gap >= kLapseGap) {
+                    router_.directory().OnGapEnded(loop_.clock().Now());
+                  }
+                }};
+  }
+
+  bool Listen() {
+    std::vector<absl::Status> results;
+    if (settings_.callers.has_value()) {
+      results.push_back(front_.Listen(*settings_.callers));
+    }
+    if (settings_.readiness.has_value()) {
+      results.push_back(readiness_.Listen(*settings_.readiness));
+    }
+    results.push_back(boards_.Open());
+    results.push_back(
+        operator_server_.Listen({settings_.ip, settings_.last_internal_port})
+            .status());
+    for (const absl::Status& status : results) {
+      if (!status.ok()) {
+        base::Log(base::LogLevel::kError, "listen_failed",
+                  {{"error", std::string(status.message())}});
+        return false;
+      }
+    }
+    return true;
+  }
+
+  bool IsReady() const {
+    return router_.table() != nullptr && has_upstreams_ &&
+           !context_.is_draining &&
+           freshness_.MayAccept(kernel::BootClock().Now());
+  }
+
+  void Tick() {
+    router_.Tick(loop_.clock().Now());
+    pool_.Sweep();
+    boards_.Sweep();
+    struct stat info {};
+    if (stat(settings_path_.c_str(), &info) == 0 &&
+        info.st_mtime != settings_changed_) {
+      if (settings_changed_ != 0) {
+        ReloadSettings("changed");
+      }
+      settings_changed_ = info.st_mtime;
+    }
+    metrics_.SetGauge("open_caller_connections",
+                      static_cast<double>(front_.open_connections()));
+    metrics_.SetGauge("upstream_connections_opened",
+                      static_cast<double>(pool_.opened()));
+    metrics_.SetGauge(
+        "store_calls",
+        static_cast<double>(configuration_.calls() + upstreams_.calls()));
+    metrics_.SetGauge("board_questions", static_cast<double>(boards_.asked()));
+    metrics_.SetGauge("board_questions_unanswered",
+                      static_cast<double>(boards_.unanswered()));
+    metrics_.SetGauge("upstreams",
+                      static_cast<double>(router_.directory().size()));
+  }
+
+  // Sends this gateway's counts to the boards that sum them up.
+  void ExchangeShares() {
+    const kernel::TimePoint now = loop_.clock().Now();
+    board::ShareUpdate update;
+    update.gateway = life_;
+    update.sequence = ++share_sequence_;
+    update.reports = router_.shares().Report(now);
+    totals_taken_ = false;
+    for (const routing::Upstream& engine :
+         router_.MeetingPoints(kShareBoards, now)) {
+      boards_.UpdateShares(engine, update);
+    }
+  }
+
+  // Each board sums all gateways, so the first answer is enough.
+  void OnTotals(const board::ShareTotals& totals) {
+    if (totals_taken_ || totals.sequence != share_sequence_) {
+      return;
+    }
+    totals_taken_ = true;
+    router_.set_instances(totals.gateways);
+    router_.shares().Merge(totals.reports, loop_.clock().Now());
+  }
+
+  // Addresses and limits are fixed for the life of the process; new seeds are
+  // all that a change brings.
+  void ReloadSettings(std::string_view why) {
+    auto settings = platform::LoadSettings(settings_path_);
+    base::Log(
+        settings.ok() ? base::LogLevel::kInfo : base::LogLevel::kWarning,
+        "settings_reloaded",
+        {{"why", why}, {"error", std::string(settings.status().message())}});
+    if (settings.ok()) {
+      settings_.seeds = settings->seeds;
+    }
+  }
+
+  void Drain() {
+    if (context_.is_draining) {
+      return;
+    }
+    base::Log(base::LogLevel::kInfo, "draining",
+              {{"busy_calls", front_.busy_calls()},
+               {"open_connections", front_.open_connections()}});
+    front_.StartDraining();
+    stop_accepting_ =
+        loop_.After(kAcceptWhileDraining, [this] { StopAccepting(); });
+    exit_ = loop_.After(settings_.promises.termination_grace - kExitMargin,
+                        [this] { loop_.Stop(); });
+  }
+
+  void StopAccepting() {
+    front_.StopAccepting();
+    poll_ = loop_.Every(kExitPoll, [this] {
+      if (front_.busy_calls() == 0) {
+        loop_.Stop();
+      }
+    });
+  }
+
+  platform::InstanceSettings settings_;
+  const std::string settings_path_;
+  kernel::EventLoop loop_;
+  routing::Router router_;
+  routing::KeyFreshness freshness_;
+  operator_api::Server operator_server_;
+  Metrics metrics_;
+  UpstreamPool pool_;
+  BoardClient boards_;
+  CallContext context_;
+  Front front_;
+  ReadinessServer readiness_;
+  RecordFollower configuration_;
+  RecordFollower upstreams_;
+  kernel::Timer tick_;
+  kernel::Timer stop_accepting_;
+  kernel::Timer exit_;
+  kernel::Timer poll_;
+  kernel::Timer share_timer_;
+  const uint64_t life_ = routing::HashOf(base::NewRequestId());
+  uint64_t share_sequence_ = 0;
+  bool totals_taken_ = false;  // For the current sequence.
+  time_t settings_changed_ = 0;
+  bool has_upstreams_ = false;
+};
+
+class GatewayRole final : public kernel::Role {
+ public:
+  int Run(const std::string& settings_path) override {
+    const std::string path =
+        settings_path.empty() ? platform::SettingsPath() : settings_path;
+    auto settings = platform::LoadSettings(path);
+    if (!settings.ok()) {
+      base::Log(base::LogLevel::kError, "settings_invalid",
+                {{"error", std::string(settings.status().message())}});
+      return kExitWrongSettings;
+    }
+    return GatewayProcess(*std::move(settings), path).Run();
+  }
+};
+
+const kernel::Registration<kernel::Role> kGateway("gateway", [] {
+  return std::make_unique<GatewayRole>();
+});
+
+}  // namespace
+}  // namespace jackdawshunt::gateway
--- /dev/null
+++ b/jackdawshunt/gateway/metrics.cc
@@ -0,0 +1,76 @@
+#include "jackdawshunt/gateway/metrics.h"
+
+namespace jackdawshunt::gateway {
+namespace {
+
+// Upper bounds in seconds, around the latency objectives of the routes.
+const prometheus::Histogram::BucketBoundaries& LatencyBounds() {
+  static const prometheus::Histogram::BucketBoundaries bounds = {
+      0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3,
+      0.45,  0.6,  0.8,   1.0,  1.2, 2.0,  4.0, 8.0};
+  return bounds;
+}
+
+double Seconds(kernel::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+Metrics::Metrics(prometheus::Registry& registry)
+    : answers_(prometheus::BuildCounter()
+                   .Name("jackdawshunt_gateway_answers_total")
+                   .Help("Answers given to callers.")
+                   .Register(registry)),
+      attempts_(prometheus::BuildCounter()
+                    .Name("jackdawshunt_gateway_attempts_total")
+                    .Help("Requests sent to upstreams, by outcome.")
+                    .Register(registry)),
+      first_byte_(prometheus::BuildHistogram()
+                      .Name("jackdawshunt_gateway_first_byte_seconds")
+                      .Help("From the request to the first byte of its answer.")
+                      .Register(registry)),
+      total_(prometheus::BuildHistogram()
+                 .Name("jackdawshunt_gateway_answer_seconds")
+                 .Help("From the request to the end of its answer.")
+                 .Register(registry)),
+      state_(prometheus::BuildGauge()
+                 .Name("jackdawshunt_gateway_state")
+                 .Help("What the process holds and believes.")
+                 .Register(registry)) {}
+
+void Metrics::CountAnswer(std::string_view route_kind,
+                          int status,
+                          std::string_view reason) {
+  answers_
+      .Add({{"kind", std::string(route_kind)},
+            {"status", std::to_string(status)},
+            {"reason", std::string(reason)}})
+      .Increment();
+}
+
+void Metrics::CountAttempt(std::string_view outcome) {
+  attempts_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
+prometheus::Histogram& Metrics::HistogramFor(
+    prometheus::Family<prometheus::Histogram>& family,
+    std::string_view route_kind) {
+  return family.Add({{"kind", std::string(route_kind)}}, LatencyBounds());
+}
+
+void Metrics::ObserveFirstByte(std::string_view route_kind,
+                               kernel::Duration after) {
+  HistogramFor(first_byte_, route_kind).Observe(Seconds(after));
+}
+
+void Metrics::ObserveTotal(std::string_view route_kind,
+                           kernel::Duration after) {
+  HistogramFor(total_, route_kind).Observe(Seconds(after));
+}
+
+void Metrics::SetGauge(const std::string& name, double value) {
+  state_.Add({{"name", name}}).Set(value);
+}
+
+}  // namespace jackdawshunt::gateway
--- /dev/null
+++ b/jackdawshunt/gateway/readiness_server.cc
@@ -0,0 +1,56 @@
+#include "jackdawshunt/gateway/readiness_server.h"
+
+#include <utility>
+
+#include "jackdawshunt/platform/wire.h"
+
+namespace jackdawshunt::gateway {
+
+ReadinessServer::ReadinessServer(kernel::EventLoop& loop,
+                                 std::function<bool()> is_ready)
+    : loop_(loop), is_ready_(std::move(is_ready)) {}
+
+ReadinessServer::~ReadinessServer() = default;
+
+absl::Status ReadinessServer::Listen(const http::Address& address) {
+  auto listener = http1::Listener::Bind(loop_, address, [this](int fd) {
+    auto connection = std::make_unique<http1::ServerConnection>(
+        loop_, fd, http1::ServerConnectionLimits{}, *this);
+    http1::ServerConnection* const key = connection.get();
+    connections_.emplace(key, std::move(connection));
+  });
+  if (!listener.ok()) {
+    return listener.status();
+  }
+  listener_ = *std::move(listener);
+  return absl::OkStatus();
+}
+
+void ReadinessServer::OnRequest(http1::ServerConnection& connection,
+                                const http1::RequestHead& head,
+                                std::string& /*body*/) {
+  http1::ResponseHead answer;
+  answer.status = !platform::IsReadinessRequest(head) ? 404
+                  : is_ready_()                       ? 200
+                                                      : 503;
+  connection.Reply(answer, {});
+}
+
+void ReadinessServer::OnFault(http1::ServerConnection& connection,
+                              http1::RequestFault /*fault*/) {
+  connection.Reply({.status = 400, .headers = {}}, {});
+}
+
+void ReadinessServer::OnDrained(http1::ServerConnection& /*connection*/) {}
+
+void ReadinessServer::OnGone(http1::ServerConnection& connection) {
+  const auto found = connections_.find(&connection);
+  if (found == connections_.end()) {
+    return;
+  }
+  loop_.Post([gone = std::shared_ptr<http1::ServerConnection>(
+                  std::move(found->second))] {});
+  connections_.erase(found);
+}
+
+}  // namespace jackdawshunt::gateway
--- /dev/null
+++ b/jackdawshunt/gateway/readiness_server.h
@@ -0,0 +1,48 @@
+// Answers the balancer whether this instance takes callers.
+//
+// Example:
+//   gateway::ReadinessServer server(loop, [&] { return is_ready; });
+//   absl::Status status = server.Listen({"10.1.0.33", 8780});
+//
+// Not thread-safe.
+#ifndef JACKDAWSHUNT_GATEWAY_READINESS_SERVER_H_
+#define JACKDAWSHUNT_GATEWAY_READINESS_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "absl/status/status.h"
+#include "jackdawshunt/http1/server.h"
+
+namespace jackdawshunt::gateway {
+
+class ReadinessServer final : public http1::ServerConnection::Handler {
+ public:
+  ReadinessServer(kernel::EventLoop& loop, std::function<bool()> is_ready);
+  ~ReadinessServer() override;
+
+  // Error: Unavailable when the address cannot be bound.
+  absl::Status Listen(const http::Address& address);
+
+  // http1::ServerConnection::Handler:
+  void OnRequest(http1::ServerConnection& connection,
+                 const http1::RequestHead& head,
+                 std::string& body) override;
+  void OnFault(http1::ServerConnection& connection,
+               http1::RequestFault fault) override;
+  void OnDrained(http1::ServerConnection& connection) override;
+  void OnGone(http1::ServerConnection& connection) override;
+
+ private:
+  kernel::EventLoop& loop_;
+  const std::function<bool()> is_ready_;
+  std::unique_ptr<http1::Listener> listener_;
+  std::unordered_map<http1::ServerConnection*,
+                     std::unique_ptr<http1::ServerConnection>>
+      connections_;
+};
+
+}  // namespace jackdawshunt::gateway
+
+#endif  // JACKDAWSHUNT_GATEWAY_READINESS_SERVER_H_
--- /dev/null
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -0,0 +1,107 @@
+#include "jackdawshunt/gateway/record_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jackdawshunt/base/log.h"
+
+namespace jackdawshunt::gateway {
+namespace {
+
+// Wait before the second try and after many; the first retry is immediate.
+constexpr kernel::Duration kMinRetry = std::chrono::milliseconds(50);
+constexpr kernel::Duration kMaxRetry = std::chrono::milliseconds(400);
+constexpr uint32_t kMaxDoublings = 3;
+
+}  // namespace
+
+RecordFollower::RecordFollower(kernel::EventLoop& loop,
+                               const http::Address& store,
+                               platform::RecordKind kind,
+                               std::chrono::milliseconds wait,
+                               RecordFollowerCallbacks callbacks)
+    : loop_(loop),
+      kind_(kind),
+      wait_(wait),
+      callbacks_(std::move(callbacks)),
+      source_(loop, store, kind) {}
+
+void RecordFollower::Start() {
+  List();
+}
+
+void RecordFollower::List() {
+  source_.List([this, sent = boot_clock_.Now()](
+                   const absl::StatusOr<platform::RecordList>& answer) {
+    OnAnswer(true, sent, answer);
+  });
+}
+
+void RecordFollower::Watch() {
+  source_.Watch(revision_, wait_,
+                [this, sent = boot_clock_.Now()](
+                    const absl::StatusOr<platform::RecordList>& answer) {
+                  OnAnswer(false, sent, answer);
+                });
+}
+
+void RecordFollower::OnAnswer(
+    bool is_list,
+    kernel::TimePoint sent,
+    const absl::StatusOr<platform::RecordList>& answer) {
+  if (!answer.ok()) {
+    OnFailure(answer.status());
+    return;
+  }
+  const kernel::TimePoint now = loop_.clock().Now();
+  if (failures_ > 0) {
+    base::Log(base::LogLevel::kInfo, "store_regained",
+              {{"records", platform::RecordKindName(kind_)},
+               {"failures", failures_},
+               {"gap_ms", (now - lost_since_).count() / 1000}});
+    failures_ = 0;
+    callbacks_.on_regained(now - lost_since_);
+  }
+  revision_ = std::max(revision_, answer->revision);
+  if (is_list) {
+    callbacks_.on_list(answer->records);
+  } else if (!answer->records.empty()) {
+    callbacks_.on_change(answer->records);
+  }
+  callbacks_.on_current(sent);
+  Watch();
+}
+
+void RecordFollower::OnFailure(const absl::Status& status) {
+  if (++failures_ == 1) {
+    lost_since_ = loop_.clock().Now();
+    if (absl::IsDeadlineExceeded(status)) {
+      lost_since_ -= platform::kStoreAnswerTimeout;
+    }
+  }
+  if (failures_ == 1 || absl::IsOutOfRange(status)) {
+    base::Log(base::LogLevel::kWarning, "store_lost",
+              {{"records", platform::RecordKindName(kind_)},
+               {"revision", revision_},
+               {"error", std::string(status.message())}});
+  }
+  const bool lists = revision_ == 0 || absl::IsOutOfRange(status) ||
+                     absl::IsInvalidArgument(status);
+  if (absl::IsOutOfRange(status)) {
+    revision_ = 0;
+  }
+  const kernel::Duration delay =
+      failures_ == 1
+          ? kernel::Duration::zero()
+          : std::min(kMaxRetry,
+                     kMinRetry * (1 << std::min(failures_ - 2, kMaxDoublings)));
+  retry_timer_ = loop_.After(delay, [this, lists] {
+    if (lists) {
+      List();
+    } else {
+      Watch();
+    }
+  });
+}
+
+}  // namespace jackdawshunt::gateway
--- /dev/null
+++ b/jackdawshunt/gateway/upstream_pool.cc
@@ -0,0 +1,84 @@
+#include "jackdawshunt/gateway/upstream_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawshunt::gateway {
+namespace {
+
+// An idle connection is not used in the last part of the time for which the
+// upstream keeps it.
+constexpr kernel::Duration kKeepAliveMargin = std::chrono::milliseconds(700);
+// Idle connections are closed after this time.
+constexpr kernel::Duration kMaxIdle = std::chrono::seconds(8);
+constexpr size_t kMaxIdlePerUpstream = 16;
+
+}  // namespace
+
+UpstreamPool::UpstreamPool(kernel::EventLoop& loop) : loop_(loop) {}
+
+bool UpstreamPool::IsFresh(const http1::ClientConnection& connection,
+                           kernel::Duration max_idle,
+                           kernel::TimePoint now) {
+  const kernel::Duration idle = now - connection.idle_since();
+  return connection.is_usable() && idle < max_idle &&
+         (connection.keep_alive() == kernel::Duration::max() ||
+          idle + kKeepAliveMargin < connection.keep_alive());
+}
+
+UpstreamPool::Connection UpstreamPool::Acquire(
+    const routing::Upstream& upstream,
+    kernel::Duration max_idle) {
+  const kernel::TimePoint now = loop_.clock().Now();
+  auto& idle = idle_[upstream.address.ToString()];
+  while (!idle.empty() && !idle.front()->is_usable()) {
+    idle.pop_front();
+  }
+  if (!idle.empty() && IsFresh(*idle.front(), max_idle, now)) {
+    Connection connection = std::move(idle.front());
+    idle.pop_front();
+    return connection;
+  }
+  ++opened_;
+  return std::make_unique<http1::ClientConnection>(
+      loop_, upstream.address, http1::ClientConnectionOptions{});
+}
+
+void UpstreamPool::Release(const routing::Upstream& upstream,
+                           Connection connection) {
+  auto& idle = idle_[upstream.address.ToString()];
+  if (!connection->is_usable() || connection->is_busy() ||
+      idle.size() >= kMaxIdlePerUpstream) {
+    Discard(std::move(connection));
+    return;
+  }
+  idle.push_front(std::move(connection));
+}
+
+void UpstreamPool::Discard(Connection connection) {
+  if (connection == nullptr) {
+    return;
+  }
+  loop_.Post([kept = std::shared_ptr<http1::ClientConnection>(
+                  std::move(connection))] {});
+}
+
+void UpstreamPool::Sweep() {
+  const kernel::TimePoint now = loop_.clock().Now();
+  for (auto row = idle_.begin(); row != idle_.end();) {
+    row->second.remove_if([now](const Connection& connection) {
+      return !IsFresh(*connection, kMaxIdle, now);
+    });
+    row = row->second.empty() ? idle_.erase(row) : std::next(row);
+  }
+}
+
+size_t UpstreamPool::idle() const {
+  size_t count = 0;
+  for (const auto& [address, connections] : idle_) {
+    count += connections.size();
+  }
+  return count;
+}
+
+}  // namespace jackdawshunt::gateway
--- /dev/null
+++ b/jackdawshunt/gateway/upstream_pool.h
@@ -0,0 +1,60 @@
+// Kept connections to upstreams.
+//
+// Example:
+//   auto connection = pool.Acquire(upstream, /*max_idle=*/2s);
+//   ... one request ...
+//   pool.Release(upstream, std::move(connection));
+//
+// An upstream may close an idle connection without notice, and a request sent
+// on it is lost; a request that must not be repeated therefore takes only a
+// connection that was used a short time ago. Not thread-safe.
+#ifndef JACKDAWSHUNT_GATEWAY_UPSTREAM_POOL_H_
+#define JACKDAWSHUNT_GATEWAY_UPSTREAM_POOL_H_
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "jackdawshunt/http1/client.h"
+#include "jackdawshunt/kernel/event_loop.h"
+#include "jackdawshunt/routing/upstream.h"
+
+namespace jackdawshunt::gateway {
+
+class UpstreamPool {
+ public:
+  using Connection = std::unique_ptr<http1::ClientConnection>;
+
+  explicit UpstreamPool(kernel::EventLoop& loop);
+
+  // Returns an idle connection that was used less than `max_idle` ago, or a new
+  // one that opens with the first request.
+  Connection Acquire(const routing::Upstream& upstream,
+                     kernel::Duration max_idle);
+  // Takes a connection back; one that is not usable is dropped.
+  void Release(const routing::Upstream& upstream, Connection connection);
+  // Destroys a connection in a later turn, so that its own callback may ask
+  // for that.
+  void Discard(Connection connection);
+  // Closes connections that were idle for too long; call every second.
+  void Sweep();
+
+  uint64_t opened() const { return opened_; }
+  size_t idle() const;
+
+ private:
+  static bool IsFresh(const http1::ClientConnection& connection,
+                      kernel::Duration max_idle,
+                      kernel::TimePoint now);
+
+  kernel::EventLoop& loop_;
+  // Idle connections by address, the most recently used first.
+  std::unordered_map<std::string, std::list<Connection>> idle_;
+  uint64_t opened_ = 0;
+};
+
+}  // namespace jackdawshunt::gateway
+
+#endif  // JACKDAWSHUNT_GATEWAY_UPSTREAM_POOL_H_
