Ask two homes and two other engines; share out what is admitted

FAIR broke, because shares were measured against a fixed throughput while engines serve more by what they hold of the prompts. Change: the boards asked follow from rendezvous hashing alone; the fill level comes from what was admitted in the window, and waits are limited in steps of the share used; the wait may take half of the objective instead of 0.7.

--- a/jackdawshunt/routing/admission.cc
+++ b/jackdawshunt/routing/admission.cc
@@ -1,6 +1,7 @@
 #include "jackdawshunt/routing/admission.h"
 
 #include <algorithm>
+#include <array>
 
 namespace jackdawshunt::routing {
 namespace {
@@ -11,6 +12,14 @@
 // Callers obey a return time of up to a third of the time they have left.
 constexpr int kObeyedShare = 3;
 
+struct ShareStep {
+  double below;  // Of the fair share.
+  double factor;
+};
+constexpr std::array kShareSteps = {ShareStep{0.85, 1.4}, ShareStep{1.0, 1.0},
+                                    ShareStep{1.25, 0.6}, ShareStep{1.6, 0.3}};
+constexpr double kFarBeyondShare = 0.12;
+
 kernel::Duration Scale(kernel::Duration duration, double factor) {
   return kernel::Duration(
       static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
@@ -18,12 +27,24 @@
 
 }  // namespace
 
+double ShareFactor(double share_used) {
+  if (share_used <= 0) {
+    return 1.0;  // All that is asked is served.
+  }
+  for (const ShareStep& step : kShareSteps) {
+    if (share_used < step.below) {
+      return step.factor;
+    }
+  }
+  return kFarBeyondShare;
+}
+
 AdmissionDecision Decide(const AdmissionInput& input,
                          const AdmissionPolicy& policy) {
   if (input.cost.wait <= policy.negligible_wait) {
     return {};
   }
-  const double factor = input.share_used > 1.0 ? policy.over_share_factor : 1.0;
+  const double factor = ShareFactor(input.share_used);
   const kernel::Duration in_time =
       Scale(input.objective_left, policy.objective_share) - input.cost.read;
   const kernel::Duration for_long_prompts =
--- a/jackdawshunt/routing/admission.h
+++ b/jackdawshunt/routing/admission.h
@@ -23,12 +23,10 @@
 
 struct AdmissionPolicy {
   // Part of the objective that the expected first event may take.
-  double objective_share = 0.7;
+  double objective_share = 0.5;
   // A long prompt may take the whole objective to read; it is still admitted
   // behind a wait up to this part of it, so that sizes are served alike.
-  double long_prompt_wait_share = 0.25;
-  // Part of both limits for a workspace beyond its fair share.
-  double over_share_factor = 0.4;
+  double long_prompt_wait_share = 0.2;
   // Waits below this are not worth a refusal.
   kernel::Duration negligible_wait = std::chrono::milliseconds(30);
 };
@@ -49,6 +47,11 @@
   kernel::Duration retry_after{};  // Only for a refusal.
 };
 
+// Factor on the wait that is accepted: a workspace below its share waits
+// longer before it is refused, one far beyond it finds room only in engines
+// that are nearly idle.
+double ShareFactor(double share_used);
+
 AdmissionDecision Decide(const AdmissionInput& input,
                          const AdmissionPolicy& policy);
 
--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "jackdawshunt/routing/prompt.h"
+
 namespace jackdawshunt::routing {
 namespace {
 
@@ -45,7 +47,9 @@
   const auto [found, is_new] = entries_.try_emplace(upstream.id);
   Entry& entry = found->second;
   entry.is_lapsed = false;
-  if (!is_new && entry.upstream == upstream) {
+  Upstream updated = upstream;
+  updated.hash = HashOf(updated.id);
+  if (!is_new && entry.upstream == updated) {
     return;
   }
   Change change = is_new ? Change::kAdded : Change::kUpdated;
@@ -57,7 +61,7 @@
       change = Change::kDraining;
     }
   }
-  entry.upstream = upstream;
+  entry.upstream = std::move(updated);
   if (observer_) {
     observer_(entry.upstream, change);
   }
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -34,7 +34,7 @@
 
   void SetObserver(Observer observer);
 
-  // The whole list was read.
+  // The whole list was read. Hashes of ids are filled in here.
   void Replace(const std::vector<Upstream>& upstreams, kernel::TimePoint now);
   void Put(const Upstream& upstream, kernel::TimePoint now);
   void Remove(std::string_view id, kernel::TimePoint now);
--- a/jackdawshunt/routing/fair_share.cc
+++ b/jackdawshunt/routing/fair_share.cc
@@ -6,6 +6,8 @@
 namespace jackdawshunt::routing {
 namespace {
 
+// From this part of all that was asked on, nobody is held back.
+constexpr double kServedInFull = 0.97;
 // The fill level is computed again after this time.
 constexpr kernel::Duration kLevelAge = std::chrono::milliseconds(100);
 
@@ -93,20 +95,24 @@
   }
   level_of_ = step;
   std::vector<double> demands;
+  double left = 0;  // Of what was admitted in all.
+  double asked_in_all = 0;
   for (const auto& [hash, workspace] : workspaces_) {
     double asked = 0;
     for (size_t i = 0; i < kSlices; ++i) {
       asked += static_cast<double>(workspace.own.at(i).asked +
                                    workspace.peers.at(i).asked);
+      left += static_cast<double>(workspace.own.at(i).admitted +
+                                  workspace.peers.at(i).admitted);
     }
     demands.push_back(asked);
+    asked_in_all += asked;
   }
   std::sort(demands.begin(), demands.end());
-  const double window_s =
-      std::chrono::duration<double>(slice_ * static_cast<int64_t>(kSlices))
-          .count();
-  double left = tokens_per_second_ * window_s;
   level_ = std::numeric_limits<double>::infinity();
+  if (left >= kServedInFull * asked_in_all) {
+    return level_;
+  }
   for (size_t i = 0; i < demands.size(); ++i) {
     const double even = left / static_cast<double>(demands.size() - i);
     if (demands[i] > even) {
@@ -120,9 +126,6 @@
 
 double FairShare::ShareUsed(uint64_t workspace_hash, kernel::TimePoint now) {
   Advance(now);
-  if (tokens_per_second_ <= 0) {
-    return 0;
-  }
   const double level = FillLevel(now);
   const auto found = workspaces_.find(workspace_hash);
   if (found == workspaces_.end() || level <= 0 ||
--- a/jackdawshunt/routing/fair_share.h
+++ b/jackdawshunt/routing/fair_share.h
@@ -3,14 +3,16 @@
 //
 // Each entry counts what its callers ask for and what it admits, per workspace
 // and slice of time, and merges the reports of its peers. A workspace's share
-// is what progressive filling gives it of the capacity: small ones get all that
-// they ask for, the others equal parts. Answers the load pattern "one workspace
-// sends many times its usual".
+// is what progressive filling gives it of all that was admitted in the window:
+// small ones get all that they ask for, the others equal parts. What engines
+// can take depends on how much of the prompts they hold, so no fixed capacity
+// is assumed. Answers the load pattern "one workspace sends many times its
+// usual".
 //
 // Example:
-//   routing::FairShare shares({.tokens_per_second = 290000});
-//   shares.OnRequest("lodge", 3900, now);
-//   if (shares.ShareUsed("lodge", now) > 1) { ... }  // Beyond its share.
+//   routing::FairShare shares(4s);
+//   shares.OnRequest(lodge, 3900, now);
+//   if (shares.ShareUsed(lodge, now) > 1) { ... }  // Beyond its share.
 //
 // Not thread-safe.
 #ifndef JACKDAWSHUNT_ROUTING_FAIR_SHARE_H_
@@ -46,9 +48,6 @@
   // `window` is the time over which shares are balanced.
   explicit FairShare(kernel::Duration window);
 
-  // Of all engines; 0: nobody is beyond its share.
-  void set_tokens_per_second(double tokens) { tokens_per_second_ = tokens; }
-
   void OnRequest(uint64_t workspace_hash,
                  uint64_t tokens,
                  kernel::TimePoint now);
@@ -62,7 +61,7 @@
   void Merge(const std::vector<ShareReport>& report, kernel::TimePoint now);
 
   // Admitted tokens over the fair share of the window; above 1 the workspace
-  // is beyond its share. 0 while the engines can serve all that is asked.
+  // is beyond its share. 0 while all that is asked is admitted.
   double ShareUsed(uint64_t workspace_hash, kernel::TimePoint now);
 
   kernel::Duration slice() const { return slice_; }
@@ -80,7 +79,6 @@
   double FillLevel(kernel::TimePoint now);
 
   const kernel::Duration slice_;
-  double tokens_per_second_ = 0;
   std::map<uint64_t, Workspace> workspaces_;
   int64_t current_slice_ = 0;
   double level_ = 0;
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -45,7 +45,7 @@
 }
 
 uint64_t ShareTokens(const Prompt& prompt) {
-  return prompt.own_tokens() + uint64_t{2} * prompt.max_output_tokens;
+  return prompt.prompt_tokens + uint64_t{2} * prompt.max_output_tokens;
 }
 
 Router::Router(RouterSettings settings, kernel::TimePoint now)
@@ -73,7 +73,6 @@
     return false;
   }
   table_ = std::make_shared<const RoutingTable>(std::move(state));
-  shares_.set_tokens_per_second(table_->state().limits.tokens_per_second);
   return true;
 }
 
@@ -146,7 +145,7 @@
                                     const Upstream& upstream,
                                     kernel::TimePoint now) {
   EngineCandidate row;
-  row.upstream_hash = HashOf(upstream.id);
+  row.upstream_hash = upstream.hash;
   row.cost = StateOf(upstream).engine->Estimate(request.part_keys,
                                                 request.prompt->parts, now);
   row.is_same_data_centre = upstream.data_centre == settings_.data_centre;
@@ -165,29 +164,23 @@
   if (!IsForEngine(request, left)) {
     return asked;
   }
-  const auto take = [&asked, &left](size_t index) {
-    asked.push_back(*left[index]);
-    left.erase(left.begin() + static_cast<ptrdiff_t>(index));
-  };
-  const uint64_t home_key = HomeKey(request);
-  for (size_t n = 0; n < kHomesAsked && !left.empty(); ++n) {
-    size_t home = 0;
-    for (size_t i = 1; i < left.size(); ++i) {
-      if (RendezvousWeight(home_key, HashOf(left[i]->id)) >
-          RendezvousWeight(home_key, HashOf(left[home]->id))) {
-        home = i;
+  // Among the others each request asks a few by its own hash: with the boards'
+  // answers, a choice between few is nearly as good as one between all.
+  const auto take_best = [&asked, &left](uint64_t key) {
+    size_t best = 0;
+    uint64_t best_weight = 0;
+    for (size_t i = 0; i < left.size(); ++i) {
+      const uint64_t weight = RendezvousWeight(key, left[i]->hash);
+      if (weight >= best_weight) {
+        best = i;
+        best_weight = weight;
       }
     }
-    take(home);
-  }
-  while (asked.size() < kEnginesAsked && !left.empty()) {
-    std::vector<EngineCandidate> rows;
-    rows.reserve(left.size());
-    for (const Upstream* upstream : left) {
-      rows.push_back(ToCandidate(request, *upstream, now));
-    }
-    // Among those that seem alike each request asks others.
-    take(PickEngine(rows, request.hash, settings_.placement));
+    asked.push_back(*left[best]);
+    left.erase(left.begin() + static_cast<ptrdiff_t>(best));
+  };
+  for (size_t n = 0; n < kEnginesAsked && !left.empty(); ++n) {
+    take_best(n < kHomesAsked ? HomeKey(request) : request.hash);
   }
   return asked;
 }
@@ -270,7 +263,7 @@
   rows.reserve(candidates.size());
   for (const Upstream* upstream : candidates) {
     rows.push_back(
-        {.upstream_hash = HashOf(upstream->id),
+        {.upstream_hash = upstream->hash,
          .in_flight = StateOf(*upstream).in_flight,
          .slots = upstream->slots,
          .is_same_data_centre = upstream->data_centre == settings_.data_centre,
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -106,7 +106,7 @@
                kernel::TimePoint now);
 
   // Returns the engines whose boards should be asked before the next attempt:
-  // the homes of the prompt's shared part and those that seem least loaded.
+  // the homes of the prompt's shared part and a few others.
   // Empty for plain services.
   std::vector<Upstream> EnginesToAsk(const RoutedRequest& request,
                                      kernel::TimePoint now);
@@ -183,8 +183,7 @@
   uint32_t instances_ = 1;
 };
 
-// Tokens that a request costs its workspace: its own part read once, its
-// output generated at twice that.
+// Tokens that a request costs its workspace: its prompt once, its output twice.
 uint64_t ShareTokens(const Prompt& prompt);
 
 }  // namespace jackdawshunt::routing
--- a/jackdawshunt/routing/upstream.h
+++ b/jackdawshunt/routing/upstream.h
@@ -12,6 +12,7 @@
 
 struct Upstream {
   std::string id;
+  uint64_t hash = 0;  // Of the id.
   std::string service;
   http::Address address;
   std::string data_centre;
