--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -25,13 +25,14 @@
 }
 
 void Board::Meet(const EngineIdentity& engine) {
-  if (engine_ != nullptr && engine_life_ == engine.life) {
-    return;
+  if (engine_ == nullptr || engine_life_ != engine.life) {
+    engine_life_ = engine.life;
+    engine_ = std::make_unique<routing::EngineEstimate>(
+        routing::EngineProfile{.slots = 0, .cache_tokens = engine.cache_tokens},
+        kInitialTokensPerMs);
   }
-  engine_life_ = engine.life;
-  engine_ = std::make_unique<routing::EngineEstimate>(
-      routing::EngineProfile{.slots = 0, .cache_tokens = engine.cache_tokens},
-      kInitialTokensPerMs);
+  engine_->set_sustained_tokens_per_ms(
+      static_cast<double>(engine.sustained_tokens_per_s) / 1000.0);
 }
 
 std::optional<Message> Board::On(const Query& query, kernel::TimePoint now) {
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -40,15 +40,17 @@
   json out = Tag(Type::kQuery);
   out.insert(out.end(),
              {query.nonce, query.engine.life, query.engine.cache_tokens,
-              query.part_keys, query.part_tokens});
+              query.engine.sustained_tokens_per_s, query.part_keys,
+              query.part_tokens});
   return out;
 }
 
 json ToJson(const Offer& offer) {
   json out = Tag(Type::kOffer);
   out.insert(out.end(),
-             {offer.nonce, offer.cost.wait.count(), offer.cost.read.count(),
-              offer.cost.missing_tokens, offer.cost.missing_shared_tokens});
+             {offer.nonce, offer.cost.wait.count(), offer.cost.ahead.count(),
+              offer.cost.read.count(), offer.cost.missing_tokens,
+              offer.cost.missing_shared_tokens});
   return out;
 }
 
@@ -56,7 +58,8 @@
   json out = Tag(Type::kClaim);
   out.insert(out.end(),
              {claim.request, claim.engine.life, claim.engine.cache_tokens,
-              claim.part_keys, claim.part_tokens, claim.output_tokens});
+              claim.engine.sustained_tokens_per_s, claim.part_keys,
+              claim.part_tokens, claim.output_tokens});
   return out;
 }
 
@@ -132,6 +135,7 @@
     EngineIdentity engine;
     engine.life = Unsigned();
     engine.cache_tokens = Unsigned();
+    engine.sustained_tokens_per_s = Unsigned();
     return engine;
   }
 
@@ -173,6 +177,7 @@
   Offer offer;
   offer.nonce = reader.Unsigned();
   offer.cost.wait = kernel::Duration(static_cast<int64_t>(reader.Unsigned()));
+  offer.cost.ahead = kernel::Duration(static_cast<int64_t>(reader.Unsigned()));
   offer.cost.read = kernel::Duration(static_cast<int64_t>(reader.Unsigned()));
   offer.cost.missing_tokens = reader.Unsigned();
   offer.cost.missing_shared_tokens = reader.Unsigned();
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -28,6 +28,7 @@
 struct EngineIdentity {
   uint64_t life = 0;  // Hash of the upstream's id and start time.
   uint64_t cache_tokens = 0;
+  uint64_t sustained_tokens_per_s = 0;
 };
 
 // Gateway to board: what would this prompt cost now?
--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -114,6 +114,7 @@
   }
   if (decision.is_engine) {
     fields["wait_ms"] = Milliseconds(decision.cost.wait);
+    fields["ahead_ms"] = Milliseconds(decision.cost.ahead);
     fields["read_ms"] = Milliseconds(decision.cost.read);
     fields["missing_tokens"] = decision.cost.missing_tokens;
     fields["share_used"] = decision.share_used;
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -293,6 +293,19 @@
   FinishResponse();
 }
 
+void ServerConnection::StartUnframedResponse(const ResponseHead& head) {
+  impl_->framing = BodyFraming::Length(0);
+  impl_->closes = true;
+  std::string text = Serialize(head, BodyFraming::Length(0), true);
+  constexpr std::string_view kLength = "Content-Length: 0\r\n";
+  text.erase(text.find(kLength), kLength.size());
+  impl_->Write(text);
+}
+
+void ServerConnection::WriteRaw(std::string_view bytes) {
+  impl_->Write(bytes);
+}
+
 void ServerConnection::Abort() {
   if (impl_->connection != nullptr) {
     internal::ResetOnClose(bufferevent_getfd(impl_->connection));
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -104,6 +104,10 @@
   void Reply(const ResponseHead& head,
              std::string_view body,
              bool close_after = false);
+  // An answer whose end is marked by the end of the connection.
+  void StartUnframedResponse(const ResponseHead& head);
+  // Bytes outside any answer, for stand-ins that misbehave.
+  void WriteRaw(std::string_view bytes);
   // Resets the connection, so that the caller sees an incomplete answer.
   void Abort();
   // Closes the connection now if it is idle, else after the current answer.
--- a/jackdawshunt/platform/settings.h
+++ b/jackdawshunt/platform/settings.h
@@ -39,8 +39,6 @@
   double retry_ratio = 0.1;
   kernel::Duration retry_window = std::chrono::seconds(10);
   double retry_slack = 0;
-  // Window over which workspaces get their fair share.
-  kernel::Duration share_window = std::chrono::seconds(4);
 };
 
 struct InstanceSettings {
--- a/jackdawshunt/routing/admission.cc
+++ b/jackdawshunt/routing/admission.cc
@@ -41,7 +41,8 @@
 
 AdmissionDecision Decide(const AdmissionInput& input,
                          const AdmissionPolicy& policy) {
-  if (input.cost.wait <= policy.negligible_wait) {
+  const kernel::Duration wait = input.cost.paced_wait();
+  if (wait <= policy.negligible_wait) {
     return {};
   }
   const double factor = ShareFactor(input.share_used);
@@ -51,12 +52,12 @@
       Scale(input.objective, policy.long_prompt_wait_share);
   const kernel::Duration limit =
       Scale(std::max(in_time, for_long_prompts), factor);
-  if (input.cost.wait <= limit) {
+  if (wait <= limit) {
     return {};
   }
   return {.is_admitted = false,
-          .retry_after = ReturnTime(input.cost.wait - limit,
-                                    input.deadline_left, input.request_hash)};
+          .retry_after = ReturnTime(wait - limit, input.deadline_left,
+                                    input.request_hash)};
 }
 
 kernel::Duration ReturnTime(kernel::Duration excess,
--- a/jackdawshunt/routing/engine_estimate.cc
+++ b/jackdawshunt/routing/engine_estimate.cc
@@ -48,6 +48,14 @@
   return kPromptOverhead + FromMs(static_cast<double>(tokens) / tokens_per_ms_);
 }
 
+kernel::Duration EngineEstimate::PaceTime(uint64_t missing,
+                                          uint32_t output) const {
+  return sustained_tokens_per_ms_ <= 0
+             ? kernel::Duration::zero()
+             : FromMs(static_cast<double>(missing + uint64_t{2} * output) /
+                      sustained_tokens_per_ms_);
+}
+
 EngineCost EngineEstimate::Estimate(const std::vector<uint64_t>& keys,
                                     const std::vector<PromptPart>& parts,
                                     kernel::TimePoint now) const {
@@ -64,6 +72,7 @@
   }
   cost.read = ReadTime(cost.missing_tokens);
   cost.wait = std::max(busy_until_ - now, kernel::Duration::zero());
+  cost.ahead = std::max(paced_until_ - now, kernel::Duration::zero());
   if (!waiting_.empty()) {
     // A prompt that should have been read by now holds up the ones behind it.
     const RunningClaim& oldest = claims_.at(waiting_.front());
@@ -80,6 +89,8 @@
   OnEnd(request, true, now);
   const EngineCost cost = Estimate(keys, parts, now);
   busy_until_ = std::max(busy_until_, now) + cost.read;
+  paced_until_ = std::max(paced_until_, now) +
+                 PaceTime(cost.missing_tokens, output_tokens);
   RunningClaim claim;
   claim.keys = keys;
   claim.claimed = now;
@@ -171,6 +182,7 @@
   if (!claim.has_started) {
     // The prompts behind it move up by what it would have taken.
     const kernel::Duration saved = ReadTime(claim.missing_tokens);
+    paced_until_ -= PaceTime(claim.missing_tokens, claim.output_tokens);
     busy_until_ = std::max(now, busy_until_ - saved);
     for (auto other = std::next(claim.waiting_position);
          other != waiting_.end(); ++other) {
@@ -224,6 +236,7 @@
   cached_tokens_ = 0;
   output_tokens_ = 0;
   busy_until_ = {};
+  paced_until_ = {};
   last_first_event_ = {};
 }
 
--- a/jackdawshunt/routing/engine_estimate.h
+++ b/jackdawshunt/routing/engine_estimate.h
@@ -7,6 +7,13 @@
 // goes and whether it is taken at all. Answers the load pattern "long prompts
 // with shared beginnings arrive faster than they can be read".
 //
+// While an engine reads, each running stream gets one token a chunk instead of
+// one a step, ten times slower. An engine that always reads starts every stream
+// in time and finishes few. So claims are also paced to the throughput that the
+// operator states: `ahead` tells how much more was claimed lately. Answers the
+// load pattern "prompts are read in time, but long streams end at their
+// deadline".
+//
 // Example:
 //   routing::EngineEstimate engine(profile, /*tokens_per_ms=*/32);
 //   auto cost = engine.Estimate(keys, parts, now);
@@ -18,6 +25,7 @@
 #ifndef JACKDAWSHUNT_ROUTING_ENGINE_ESTIMATE_H_
 #define JACKDAWSHUNT_ROUTING_ENGINE_ESTIMATE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <string>
@@ -32,12 +40,14 @@
 namespace jackdawshunt::routing {
 
 struct EngineCost {
-  kernel::Duration wait{};  // Until the engine begins to read this prompt.
-  kernel::Duration read{};  // For the parts that it does not hold.
+  kernel::Duration wait{};   // Until the engine begins to read this prompt.
+  kernel::Duration ahead{};  // Of the pace that leaves time for the streams.
+  kernel::Duration read{};   // For the parts that it does not hold.
   uint64_t missing_tokens = 0;
   uint64_t missing_shared_tokens = 0;  // Of the parts before the last one.
 
-  kernel::Duration first_event() const { return wait + read; }
+  // What the request would wait if reading kept its pace.
+  kernel::Duration paced_wait() const { return std::max(wait, ahead); }
 };
 
 class EngineEstimate {
@@ -62,6 +72,12 @@
 
   // The engine restarted: it holds nothing.
   void Clear();
+  // Tokens, read once and generated twice, that the engine can take for long;
+  // 0: not known, nothing is paced.
+  void set_sustained_tokens_per_ms(double tokens) {
+    sustained_tokens_per_ms_ = tokens;
+  }
+
   // Drops claims older than `age`, whose end was not heard, and those that
   // have waited far too long: the engine has lost them.
   void Expire(kernel::Duration age, kernel::TimePoint now);
@@ -88,6 +104,7 @@
     std::list<std::string>::iterator waiting_position;
   };
 
+  kernel::Duration PaceTime(uint64_t missing, uint32_t output) const;
   kernel::Duration ReadTime(uint64_t tokens) const;
   void Learn(const RunningClaim& claim, kernel::TimePoint now);
   void Evict();
@@ -95,6 +112,7 @@
   const EngineProfile profile_;
   const double initial_tokens_per_ms_;
   double tokens_per_ms_;
+  double sustained_tokens_per_ms_ = 0;
   std::unordered_map<std::string, RunningClaim> claims_;
   std::list<std::string>
       waiting_;  // Claims without a first event, oldest first.
@@ -103,6 +121,7 @@
   uint64_t cached_tokens_ = 0;
   uint64_t output_tokens_ = 0;  // Of running requests.
   kernel::TimePoint busy_until_{};
+  kernel::TimePoint paced_until_{};
   kernel::TimePoint last_first_event_{};
 };
 
--- a/jackdawshunt/routing/placement.cc
+++ b/jackdawshunt/routing/placement.cc
@@ -19,8 +19,8 @@
       candidate.is_same_data_centre
           ? 0
           : static_cast<double>(weights.other_data_centre.count());
-  return static_cast<double>(candidate.cost.wait.count()) + read + reread +
-         distance + static_cast<double>(candidate.penalty.count());
+  return static_cast<double>(candidate.cost.paced_wait().count()) + read +
+         reread + distance + static_cast<double>(candidate.penalty.count());
 }
 
 }  // namespace
--- a/jackdawshunt/routing/retry_budget.cc
+++ b/jackdawshunt/routing/retry_budget.cc
@@ -11,6 +11,7 @@
 // Part of the fixed allowance that is used, for the same reason and because
 // instances that just joined are not counted yet.
 constexpr double kSlackUsed = 0.6;
+constexpr double kSlackUsedAtFirst = 0.3;
 
 }  // namespace
 
@@ -39,9 +40,10 @@
   Trim(window.repeats, now);
   double allowed = kRatioUsed * settings_.ratio *
                    static_cast<double>(window.requests.size());
-  if (now - started_ >= settings_.window) {
-    allowed += kSlackUsed * settings_.slack /
-               static_cast<double>(std::max<uint32_t>(instances, 1));
+  if (instances > 0) {
+    const double used = now - started_ >= settings_.window ? kSlackUsed
+                                                           : kSlackUsedAtFirst;
+    allowed += used * settings_.slack / static_cast<double>(instances);
   }
   if (static_cast<double>(window.repeats.size()) + 1 > allowed) {
     return false;
--- a/jackdawshunt/routing/retry_budget.h
+++ b/jackdawshunt/routing/retry_budget.h
@@ -3,9 +3,9 @@
 // Retries help while few requests fail and make an overload worse when many
 // do. Each service has a budget per sliding window, shared by the whole fleet:
 // a part of its requests and a fixed allowance. An instance spends its own
-// requests' part and an even part of the allowance; after a start without
-// memory the allowance is not spent in the first window, since the instance
-// before it may have. Answers the load pattern "callers and the fleet repeat
+// requests' part and an even part of the allowance; in the first window after a
+// start without memory it spends less of it, since the instance before it may
+// have. Answers the load pattern "callers and the fleet repeat
 // what fails while everything fails".
 //
 // Example:
@@ -39,7 +39,8 @@
   RetryBudget(RetryBudgetSettings settings, kernel::TimePoint started);
 
   void OnRequest(std::string_view service, kernel::TimePoint now);
-  // Returns whether one more repeat fits, and counts it.
+  // Returns whether one more repeat fits, and counts it. `instances` share the
+  // allowance; 0: their number is not known, and none of it is spent.
   bool TrySpend(std::string_view service,
                 uint32_t instances,
                 kernel::TimePoint now);
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -21,6 +21,8 @@
 // Failure shares below this are noise.
 constexpr double kTolerableFailures = 0.08;
 
+// The stated throughput is rounded and counts prompts that are read again.
+constexpr double kPaceFactor = 1.1;
 // Engines whose boards are asked for one request, and how many of them are the
 // first homes of its shared part.
 constexpr size_t kEnginesAsked = 4;
@@ -146,8 +148,9 @@
                                     kernel::TimePoint now) {
   EngineCandidate row;
   row.upstream_hash = upstream.hash;
-  row.cost = StateOf(upstream).engine->Estimate(request.part_keys,
-                                                request.prompt->parts, now);
+  EngineEstimate& engine = *StateOf(upstream).engine;
+  engine.set_sustained_tokens_per_ms(request.engine_tokens_per_s / 1000.0);
+  row.cost = engine.Estimate(request.part_keys, request.prompt->parts, now);
   row.is_same_data_centre = upstream.data_centre == settings_.data_centre;
   const double failures = health_.FailureShare(upstream.id);
   if (failures > kTolerableFailures) {
@@ -157,13 +160,21 @@
   return row;
 }
 
-std::vector<Upstream> Router::EnginesToAsk(const RoutedRequest& request,
+double Router::EngineTokensPerSecond(size_t engines) const {
+  const double stated =
+      table_ == nullptr ? 0 : table_->state().limits.tokens_per_second;
+  return kPaceFactor * stated /
+         static_cast<double>(std::max<size_t>(engines, 1));
+}
+
+std::vector<Upstream> Router::EnginesToAsk(RoutedRequest& request,
                                            kernel::TimePoint now) {
   std::vector<const Upstream*> left = Candidates(request, now);
   std::vector<Upstream> asked;
   if (!IsForEngine(request, left)) {
     return asked;
   }
+  request.engine_tokens_per_s = EngineTokensPerSecond(left.size());
   // Among the others each request asks a few by its own hash: with the boards'
   // answers, a choice between few is nearly as good as one between all.
   const auto take_best = [&asked, &left](uint64_t key) {
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -42,7 +42,9 @@
 struct RouterSettings {
   std::string data_centre;
   RetryBudgetSettings retry_budget;
-  kernel::Duration share_window = std::chrono::seconds(4);
+  // Window over which workspaces are balanced. Shorter than the time over which
+  // they compare, so that what one had before does not count against it.
+  kernel::Duration share_window = std::chrono::seconds(2);
   // How long an entry that vanished while the list could not be read is still
   // used after the list is back.
   kernel::Duration return_grace = std::chrono::milliseconds(1500);
@@ -59,6 +61,7 @@
   std::string workspace;  // Empty on public routes.
   std::optional<Prompt> prompt;
   std::vector<uint64_t> part_keys;
+  double engine_tokens_per_s = 0;  // Sustained by one engine; 0: not known.
   kernel::TimePoint arrived{};
   kernel::TimePoint ends{};  // No answer is wanted after this.
   kernel::Duration objective_left_at_arrival{};
@@ -108,7 +111,7 @@
   // Returns the engines whose boards should be asked before the next attempt:
   // the homes of the prompt's shared part and a few others.
   // Empty for plain services.
-  std::vector<Upstream> EnginesToAsk(const RoutedRequest& request,
+  std::vector<Upstream> EnginesToAsk(RoutedRequest& request,
                                      kernel::TimePoint now);
   // Chooses the upstream for the next attempt. With offers, the engines that
   // made none are left out.
@@ -142,7 +145,8 @@
 
   FairShare& shares() { return shares_; }
   UpstreamHealth& health() { return health_; }
-  // Entries that share the fleet's budgets, this one included.
+  // Entries that share the fleet's budgets, this one included; 0 at first: not
+  // known.
   void set_instances(uint32_t instances) { instances_ = instances; }
 
  private:
@@ -152,6 +156,8 @@
   };
 
   UpstreamState& StateOf(const Upstream& upstream);
+  // What one of this many engines can sustain of the stated throughput.
+  double EngineTokensPerSecond(size_t engines) const;
   std::vector<const Upstream*> Candidates(const RoutedRequest& request,
                                           kernel::TimePoint now);
   Decision ChooseEngine(const RoutedRequest& request,
@@ -180,7 +186,7 @@
   std::unordered_map<std::string, UpstreamState> upstreams_;
   // Longest deadline that callers of a route stated: what a first attempt has.
   std::unordered_map<std::string, kernel::Duration> longest_deadline_;
-  uint32_t instances_ = 1;
+  uint32_t instances_ = 0;
 };
 
 // Tokens that a request costs its workspace: its prompt once, its output twice.
--- /dev/null
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -0,0 +1,276 @@
+// The gateway and board roles as real processes against stand-ins of the
+// users' platform.
+#include <csignal>
+
+#include "gtest/gtest.h"
+#include "jackdawshunt/testing/platform/platform_fleet.h"
+
+namespace jackdawshunt::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using CallPtr = std::shared_ptr<PlatformCall>;
+
+std::string WholeStream(const PlatformCall& call) {
+  return StandInUpstream::ExpectedBody(call.id(), true, 5);
+}
+
+class GatewayProcessTest : public ::testing::Test {
+ protected:
+  void Start(PlatformFleetOptions options = {}) {
+    fleet_ = std::make_unique<PlatformFleet>(options);
+    fleet_->Start();
+  }
+  // The budget for repeats is known once a board has counted the gateways.
+  void AwaitRepeatBudget() { fleet_->RunFor(milliseconds(700)); }
+  CallPtr Call(CallOptions options, size_t gateway = 0) {
+    CallPtr call = fleet_->Call(gateway, std::move(options));
+    EXPECT_TRUE(fleet_->Await([&] { return call->is_done(); }));
+    return call;
+  }
+  void SetFault(UpstreamFault fault) {
+    for (size_t i = 0; i < fleet_->upstreams(); ++i) {
+      fleet_->upstream(i).SetFault(fault);
+    }
+  }
+  size_t Runs(const PlatformCall& call) {
+    const auto found = fleet_->runs().find(call.id());
+    return found == fleet_->runs().end() ? 0 : found->second.size();
+  }
+
+  std::unique_ptr<PlatformFleet> fleet_;
+};
+
+TEST_F(GatewayProcessTest, ServesEveryKindOfRoute) {
+  Start();
+  for (const char* const route : {kGenerate, kRevise, kHold, kFetch}) {
+    const CallPtr call = Call({.route = route});
+    EXPECT_EQ(call->status(), 200) << route;
+    EXPECT_TRUE(call->is_complete()) << route;
+    ASSERT_EQ(Runs(*call), 1u);
+    const UpstreamRun& run = fleet_->runs().at(call->id()).front();
+    EXPECT_EQ(call->body(), StandInUpstream::ExpectedBody(
+                                call->id(), run.service == "llm", 5));
+    EXPECT_EQ(run.workspace, "lodge");
+    EXPECT_FALSE(run.carried_key);
+  }
+  EXPECT_EQ(Call({.route = kOpen, .api_key = ""})->status(), 200);
+}
+
+TEST_F(GatewayProcessTest, RejectsWhatTheConfigurationDoesNotAllow) {
+  Start();
+  EXPECT_EQ(Call({.route = "nowhere"})->status(), 404);
+  EXPECT_EQ(Call({.api_key = "unknown"})->status(), 401);
+  EXPECT_EQ(Call({.api_key = ""})->status(), 401);
+  EXPECT_TRUE(fleet_->runs().empty());
+}
+
+// An upstream that refuses without running leaves a true "not run".
+TEST_F(GatewayProcessTest, AShedRequestIsRefusedAsNotRun) {
+  Start();
+  SetFault(UpstreamFault::kShed);
+  const CallPtr once = Call({.route = kHold});
+  EXPECT_EQ(once->status(), 503);
+  EXPECT_FALSE(http::FindHeader(once->head().headers, "Retry-After").empty());
+  EXPECT_EQ(Runs(*once), 0u);
+}
+
+// A 503 without the mark has run, so neither 503 nor a second run may follow.
+TEST_F(GatewayProcessTest, AServers503ThatHasRunIsNotPassedOn) {
+  Start();
+  SetFault(UpstreamFault::kFalse503);
+  for (const char* const route : {kHold, kGenerate}) {
+    const CallPtr call = Call({.route = route});
+    EXPECT_EQ(call->status(), 502) << route;
+    EXPECT_EQ(Runs(*call), 1u) << route;
+  }
+}
+
+TEST_F(GatewayProcessTest, NonIdempotentRequestsAreNeverRepeated) {
+  Start();
+  for (const UpstreamFault fault :
+       {UpstreamFault::kReset, UpstreamFault::kTruncate,
+        UpstreamFault::kGarbage, UpstreamFault::kUnsealed}) {
+    SetFault(fault);
+    for (const char* const route : {kHold, kGenerate}) {
+      const CallPtr call = Call({.route = route});
+      EXPECT_EQ(Runs(*call), 1u) << route;
+      EXPECT_FALSE(call->is_complete() && call->status() == 200) << route;
+    }
+  }
+  EXPECT_TRUE(fleet_->RunTwice().empty());
+}
+
+TEST_F(GatewayProcessTest, IdempotentRequestsGoOnElsewhere) {
+  Start();
+  AwaitRepeatBudget();
+  fleet_->upstream(2).SetFault(UpstreamFault::kReset);
+  for (int i = 0; i < 6; ++i) {
+    const CallPtr call = Call({.route = kFetch});
+    EXPECT_EQ(call->status(), 200);
+    EXPECT_EQ(call->body(), "result of " + call->id());
+  }
+}
+
+TEST_F(GatewayProcessTest, AStreamResumesAtAnotherEngine) {
+  Start();
+  AwaitRepeatBudget();
+  CallPtr call = fleet_->Call(0, {.route = kRevise});
+  ASSERT_TRUE(fleet_->Await(
+      [&] { return call->body().find("id: 2") != std::string::npos; }));
+  const std::string first = fleet_->runs().at(call->id()).front().upstream;
+  const size_t crashed = first == "i-0" ? 0 : 1;
+  fleet_->upstream(crashed).Crash();
+  ASSERT_TRUE(fleet_->Await([&] { return call->is_done(); }));
+  EXPECT_TRUE(call->is_complete());
+  EXPECT_EQ(call->body(), WholeStream(*call));
+  ASSERT_EQ(Runs(*call), 2u);
+  EXPECT_GE(fleet_->runs().at(call->id()).back().from_event, 3u);
+}
+
+TEST_F(GatewayProcessTest, AStreamThatCannotResumeDoesNotLookComplete) {
+  Start();
+  CallPtr call = fleet_->Call(0, {.route = kGenerate});
+  ASSERT_TRUE(fleet_->Await(
+      [&] { return call->body().find("id: 2") != std::string::npos; }));
+  fleet_->upstream(0).Crash();
+  fleet_->upstream(1).Crash();
+  ASSERT_TRUE(fleet_->Await([&] { return call->is_done(); }));
+  EXPECT_FALSE(call->is_complete());
+  EXPECT_EQ(Runs(*call), 1u);
+}
+
+TEST_F(GatewayProcessTest, ForeignAndExtraAnswersReachNobody) {
+  Start();
+  for (const UpstreamFault fault :
+       {UpstreamFault::kForeign, UpstreamFault::kExtra,
+        UpstreamFault::kUnframed}) {
+    SetFault(fault);
+    for (const char* const route : {kHold, kFetch, kGenerate}) {
+      const CallPtr call = Call({.route = route});
+      EXPECT_EQ(call->status(), 200);
+      EXPECT_FALSE(call->has_foreign_answer());
+      EXPECT_EQ(call->body(),
+                StandInUpstream::ExpectedBody(
+                    call->id(), std::string(route) == kGenerate, 5));
+    }
+  }
+}
+
+TEST_F(GatewayProcessTest, ATimeoutIsAnsweredAtOnceAndCancelsTheRun) {
+  Start({.route_timeout = milliseconds(600)});
+  SetFault(UpstreamFault::kHang);
+  const CallPtr call = Call({.route = kHold});
+  EXPECT_EQ(call->status(), 504);
+  EXPECT_LT(call->total(), kernel::Duration(milliseconds(1100)));
+  ASSERT_TRUE(fleet_->Await(
+      [&] { return fleet_->runs().at(call->id()).front().was_cancelled; }));
+}
+
+TEST_F(GatewayProcessTest, ACallerThatLeavesCancelsTheRun) {
+  Start();
+  SetFault(UpstreamFault::kHang);
+  CallPtr call = fleet_->Call(0, {.route = kGenerate});
+  ASSERT_TRUE(fleet_->Await([&] { return Runs(*call) == 1; }));
+  call->Leave();
+  EXPECT_TRUE(fleet_->Await(
+      [&] { return fleet_->runs().at(call->id()).front().was_cancelled; }));
+}
+
+TEST_F(GatewayProcessTest, AChangeOfTheConfigurationTakesEffect) {
+  Start();
+  fleet_->PutConfiguration({"key-new"});
+  ASSERT_TRUE(fleet_->Await([&] {
+    return Call({.route = kFetch, .api_key = "key-new"})->status() == 200;
+  }));
+  EXPECT_EQ(Call({.route = kFetch, .api_key = "key-lodge"})->status(), 401);
+}
+
+// The process cannot hear that a key is taken away, so it accepts none once
+// its knowledge is too old, and says so without having run anything.
+TEST_F(GatewayProcessTest, KeysAreRefusedWhenTheConfigurationIsTooOld) {
+  Start({.revocation = milliseconds(2500)});
+  fleet_->store().SetFault(StoreFault::kSilent);
+  ASSERT_TRUE(
+      fleet_->Await([&] { return Call({.route = kFetch})->status() == 503; }));
+  EXPECT_FALSE(fleet_->IsReady(0));
+  EXPECT_EQ(Call({.route = kOpen, .api_key = ""})->status(), 200);
+  fleet_->store().SetFault(StoreFault::kNone);
+  EXPECT_TRUE(
+      fleet_->Await([&] { return Call({.route = kFetch})->status() == 200; }));
+}
+
+TEST_F(GatewayProcessTest, ADrainingUpstreamGetsNothingNew) {
+  Start();
+  fleet_->PutUpstream(2, "draining");
+  fleet_->RunFor(milliseconds(500));
+  for (int i = 0; i < 6; ++i) {
+    const CallPtr call = Call({.route = kHold});
+    ASSERT_EQ(call->status(), 200);
+    EXPECT_EQ(fleet_->runs().at(call->id()).front().upstream, "i-3");
+  }
+}
+
+TEST_F(GatewayProcessTest, ListsAgainWhenTheHistoryIsGone) {
+  Start();
+  fleet_->store().SetFault(StoreFault::kBusy);
+  fleet_->DeleteUpstream(2);
+  fleet_->store().SetFault(StoreFault::kNone);
+  fleet_->store().DropHistory();
+  fleet_->RunFor(milliseconds(800));
+  for (int i = 0; i < 6; ++i) {
+    const CallPtr call = Call({.route = kHold});
+    ASSERT_EQ(call->status(), 200);
+    EXPECT_EQ(fleet_->runs().at(call->id()).front().upstream, "i-3");
+  }
+}
+
+TEST_F(GatewayProcessTest, AGracefulStopCutsNoStream) {
+  Start();
+  std::vector<CallPtr> calls;
+  for (int i = 0; i < 10; ++i) {
+    calls.push_back(fleet_->Call(0, {.route = kGenerate}));
+  }
+  ASSERT_TRUE(fleet_->Await([&] { return fleet_->runs().size() == 10; }));
+  fleet_->gateway(0).Terminate();
+  ASSERT_TRUE(fleet_->Await([&] {
+    return std::all_of(calls.begin(), calls.end(),
+                       [](const CallPtr& call) { return call->is_done(); });
+  }));
+  for (const CallPtr& call : calls) {
+    EXPECT_TRUE(call->is_complete());
+    EXPECT_EQ(call->body(), WholeStream(*call));
+  }
+  EXPECT_FALSE(fleet_->IsReady(0));
+  EXPECT_EQ(fleet_->gateway(0).WaitForExit(), 0);
+}
+
+TEST_F(GatewayProcessTest, ServesWithoutBoards) {
+  Start();
+  fleet_->board(0).Kill();
+  fleet_->board(1).Pause();
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(Call({.route = kGenerate})->status(), 200);
+  }
+  fleet_->board(1).Continue();
+}
+
+TEST_F(GatewayProcessTest, AnUpstreamAtAReusedAddressRunsNothing) {
+  Start({.plain = 1});
+  // The only plain upstream's address is announced under another id.
+  fleet_->DeleteUpstream(2);
+  fleet_->store().Put("servers", "i-old",
+                      {{"service", "desk"},
+                       {"address", fleet_->upstream_address(2).ToString()},
+                       {"zone", "z"},
+                       {"slots", 6},
+                       {"state", "ready"}});
+  fleet_->RunFor(milliseconds(300));
+  const CallPtr call = Call({.route = kHold});
+  EXPECT_EQ(call->status(), 503);
+  EXPECT_EQ(Runs(*call), 0u);
+}
+
+}  // namespace
+}  // namespace jackdawshunt::testing
--- /dev/null
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -0,0 +1,314 @@
+#include "jackdawshunt/testing/platform/platform_fleet.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "jackdawshunt/http/socket_address.h"
+
+namespace jackdawshunt::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kHost[] = "site.example";
+constexpr char kEngineService[] = "llm";
+constexpr char kPlainService[] = "desk";
+
+std::string NetworkOfThisProcess() {
+  // Tests that run at the same time do not share IPs.
+  return absl::StrCat("127.", 16 + getpid() % 200);
+}
+
+int64_t Milliseconds(kernel::Duration duration) {
+  return duration.count() / 1000;
+}
+
+}  // namespace
+
+PlatformCall::PlatformCall(kernel::EventLoop& loop,
+                           const http::Address& gateway,
+                           const CallOptions& options,
+                           std::string id)
+    : loop_(loop),
+      id_(std::move(id)),
+      options_(options),
+      connection_(loop, gateway, {}),
+      sent_(loop.clock().Now()) {
+  http1::RequestHead head;
+  head.method =
+      options_.route == kFetch || options_.route == kOpen ? "GET" : "POST";
+  head.target = absl::StrCat("/", options_.route, "/x");
+  head.headers = {
+      {"Host", kHost},
+      {"Request-Id", id_},
+      {"Deadline-Milliseconds", absl::StrCat(Milliseconds(options_.deadline))}};
+  if (!options_.api_key.empty()) {
+    head.headers.emplace_back("Authorization",
+                              absl::StrCat("Token ", options_.api_key));
+  }
+  if (options_.route == kGenerate || options_.route == kRevise) {
+    head.headers.emplace_back("Token-Counts", "1000,20");
+    head.headers.emplace_back("Prompt-Prefix",
+                              absl::StrCat("a1:800,", "b", id_, ":200"));
+  }
+  const bool has_body = head.method == "POST";
+  std::string bytes = http1::Serialize(
+      head,
+      has_body ? std::optional<uint64_t>(options_.body.size()) : std::nullopt);
+  if (has_body) {
+    bytes += options_.body;
+  }
+  connection_.Send(bytes, false, *this);
+}
+
+PlatformCall::~PlatformCall() = default;
+
+void PlatformCall::Leave() {
+  connection_.Forget();
+}
+
+bool PlatformCall::IsOwn(const http1::ResponseHead& head) {
+  const std::string_view answered =
+      http::FindHeader(head.headers, "Request-Id");
+  has_foreign_answer_ =
+      has_foreign_answer_ || (!answered.empty() && answered != id_);
+  return true;
+}
+
+void PlatformCall::OnHead(const http1::ResponseHead& head) {
+  head_ = head;
+}
+
+void PlatformCall::OnEnd() {
+  is_complete_ = true;
+  ended_ = loop_.clock().Now();
+}
+
+void PlatformCall::OnLost(http1::Loss loss) {
+  loss_ = loss;
+  ended_ = loop_.clock().Now();
+}
+
+PlatformFleet::PlatformFleet(PlatformFleetOptions options)
+    : options_(std::move(options)), network_(NetworkOfThisProcess()) {
+  callers_port_ = FreePort();
+  readiness_port_ = FreePort();
+  internal_port_ = FreePort();
+  store_ = std::make_unique<StandInStore>(loop_, http::Address{"127.0.0.1", 0});
+  for (size_t i = 0; i < options_.engines + options_.plain; ++i) {
+    const bool is_engine = i < options_.engines;
+    upstreams_.push_back(std::make_unique<StandInUpstream>(
+        loop_, http::Address{UpstreamIp(i), 0},
+        StandInUpstreamOptions{
+            .id = absl::StrCat("i-", i),
+            .service = is_engine ? kEngineService : kPlainService,
+            .is_engine = is_engine},
+        runs_));
+    PutUpstream(i);
+  }
+  PutConfiguration({"key-lodge"});
+  gateways_.resize(options_.gateways);
+  boards_.resize(options_.engines);
+}
+
+PlatformFleet::~PlatformFleet() = default;
+
+uint16_t PlatformFleet::FreePort() {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in bound = *http::ToSocketAddress({"127.0.0.1", 0});
+  socklen_t length = sizeof(bound);
+  const bool is_bound =
+      bind(fd, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0 &&
+      getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &length) == 0;
+  close(fd);
+  return is_bound ? ntohs(bound.sin_port) : 0;
+}
+
+std::string PlatformFleet::GatewayIp(size_t index) const {
+  return absl::StrCat(network_, ".1.", 1 + index);
+}
+
+std::string PlatformFleet::UpstreamIp(size_t index) const {
+  return absl::StrCat(network_, ".2.", 1 + index);
+}
+
+http::Address PlatformFleet::gateway_address(size_t index) const {
+  return {GatewayIp(index), callers_port_};
+}
+
+void PlatformFleet::PutUpstream(size_t index, std::string_view state) {
+  const StandInUpstreamOptions& options = upstreams_[index]->options();
+  store_->Put("servers", options.id,
+              {{"service", options.service},
+               {"address", absl::StrCat(UpstreamIp(index), ":",
+                                        upstreams_[index]->port())},
+               {"zone", "z"},
+               {"version", "v1"},
+               {"slots", 64},
+               {"state", state},
+               {"coldRemainingMs", 0},
+               {"sequence", 1},
+               {"born", 1790000000000}});
+}
+
+void PlatformFleet::DeleteUpstream(size_t index) {
+  store_->Delete("servers", upstreams_[index]->options().id);
+}
+
+void PlatformFleet::PutConfiguration(
+    const std::vector<std::string>& lodge_keys) {
+  const auto route = [this](const char* name, const char* kind,
+                            const char* service, int attempts, bool is_public,
+                            bool is_resumable) {
+    return json{{"name", name},
+                {"host", kHost},
+                {"pathPrefix", absl::StrCat("/", name, "/")},
+                {"kind", kind},
+                {"timeoutMs", Milliseconds(options_.route_timeout)},
+                {"targetLatencyMs", 1000},
+                {"priority", 1},
+                {"service", service},
+                {"attempts", attempts},
+                {"public", is_public},
+                {"resumable", is_resumable}};
+  };
+  store_->Put("config", "main",
+              {{"version", ++version_},
+               {"routes",
+                {route(kGenerate, "streaming", kEngineService, 1, false, false),
+                 route(kRevise, "streaming", kEngineService, 2, false, true),
+                 route(kHold, "unsafe", kPlainService, 1, false, false),
+                 route(kFetch, "safe", kPlainService, 2, false, false),
+                 route(kOpen, "safe", kPlainService, 2, true, false)}},
+               {"services",
+                {{{"name", kEngineService},
+                  {"connectionLimit", 100},
+                  {"engine", {{"slots", 64}, {"kvTokens", 500000}}}},
+                 {{"name", kPlainService}, {"connectionLimit", 100}}}},
+               {"limits",
+                {{"headerBytes", 16384},
+                 {"bodyBytes", 1048576},
+                 {"headerTimeoutMs", 3000},
+                 {"idleTimeoutMs", 15000},
+                 {"tokensPerS", 1000000}}},
+               {"tenants",
+                {{{"name", "lodge"}, {"apiKeys", lodge_keys}},
+                 {{"name", "school"}, {"apiKeys", {"key-school"}}}}}});
+}
+
+std::string PlatformFleet::WriteSettings(const std::string& name,
+                                         const std::string& ip,
+                                         const std::string& more) {
+  const std::string path = absl::StrCat(folder_.path(), "/", name, ".conf");
+  std::ofstream(path) << absl::StrCat(
+      "node=", name, "\nip=", ip, "\nzone=z\ninternalPorts=", internal_port_,
+      ",", internal_port_, "\nplatform.address=", store_->address().ToString(),
+      "\nbounds.revokeMs=", Milliseconds(options_.revocation),
+      "\nbounds.strictRevocation=true\nbounds.graceS=8\n"
+      "bounds.budgetRatio=0.2\nbounds.budgetWindowS=10\n"
+      "bounds.budgetSlack=50\nlimits.memoryMb=260\n"
+      "limits.fileDescriptors=4100\n",
+      more);
+  return path;
+}
+
+void PlatformFleet::StartGateway(size_t index) {
+  const std::string name = absl::StrCat("gateway-", index);
+  const std::string path = WriteSettings(
+      name, GatewayIp(index),
+      absl::StrCat("listen.front=", GatewayIp(index), ":", callers_port_,
+                   "\nlisten.ready=", GatewayIp(index), ":", readiness_port_,
+                   "\n"));
+  gateways_[index] =
+      *Process::Start({.command = {MainBinary(), "gateway", "--settings", path},
+                       .folder = folder_.path(),
+                       .name = name,
+                       .has_ports_file = false});
+}
+
+void PlatformFleet::StartBoard(size_t index) {
+  const std::string name = absl::StrCat("board-", index);
+  const std::string path =
+      WriteSettings(name, UpstreamIp(index),
+                    absl::StrCat("app=", UpstreamIp(index), ":",
+                                 upstreams_[index]->port(), "\n"));
+  boards_[index] =
+      *Process::Start({.command = {MainBinary(), "board", "--settings", path},
+                       .folder = folder_.path(),
+                       .name = name,
+                       .has_ports_file = false});
+}
+
+void PlatformFleet::Start() {
+  for (size_t i = 0; i < boards_.size(); ++i) {
+    StartBoard(i);
+  }
+  for (size_t i = 0; i < gateways_.size(); ++i) {
+    StartGateway(i);
+  }
+  for (size_t i = 0; i < gateways_.size(); ++i) {
+    while (!IsReady(i) && gateways_[i]->is_running()) {
+    }
+  }
+}
+
+bool PlatformFleet::IsReady(size_t gateway) {
+  struct Probe final : http1::ResponseReceiver {
+    bool IsOwn(const http1::ResponseHead&) override { return true; }
+    void OnHead(const http1::ResponseHead& head) override {
+      status = head.status;
+    }
+    void OnBody(std::string_view) override {}
+    void OnEnd() override { is_done = true; }
+    void OnLost(http1::Loss) override { is_done = true; }
+    int status = 0;
+    bool is_done = false;
+  } probe;
+  http1::ClientConnection connection(loop_,
+                                     {GatewayIp(gateway), readiness_port_}, {});
+  connection.Send(
+      http1::Serialize(http1::RequestHead{.method = "GET",
+                                          .target = "/jackdawshunt/readiness",
+                                          .headers = {{"Host", "x"}}},
+                       std::nullopt),
+      false, probe);
+  Await([&] { return probe.is_done; });
+  return probe.status == 200;
+}
+
+std::shared_ptr<PlatformCall> PlatformFleet::Call(size_t gateway,
+                                                  CallOptions options) {
+  std::string id = absl::StrCat(absl::Hex(next_request_++, absl::kZeroPad8));
+  routes_[id] = options.route;
+  return std::make_shared<PlatformCall>(loop_, gateway_address(gateway),
+                                        options, std::move(id));
+}
+
+bool PlatformFleet::Await(const std::function<bool()>& done) {
+  return loop_.RunUntil(
+      done, std::chrono::duration_cast<kernel::Duration>(kDeadline));
+}
+
+void PlatformFleet::RunFor(kernel::Duration time) {
+  loop_.RunUntil([] { return false; }, time);
+}
+
+std::vector<std::string> PlatformFleet::RunTwice() const {
+  std::vector<std::string> twice;
+  for (const auto& [id, runs] : runs_) {
+    const auto route = routes_.find(id);
+    const bool is_once = route == routes_.end() || route->second == kGenerate ||
+                         route->second == kHold;
+    if (runs.size() > 1 && is_once) {
+      twice.push_back(id);
+    }
+  }
+  return twice;
+}
+
+}  // namespace jackdawshunt::testing
--- /dev/null
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -0,0 +1,159 @@
+// A small installation of the users' platform on one machine: gateways and
+// boards as real processes, the store and the upstreams as stand-ins in the
+// test's own event loop. Each machine has an IP of its own in 127.0.0.0/8.
+//
+// Example:
+//   testing::PlatformFleet fleet({.gateways = 2, .engines = 3});
+//   fleet.Start();
+//   auto caller = fleet.Call(0, {.route = "generate"});
+//   fleet.Await([&] { return caller->is_done(); });
+//
+// Not thread-safe.
+#ifndef JACKDAWSHUNT_TESTING_PLATFORM_PLATFORM_FLEET_H_
+#define JACKDAWSHUNT_TESTING_PLATFORM_PLATFORM_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jackdawshunt/http1/client.h"
+#include "jackdawshunt/testing/platform/stand_in_store.h"
+#include "jackdawshunt/testing/platform/stand_in_upstream.h"
+#include "jackdawshunt/testing/process.h"
+
+namespace jackdawshunt::testing {
+
+struct PlatformFleetOptions {
+  size_t gateways = 1;
+  size_t engines = 2;
+  size_t plain = 2;
+  kernel::Duration revocation = std::chrono::seconds(5);
+  kernel::Duration route_timeout = std::chrono::seconds(8);
+};
+
+// Routes of the installation, by the first part of the path.
+inline constexpr char kGenerate[] = "generate";  // Streams, at most once.
+inline constexpr char kRevise[] = "revise";      // Streams, resumable.
+inline constexpr char kHold[] = "hold";          // Plain, at most once.
+inline constexpr char kFetch[] = "fetch";        // Plain, repeatable.
+inline constexpr char kOpen[] = "open";          // As fetch, without a key.
+
+struct CallOptions {
+  std::string route = kGenerate;
+  std::string api_key = "key-lodge";
+  kernel::Duration deadline = std::chrono::seconds(8);
+  std::string body = "{}";
+};
+
+// One request of a caller and its answer.
+class PlatformCall final : public http1::ResponseReceiver {
+ public:
+  PlatformCall(kernel::EventLoop& loop,
+               const http::Address& gateway,
+               const CallOptions& options,
+               std::string id);
+  ~PlatformCall() override;
+
+  const std::string& id() const { return id_; }
+  const CallOptions& options() const { return options_; }
+  bool is_done() const { return is_complete_ || loss_.has_value(); }
+  bool is_complete() const { return is_complete_; }
+  std::optional<http1::Loss> loss() const { return loss_; }
+  int status() const { return head_.status; }
+  const http1::ResponseHead& head() const { return head_; }
+  const std::string& body() const { return body_; }
+  bool has_foreign_answer() const { return has_foreign_answer_; }
+  kernel::Duration total() const { return ended_ - sent_; }
+  // The caller leaves.
+  void Leave();
+
+  // http1::ResponseReceiver:
+  bool IsOwn(const http1::ResponseHead& head) override;
+  void OnHead(const http1::ResponseHead& head) override;
+  void OnBody(std::string_view data) override { body_.append(data); }
+  void OnEnd() override;
+  void OnLost(http1::Loss loss) override;
+
+ private:
+  kernel::EventLoop& loop_;
+  const std::string id_;
+  const CallOptions options_;
+  http1::ClientConnection connection_;
+  http1::ResponseHead head_{.status = 0, .headers = {}};
+  std::string body_;
+  bool is_complete_ = false;
+  bool has_foreign_answer_ = false;
+  std::optional<http1::Loss> loss_;
+  kernel::TimePoint sent_{};
+  kernel::TimePoint ended_{};
+};
+
+class PlatformFleet {
+ public:
+  explicit PlatformFleet(PlatformFleetOptions options);
+  ~PlatformFleet();
+
+  // Starts all processes and waits until the gateways are ready.
+  void Start();
+  void StartGateway(size_t index);
+  void StartBoard(size_t index);
+
+  std::shared_ptr<PlatformCall> Call(size_t gateway, CallOptions options);
+  // Runs the loop until `done`. False after kDeadline.
+  bool Await(const std::function<bool()>& done);
+  void RunFor(kernel::Duration time);
+  bool IsReady(size_t gateway);
+
+  // Writes the configuration with the keys of the workspaces "lodge" and
+  // "school"; a new version each time.
+  void PutConfiguration(const std::vector<std::string>& lodge_keys);
+  void PutUpstream(size_t index, std::string_view state = "ready");
+  void DeleteUpstream(size_t index);
+
+  kernel::EventLoop& loop() { return loop_; }
+  StandInStore& store() { return *store_; }
+  RunLog& runs() { return runs_; }
+  // The engines come first, then the plain upstreams.
+  StandInUpstream& upstream(size_t index) { return *upstreams_[index]; }
+  size_t upstreams() const { return upstreams_.size(); }
+  Process& gateway(size_t index) { return *gateways_[index]; }
+  Process& board(size_t index) { return *boards_[index]; }
+  http::Address gateway_address(size_t index) const;
+  http::Address upstream_address(size_t index) const {
+    return {UpstreamIp(index), upstreams_[index]->port()};
+  }
+  std::string GatewayLog(size_t index) const { return gateways_[index]->Log(); }
+  // Runs of requests of non-idempotent routes that ran more than once.
+  std::vector<std::string> RunTwice() const;
+
+ private:
+  std::string GatewayIp(size_t index) const;
+  std::string UpstreamIp(size_t index) const;
+  std::string WriteSettings(const std::string& name,
+                            const std::string& ip,
+                            const std::string& more);
+  uint16_t FreePort();
+
+  const PlatformFleetOptions options_;
+  kernel::EventLoop loop_;
+  TemporaryFolder folder_;
+  const std::string network_;  // The first two bytes of all IPs.
+  RunLog runs_;
+  std::map<std::string, std::string> routes_;  // Of requests, by their id.
+  std::unique_ptr<StandInStore> store_;
+  std::vector<std::unique_ptr<StandInUpstream>> upstreams_;
+  std::vector<std::unique_ptr<Process>> gateways_;
+  std::vector<std::unique_ptr<Process>> boards_;
+  uint16_t callers_port_ = 0;
+  uint16_t readiness_port_ = 0;
+  uint16_t internal_port_ = 0;
+  uint64_t version_ = 0;
+  uint64_t next_request_ = 1;
+};
+
+}  // namespace jackdawshunt::testing
+
+#endif  // JACKDAWSHUNT_TESTING_PLATFORM_PLATFORM_FLEET_H_
--- /dev/null
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -0,0 +1,214 @@
+#include "jackdawshunt/testing/platform/stand_in_upstream.h"
+
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace jackdawshunt::testing {
+namespace {
+
+constexpr char kNotRun[] = "Not-Executed";
+constexpr char kSignature[] = "Response-Seal";
+
+std::string Text(std::string_view view) {
+  return std::string(view);
+}
+
+}  // namespace
+
+StandInUpstream::StandInUpstream(kernel::EventLoop& loop,
+                                 const http::Address& address,
+                                 StandInUpstreamOptions options,
+                                 RunLog& runs)
+    : loop_(loop), options_(std::move(options)), runs_(runs) {
+  listener_ = *http1::Listener::Bind(loop, address, [this](int fd) {
+    auto connection = std::make_unique<http1::ServerConnection>(
+        loop_, fd, http1::ServerConnectionLimits{}, *this);
+    http1::ServerConnection* const key = connection.get();
+    connections_.emplace(key, std::move(connection));
+  });
+}
+
+StandInUpstream::~StandInUpstream() = default;
+
+std::string StandInUpstream::Event(const std::string& request_id, uint64_t id) {
+  return absl::StrCat("id: ", id, "\ndata: ", request_id, "-", id, "\n\n");
+}
+
+std::string StandInUpstream::ExpectedBody(const std::string& request_id,
+                                          bool is_engine,
+                                          uint32_t events) {
+  if (!is_engine) {
+    return absl::StrCat("result of ", request_id);
+  }
+  std::string body;
+  for (uint32_t id = 1; id <= events; ++id) {
+    body += Event(request_id, id);
+  }
+  return body;
+}
+
+http1::ResponseHead StandInUpstream::Head(const std::string& request,
+                                          int status) const {
+  http1::ResponseHead head;
+  head.status = status;
+  head.headers = {{"Request-Id", request}, {"Instance-Id", options_.id}};
+  if (fault_ != UpstreamFault::kUnsealed) {
+    head.headers.emplace_back(kSignature, absl::StrCat("seal.", request));
+  }
+  return head;
+}
+
+void StandInUpstream::OnRequest(http1::ServerConnection& connection,
+                                const http1::RequestHead& head,
+                                std::string& /*body*/) {
+  const std::string request =
+      Text(http::FindHeader(head.headers, "Request-Id"));
+  if (http::FindHeader(head.headers, "Expected-Instance") != options_.id) {
+    connection.Reply(Head(request, 421), {});
+    return;
+  }
+  if (fault_ == UpstreamFault::kShed) {
+    http1::ResponseHead shed = Head(request, 503);
+    shed.headers.emplace_back(kNotRun, "1");
+    connection.Reply(shed, {});
+    return;
+  }
+  UpstreamRun run;
+  run.upstream = options_.id;
+  run.service = options_.service;
+  run.workspace = Text(http::FindHeader(head.headers, "Tenant"));
+  run.carried_key = http1::CountHeader(head.headers, "Authorization") > 0;
+  run.began = loop_.clock().Now();
+  uint64_t last_event = 0;
+  const std::string last =
+      Text(http::FindHeader(head.headers, "Last-Event-Id"));
+  if (!last.empty() && absl::SimpleAtoi(last, &last_event)) {
+    run.from_event = last_event + 1;
+  }
+  Job job;
+  job.request = request;
+  job.next_event = last_event + 1;
+  job.run = runs_[request].size();
+  runs_[request].push_back(run);
+  if (fault_ != UpstreamFault::kHang) {
+    job.timer = loop_.After(options_.work,
+                            [this, &connection] { Respond(connection); });
+  }
+  jobs_[&connection] = std::move(job);
+}
+
+void StandInUpstream::Respond(http1::ServerConnection& connection) {
+  const std::string request = jobs_.at(&connection).request;
+  const std::string body =
+      ExpectedBody(request, options_.is_engine, options_.events);
+  switch (fault_) {
+    case UpstreamFault::kErrors:
+    case UpstreamFault::kFalse503:
+      End(connection, false);
+      connection.Reply(
+          Head(request, fault_ == UpstreamFault::kErrors ? 500 : 503), "error");
+      return;
+    case UpstreamFault::kReset:
+      End(connection, false);
+      connection.Abort();
+      return;
+    case UpstreamFault::kTruncate:
+      End(connection, false);
+      connection.StartResponse(Head(request, 200),
+                               http1::BodyFraming::Length(body.size()));
+      connection.WriteBody(std::string_view(body).substr(0, body.size() / 2));
+      connection.CloseWhenIdle();
+      loop_.Post([&connection, this] {
+        if (connections_.contains(&connection)) {
+          connection.Abort();
+        }
+      });
+      return;
+    case UpstreamFault::kGarbage:
+      End(connection, false);
+      connection.WriteRaw("\x01\x02 no answer\r\n\r\n");
+      return;
+    case UpstreamFault::kForeign:
+      connection.WriteRaw(http1::Serialize(Head("someone-else", 200),
+                                           http1::BodyFraming::Length(5)) +
+                          "wrong");
+      break;
+    default:
+      break;
+  }
+  if (options_.is_engine) {
+    if (fault_ == UpstreamFault::kUnframed) {
+      connection.StartUnframedResponse(Head(request, 200));
+    } else {
+      connection.StartResponse(Head(request, 200),
+                               http1::BodyFraming::Chunked());
+    }
+    SendEvent(connection);
+    return;
+  }
+  End(connection, false);
+  connection.Reply(Head(request, 200), body);
+  if (fault_ == UpstreamFault::kExtra) {
+    connection.WriteRaw(
+        http1::Serialize(Head(request, 200), http1::BodyFraming::Length(5)) +
+        "extra");
+  }
+}
+
+void StandInUpstream::SendEvent(http1::ServerConnection& connection) {
+  Job& job = jobs_.at(&connection);
+  if (job.next_event > options_.events) {
+    End(connection, false);
+    connection.FinishResponse();
+    return;
+  }
+  connection.WriteBody(Event(job.request, job.next_event));
+  ++job.next_event;
+  job.timer = loop_.After(options_.event_gap,
+                          [this, &connection] { SendEvent(connection); });
+}
+
+void StandInUpstream::End(http1::ServerConnection& connection,
+                          bool is_cancelled) {
+  const auto job = jobs_.find(&connection);
+  if (job == jobs_.end()) {
+    return;
+  }
+  UpstreamRun& run = runs_.at(job->second.request).at(job->second.run);
+  run.ended = loop_.clock().Now();
+  run.was_cancelled = is_cancelled;
+  // The timer may be the caller.
+  loop_.Post([timer = std::make_shared<kernel::Timer>(
+                  std::move(job->second.timer))] {});
+  jobs_.erase(job);
+}
+
+void StandInUpstream::Crash() {
+  std::vector<http1::ServerConnection*> open;
+  for (const auto& [connection, owned] : connections_) {
+    open.push_back(connection);
+  }
+  for (http1::ServerConnection* const connection : open) {
+    connection->Abort();
+  }
+}
+
+void StandInUpstream::OnFault(http1::ServerConnection& connection,
+                              http1::RequestFault /*fault*/) {
+  connection.Reply({.status = 400, .headers = {}}, {});
+}
+
+void StandInUpstream::OnGone(http1::ServerConnection& connection) {
+  End(connection, true);
+  const auto found = connections_.find(&connection);
+  if (found == connections_.end()) {
+    return;
+  }
+  loop_.Post([gone = std::shared_ptr<http1::ServerConnection>(
+                  std::move(found->second))] {});
+  connections_.erase(found);
+}
+
+}  // namespace jackdawshunt::testing
--- /dev/null
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -0,0 +1,118 @@
+// Stand-in for an upstream of the users' platform: an engine that streams
+// events, or a plain service. It records every run, for checks.
+//
+// Example:
+//   testing::StandInUpstream engine(loop, {"127.0.2.1", 0},
+//                                   {.id = "i-1", .service = "llm"}, runs);
+//   engine.SetFault(testing::UpstreamFault::kErrors);
+//
+// Not thread-safe.
+#ifndef JACKDAWSHUNT_TESTING_PLATFORM_STAND_IN_UPSTREAM_H_
+#define JACKDAWSHUNT_TESTING_PLATFORM_STAND_IN_UPSTREAM_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "jackdawshunt/http1/server.h"
+
+namespace jackdawshunt::testing {
+
+enum class UpstreamFault {
+  kNone,
+  kErrors,    // Runs, then answers 500.
+  kShed,      // Does not run: 503 with the mark for that.
+  kFalse503,  // Runs, then answers 503 without the mark.
+  kHang,      // Runs and never answers.
+  kReset,     // Runs and resets the connection.
+  kTruncate,  // Breaks the answer off.
+  kGarbage,   // Sends bytes that are not an answer.
+  kExtra,     // Sends its answer twice.
+  kForeign,   // Sends another request's answer first.
+  kUnsealed,  // Leaves its signature out.
+  kUnframed,  // Marks the end of the answer by closing.
+};
+
+// One run of a request at an upstream.
+struct UpstreamRun {
+  std::string upstream;
+  std::string service;
+  std::string workspace;
+  bool carried_key = false;
+  uint64_t from_event = 0;  // First event that was asked for.
+  kernel::TimePoint began{};
+  kernel::TimePoint ended{};  // Zero while it runs.
+  bool was_cancelled = false;
+};
+
+// Runs by request id, over all upstreams.
+using RunLog = std::map<std::string, std::vector<UpstreamRun>>;
+
+struct StandInUpstreamOptions {
+  std::string id;
+  std::string service;
+  bool is_engine = true;
+  uint32_t events = 5;  // Of one stream.
+  kernel::Duration event_gap = std::chrono::milliseconds(10);
+  kernel::Duration work = std::chrono::milliseconds(5);  // Before an answer.
+};
+
+class StandInUpstream final : public http1::ServerConnection::Handler {
+ public:
+  StandInUpstream(kernel::EventLoop& loop,
+                  const http::Address& address,
+                  StandInUpstreamOptions options,
+                  RunLog& runs);
+  ~StandInUpstream() override;
+
+  uint16_t port() const { return listener_->port(); }
+  const StandInUpstreamOptions& options() const { return options_; }
+  void SetFault(UpstreamFault fault) { fault_ = fault; }
+  // Ends all connections, as a crash does.
+  void Crash();
+
+  // The whole body that a caller of this request must get.
+  static std::string ExpectedBody(const std::string& request_id,
+                                  bool is_engine,
+                                  uint32_t events);
+  static std::string Event(const std::string& request_id, uint64_t id);
+
+  // http1::ServerConnection::Handler:
+  void OnRequest(http1::ServerConnection& connection,
+                 const http1::RequestHead& head,
+                 std::string& body) override;
+  void OnFault(http1::ServerConnection& connection,
+               http1::RequestFault fault) override;
+  void OnDrained(http1::ServerConnection&) override {}
+  void OnGone(http1::ServerConnection& connection) override;
+
+ private:
+  struct Job {
+    std::string request;
+    size_t run = 0;  // Index in the log.
+    uint64_t next_event = 1;
+    kernel::Timer timer;
+  };
+
+  void Respond(http1::ServerConnection& connection);
+  void SendEvent(http1::ServerConnection& connection);
+  void End(http1::ServerConnection& connection, bool is_cancelled);
+  http1::ResponseHead Head(const std::string& request, int status) const;
+
+  kernel::EventLoop& loop_;
+  const StandInUpstreamOptions options_;
+  RunLog& runs_;
+  std::unique_ptr<http1::Listener> listener_;
+  std::unordered_map<http1::ServerConnection*,
+                     std::unique_ptr<http1::ServerConnection>>
+      connections_;
+  std::unordered_map<http1::ServerConnection*, Job> jobs_;
+  UpstreamFault fault_ = UpstreamFault::kNone;
+};
+
+}  // namespace jackdawshunt::testing
+
+#endif  // JACKDAWSHUNT_TESTING_PLATFORM_STAND_IN_UPSTREAM_H_
--- a/jackdawshunt/testing/process.cc
+++ b/jackdawshunt/testing/process.cc
@@ -72,7 +72,7 @@
 
 absl::StatusOr<std::unique_ptr<Process>> Process::Start(
     ProcessOptions options) {
-  if (options.add_ports_argument) {
+  if (options.add_ports_argument && options.has_ports_file) {
     options.command.insert(options.command.end(),
                            {"--ports-file", PortsFile(options)});
   }
@@ -82,8 +82,10 @@
   if (const absl::Status status = process->Spawn(); !status.ok()) {
     return status;
   }
-  if (const absl::Status status = process->WaitForPorts(); !status.ok()) {
-    return status;
+  if (process->options_.has_ports_file) {
+    if (const absl::Status status = process->WaitForPorts(); !status.ok()) {
+      return status;
+    }
   }
   return process;
 }
--- a/jackdawshunt/testing/process.h
+++ b/jackdawshunt/testing/process.h
@@ -63,6 +63,8 @@
   // Appends "--ports-file <folder>/<name>.ports" to the command; otherwise the
   // settings of the process name the same file.
   bool add_ports_argument = true;
+  // Whether the process writes a ports file, which Start() then waits for.
+  bool has_ports_file = true;
 };
 
 // One child process; killed and waited for on destruction. It is also killed
