--- a/jackdawshunt/base/log.cc
+++ b/jackdawshunt/base/log.cc
@@ -1,14 +1,21 @@
 #include "jackdawshunt/base/log.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
-#include "spdlog/sinks/stdout_sinks.h"
+#include "jackdawshunt/base/internal/log_writer.h"
+#include "jackdawshunt/base/log_buffer.h"
+#include "spdlog/sinks/base_sink.h"
 #include "spdlog/spdlog.h"
 
 namespace jackdawshunt::base {
@@ -31,22 +38,73 @@
   return kLevels.at(static_cast<size_t>(level));
 }
 
+// Lines that wait for their reader take this much memory at most.
+constexpr size_t kBufferedBytes = size_t{256} * 1024;
+
+std::unique_ptr<LogBuffer>& Buffer() {
+  static std::unique_ptr<LogBuffer> buffer;
+  return buffer;
+}
+
+int64_t NowMs() {
+  return absl::ToUnixMillis(absl::Now());
+}
+
+// Collects lines in the buffer, or writes them at once while there is none.
+class OutputSink final : public spdlog::sinks::base_sink<std::mutex> {
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    const std::string_view text(message.payload.data(), message.payload.size());
+    if (Buffer() == nullptr) {
+      std::fwrite(text.data(), 1, text.size(), stdout);
+      std::fflush(stdout);
+      return;
+    }
+    Buffer()->Append(text, message.level >= spdlog::level::warn, NowMs());
+  }
+  void flush_() override {
+    if (Buffer() != nullptr) {
+      Buffer()->Flush(STDOUT_FILENO);
+    }
+  }
+};
+
 spdlog::logger& Logger() {
-  static const std::shared_ptr<spdlog::logger> logger = [] {
-    auto created = std::make_shared<spdlog::logger>(
-        "jackdawshunt", std::make_shared<spdlog::sinks::stderr_sink_mt>());
-    created->set_pattern("%v");
-    created->flush_on(spdlog::level::debug);
-    return created;
-  }();
+  static const std::shared_ptr<spdlog::logger> logger =
+      std::make_shared<spdlog::logger>("jackdawshunt",
+                                       std::make_shared<OutputSink>());
   return *logger;
 }
 
-nlohmann::json& Context() {
-  static nlohmann::json context = nlohmann::json::object();
+// The time of a line; the part up to seconds is formatted once a second.
+void AppendTime(std::string& out) {
+  static thread_local int64_t second = -1;
+  static thread_local std::string formatted;
+  const int64_t now_ms = NowMs();
+  if (now_ms / 1000 != second) {
+    second = now_ms / 1000;
+    formatted =
+        absl::FormatTime("%Y-%m-%dT%H:%M:%S", absl::FromUnixSeconds(second),
+                         absl::UTCTimeZone());
+  }
+  absl::StrAppend(&out, formatted, ".",
+                  absl::Dec(now_ms % 1000, absl::kZeroPad3), "Z");
+}
+
+// Fields of the context, each as `,"name":value`.
+std::string& Context() {
+  static std::string context;
   return context;
 }
 
+void AppendFields(const nlohmann::json& fields, std::string& out) {
+  for (const auto& [name, value] : fields.items()) {
+    out.append(",\"").append(name).append("\":");
+    out.append(
+        value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  }
+}
+
 }  // namespace
 
 std::optional<LogLevel> ParseLogLevel(std::string_view name) {
@@ -68,25 +126,50 @@
 }
 
 void SetLogContext(nlohmann::json fields) {
-  Context() = std::move(fields);
+  Context().clear();
+  AppendFields(fields, Context());
+}
+
+void BufferLog(uint64_t lines_per_second) {
+  Buffer() = std::make_unique<LogBuffer>(LogBufferLimits{
+      .bytes = kBufferedBytes, .lines_per_second = lines_per_second});
+}
+
+void FlushLog() {
+  Logger().flush();
 }
 
 void Log(LogLevel level, std::string_view event, const nlohmann::json& fields) {
   if (!IsLogged(level)) {
     return;
   }
-  nlohmann::ordered_json line;
-  line["time"] = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(),
-                                  absl::UTCTimeZone());
-  line["level"] = RowFor(level).name;
-  line["event"] = event;
-  line.update(nlohmann::ordered_json(Context()));
+  std::string line;
+  internal::BeginLine(level, event, line);
   if (fields.is_object()) {
-    line.update(nlohmann::ordered_json(fields));
+    AppendFields(fields, line);
   }
-  Logger().log(RowFor(level).spdlog_level, "{}",
-               line.dump(-1, ' ', false,
-                         nlohmann::ordered_json::error_handler_t::replace));
+  line.append("}");
+  internal::WriteLine(level, line);
+}
+
+namespace internal {
+
+void BeginLine(LogLevel level, std::string_view event, std::string& out) {
+  out.reserve(512);
+  out.append("{\"time\":\"");
+  AppendTime(out);
+  out.append("\",\"level\":\"").append(RowFor(level).name);
+  out.append("\",\"event\":\"").append(event).append("\"");
+  out.append(Context());
+}
+
+void WriteLine(LogLevel level, std::string_view line) {
+  std::string text;
+  text.reserve(line.size() + 1);
+  text.append(line).append("\n");
+  Logger().log(RowFor(level).spdlog_level,
+               spdlog::string_view_t(text.data(), text.size()));
 }
 
+}  // namespace internal
 }  // namespace jackdawshunt::base
--- a/jackdawshunt/base/log.h
+++ b/jackdawshunt/base/log.h
@@ -1,4 +1,4 @@
-// JSON-lines log on standard error, one object per line, by spdlog.
+// JSON-lines log on standard output, one object per line, by spdlog.
 //
 // Example:
 //   base::Log(base::LogLevel::kInfo, "grant_accepted",
@@ -10,6 +10,7 @@
 #ifndef JACKDAWSHUNT_BASE_LOG_H_
 #define JACKDAWSHUNT_BASE_LOG_H_
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -28,6 +29,13 @@
 // Sets fields, such as instance and role, that every later line carries.
 void SetLogContext(nlohmann::json fields);
 
+// From now on lines are collected until FlushLog(), at most
+// `lines_per_second` of them below kWarning; a process that serves requests
+// then never waits for the reader of its log. Without this call each line is
+// written at once.
+void BufferLog(uint64_t lines_per_second);
+void FlushLog();
+
 // Writes one line. Bytes that are not UTF-8 are replaced.
 void Log(LogLevel level,
          std::string_view event,
--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "jackdawshunt/base/log.h"
+#include "jackdawshunt/base/log_line.h"
 
 namespace jackdawshunt::gateway {
 namespace {
@@ -27,8 +27,9 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-double Milliseconds(kernel::Duration duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
+int64_t WholeMs(kernel::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
 }
 
 }  // namespace
@@ -96,32 +97,25 @@
 }
 
 void Call::LogDecision(const routing::Decision& decision) {
-  if (!base::IsLogged(base::LogLevel::kInfo)) {
-    return;
-  }
-  nlohmann::json fields = {{"request", request_.id},
-                           {"route", request_.route->name},
-                           {"service", request_.service},
-                           {"workspace", request_.workspace},
-                           {"configuration", request_.table->version()},
-                           {"attempt", request_.sends + 1},
-                           {"verdict", routing::VerdictName(decision.verdict)},
-                           {"candidates", decision.candidates},
-                           {"offers", decision.offers},
-                           {"left_ms", Milliseconds(request_.ends - Now())}};
-  if (decision.verdict == routing::Verdict::kSend) {
-    fields["upstream"] = decision.upstream.id;
-  }
+  base::LogLine line(base::LogLevel::kInfo, "request_placed");
+  line.Add("request", request_.id)
+      .Add("route", request_.route->name)
+      .Add("workspace", request_.workspace)
+      .Add("configuration", request_.table->version())
+      .Add("attempt", request_.sends + 1)
+      .Add("verdict", routing::VerdictName(decision.verdict))
+      .Add("upstream", decision.upstream.id)
+      .Add("candidates", decision.candidates)
+      .Add("left_ms", WholeMs(request_.ends - Now()));
   if (decision.is_engine) {
-    fields["wait_ms"] = Milliseconds(decision.cost.wait);
-    fields["ahead_ms"] = Milliseconds(decision.cost.ahead);
-    fields["read_ms"] = Milliseconds(decision.cost.read);
-    fields["missing_tokens"] = decision.cost.missing_tokens;
-    fields["share_used"] = decision.share_used;
-    fields["objective_left_ms"] =
-        Milliseconds(request_.objective_left_at_arrival);
-  }
-  base::Log(base::LogLevel::kInfo, "request_placed", fields);
+    line.Add("offers", decision.offers)
+        .Add("wait_ms", WholeMs(decision.cost.wait))
+        .Add("ahead_ms", WholeMs(decision.cost.ahead))
+        .Add("read_ms", WholeMs(decision.cost.read))
+        .Add("missing_tokens", decision.cost.missing_tokens)
+        .Add("share_used", decision.share_used)
+        .Add("objective_left_ms", WholeMs(request_.objective_left_at_arrival));
+  }
 }
 
 void Call::Send(const routing::Decision& decision) {
@@ -274,12 +268,12 @@
   if (is_done_) {
     return;
   }
-  base::Log(base::LogLevel::kInfo, "attempt_lost",
-            {{"request", request_.id},
-             {"upstream", upstream_.id},
-             {"loss", http1::LossName(loss)},
-             {"reused_connection", connection_->was_reused()},
-             {"after_ms", Milliseconds(Now() - sent_at_)}});
+  base::LogLine(base::LogLevel::kInfo, "attempt_lost")
+      .Add("request", request_.id)
+      .Add("upstream", upstream_.id)
+      .Add("loss", http1::LossName(loss))
+      .Add("reused_connection", connection_->was_reused())
+      .Add("after_ms", WholeMs(Now() - sent_at_));
   if (loss == http1::Loss::kNotConnected) {
     EndAttempt(routing::Outcome::kUnreachable);
     --request_.sends;  // Nothing was sent.
@@ -427,16 +421,14 @@
   const kernel::Duration total = Now() - request_.arrived;
   context_.metrics.CountAnswer(kind_name(), status, reason);
   context_.metrics.ObserveTotal(kind_name(), total);
-  if (base::IsLogged(base::LogLevel::kInfo)) {
-    base::Log(base::LogLevel::kInfo, "request_done",
-              {{"request", request_.id},
-               {"status", status},
-               {"reason", reason},
-               {"upstream", upstream_.id},
-               {"sends", request_.sends},
-               {"events", events_.events()},
-               {"ms", Milliseconds(total)}});
-  }
+  base::LogLine(base::LogLevel::kInfo, "request_done")
+      .Add("request", request_.id)
+      .Add("status", status)
+      .Add("reason", reason)
+      .Add("upstream", upstream_.id)
+      .Add("sends", request_.sends)
+      .Add("events", events_.events())
+      .Add("ms", WholeMs(total));
 }
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/front.cc
+++ b/jackdawshunt/gateway/front.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "jackdawshunt/base/log.h"
+#include "jackdawshunt/base/log_line.h"
 
 namespace jackdawshunt::gateway {
 namespace {
@@ -163,16 +164,15 @@
                                                          : std::nullopt);
   head.headers.emplace_back("Content-Type", "application/json");
   context_.metrics.CountAnswer("unrouted", row.http_status, row.name);
-  base::Log(base::LogLevel::kInfo, "request_rejected",
-            {{"request", request_id},
-             {"status", row.http_status},
-             {"reason", row.name},
-             {"detail", message},
-             {"configuration", context_.router.table() == nullptr
-                                   ? 0
-                                   : context_.router.table()->version()},
-             {"configuration_age_ms",
-              freshness_.Age(boot_clock_.Now()).count() / 1000}});
+  const auto& table = context_.router.table();
+  base::LogLine(base::LogLevel::kInfo, "request_rejected")
+      .Add("request", request_id)
+      .Add("status", row.http_status)
+      .Add("reason", row.name)
+      .Add("detail", message)
+      .Add("configuration", table == nullptr ? 0 : table->version())
+      .Add("configuration_age_ms",
+           freshness_.Age(boot_clock_.Now()).count() / 1000);
   connection.Reply(head, base::ErrorBody(kind, message, request_id),
                    context_.is_draining);
 }
--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -37,6 +37,10 @@
 // Boards that sum the workspaces' tokens; more than one, in case one is lost.
 constexpr size_t kShareBoards = 2;
 
+// Lines about requests, some two for each; beyond that they are counted only.
+constexpr uint64_t kLogLinesPerSecond = 400;
+// What a killed process loses of its log.
+constexpr kernel::Duration kFlushLog = std::chrono::milliseconds(200);
 constexpr kernel::Duration kTick = std::chrono::seconds(1);
 // The balancer needs two failed checks, one a second, to take an instance out.
 constexpr kernel::Duration kAcceptWhileDraining =
@@ -75,11 +79,14 @@
 
   int Run() {
     base::SetLogContext({{"instance", settings_.instance}});
+    base::BufferLog(kLogLinesPerSecond);
+    flush_log_ = loop_.Every(kFlushLog, [] { base::FlushLog(); });
     base::Log(base::LogLevel::kInfo, "started",
               {{"role", "gateway"},
                {"data_centre", settings_.data_centre},
                {"settings", settings_path_}});
     if (!Listen()) {
+      base::FlushLog();
       return kExitUnavailable;
     }
     configuration_.Start();
@@ -95,6 +102,7 @@
     loop_.Run();
     base::Log(base::LogLevel::kInfo, "stopped",
               {{"busy_calls", front_.busy_calls()}});
+    base::FlushLog();
     return 0;
   }
 
@@ -308,6 +316,7 @@
   RecordFollower configuration_;
   RecordFollower upstreams_;
   kernel::Timer tick_;
+  kernel::Timer flush_log_;
   kernel::Timer stop_accepting_;
   kernel::Timer exit_;
   kernel::Timer poll_;
