Withdraw an entry that lags

Change: the mean lag of the event loop decides; a part is refused before work is spent, and a lasting lag takes the entry out of the balancer, longer each time.

--- a/jackdawshunt/base/error.cc
+++ b/jackdawshunt/base/error.cc
@@ -38,6 +38,8 @@
     ErrorAnswer{ErrorKind::kNoCapacity, "no_capacity", 503, Ran::kNo,
                 seconds(2)},
     ErrorAnswer{ErrorKind::kDraining, "draining", 503, Ran::kNo, seconds(1)},
+    ErrorAnswer{ErrorKind::kOverloaded, "overloaded", 503, Ran::kNo,
+                seconds(1)},
     ErrorAnswer{ErrorKind::kNotReady, "not_ready", 503, Ran::kNo, seconds(1)},
     ErrorAnswer{ErrorKind::kPlatformUnavailable, "platform_unavailable", 503,
                 Ran::kNo, seconds(5)},
--- a/jackdawshunt/base/error.h
+++ b/jackdawshunt/base/error.h
@@ -28,6 +28,7 @@
   kWaitLimit,
   kNoCapacity,
   kDraining,
+  kOverloaded,
   kNotReady,
   kPlatformUnavailable,
   kDuplicateRequest,
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -26,6 +26,7 @@
 #include "jackdawshunt/http1/server.h"
 #include "jackdawshunt/kernel/event_loop.h"
 #include "jackdawshunt/platform/wire.h"
+#include "jackdawshunt/routing/overload.h"
 #include "jackdawshunt/routing/router.h"
 
 namespace jackdawshunt::gateway {
@@ -37,6 +38,7 @@
   UpstreamPool& pool;
   BoardClient& boards;
   Metrics& metrics;
+  const routing::OverloadGauge& overload;
   // Answers end their connections, because the process is shutting down.
   bool is_draining = false;
 };
--- a/jackdawshunt/gateway/front.cc
+++ b/jackdawshunt/gateway/front.cc
@@ -228,6 +228,14 @@
       request.workspace = workspace->name;
     }
   }
+  const bool is_return =
+      decoded->deadline.has_value() &&
+      context_.router.IsReturn(*request.route, *decoded->deadline);
+  if (context_.overload.ShouldRefuse(routing::HashOf(request.id), is_return)) {
+    ReplyError(connection, decoded->id, base::ErrorKind::kOverloaded,
+               "this instance is short of processor time");
+    return;
+  }
   request.prompt = std::move(decoded->prompt);
   context_.router.Prepare(request, decoded->deadline,
                           context_.loop.clock().Now());
--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -41,6 +41,7 @@
 constexpr uint64_t kLogLinesPerSecond = 400;
 // What a killed process loses of its log.
 constexpr kernel::Duration kFlushLog = std::chrono::milliseconds(200);
+constexpr kernel::Duration kLagPeriod = std::chrono::milliseconds(25);
 constexpr kernel::Duration kTick = std::chrono::seconds(1);
 // The balancer needs two failed checks, one a second, to take an instance out.
 constexpr kernel::Duration kAcceptWhileDraining =
@@ -63,7 +64,7 @@
         metrics_(operator_server_.registry()),
         pool_(loop_),
         boards_(loop_, settings_.ip, settings_.first_internal_port),
-        context_{loop_, router_, pool_, boards_, metrics_},
+        context_{loop_, router_, pool_, boards_, metrics_, overload_},
         front_(context_, freshness_, MaxConnections(settings_)),
         readiness_(loop_, [this] { return IsReady(); }),
         configuration_(loop_,
@@ -96,6 +97,8 @@
         [this](const board::ShareTotals& totals) { OnTotals(totals); });
     share_timer_ =
         loop_.Every(router_.shares().slice(), [this] { ExchangeShares(); });
+    last_lag_check_ = loop_.clock().Now();
+    lag_timer_ = loop_.Every(kLagPeriod, [this] { MeasureLag(); });
     loop_.OnSignal(SIGTERM, [this] { Drain(); });
     loop_.OnSignal(SIGINT, [this] { Drain(); });
     loop_.OnSignal(SIGHUP, [this] { ReloadSettings("signal"); });
@@ -212,6 +215,7 @@
   bool IsReady() const {
     return router_.table() != nullptr && has_upstreams_ &&
            !context_.is_draining &&
+           !overload_.IsWithdrawn(loop_.clock().Now()) &&
            freshness_.MayAccept(kernel::BootClock().Now());
   }
 
@@ -237,10 +241,25 @@
     metrics_.SetGauge("board_questions", static_cast<double>(boards_.asked()));
     metrics_.SetGauge("board_questions_unanswered",
                       static_cast<double>(boards_.unanswered()));
+    metrics_.SetGauge("lag_seconds",
+                      std::chrono::duration<double>(overload_.lag()).count());
     metrics_.SetGauge("upstreams",
                       static_cast<double>(router_.directory().size()));
   }
 
+  void MeasureLag() {
+    const kernel::TimePoint now = loop_.clock().Now();
+    const bool was_withdrawn = overload_.IsWithdrawn(now);
+    overload_.OnLag(now - last_lag_check_ - kLagPeriod, now);
+    last_lag_check_ = now;
+    if (!was_withdrawn && overload_.IsWithdrawn(now)) {
+      base::Log(base::LogLevel::kWarning, "withdrawn",
+                {{"lag_ms", overload_.lag().count() / 1000},
+                 {"busy_calls", front_.busy_calls()},
+                 {"open_connections", front_.open_connections()}});
+    }
+  }
+
   // Sends this gateway's counts to the boards that sum them up.
   void ExchangeShares() {
     const kernel::TimePoint now = loop_.clock().Now();
@@ -310,6 +329,7 @@
   Metrics metrics_;
   UpstreamPool pool_;
   BoardClient boards_;
+  routing::OverloadGauge overload_;
   CallContext context_;
   Front front_;
   ReadinessServer readiness_;
@@ -321,6 +341,8 @@
   kernel::Timer exit_;
   kernel::Timer poll_;
   kernel::Timer share_timer_;
+  kernel::Timer lag_timer_;
+  kernel::TimePoint last_lag_check_{};
   const uint64_t life_ = routing::HashOf(base::NewRequestId());
   uint64_t share_sequence_ = 0;
   bool totals_taken_ = false;  // For the current sequence.
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -23,6 +23,8 @@
 
 // The stated throughput is rounded and counts prompts that are read again.
 constexpr double kPaceFactor = 1.1;
+// Deadlines that differ by less are first ones.
+constexpr kernel::Duration kReturnMargin = std::chrono::milliseconds(20);
 // Engines whose boards are asked for one request, and how many of them are the
 // first homes of its shared part.
 constexpr size_t kEnginesAsked = 4;
@@ -160,6 +162,12 @@
   return row;
 }
 
+bool Router::IsReturn(const Route& route, kernel::Duration deadline) const {
+  const auto longest = longest_deadline_.find(route.name);
+  return longest != longest_deadline_.end() &&
+         longest->second - deadline > kReturnMargin;
+}
+
 double Router::EngineTokensPerSecond(size_t engines) const {
   const double stated =
       table_ == nullptr ? 0 : table_->state().limits.tokens_per_second;
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -113,6 +113,10 @@
   // Empty for plain services.
   std::vector<Upstream> EnginesToAsk(RoutedRequest& request,
                                      kernel::TimePoint now);
+  // Whether a caller that states this deadline was refused before: it states
+  // less than callers of the route do at first.
+  bool IsReturn(const Route& route, kernel::Duration deadline) const;
+
   // Chooses the upstream for the next attempt. With offers, the engines that
   // made none are left out.
   Decision Choose(const RoutedRequest& request,
