Share reads of the store between the gateways through the boards

Ruled out: reads that may be stale (they prove nothing); a gateway's own clock in what it tells others (a held-up datagram would make a read look newer): times are of the board's clock, mapped so that errors only make a read look older.

--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -1,5 +1,6 @@
 #include "jackdawshunt/board/board.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -68,8 +69,21 @@
   return std::nullopt;
 }
 
+void Board::Learn(const StoreKnowledge& store) {
+  store_.upstreams_revision =
+      std::max(store_.upstreams_revision, store.upstreams_revision);
+  if (store.configuration_version > store_.configuration_version) {
+    store_.configuration_version = store.configuration_version;
+    store_.current_as_of_us = store.current_as_of_us;
+  } else if (store.configuration_version == store_.configuration_version) {
+    store_.current_as_of_us =
+        std::max(store_.current_as_of_us, store.current_as_of_us);
+  }
+}
+
 std::optional<Message> Board::On(const ShareUpdate& update,
                                  kernel::TimePoint now) {
+  Learn(update.store);
   const auto [found, is_new] = gateways_.try_emplace(update.gateway);
   Gateway& gateway = found->second;
   if (is_new) {
@@ -95,6 +109,9 @@
   ShareTotals answer;
   answer.sequence = update.sequence;
   answer.gateways = static_cast<uint32_t>(gateways_.size());
+  answer.board = life_;
+  answer.board_time_us = static_cast<uint64_t>(now.time_since_epoch().count());
+  answer.store = store_;
   for (const auto& [workspace, total] : totals_) {
     routing::ShareCount& told = gateway.told[workspace];
     if (total.asked != told.asked || total.admitted != told.admitted) {
--- a/jackdawshunt/board/board.h
+++ b/jackdawshunt/board/board.h
@@ -5,9 +5,11 @@
 // sums the workspaces' tokens over the gateways that report to it.
 //
 // Example:
-//   board::Board board;
+//   board::Board board(life);
 //   std::optional<board::Message> reply = board.Handle(message, now);
 //
+// Times are of a clock that goes on while the machine is suspended.
+//
 // Not thread-safe.
 #ifndef JACKDAWSHUNT_BOARD_BOARD_H_
 #define JACKDAWSHUNT_BOARD_BOARD_H_
@@ -26,6 +28,9 @@
 
 class Board {
  public:
+  // `life` tells one start of the process from another.
+  explicit Board(uint64_t life) : life_(life) {}
+
   // Returns the reply, if the message has one.
   std::optional<Message> Handle(const Message& message, kernel::TimePoint now);
   // Drops what was not heard of for long; call every second.
@@ -52,6 +57,10 @@
   std::optional<Message> On(const ShareTotals& totals, kernel::TimePoint now);
   void Meet(const EngineIdentity& engine);
 
+  void Learn(const StoreKnowledge& store);
+
+  const uint64_t life_;
+  StoreKnowledge store_;
   std::unique_ptr<routing::EngineEstimate> engine_;
   uint64_t engine_life_ = 0;
   std::unordered_map<uint64_t, Gateway> gateways_;
--- a/jackdawshunt/board/board_role.cc
+++ b/jackdawshunt/board/board_role.cc
@@ -4,9 +4,11 @@
 #include <string>
 #include <utility>
 
+#include "jackdawshunt/base/id.h"
 #include "jackdawshunt/base/log.h"
 #include "jackdawshunt/board/board.h"
 #include "jackdawshunt/board/datagram_socket.h"
+#include "jackdawshunt/kernel/boot_clock.h"
 #include "jackdawshunt/kernel/registry.h"
 #include "jackdawshunt/kernel/role.h"
 #include "jackdawshunt/platform/settings.h"
@@ -42,7 +44,7 @@
                {"upstream", settings_.local_upstream.has_value()
                                 ? settings_.local_upstream->ToString()
                                 : ""}});
-    tick_ = loop_.Every(kTick, [this] { board_.Tick(loop_.clock().Now()); });
+    tick_ = loop_.Every(kTick, [this] { board_.Tick(clock_.Now()); });
     loop_.OnSignal(SIGTERM, [this] { loop_.Stop(); });
     loop_.OnSignal(SIGINT, [this] { loop_.Stop(); });
     loop_.OnSignal(SIGHUP, [] {});  // Nothing of the settings may change.
@@ -60,14 +62,15 @@
       ++unreadable_;
       return;
     }
-    if (const auto reply = board_.Handle(*message, loop_.clock().Now())) {
+    if (const auto reply = board_.Handle(*message, clock_.Now())) {
       socket_->Send(from, Encode(*reply));
     }
   }
 
   const platform::InstanceSettings settings_;
   kernel::EventLoop loop_;
-  Board board_;
+  const kernel::BootClock clock_;
+  Board board_{routing::HashOf(base::NewRequestId())};
   std::unique_ptr<DatagramSocket> socket_;
   kernel::Timer tick_;
   uint64_t unreadable_ = 0;
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -73,14 +73,19 @@
 json ToJson(const ShareUpdate& update) {
   json out = Tag(Type::kShareUpdate);
   out.insert(out.end(),
-             {update.gateway, update.sequence, EncodeReports(update.reports)});
+             {update.gateway, update.sequence, update.store.upstreams_revision,
+              update.store.configuration_version, update.store.current_as_of_us,
+              EncodeReports(update.reports)});
   return out;
 }
 
 json ToJson(const ShareTotals& totals) {
   json out = Tag(Type::kShareTotals);
-  out.insert(out.end(),
-             {totals.sequence, totals.gateways, EncodeReports(totals.reports)});
+  out.insert(
+      out.end(),
+      {totals.sequence, totals.gateways, totals.board, totals.board_time_us,
+       totals.store.upstreams_revision, totals.store.configuration_version,
+       totals.store.current_as_of_us, EncodeReports(totals.reports)});
   return out;
 }
 
@@ -139,6 +144,14 @@
     return engine;
   }
 
+  StoreKnowledge Store() {
+    StoreKnowledge store;
+    store.upstreams_revision = Unsigned();
+    store.configuration_version = Unsigned();
+    store.current_as_of_us = Unsigned();
+    return store;
+  }
+
   bool is_valid() const { return is_valid_; }
 
  private:
@@ -208,6 +221,7 @@
   ShareUpdate update;
   update.gateway = reader.Unsigned();
   update.sequence = reader.Unsigned();
+  update.store = reader.Store();
   update.reports = reader.Reports();
   return update;
 }
@@ -216,6 +230,9 @@
   ShareTotals totals;
   totals.sequence = reader.Unsigned();
   totals.gateways = static_cast<uint32_t>(reader.Unsigned());
+  totals.board = reader.Unsigned();
+  totals.board_time_us = reader.Unsigned();
+  totals.store = reader.Store();
   totals.reports = reader.Reports();
   return totals;
 }
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -62,10 +62,21 @@
   Progress progress = Progress::kEnded;
 };
 
+// What a gateway read from the platform's store, or the newest of what boards
+// heard of that. Times are microseconds of the board's own clock, so that
+// neither clocks that differ nor datagrams that were held up make a read look
+// newer than it is.
+struct StoreKnowledge {
+  uint64_t upstreams_revision = 0;     // At which upstreams changed last.
+  uint64_t configuration_version = 0;  // Newest one known.
+  uint64_t current_as_of_us = 0;       // It was the newest then; 0: not known.
+};
+
 // Gateway to board: tokens of its workspaces in its last slice of time.
 struct ShareUpdate {
   uint64_t gateway = 0;  // One life of a gateway.
   uint64_t sequence = 0;
+  StoreKnowledge store;
   std::vector<routing::ShareReport> reports;
 };
 
@@ -73,6 +84,9 @@
 struct ShareTotals {
   uint64_t sequence = 0;  // Of the update that is answered.
   uint32_t gateways = 0;  // Heard from lately, the asker included.
+  uint64_t board = 0;     // One life of the board.
+  uint64_t board_time_us = 0;
+  StoreKnowledge store;
   std::vector<routing::ShareReport> reports;
 };
 
--- a/jackdawshunt/gateway/board_client.cc
+++ b/jackdawshunt/gateway/board_client.cc
@@ -146,7 +146,7 @@
   }
   if (const auto* totals = std::get_if<board::ShareTotals>(&*message)) {
     if (on_totals_) {
-      on_totals_(*totals);
+      on_totals_(from.ip, *totals);
     }
     return;
   }
--- a/jackdawshunt/gateway/board_client.h
+++ b/jackdawshunt/gateway/board_client.h
@@ -30,7 +30,8 @@
  public:
   using OffersCallback =
       std::function<void(const std::vector<routing::BoardOffer>&)>;
-  using TotalsCallback = std::function<void(const board::ShareTotals&)>;
+  using TotalsCallback = std::function<void(const std::string& board_ip,
+                                            const board::ShareTotals&)>;
 
   // Boards listen at the upstream's IP and this port.
   BoardClient(kernel::EventLoop& loop, std::string ip, uint16_t board_port);
--- /dev/null
+++ b/jackdawshunt/gateway/fleet_exchange.cc
@@ -0,0 +1,99 @@
+#include "jackdawshunt/gateway/fleet_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jackdawshunt/base/id.h"
+
+namespace jackdawshunt::gateway {
+namespace {
+
+// Boards that sum the workspaces' tokens; more than one, in case one is lost.
+constexpr size_t kMeetingBoards = 2;
+
+}  // namespace
+
+FleetExchange::FleetExchange(kernel::EventLoop& loop,
+                             routing::Router& router,
+                             BoardClient& boards,
+                             routing::KeyFreshness& freshness)
+    : loop_(loop),
+      router_(router),
+      boards_(boards),
+      freshness_(freshness),
+      life_(routing::HashOf(base::NewRequestId())) {}
+
+void FleetExchange::Start(std::function<uint64_t()> upstreams_revision) {
+  upstreams_revision_ = std::move(upstreams_revision);
+  boards_.OnTotals(
+      [this](const std::string& ip, const board::ShareTotals& totals) {
+        OnTotals(ip, totals);
+      });
+  timer_ = loop_.Every(router_.shares().slice(), [this] { SendUpdates(); });
+}
+
+board::StoreKnowledge FleetExchange::KnowledgeFor(const std::string& ip) const {
+  board::StoreKnowledge store;
+  store.upstreams_revision =
+      std::max(upstreams_revision_(), fleet_upstreams_revision_);
+  if (router_.table() == nullptr) {
+    return store;
+  }
+  store.configuration_version = router_.table()->version();
+  const auto clock = clocks_.find(ip);
+  if (clock == clocks_.end()) {
+    return store;
+  }
+  // The board's clock showed at least board_time_us when its answer came here.
+  const int64_t as_of = static_cast<int64_t>(clock->second.board_time_us) +
+                        (freshness_.as_of() - clock->second.received).count();
+  store.current_as_of_us = static_cast<uint64_t>(std::max<int64_t>(as_of, 0));
+  return store;
+}
+
+void FleetExchange::SendUpdates() {
+  const kernel::TimePoint now = loop_.clock().Now();
+  board::ShareUpdate update;
+  update.gateway = life_;
+  update.sequence = ++sequence_;
+  update.reports = router_.shares().Report(now);
+  are_totals_taken_ = false;
+  sent_ = boot_clock_.Now();
+  for (const routing::Upstream& engine :
+       router_.MeetingPoints(kMeetingBoards, now)) {
+    update.store = KnowledgeFor(engine.address.ip);
+    boards_.UpdateShares(engine, update);
+  }
+}
+
+void FleetExchange::OnTotals(const std::string& ip,
+                             const board::ShareTotals& totals) {
+  if (totals.sequence != sequence_) {
+    return;
+  }
+  BoardClock& clock = clocks_[ip];
+  const bool is_same_board = clock.board == totals.board;
+  clock = {totals.board, totals.board_time_us, boot_clock_.Now()};
+  fleet_upstreams_revision_ =
+      std::max(fleet_upstreams_revision_, totals.store.upstreams_revision);
+  fleet_configuration_ =
+      std::max(fleet_configuration_, totals.store.configuration_version);
+  if (is_same_board && router_.table() != nullptr &&
+      totals.store.configuration_version == router_.table()->version() &&
+      totals.store.current_as_of_us > 0 &&
+      totals.store.current_as_of_us <= totals.board_time_us) {
+    // The board answered after the update was sent.
+    freshness_.OnCurrentAsOf(
+        sent_ - kernel::Duration(static_cast<int64_t>(
+                    totals.board_time_us - totals.store.current_as_of_us)));
+  }
+  if (are_totals_taken_) {
+    return;  // Each board sums all gateways, so the first answer is enough.
+  }
+  are_totals_taken_ = true;
+  gateways_ = totals.gateways;
+  router_.set_instances(totals.gateways);
+  router_.shares().Merge(totals.reports, loop_.clock().Now());
+}
+
+}  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -2,6 +2,7 @@
 // straight to an upstream.
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
 #include <optional>
@@ -9,8 +10,8 @@
 #include <utility>
 #include <vector>
 
-#include "jackdawshunt/base/id.h"
 #include "jackdawshunt/base/log.h"
+#include "jackdawshunt/gateway/fleet_exchange.h"
 #include "jackdawshunt/gateway/front.h"
 #include "jackdawshunt/gateway/metrics.h"
 #include "jackdawshunt/gateway/readiness_server.h"
@@ -26,17 +27,24 @@
 constexpr int kExitUnavailable = 1;
 constexpr int kExitWrongSettings = 2;
 
-// How long a watch waits. For the configuration it bounds the age of what is
-// known of API keys; for upstreams it bounds how long a connection that went
-// silent is not noticed.
+// Shortest and longest wait of a watch of the configuration. The gateways share
+// their reads through the boards, so that one of them reads every kFleetRead.
 constexpr std::chrono::milliseconds kConfigurationWatch{1500};
-constexpr std::chrono::milliseconds kUpstreamWatch{2500};
+constexpr std::chrono::milliseconds kLongestWatch{15000};
+constexpr std::chrono::milliseconds kFleetRead{700};
+// Changes of upstreams end the watch; a watch that went silent is found by the
+// revisions that other gateways see.
+constexpr std::chrono::milliseconds kUpstreamWatch{15000};
+// From this age on the gateway reads for itself, half of the shortest time in
+// which a revoked key must be refused.
+constexpr kernel::Duration kReadAgainAge = std::chrono::milliseconds(2200);
+constexpr kernel::Duration kReadAgainPeriod = std::chrono::milliseconds(800);
+// Others see a newer revision for so long: the watch may be dead.
+constexpr kernel::Duration kBehindTooLong = std::chrono::milliseconds(500);
+constexpr kernel::Duration kKeepCurrent = std::chrono::milliseconds(100);
 // A store that was away for less than this has let no entries lapse.
 constexpr kernel::Duration kLapseGap = std::chrono::milliseconds(800);
 
-// Boards that sum the workspaces' tokens; more than one, in case one is lost.
-constexpr size_t kShareBoards = 2;
-
 // Lines about requests, some two for each; beyond that they are counted only.
 constexpr uint64_t kLogLinesPerSecond = 400;
 // What a killed process loses of its log.
@@ -66,6 +74,7 @@
         boards_(loop_, settings_.ip, settings_.first_internal_port),
         context_{loop_, router_, pool_, boards_, metrics_, overload_},
         front_(context_, freshness_, MaxConnections(settings_)),
+        exchange_(loop_, router_, boards_, freshness_),
         readiness_(loop_, [this] { return IsReady(); }),
         configuration_(loop_,
                        settings_.store,
@@ -93,10 +102,8 @@
     configuration_.Start();
     upstreams_.Start();
     tick_ = loop_.Every(kTick, [this] { Tick(); });
-    boards_.OnTotals(
-        [this](const board::ShareTotals& totals) { OnTotals(totals); });
-    share_timer_ =
-        loop_.Every(router_.shares().slice(), [this] { ExchangeShares(); });
+    exchange_.Start([this] { return upstreams_.changed_revision(); });
+    current_timer_ = loop_.Every(kKeepCurrent, [this] { KeepCurrent(); });
     last_lag_check_ = loop_.clock().Now();
     lag_timer_ = loop_.Every(kLagPeriod, [this] { MeasureLag(); });
     loop_.OnSignal(SIGTERM, [this] { Drain(); });
@@ -260,28 +267,31 @@
     }
   }
 
-  // Sends this gateway's counts to the boards that sum them up.
-  void ExchangeShares() {
+  // Spreads the reads of the configuration over the gateways, and reads again
+  // when those of the others do not arrive or show more than is known here.
+  void KeepCurrent() {
     const kernel::TimePoint now = loop_.clock().Now();
-    board::ShareUpdate update;
-    update.gateway = life_;
-    update.sequence = ++share_sequence_;
-    update.reports = router_.shares().Report(now);
-    totals_taken_ = false;
-    for (const routing::Upstream& engine :
-         router_.MeetingPoints(kShareBoards, now)) {
-      boards_.UpdateShares(engine, update);
+    const uint32_t gateways = exchange_.gateways();
+    const auto spread =
+        std::chrono::duration_cast<std::chrono::milliseconds>(kFleetRead) *
+        gateways;
+    configuration_.set_wait(std::clamp<std::chrono::milliseconds>(
+        spread, kConfigurationWatch, kLongestWatch));
+    const kernel::Duration age = freshness_.Age(kernel::BootClock().Now());
+    const uint64_t version =
+        router_.table() == nullptr ? 0 : router_.table()->version();
+    const bool is_configuration_behind =
+        exchange_.fleet_configuration() > version || age > kReadAgainAge;
+    if (is_configuration_behind && now - read_again_ > kReadAgainPeriod) {
+      read_again_ = now;
+      configuration_.ReadNow();
     }
-  }
-
-  // Each board sums all gateways, so the first answer is enough.
-  void OnTotals(const board::ShareTotals& totals) {
-    if (totals_taken_ || totals.sequence != share_sequence_) {
-      return;
+    if (exchange_.fleet_upstreams_revision() <= upstreams_.revision()) {
+      behind_since_ = now;
+    } else if (now - behind_since_ > kBehindTooLong) {
+      behind_since_ = now;
+      upstreams_.ReadNow();
     }
-    totals_taken_ = true;
-    router_.set_instances(totals.gateways);
-    router_.shares().Merge(totals.reports, loop_.clock().Now());
   }
 
   // Addresses and limits are fixed for the life of the process; new seeds are
@@ -332,6 +342,7 @@
   routing::OverloadGauge overload_;
   CallContext context_;
   Front front_;
+  FleetExchange exchange_;
   ReadinessServer readiness_;
   RecordFollower configuration_;
   RecordFollower upstreams_;
@@ -340,12 +351,11 @@
   kernel::Timer stop_accepting_;
   kernel::Timer exit_;
   kernel::Timer poll_;
-  kernel::Timer share_timer_;
+  kernel::Timer current_timer_;
+  kernel::TimePoint read_again_{};
+  kernel::TimePoint behind_since_{};
   kernel::Timer lag_timer_;
   kernel::TimePoint last_lag_check_{};
-  const uint64_t life_ = routing::HashOf(base::NewRequestId());
-  uint64_t share_sequence_ = 0;
-  bool totals_taken_ = false;  // For the current sequence.
   time_t settings_changed_ = 0;
   bool has_upstreams_ = false;
 };
--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -12,6 +12,9 @@
 constexpr kernel::Duration kMinRetry = std::chrono::milliseconds(50);
 constexpr kernel::Duration kMaxRetry = std::chrono::milliseconds(400);
 constexpr uint32_t kMaxDoublings = 3;
+constexpr std::chrono::milliseconds kNoWait{1};
+// After a change the next watch waits so long.
+constexpr kernel::Duration kGroupChanges = std::chrono::milliseconds(150);
 
 }  // namespace
 
@@ -37,8 +40,8 @@
   });
 }
 
-void RecordFollower::Watch() {
-  source_.Watch(revision_, wait_,
+void RecordFollower::Watch(std::chrono::milliseconds wait) {
+  source_.Watch(revision_, wait,
                 [this, sent = boot_clock_.Now()](
                     const absl::StatusOr<platform::RecordList>& answer) {
                   OnAnswer(false, sent, answer);
@@ -63,13 +66,30 @@
     callbacks_.on_regained(now - lost_since_);
   }
   revision_ = std::max(revision_, answer->revision);
+  if (is_list || !answer->records.empty()) {
+    changed_revision_ = revision_;
+  }
   if (is_list) {
     callbacks_.on_list(answer->records);
   } else if (!answer->records.empty()) {
     callbacks_.on_change(answer->records);
   }
   callbacks_.on_current(sent);
-  Watch();
+  if (is_list || answer->records.empty()) {
+    Watch(wait_);
+  } else {
+    // Changes come in groups; one call then brings several.
+    retry_timer_ = loop_.After(kGroupChanges, [this] {
+      retry_timer_.Cancel();
+      Watch(wait_);
+    });
+  }
+}
+
+void RecordFollower::ReadNow() {
+  if (revision_ != 0 && !retry_timer_.is_active()) {
+    Watch(kNoWait);
+  }
 }
 
 void RecordFollower::OnFailure(const absl::Status& status) {
@@ -96,10 +116,13 @@
           : std::min(kMaxRetry,
                      kMinRetry * (1 << std::min(failures_ - 2, kMaxDoublings)));
   retry_timer_ = loop_.After(delay, [this, lists] {
+    retry_timer_.Cancel();
     if (lists) {
       List();
     } else {
-      Watch();
+      // The answer shows at once whether the store answers and still has the
+      // history.
+      Watch(kNoWait);
     }
   });
 }
--- a/jackdawshunt/gateway/record_follower.h
+++ b/jackdawshunt/gateway/record_follower.h
@@ -43,14 +43,22 @@
   RecordFollower& operator=(const RecordFollower&) = delete;
 
   void Start();
+  // How long the next watches wait.
+  void set_wait(std::chrono::milliseconds wait) { wait_ = wait; }
+  // Gives up the watch that waits, which may have gone silent, and asks anew
+  // without waiting.
+  void ReadNow();
 
   bool is_connected() const { return failures_ == 0 && revision_ != 0; }
+  // Revision of the store up to which all changes are known here.
   uint64_t revision() const { return revision_; }
+  // At which the last change was seen.
+  uint64_t changed_revision() const { return changed_revision_; }
   uint64_t calls() const { return source_.calls(); }
 
  private:
   void List();
-  void Watch();
+  void Watch(std::chrono::milliseconds wait);
   void OnAnswer(bool is_list,
                 kernel::TimePoint sent,
                 const absl::StatusOr<platform::RecordList>& answer);
@@ -58,12 +66,13 @@
 
   kernel::EventLoop& loop_;
   const platform::RecordKind kind_;
-  const std::chrono::milliseconds wait_;
+  std::chrono::milliseconds wait_;
   const RecordFollowerCallbacks callbacks_;
   kernel::BootClock boot_clock_;
   platform::RecordSource source_;
   kernel::Timer retry_timer_;
-  uint64_t revision_ = 0;  // Of the store; 0 before the first list.
+  uint64_t revision_ = 0;  // 0 before the first list.
+  uint64_t changed_revision_ = 0;
   uint32_t failures_ = 0;  // In a row.
   kernel::TimePoint lost_since_{};
 };
--- a/jackdawshunt/http1/internal/socket_options.cc
+++ b/jackdawshunt/http1/internal/socket_options.cc
@@ -13,9 +13,9 @@
 namespace {
 
 // A caller that vanished is found after kProbeIdle + kProbes * kProbeInterval.
-constexpr int kProbeIdleSeconds = 2;
+constexpr int kProbeIdleSeconds = 1;
 constexpr int kProbeIntervalSeconds = 1;
-constexpr int kProbes = 3;
+constexpr int kProbes = 2;
 
 void Set(int fd, int level, int option, int value) {
   if (setsockopt(fd, level, option, &value, sizeof(value)) != 0) {
