Keep the configuration fresh by short questions beside a long watch

Change: watches wait 25 s; a gateway asks without waiting when the reads that others report are too old, each at an age of its own.

--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -3,9 +3,11 @@
 #include <sys/stat.h>
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,17 +29,16 @@
 constexpr int kExitUnavailable = 1;
 constexpr int kExitWrongSettings = 2;
 
-// Shortest and longest wait of a watch of the configuration. The gateways share
-// their reads through the boards, so that one of them reads every kFleetRead.
-constexpr std::chrono::milliseconds kConfigurationWatch{1500};
-constexpr std::chrono::milliseconds kLongestWatch{15000};
-constexpr std::chrono::milliseconds kFleetRead{700};
-// Changes of upstreams end the watch; a watch that went silent is found by the
-// revisions that other gateways see.
-constexpr std::chrono::milliseconds kUpstreamWatch{15000};
-// From this age on the gateway reads for itself, half of the shortest time in
-// which a revoked key must be refused.
-constexpr kernel::Duration kReadAgainAge = std::chrono::milliseconds(2200);
+// How long a watch waits. One that went silent is found by what other gateways
+// see.
+constexpr std::chrono::milliseconds kWatch{25000};
+// A gateway reads the configuration for itself when what the others report is
+// older than an age between these two, its own for each gateway. Few are near
+// the lower one, so that few read at the same time. Together with the way
+// through a board this stays far below the time in which a revoked key must be
+// refused.
+constexpr kernel::Duration kLowestReadAge = std::chrono::milliseconds(900);
+constexpr kernel::Duration kHighestReadAge = std::chrono::milliseconds(2500);
 constexpr kernel::Duration kReadAgainPeriod = std::chrono::milliseconds(800);
 // Others see a newer revision for so long: the watch may be dead.
 constexpr kernel::Duration kBehindTooLong = std::chrono::milliseconds(500);
@@ -79,12 +80,12 @@
         configuration_(loop_,
                        settings_.store,
                        platform::RecordKind::kDesiredState,
-                       kConfigurationWatch,
+                       kWatch,
                        ConfigurationCallbacks()),
         upstreams_(loop_,
                    settings_.store,
                    platform::RecordKind::kUpstream,
-                   kUpstreamWatch,
+                   kWatch,
                    UpstreamCallbacks()) {}
 
   int Run() {
@@ -127,6 +128,15 @@
     return router;
   }
 
+  static kernel::Duration RandomReadAge() {
+    std::random_device source;
+    const double part = std::sqrt(std::uniform_real_distribution<>()(source));
+    return kLowestReadAge +
+           std::chrono::duration_cast<kernel::Duration>(
+               part * std::chrono::duration<double, std::micro>(
+                          kHighestReadAge - kLowestReadAge));
+  }
+
   static size_t MaxConnections(const platform::InstanceSettings& settings) {
     return settings.file_descriptors > 2 * kReservedDescriptors
                ? settings.file_descriptors - kReservedDescriptors
@@ -267,21 +277,15 @@
     }
   }
 
-  // Spreads the reads of the configuration over the gateways, and reads again
-  // when those of the others do not arrive or show more than is known here.
+  // Reads from the store when the reads of the other gateways do not arrive, or
+  // show more than is known here.
   void KeepCurrent() {
     const kernel::TimePoint now = loop_.clock().Now();
-    const uint32_t gateways = exchange_.gateways();
-    const auto spread =
-        std::chrono::duration_cast<std::chrono::milliseconds>(kFleetRead) *
-        gateways;
-    configuration_.set_wait(std::clamp<std::chrono::milliseconds>(
-        spread, kConfigurationWatch, kLongestWatch));
     const kernel::Duration age = freshness_.Age(kernel::BootClock().Now());
     const uint64_t version =
         router_.table() == nullptr ? 0 : router_.table()->version();
     const bool is_configuration_behind =
-        exchange_.fleet_configuration() > version || age > kReadAgainAge;
+        exchange_.fleet_configuration() > version || age > read_age_;
     if (is_configuration_behind && now - read_again_ > kReadAgainPeriod) {
       read_again_ = now;
       configuration_.ReadNow();
@@ -352,6 +356,7 @@
   kernel::Timer exit_;
   kernel::Timer poll_;
   kernel::Timer current_timer_;
+  const kernel::Duration read_age_ = RandomReadAge();
   kernel::TimePoint read_again_{};
   kernel::TimePoint behind_since_{};
   kernel::Timer lag_timer_;
--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -27,7 +27,8 @@
       kind_(kind),
       wait_(wait),
       callbacks_(std::move(callbacks)),
-      source_(loop, store, kind) {}
+      source_(loop, store, kind),
+      now_source_(loop, store, kind) {}
 
 void RecordFollower::Start() {
   List();
@@ -65,15 +66,7 @@
     failures_ = 0;
     callbacks_.on_regained(now - lost_since_);
   }
-  revision_ = std::max(revision_, answer->revision);
-  if (is_list || !answer->records.empty()) {
-    changed_revision_ = revision_;
-  }
-  if (is_list) {
-    callbacks_.on_list(answer->records);
-  } else if (!answer->records.empty()) {
-    callbacks_.on_change(answer->records);
-  }
+  Apply(is_list, *answer);
   callbacks_.on_current(sent);
   if (is_list || answer->records.empty()) {
     Watch(wait_);
@@ -86,8 +79,48 @@
   }
 }
 
+void RecordFollower::Apply(bool is_list, const platform::RecordList& list) {
+  revision_ = std::max(revision_, list.revision);
+  if (is_list || !list.records.empty()) {
+    changed_revision_ = revision_;
+  }
+  if (is_list) {
+    callbacks_.on_list(list.records);
+  } else if (!list.records.empty()) {
+    callbacks_.on_change(list.records);
+  }
+}
+
 void RecordFollower::ReadNow() {
-  if (revision_ != 0 && !retry_timer_.is_active()) {
+  if (revision_ == 0 || is_reading_now_) {
+    return;
+  }
+  is_reading_now_ = true;
+  now_source_.Watch(revision_, kNoWait,
+                    [this, sent = boot_clock_.Now()](
+                        const absl::StatusOr<platform::RecordList>& answer) {
+                      OnReadNow(sent, answer);
+                    });
+}
+
+void RecordFollower::OnReadNow(
+    kernel::TimePoint sent,
+    const absl::StatusOr<platform::RecordList>& answer) {
+  is_reading_now_ = false;
+  if (answer.ok()) {
+    Apply(/*is_list=*/false, *answer);
+    callbacks_.on_current(sent);
+    if (answer->records.empty()) {
+      return;
+    }
+  } else if (!absl::IsOutOfRange(answer.status())) {
+    base::Log(base::LogLevel::kDebug, "store_read_failed",
+              {{"records", platform::RecordKindName(kind_)},
+               {"error", std::string(answer.status().message())}});
+    return;
+  }
+  // The watch should have brought this.
+  if (!retry_timer_.is_active()) {
     Watch(kNoWait);
   }
 }
--- a/jackdawshunt/gateway/record_follower.h
+++ b/jackdawshunt/gateway/record_follower.h
@@ -43,10 +43,8 @@
   RecordFollower& operator=(const RecordFollower&) = delete;
 
   void Start();
-  // How long the next watches wait.
-  void set_wait(std::chrono::milliseconds wait) { wait_ = wait; }
-  // Gives up the watch that waits, which may have gone silent, and asks anew
-  // without waiting.
+  // Asks for changes without waiting, beside the watch, which may have gone
+  // silent. Nothing while such a question is open.
   void ReadNow();
 
   bool is_connected() const { return failures_ == 0 && revision_ != 0; }
@@ -54,7 +52,7 @@
   uint64_t revision() const { return revision_; }
   // At which the last change was seen.
   uint64_t changed_revision() const { return changed_revision_; }
-  uint64_t calls() const { return source_.calls(); }
+  uint64_t calls() const { return source_.calls() + now_source_.calls(); }
 
  private:
   void List();
@@ -62,14 +60,20 @@
   void OnAnswer(bool is_list,
                 kernel::TimePoint sent,
                 const absl::StatusOr<platform::RecordList>& answer);
+  void OnReadNow(kernel::TimePoint sent,
+                 const absl::StatusOr<platform::RecordList>& answer);
+  // Takes over what a list or a watch brought.
+  void Apply(bool is_list, const platform::RecordList& list);
   void OnFailure(const absl::Status& status);
 
   kernel::EventLoop& loop_;
   const platform::RecordKind kind_;
-  std::chrono::milliseconds wait_;
+  const std::chrono::milliseconds wait_;
   const RecordFollowerCallbacks callbacks_;
   kernel::BootClock boot_clock_;
-  platform::RecordSource source_;
+  platform::RecordSource source_;      // Lists and watches.
+  platform::RecordSource now_source_;  // Questions without a wait.
+  bool is_reading_now_ = false;
   kernel::Timer retry_timer_;
   uint64_t revision_ = 0;  // 0 before the first list.
   uint64_t changed_revision_ = 0;
