--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -8,7 +8,9 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "jackdawshunt/base/log.h"
 #include "jackdawshunt/http/socket_address.h"
+#include "jackdawshunt/testing/http_helper.h"
 
 namespace jackdawshunt::testing {
 namespace {
@@ -100,6 +102,13 @@
   readiness_port_ = FreePort();
   internal_port_ = FreePort();
   store_ = std::make_unique<StandInStore>(loop_, http::Address{"127.0.0.1", 0});
+  if (options_.has_store_proxy) {
+    store_proxy_ =
+        *Process::Start({.command = {StandInsBinary(), "proxy", "--target",
+                                     store_->address().ToString()},
+                         .folder = folder_.path(),
+                         .name = "store-proxy"});
+  }
   for (size_t i = 0; i < options_.engines + options_.plain; ++i) {
     const bool is_engine = i < options_.engines;
     upstreams_.push_back(std::make_unique<StandInUpstream>(
@@ -299,6 +308,15 @@
   loop_.RunUntil([] { return false; }, time);
 }
 
+void PlatformFleet::SetStoreProxy(const std::string& faults) {
+  const auto answer =
+      Fetch({"127.0.0.1", store_proxy_->Port("admin_port")},
+            {.method = "POST", .path = "/admin/faults", .body = faults});
+  if (!answer.ok() || answer->status != 200) {
+    base::Log(base::LogLevel::kError, "proxy_not_set", {{"faults", faults}});
+  }
+}
+
 std::vector<std::string> PlatformFleet::RunTwice() const {
   std::vector<std::string> twice;
   for (const auto& [id, runs] : runs_) {
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -33,6 +33,8 @@
   kernel::Duration revocation = std::chrono::seconds(5);
   kernel::Duration route_timeout = std::chrono::seconds(8);
   uint32_t stream_events = 5;
+  // Puts a proxy that injects faults between the processes and the store.
+  bool has_store_proxy = false;
 };
 
 // Routes of the installation, by the first part of the path.
@@ -114,7 +116,11 @@
   void PutUpstream(size_t index, std::string_view state = "ready");
   void DeleteUpstream(size_t index);
 
+  // Sets faults of the proxy before the store, as JSON.
+  void SetStoreProxy(const std::string& faults);
+
   kernel::EventLoop& loop() { return loop_; }
+  kernel::TimePoint now() const { return loop_.clock().Now(); }
   StandInStore& store() { return *store_; }
   RunLog& runs() { return runs_; }
   // The engines come first, then the plain upstreams.
@@ -145,6 +151,7 @@
   RunLog runs_;
   std::map<std::string, std::string> routes_;  // Of requests, by their id.
   std::unique_ptr<StandInStore> store_;
+  std::unique_ptr<Process> store_proxy_;
   std::vector<std::unique_ptr<StandInUpstream>> upstreams_;
   std::vector<std::unique_ptr<Process>> gateways_;
   std::vector<std::unique_ptr<Process>> boards_;
--- /dev/null
+++ b/jackdawshunt/testing/platform/soak_main.cc
@@ -0,0 +1,427 @@
+// Randomized fault soak of the gateway and board roles: real processes, with
+// faults injected from outside, and the promises checked from what callers and
+// upstreams see.
+//
+//   jackdawshunt_soak --seed 7 --seconds 20
+//
+// Processes are killed, paused, stopped gracefully and restarted by signals, in
+// series that overlap; the store refuses, resets, falls silent and drops its
+// history, also behind a proxy that delays, cuts one way and silences
+// connections; upstreams crash, misbehave, drain and return; keys are taken
+// away. The same seed gives the same faults at the same times. Exits with 1
+// when a promise was broken and prints the first ones.
+#include <csignal>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "CLI/CLI.hpp"
+#include "absl/strings/str_cat.h"
+#include "jackdawshunt/testing/http_helper.h"
+#include "jackdawshunt/testing/platform/platform_fleet.h"
+
+namespace jackdawshunt::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr kernel::Duration kCallGap = milliseconds(15);
+constexpr kernel::Duration kRouteTimeout = milliseconds(2500);
+// Time over which answers may be late on a busy machine.
+constexpr kernel::Duration kSlack = milliseconds(1500);
+constexpr kernel::Duration kRevocation = milliseconds(3000);
+// A gateway keeps its time limits once it was undisturbed for so long.
+constexpr kernel::Duration kContact = seconds(4);
+constexpr kernel::Duration kRecovery = seconds(12);
+
+struct SoakOptions {
+  uint64_t seed = 1;
+  double seconds = 15;
+  size_t gateways = 3;
+  size_t engines = 3;
+  size_t plain = 3;
+};
+
+class Soak {
+ public:
+  explicit Soak(const SoakOptions& options)
+      : options_(options),
+        random_(options.seed),
+        fleet_({.gateways = options.gateways,
+                .engines = options.engines,
+                .plain = options.plain,
+                .revocation = kRevocation,
+                .route_timeout = kRouteTimeout,
+                .has_store_proxy = true}),
+        disturbed_(options.gateways) {}
+
+  int Run() {
+    fleet_.Start();
+    const kernel::TimePoint end =
+        Now() + std::chrono::duration_cast<kernel::Duration>(
+                    std::chrono::duration<double>(options_.seconds));
+    timers_.push_back(fleet_.loop().Every(kCallGap, [this] { StartCall(); }));
+    while (Now() < end && violations_.empty()) {
+      const auto fault = kFaults.at(Pick(kFaults.size()));
+      (this->*fault)();
+      fleet_.RunFor(milliseconds(50 + Pick(400)));
+      CheckCalls();
+    }
+    Heal();
+    CheckRecovery();
+    timers_.clear();
+    fleet_.Await([this] {
+      return std::all_of(calls_.begin(), calls_.end(), [](const Entry& entry) {
+        return entry.call->is_done();
+      });
+    });
+    CheckCalls();
+    CheckRuns();
+    return Report();
+  }
+
+ private:
+  struct Entry {
+    std::shared_ptr<PlatformCall> call;
+    size_t gateway = 0;
+    kernel::TimePoint sent{};
+    bool has_left = false;
+    bool is_checked = false;
+  };
+  using Fault = void (Soak::*)();
+
+  kernel::TimePoint Now() const { return fleet_.now(); }
+  size_t Pick(size_t count) { return random_() % count; }
+  void Violate(const std::string& what) { violations_.push_back(what); }
+  void After(kernel::Duration delay, std::function<void()> callback) {
+    timers_.push_back(fleet_.loop().After(delay, std::move(callback)));
+  }
+
+  void StartCall() {
+    constexpr std::array<const char*, 5> kRoutes = {kGenerate, kRevise, kHold,
+                                                    kFetch, kOpen};
+    Entry entry;
+    entry.gateway = Pick(options_.gateways);
+    entry.sent = Now();
+    CallOptions options;
+    options.route = kRoutes.at(Pick(kRoutes.size()));
+    options.api_key = options.route == kOpen ? "" : PickKey();
+    options.deadline = kRouteTimeout;
+    entry.call = fleet_.Call(entry.gateway, options);
+    calls_.push_back(entry);
+    if (Pick(25) == 0) {
+      After(milliseconds(Pick(60)), [this, index = calls_.size() - 1] {
+        calls_[index].has_left = true;
+        calls_[index].call->Leave();
+      });
+    }
+  }
+
+  // Mostly a key in force, now and then one that was taken away.
+  std::string PickKey() {
+    if (!revoked_.empty() && Pick(6) == 0) {
+      return std::prev(revoked_.end())->first;
+    }
+    return key_;
+  }
+
+  // --- Faults.
+  void KillGateway() {
+    const size_t i = Pick(options_.gateways);
+    Disturb(i, seconds(2));
+    fleet_.gateway(i).Kill();
+    After(milliseconds(100 + Pick(1500)), [this, i] { RestartGateway(i); });
+  }
+  void PauseGateway() {
+    const size_t i = Pick(options_.gateways);
+    const auto time = milliseconds(100 + Pick(4000));
+    Disturb(i, time);
+    fleet_.gateway(i).Pause();
+    After(time, [this, i] { fleet_.gateway(i).Continue(); });
+  }
+  void StopGateway() {
+    const size_t i = Pick(options_.gateways);
+    Disturb(i, seconds(4));
+    fleet_.gateway(i).Terminate();
+    After(seconds(4), [this, i] { RestartGateway(i); });
+  }
+  void RestartGateway(size_t i) {
+    if (!fleet_.gateway(i).is_running()) {
+      Disturb(i, seconds(1));
+      fleet_.StartGateway(i);
+    }
+  }
+  void HangUpGateway() {
+    fleet_.gateway(Pick(options_.gateways)).Signal(SIGHUP);
+  }
+  void KillBoard() {
+    const size_t i = Pick(options_.engines);
+    fleet_.board(i).Kill();
+    After(milliseconds(Pick(2000)), [this, i] {
+      if (!fleet_.board(i).is_running()) {
+        fleet_.StartBoard(i);
+      }
+    });
+  }
+  void PauseBoard() {
+    const size_t i = Pick(options_.engines);
+    fleet_.board(i).Pause();
+    After(milliseconds(Pick(3000)), [this, i] { fleet_.board(i).Continue(); });
+  }
+  void FailStore() {
+    constexpr std::array kFaultsOfStore = {StoreFault::kBusy, StoreFault::kMany,
+                                           StoreFault::kReset,
+                                           StoreFault::kSilent};
+    const auto time = milliseconds(100 + Pick(3500));
+    DisturbAll(time);
+    fleet_.store().SetFault(kFaultsOfStore.at(Pick(kFaultsOfStore.size())));
+    After(time, [this] { fleet_.store().SetFault(StoreFault::kNone); });
+  }
+  void FailStoreConnections() {
+    constexpr std::array<const char*, 4> kProxyFaults = {
+        R"({"blackhole_to_client":true})", R"({"blackhole_to_target":true})",
+        R"({"delay_ms":150})", R"({"cut":true})"};
+    const auto time = milliseconds(100 + Pick(3000));
+    DisturbAll(time);
+    fleet_.SetStoreProxy(kProxyFaults.at(Pick(kProxyFaults.size())));
+    After(time, [this] { HealStoreProxy(); });
+  }
+  void HealStoreProxy() {
+    fleet_.SetStoreProxy(
+        R"({"blackhole_to_client":false,"blackhole_to_target":false,)"
+        R"("delay_ms":0})");
+  }
+  void DropHistory() {
+    DisturbAll(milliseconds(0));
+    fleet_.store().DropHistory();
+  }
+  void ChangeKeys() {
+    revoked_[key_] = Now();
+    key_ = absl::StrCat("key-", revoked_.size());
+    fleet_.PutConfiguration({key_});
+  }
+  void MisbehaveUpstream() {
+    const size_t i = Pick(fleet_.upstreams());
+    const auto time = milliseconds(100 + Pick(1500));
+    upstreams_disturbed_until_ =
+        std::max(upstreams_disturbed_until_, Now() + time + kRouteTimeout);
+    fleet_.upstream(i).SetFault(static_cast<UpstreamFault>(
+        1 + Pick(static_cast<size_t>(UpstreamFault::kUnframed))));
+    After(time,
+          [this, i] { fleet_.upstream(i).SetFault(UpstreamFault::kNone); });
+  }
+  void CrashUpstream() {
+    upstreams_disturbed_until_ =
+        std::max(upstreams_disturbed_until_, Now() + kRouteTimeout);
+    fleet_.upstream(Pick(fleet_.upstreams())).Crash();
+  }
+  void DrainUpstream() {
+    // One of each service is never drained.
+    const size_t i = Pick(2) == 0 ? Pick(options_.engines - 1)
+                                  : options_.engines + Pick(options_.plain - 1);
+    const std::string id = fleet_.upstream(i).options().id;
+    if (draining_.contains(id)) {
+      return;
+    }
+    draining_[id] = Now();
+    fleet_.PutUpstream(i, "draining");
+    After(milliseconds(4500), [this, i, id] {
+      drained_.push_back({id, draining_[id], Now()});
+      draining_.erase(id);
+      fleet_.PutUpstream(i);
+    });
+  }
+  void Disturb(size_t gateway, kernel::Duration time) {
+    disturbed_[gateway].push_back({Now(), Now() + time});
+  }
+  void DisturbAll(kernel::Duration time) {
+    for (size_t i = 0; i < disturbed_.size(); ++i) {
+      Disturb(i, time);
+    }
+  }
+
+  static constexpr std::array<Fault, 13> kFaults = {
+      &Soak::KillGateway,       &Soak::PauseGateway,
+      &Soak::StopGateway,       &Soak::HangUpGateway,
+      &Soak::KillBoard,         &Soak::PauseBoard,
+      &Soak::FailStore,         &Soak::FailStoreConnections,
+      &Soak::DropHistory,       &Soak::ChangeKeys,
+      &Soak::MisbehaveUpstream, &Soak::CrashUpstream,
+      &Soak::DrainUpstream};
+
+  // --- Checks.
+  // Whether the gateway was disturbed from `before` the time to its end.
+  bool WasDisturbed(size_t gateway,
+                    kernel::TimePoint from,
+                    kernel::TimePoint to) const {
+    return std::any_of(disturbed_[gateway].begin(), disturbed_[gateway].end(),
+                       [&](const auto& span) {
+                         return span.first <= to &&
+                                span.second + kContact >= from;
+                       });
+  }
+
+  void CheckCalls() {
+    for (Entry& entry : calls_) {
+      if (entry.is_checked || entry.has_left) {
+        continue;
+      }
+      const PlatformCall& call = *entry.call;
+      const kernel::TimePoint limit = entry.sent + kRouteTimeout + kSlack;
+      if (!call.is_done()) {
+        if (Now() > limit && !WasDisturbed(entry.gateway, entry.sent, Now())) {
+          Violate(absl::StrCat(call.id(), " has no answer in time"));
+          entry.is_checked = true;
+        }
+        continue;
+      }
+      entry.is_checked = true;
+      if (call.has_foreign_answer()) {
+        Violate(absl::StrCat(call.id(), " got another request's answer"));
+      }
+      if (call.is_complete() && call.status() == 200) {
+        const bool is_engine = call.options().route == kGenerate ||
+                               call.options().route == kRevise;
+        if (call.body() !=
+            StandInUpstream::ExpectedBody(call.id(), is_engine, 5)) {
+          Violate(absl::StrCat(call.id(), " got a wrong body: ", call.body()));
+        }
+      }
+    }
+  }
+
+  // What upstreams ran, against what callers were told and what was allowed.
+  void CheckRuns() {
+    for (const std::string& id : fleet_.RunTwice()) {
+      Violate(absl::StrCat(id, " ran twice"));
+    }
+    for (const Entry& entry : calls_) {
+      const PlatformCall& call = *entry.call;
+      const auto runs = fleet_.runs().find(call.id());
+      if (runs == fleet_.runs().end()) {
+        continue;
+      }
+      const int status = call.is_complete() ? call.status() : 0;
+      if (status == 503 || status == 429 || status == 408 || status == 421) {
+        Violate(absl::StrCat(call.id(), " was answered ", status, " and ran"));
+      }
+      const auto revoked = revoked_.find(call.options().api_key);
+      if (revoked != revoked_.end() &&
+          entry.sent > revoked->second + kRevocation) {
+        Violate(absl::StrCat(call.id(), " ran with a key taken away"));
+      }
+      for (const UpstreamRun& run : runs->second) {
+        CheckDrain(entry, run);
+      }
+    }
+  }
+
+  void CheckDrain(const Entry& entry, const UpstreamRun& run) {
+    for (const auto& [id, from, to] : drained_) {
+      const kernel::TimePoint bound = from + seconds(2) + kSlack;
+      if (run.upstream == id && run.began > bound && run.began < to &&
+          !WasDisturbed(entry.gateway, from, run.began)) {
+        Violate(absl::StrCat(entry.call->id(), " reached ", id,
+                             " long after it was draining"));
+      }
+    }
+  }
+
+  void Heal() {
+    timers_.erase(timers_.begin() + 1, timers_.end());
+    fleet_.store().SetFault(StoreFault::kNone);
+    HealStoreProxy();
+    for (size_t i = 0; i < fleet_.upstreams(); ++i) {
+      fleet_.upstream(i).SetFault(UpstreamFault::kNone);
+      fleet_.PutUpstream(i);
+    }
+    for (size_t i = 0; i < options_.gateways; ++i) {
+      fleet_.gateway(i).Continue();
+    }
+    for (size_t i = 0; i < options_.engines; ++i) {
+      fleet_.board(i).Continue();
+    }
+  }
+
+  // All gateways serve again within the recovery time.
+  void CheckRecovery() {
+    const kernel::TimePoint limit = Now() + kRecovery;
+    std::vector<bool> serves(options_.gateways, false);
+    while (Now() < limit &&
+           std::find(serves.begin(), serves.end(), false) != serves.end()) {
+      for (size_t i = 0; i < options_.gateways; ++i) {
+        RestartGateway(i);
+        const auto call = fleet_.Call(
+            i, {.route = kFetch, .api_key = key_, .deadline = kRouteTimeout});
+        fleet_.Await([&call] { return call->is_done(); });
+        serves[i] = call->is_complete() && call->status() == 200;
+      }
+      fleet_.RunFor(milliseconds(200));
+    }
+    for (size_t i = 0; i < options_.gateways; ++i) {
+      if (!serves[i]) {
+        Violate(absl::StrCat("gateway ", i, " does not serve again"));
+      }
+    }
+  }
+
+  int Report() {
+    const auto served =
+        std::count_if(calls_.begin(), calls_.end(), [](const Entry& entry) {
+          return entry.call->is_complete() && entry.call->status() == 200;
+        });
+    std::cout << nlohmann::json{{"seed", options_.seed},
+                                {"calls", calls_.size()},
+                                {"served", served},
+                                {"violations", violations_.size()}}
+                     .dump()
+              << "\n";
+    for (size_t i = 0; i < std::min<size_t>(violations_.size(), 5); ++i) {
+      std::cout << "  " << violations_[i] << "\n";
+    }
+    return violations_.empty() ? 0 : 1;
+  }
+
+  struct Drained {
+    std::string id;
+    kernel::TimePoint from{};
+    kernel::TimePoint to{};
+  };
+
+  const SoakOptions options_;
+  std::mt19937_64 random_;
+  PlatformFleet fleet_;
+  std::vector<kernel::Timer> timers_;  // The first one starts the calls.
+  std::vector<Entry> calls_;
+  std::vector<std::vector<std::pair<kernel::TimePoint, kernel::TimePoint>>>
+      disturbed_;  // By gateway.
+  kernel::TimePoint upstreams_disturbed_until_{};
+  std::string key_ = "key-lodge";
+  std::map<std::string, kernel::TimePoint> revoked_;  // When it was taken away.
+  std::map<std::string, kernel::TimePoint> draining_;
+  std::vector<Drained> drained_;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace
+}  // namespace jackdawshunt::testing
+
+int main(int argc, char** argv) {
+  jackdawshunt::testing::SoakOptions options;
+  CLI::App app("Randomized fault soak of gateways and boards.");
+  app.add_option("--seed", options.seed, "Seed of the faults");
+  app.add_option("--seconds", options.seconds, "Duration of the faults");
+  app.add_option("--gateways", options.gateways, "Gateways");
+  app.add_option("--engines", options.engines, "Engines, with a board each");
+  app.add_option("--plain", options.plain, "Plain upstreams");
+  CLI11_PARSE(app, argc, argv);
+  return jackdawshunt::testing::Soak(options).Run();
+}
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -179,9 +179,6 @@
   UpstreamRun& run = runs_.at(job->second.request).at(job->second.run);
   run.ended = loop_.clock().Now();
   run.was_cancelled = is_cancelled;
-  // The timer may be the caller.
-  loop_.Post([timer = std::make_shared<kernel::Timer>(
-                  std::move(job->second.timer))] {});
   jobs_.erase(job);
 }
 
