--- a/jackdawshunt/base/log.cc
+++ b/jackdawshunt/base/log.cc
@@ -125,7 +125,7 @@
   return Logger().should_log(RowFor(level).spdlog_level);
 }
 
-void SetLogContext(nlohmann::json fields) {
+void SetLogContext(const nlohmann::json& fields) {
   Context().clear();
   AppendFields(fields, Context());
 }
--- a/jackdawshunt/base/log.h
+++ b/jackdawshunt/base/log.h
@@ -27,7 +27,7 @@
 bool IsLogged(LogLevel level);
 
 // Sets fields, such as instance and role, that every later line carries.
-void SetLogContext(nlohmann::json fields);
+void SetLogContext(const nlohmann::json& fields);
 
 // From now on lines are collected until FlushLog(), at most
 // `lines_per_second` of them below kWarning; a process that serves requests
--- a/jackdawshunt/routing/admission.cc
+++ b/jackdawshunt/routing/admission.cc
@@ -16,10 +16,9 @@
   double below;  // Of the fair share.
   double factor;
 };
-constexpr std::array kShareSteps = {ShareStep{0.6, 2.0}, ShareStep{0.85, 1.6},
-                                    ShareStep{1.0, 1.1}, ShareStep{1.25, 0.5},
-                                    ShareStep{1.6, 0.2}};
-constexpr double kFarBeyondShare = 0.06;
+constexpr std::array kShareSteps = {ShareStep{0.85, 1.4}, ShareStep{1.0, 1.0},
+                                    ShareStep{1.25, 0.6}, ShareStep{1.6, 0.3}};
+constexpr double kFarBeyondShare = 0.12;
 
 kernel::Duration Scale(kernel::Duration duration, double factor) {
   return kernel::Duration(
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -29,9 +29,6 @@
 // first homes of its shared part.
 constexpr size_t kEnginesAsked = 4;
 constexpr size_t kHomesAsked = 2;
-// For a workspace that uses less than this part of its share.
-constexpr double kBelowShare = 0.85;
-constexpr size_t kMoreAsked = 2;
 
 // The deepest shared part decides where a prompt is at home; a prompt without
 // one has its home anywhere.
@@ -201,13 +198,7 @@
     asked.push_back(*left[best]);
     left.erase(left.begin() + static_cast<ptrdiff_t>(best));
   };
-  // A workspace below its share finds room more often when more are asked.
-  const double used = request.workspace.empty()
-                          ? 0
-                          : shares_.ShareUsed(HashOf(request.workspace), now);
-  const size_t count =
-      kEnginesAsked + (used > 0 && used < kBelowShare ? kMoreAsked : 0);
-  for (size_t n = 0; n < count && !left.empty(); ++n) {
+  for (size_t n = 0; n < kEnginesAsked && !left.empty(); ++n) {
     take_best(n < kHomesAsked ? HomeKey(request) : request.hash);
   }
   return asked;
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -24,8 +24,8 @@
   }
   // The budget for repeats is known once a board has counted the gateways.
   void AwaitRepeatBudget() { fleet_->RunFor(milliseconds(700)); }
-  CallPtr Call(CallOptions options, size_t gateway = 0) {
-    CallPtr call = fleet_->Call(gateway, std::move(options));
+  CallPtr Call(const CallOptions& options, size_t gateway = 0) {
+    CallPtr call = fleet_->Call(gateway, options);
     EXPECT_TRUE(fleet_->Await([&] { return call->is_done(); }));
     return call;
   }
@@ -229,6 +229,7 @@
 TEST_F(GatewayProcessTest, AGracefulStopCutsNoStream) {
   Start();
   std::vector<CallPtr> calls;
+  calls.reserve(10);
   for (int i = 0; i < 10; ++i) {
     calls.push_back(fleet_->Call(0, {.route = kGenerate}));
   }
--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -97,7 +97,7 @@
 }
 
 PlatformFleet::PlatformFleet(PlatformFleetOptions options)
-    : options_(std::move(options)), network_(NetworkOfThisProcess()) {
+    : options_(options), network_(NetworkOfThisProcess()) {
   callers_port_ = FreePort();
   readiness_port_ = FreePort();
   internal_port_ = FreePort();
@@ -214,7 +214,7 @@
 std::string PlatformFleet::WriteSettings(const std::string& name,
                                          const std::string& ip,
                                          const std::string& more) {
-  const std::string path = absl::StrCat(folder_.path(), "/", name, ".conf");
+  std::string path = absl::StrCat(folder_.path(), "/", name, ".conf");
   std::ofstream(path) << absl::StrCat(
       "node=", name, "\nip=", ip, "\nzone=z\ninternalPorts=", internal_port_,
       ",", internal_port_, "\nplatform.address=", store_->address().ToString(),
@@ -292,7 +292,7 @@
 }
 
 std::shared_ptr<PlatformCall> PlatformFleet::Call(size_t gateway,
-                                                  CallOptions options) {
+                                                  const CallOptions& options) {
   std::string id = absl::StrCat(absl::Hex(next_request_++, absl::kZeroPad8));
   routes_[id] = options.route;
   return std::make_shared<PlatformCall>(loop_, gateway_address(gateway),
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -104,7 +104,8 @@
   void StartGateway(size_t index);
   void StartBoard(size_t index);
 
-  std::shared_ptr<PlatformCall> Call(size_t gateway, CallOptions options);
+  std::shared_ptr<PlatformCall> Call(size_t gateway,
+                                     const CallOptions& options);
   // Runs the loop until `done`. False after kDeadline.
   bool Await(const std::function<bool()>& done);
   void RunFor(kernel::Duration time);
--- a/jackdawshunt/testing/platform/soak_main.cc
+++ b/jackdawshunt/testing/platform/soak_main.cc
@@ -211,18 +211,12 @@
   void MisbehaveUpstream() {
     const size_t i = Pick(fleet_.upstreams());
     const auto time = milliseconds(100 + Pick(1500));
-    upstreams_disturbed_until_ =
-        std::max(upstreams_disturbed_until_, Now() + time + kRouteTimeout);
     fleet_.upstream(i).SetFault(static_cast<UpstreamFault>(
         1 + Pick(static_cast<size_t>(UpstreamFault::kUnframed))));
     After(time,
           [this, i] { fleet_.upstream(i).SetFault(UpstreamFault::kNone); });
   }
-  void CrashUpstream() {
-    upstreams_disturbed_until_ =
-        std::max(upstreams_disturbed_until_, Now() + kRouteTimeout);
-    fleet_.upstream(Pick(fleet_.upstreams())).Crash();
-  }
+  void CrashUpstream() { fleet_.upstream(Pick(fleet_.upstreams())).Crash(); }
   void DrainUpstream() {
     // One of each service is never drained.
     const size_t i = Pick(2) == 0 ? Pick(options_.engines - 1)
@@ -403,7 +397,6 @@
   std::vector<Entry> calls_;
   std::vector<std::vector<std::pair<kernel::TimePoint, kernel::TimePoint>>>
       disturbed_;  // By gateway.
-  kernel::TimePoint upstreams_disturbed_until_{};
   std::string key_ = "key-lodge";
   std::map<std::string, kernel::TimePoint> revoked_;  // When it was taken away.
   std::map<std::string, kernel::TimePoint> draining_;
