--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "jackdawshunt/base/log.h"
+#include "jackdawshunt/base/log_line.h"
 #include "jackdawshunt/gateway/fleet_exchange.h"
 #include "jackdawshunt/gateway/front.h"
 #include "jackdawshunt/gateway/metrics.h"
@@ -100,6 +101,14 @@
       base::FlushLog();
       return kExitUnavailable;
     }
+    router_.OnUpstreamChange([](const routing::Upstream& upstream,
+                                routing::Directory::Change change) {
+      base::LogLine(base::LogLevel::kInfo, "upstream_changed")
+          .Add("upstream", upstream.id)
+          .Add("service", upstream.service)
+          .Add("address", upstream.address.ToString())
+          .Add("change", routing::ChangeName(change));
+    });
     configuration_.Start();
     upstreams_.Start();
     tick_ = loop_.Every(kTick, [this] { Tick(); });
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -69,6 +69,9 @@
           }
           health_.Forget(upstream.id);
         }
+        if (upstream_observer_) {
+          upstream_observer_(upstream, change);
+        }
       });
 }
 
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -24,6 +24,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "jackdawshunt/kernel/clock.h"
@@ -102,6 +103,10 @@
   bool SetDesiredState(DesiredState state);
   const std::shared_ptr<const RoutingTable>& table() const { return table_; }
   Directory& directory() { return directory_; }
+  // Called for each change of an upstream, for logs.
+  void OnUpstreamChange(Directory::Observer observer) {
+    upstream_observer_ = std::move(observer);
+  }
 
   // Completes the fields of a request that follow from its route.
   void Prepare(RoutedRequest& request,
@@ -184,6 +189,7 @@
   const RouterSettings settings_;
   std::shared_ptr<const RoutingTable> table_;
   Directory directory_;
+  Directory::Observer upstream_observer_;
   UpstreamHealth health_;
   RetryBudget budget_;
   FairShare shares_;
