--- a/jackdawshunt/board/board_role.cc
+++ b/jackdawshunt/board/board_role.cc
@@ -79,12 +79,8 @@
 class BoardRole final : public kernel::Role {
  public:
   int Run(const std::string& settings_path) override {
-    const std::string path =
-        settings_path.empty() ? platform::SettingsPath() : settings_path;
-    auto settings = platform::LoadSettings(path);
-    if (!settings.ok()) {
-      base::Log(base::LogLevel::kError, "settings_invalid",
-                {{"error", std::string(settings.status().message())}});
+    auto settings = platform::LoadForProcess(settings_path);
+    if (!settings.has_value()) {
       return kExitWrongSettings;
     }
     return BoardProcess(*std::move(settings)).Run();
--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -381,10 +381,8 @@
   int Run(const std::string& settings_path) override {
     const std::string path =
         settings_path.empty() ? platform::SettingsPath() : settings_path;
-    auto settings = platform::LoadSettings(path);
-    if (!settings.ok()) {
-      base::Log(base::LogLevel::kError, "settings_invalid",
-                {{"error", std::string(settings.status().message())}});
+    auto settings = platform::LoadForProcess(path);
+    if (!settings.has_value()) {
       return kExitWrongSettings;
     }
     return GatewayProcess(*std::move(settings), path).Run();
--- a/jackdawshunt/gateway/upstream_pool.cc
+++ b/jackdawshunt/gateway/upstream_pool.cc
@@ -73,12 +73,4 @@
   }
 }
 
-size_t UpstreamPool::idle() const {
-  size_t count = 0;
-  for (const auto& [address, connections] : idle_) {
-    count += connections.size();
-  }
-  return count;
-}
-
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/upstream_pool.h
+++ b/jackdawshunt/gateway/upstream_pool.h
@@ -42,7 +42,6 @@
   void Sweep();
 
   uint64_t opened() const { return opened_; }
-  size_t idle() const;
 
  private:
   static bool IsFresh(const http1::ClientConnection& connection,
--- a/jackdawshunt/platform/settings.cc
+++ b/jackdawshunt/platform/settings.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "jackdawshunt/base/log.h"
 #include "jackdawshunt/object_api/address.h"
 
 namespace jackdawshunt::platform {
@@ -201,4 +202,14 @@
   return ParseSettings(text.str(), path);
 }
 
+std::optional<InstanceSettings> LoadForProcess(const std::string& path) {
+  auto settings = LoadSettings(path.empty() ? SettingsPath() : path);
+  if (!settings.ok()) {
+    base::Log(base::LogLevel::kError, "settings_invalid",
+              {{"error", std::string(settings.status().message())}});
+    return std::nullopt;
+  }
+  return *std::move(settings);
+}
+
 }  // namespace jackdawshunt::platform
--- a/jackdawshunt/platform/settings.h
+++ b/jackdawshunt/platform/settings.h
@@ -72,6 +72,10 @@
 absl::StatusOr<InstanceSettings> ParseSettings(std::string_view text,
                                                std::string_view path);
 
+// As LoadSettings() for a process that starts: the platform's path when `path`
+// is empty. Logs a fault and returns nothing.
+std::optional<InstanceSettings> LoadForProcess(const std::string& path);
+
 }  // namespace jackdawshunt::platform
 
 #endif  // JACKDAWSHUNT_PLATFORM_SETTINGS_H_
