Charge no share for what did not run; boards say which engine is down

In its log, 1,053 of 1,446 requests of the workspace that got too little had been placed on engines that had crashed: 2,072 attempts ended with not_connected, about 100 for each engine, since each of 30 gateways learnt of it alone and the board of a dead engine sees an empty queue. Each such attempt counted as admitted, so the workspace looked 1.3 to 1.7 times over its share (it had a quarter of what the best had) and was refused at short waits.

Change: a request that did not run is taken off its workspace's count. Two reports that an engine cannot be reached make its board say so in its offers; one query each 250 ms passes as a trial, a first event ends it. Decision lines show the request's share tokens.

--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -14,6 +14,11 @@
 // A gateway that did not report for so long is gone.
 constexpr kernel::Duration kMaxGatewaySilence = std::chrono::seconds(3);
 
+// Reports that the engine cannot be reached after which all gateways hear it,
+// and how often one of them still tries. One report may be the gateway's fault.
+constexpr uint32_t kUnreachableReports = 2;
+constexpr kernel::Duration kTrialPeriod = std::chrono::milliseconds(250);
+
 std::string ClaimName(uint64_t request) {
   return std::to_string(request);
 }
@@ -28,6 +33,7 @@
 void Board::Meet(const EngineIdentity& engine) {
   if (engine_ == nullptr || engine_life_ != engine.life) {
     engine_life_ = engine.life;
+    unreachable_in_row_ = 0;
     engine_ = std::make_unique<routing::EngineEstimate>(
         routing::EngineProfile{.slots = 0, .cache_tokens = engine.cache_tokens},
         kInitialTokensPerMs);
@@ -36,6 +42,17 @@
       static_cast<double>(engine.sustained_tokens_per_s) / 1000.0);
 }
 
+bool Board::IsAvoided(kernel::TimePoint now) {
+  if (unreachable_in_row_ < kUnreachableReports) {
+    return false;
+  }
+  if (now < next_trial_) {
+    return true;
+  }
+  next_trial_ = now + kTrialPeriod;
+  return false;
+}
+
 std::optional<Message> Board::On(const Query& query, kernel::TimePoint now) {
   if (query.part_keys.size() != query.part_tokens.size()) {
     return std::nullopt;
@@ -43,7 +60,8 @@
   Meet(query.engine);
   return Offer{.nonce = query.nonce,
                .cost = engine_->Estimate(query.part_keys,
-                                         ToParts(query.part_tokens), now)};
+                                         ToParts(query.part_tokens), now),
+               .is_reachable = !IsAvoided(now)};
 }
 
 std::optional<Message> Board::On(const Claim& claim, kernel::TimePoint now) {
@@ -62,10 +80,15 @@
   }
   const std::string name = ClaimName(report.request);
   if (report.progress == Progress::kFirstEvent) {
+    unreachable_in_row_ = 0;
     engine_->OnFirstEvent(name, now);
-  } else {
-    engine_->OnEnd(name, report.progress == Progress::kEnded, now);
+    return std::nullopt;
+  }
+  if (report.progress == Progress::kUnreachable) {
+    ++unreachable_in_row_;
+    next_trial_ = now + kTrialPeriod;
   }
+  engine_->OnEnd(name, report.progress == Progress::kEnded, now);
   return std::nullopt;
 }
 
--- a/jackdawshunt/board/board.h
+++ b/jackdawshunt/board/board.h
@@ -56,6 +56,9 @@
   std::optional<Message> On(const ShareUpdate& update, kernel::TimePoint now);
   std::optional<Message> On(const ShareTotals& totals, kernel::TimePoint now);
   void Meet(const EngineIdentity& engine);
+  // Whether gateways should leave the engine alone. False for one query at a
+  // time when a trial is due.
+  bool IsAvoided(kernel::TimePoint now);
 
   void Learn(const StoreKnowledge& store);
 
@@ -63,6 +66,8 @@
   StoreKnowledge store_;
   std::unique_ptr<routing::EngineEstimate> engine_;
   uint64_t engine_life_ = 0;
+  uint32_t unreachable_in_row_ = 0;  // Reports since the last first event.
+  kernel::TimePoint next_trial_{};
   std::unordered_map<uint64_t, Gateway> gateways_;
   std::map<uint64_t, routing::ShareCount> totals_;  // Of all gateways.
 };
--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -15,7 +15,7 @@
   kernel::TimePoint Now() const { return clock_.Now(); }
   ShareTotals Update(uint64_t gateway,
                      uint64_t sequence,
-                     uint64_t asked,
+                     int64_t asked,
                      StoreKnowledge store = {}) {
     const auto reply = board_.Handle(
         ShareUpdate{.gateway = gateway,
@@ -57,6 +57,36 @@
       10000u);
 }
 
+// A crashed engine's queue looks empty; each of thirty gateways would run into
+// it on its own.
+TEST_F(BoardTest, AnEngineThatGatewaysCannotReachIsOfferedToOneAtATime) {
+  const EngineIdentity engine{.life = 1, .cache_tokens = 100000};
+  const Query query{
+      .nonce = 9, .engine = engine, .part_keys = {5}, .part_tokens = {900}};
+  const auto is_reachable = [&] {
+    return std::get<Offer>(*board_.Handle(query, Now())).is_reachable;
+  };
+  const auto report = [&](Progress progress) {
+    board_.Handle(ProgressReport{.request = 1, .progress = progress}, Now());
+  };
+  EXPECT_TRUE(is_reachable());
+  report(Progress::kUnreachable);
+  EXPECT_TRUE(is_reachable());  // May be the gateway's own fault.
+  report(Progress::kUnreachable);
+  EXPECT_FALSE(is_reachable());
+  clock_.Advance(milliseconds(300));
+  EXPECT_TRUE(is_reachable());   // A trial.
+  EXPECT_FALSE(is_reachable());  // The others wait for its outcome.
+  report(Progress::kFirstEvent);
+  EXPECT_TRUE(is_reachable());
+  report(Progress::kUnreachable);
+  report(Progress::kUnreachable);
+  EXPECT_FALSE(is_reachable());
+  Query restarted = query;
+  restarted.engine.life = 2;
+  EXPECT_TRUE(std::get<Offer>(*board_.Handle(restarted, Now())).is_reachable);
+}
+
 TEST_F(BoardTest, TotalsAreThoseOfTheOthersSinceTheLastUpdate) {
   EXPECT_TRUE(Update(1, 1, 100).reports.empty());
   const ShareTotals second = Update(2, 1, 50);
@@ -64,7 +94,7 @@
   EXPECT_TRUE(second.reports.empty());  // What came before it joined.
   const ShareTotals first = Update(1, 2, 0);
   ASSERT_EQ(first.reports.size(), 1u);
-  EXPECT_EQ(first.reports[0].count.asked, 50u);
+  EXPECT_EQ(first.reports[0].count.asked, 50);
   EXPECT_TRUE(Update(1, 3, 0).reports.empty());
   clock_.Advance(seconds(4));
   board_.Tick(Now());
@@ -96,12 +126,12 @@
                            .store = {.upstreams_revision = 7,
                                      .configuration_version = 8,
                                      .current_as_of_us = 9},
-                           .reports = {{10, {.asked = 11, .admitted = 12}}}};
+                           .reports = {{10, {.asked = 11, .admitted = -12}}}};
   const auto decoded = Decode(Encode(totals));
   ASSERT_TRUE(decoded.ok());
   const auto& copy = std::get<ShareTotals>(*decoded);
   EXPECT_EQ(copy.store.current_as_of_us, 9u);
-  EXPECT_EQ(copy.reports[0].count.admitted, 12u);
+  EXPECT_EQ(copy.reports[0].count.admitted, -12);
 }
 
 TEST(MessagesTest, AnyBytesAreAnErrorOrAMessage) {
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -1,5 +1,6 @@
 #include "jackdawshunt/board/messages.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -50,7 +51,7 @@
   out.insert(out.end(),
              {offer.nonce, offer.cost.wait.count(), offer.cost.ahead.count(),
               offer.cost.read.count(), offer.cost.missing_tokens,
-              offer.cost.missing_shared_tokens});
+              offer.cost.missing_shared_tokens, offer.is_reachable});
   return out;
 }
 
@@ -103,6 +104,24 @@
     return field->get<uint64_t>();
   }
 
+  int64_t Signed() {
+    const json* field = Next();
+    if (field == nullptr || !field->is_number_integer()) {
+      is_valid_ = false;
+      return 0;
+    }
+    return field->get<int64_t>();
+  }
+
+  bool Boolean() {
+    const json* field = Next();
+    if (field == nullptr || !field->is_boolean()) {
+      is_valid_ = false;
+      return false;
+    }
+    return field->get<bool>();
+  }
+
   template <typename T>
   std::vector<T> Numbers() {
     std::vector<T> numbers;
@@ -128,8 +147,8 @@
       row.position_ = 0;
       routing::ShareReport report;
       report.workspace_hash = row.Unsigned();
-      report.count.asked = row.Unsigned();
-      report.count.admitted = row.Unsigned();
+      report.count.asked = row.Signed();
+      report.count.admitted = row.Signed();
       is_valid_ = is_valid_ && row.is_valid_;
       reports.push_back(report);
     }
@@ -194,6 +213,7 @@
   offer.cost.read = kernel::Duration(static_cast<int64_t>(reader.Unsigned()));
   offer.cost.missing_tokens = reader.Unsigned();
   offer.cost.missing_shared_tokens = reader.Unsigned();
+  offer.is_reachable = reader.Boolean();
   return offer;
 }
 
@@ -210,10 +230,8 @@
 Message ReadProgress(FieldReader& reader) {
   ProgressReport report;
   report.request = reader.Unsigned();
-  const uint64_t progress = reader.Unsigned();
-  report.progress = progress == 0   ? Progress::kFirstEvent
-                    : progress == 1 ? Progress::kEnded
-                                    : Progress::kNotRun;
+  report.progress = static_cast<Progress>(
+      std::min(reader.Unsigned(), static_cast<uint64_t>(kLastProgress)));
   return report;
 }
 
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -43,6 +43,8 @@
 struct Offer {
   uint64_t nonce = 0;
   routing::EngineCost cost;
+  // False while gateways cannot connect to the engine.
+  bool is_reachable = true;
 };
 
 // Gateway to board: the request was sent to the engine.
@@ -54,7 +56,8 @@
   uint32_t output_tokens = 0;
 };
 
-enum class Progress { kFirstEvent, kEnded, kNotRun };
+enum class Progress { kFirstEvent, kEnded, kNotRun, kUnreachable };
+inline constexpr Progress kLastProgress = Progress::kUnreachable;
 
 // Gateway to board: what became of a claim.
 struct ProgressReport {
--- a/jackdawshunt/gateway/board_client.cc
+++ b/jackdawshunt/gateway/board_client.cc
@@ -169,7 +169,8 @@
     return;
   }
   question->has_answered[index] = true;
-  question->offers.push_back({question->engines[index], offer->cost});
+  question->offers.push_back(
+      {question->engines[index], offer->cost, offer->is_reachable});
   if (question->offers.size() >= question->awaited) {
     Finish(question->first_nonce);
   }
--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -32,6 +32,14 @@
       .count();
 }
 
+board::Progress ProgressOf(routing::Outcome outcome) {
+  if (outcome == routing::Outcome::kUnreachable) {
+    return board::Progress::kUnreachable;
+  }
+  return routing::WasRun(outcome) ? board::Progress::kEnded
+                                  : board::Progress::kNotRun;
+}
+
 }  // namespace
 
 Call::Call(CallContext& context,
@@ -113,6 +121,7 @@
         .Add("ahead_ms", WholeMs(decision.cost.ahead))
         .Add("read_ms", WholeMs(decision.cost.read))
         .Add("missing_tokens", decision.cost.missing_tokens)
+        .Add("tokens", routing::ShareTokens(*request_.prompt))
         .Add("share_used", decision.share_used)
         .Add("objective_left_ms", WholeMs(request_.objective_left_at_arrival));
   }
@@ -329,9 +338,7 @@
   context_.router.OnEnded(request_, upstream_, outcome, now);
   context_.metrics.CountAttempt(routing::OutcomeName(outcome));
   if (is_at_engine_) {
-    context_.boards.Report(upstream_, request_,
-                           routing::WasRun(outcome) ? board::Progress::kEnded
-                                                    : board::Progress::kNotRun);
+    context_.boards.Report(upstream_, request_, ProgressOf(outcome));
   }
   is_reading_paused_ = false;
   if (connection_ != nullptr) {
--- a/jackdawshunt/routing/fair_share.cc
+++ b/jackdawshunt/routing/fair_share.cc
@@ -35,30 +35,39 @@
       row->second.peers.at(index) = {};
     }
     for (size_t i = 0; i < kSlices; ++i) {
-      is_idle = is_idle && row->second.own.at(i).asked == 0 &&
-                row->second.peers.at(i).asked == 0;
+      for (const ShareCount& count :
+           {row->second.own.at(i), row->second.peers.at(i)}) {
+        is_idle = is_idle && count.asked == 0 && count.admitted == 0;
+      }
     }
     row = is_idle ? workspaces_.erase(row) : std::next(row);
   }
   current_slice_ = slice;
 }
 
+ShareCount& FairShare::CurrentSlice(uint64_t workspace_hash,
+                                    kernel::TimePoint now) {
+  Advance(now);
+  return workspaces_[workspace_hash].own.at(
+      static_cast<size_t>(current_slice_) % kSlices);
+}
+
 void FairShare::OnRequest(uint64_t workspace_hash,
                           uint64_t tokens,
                           kernel::TimePoint now) {
-  Advance(now);
-  workspaces_[workspace_hash]
-      .own.at(static_cast<size_t>(current_slice_) % kSlices)
-      .asked += tokens;
+  CurrentSlice(workspace_hash, now).asked += static_cast<int64_t>(tokens);
 }
 
 void FairShare::OnAdmitted(uint64_t workspace_hash,
                            uint64_t tokens,
                            kernel::TimePoint now) {
-  Advance(now);
-  workspaces_[workspace_hash]
-      .own.at(static_cast<size_t>(current_slice_) % kSlices)
-      .admitted += tokens;
+  CurrentSlice(workspace_hash, now).admitted += static_cast<int64_t>(tokens);
+}
+
+void FairShare::OnNotRun(uint64_t workspace_hash,
+                         uint64_t tokens,
+                         kernel::TimePoint now) {
+  CurrentSlice(workspace_hash, now).admitted -= static_cast<int64_t>(tokens);
 }
 
 std::vector<ShareReport> FairShare::Report(kernel::TimePoint now) const {
@@ -70,7 +79,7 @@
   for (const auto& [hash, workspace] : workspaces_) {
     const ShareCount& count =
         workspace.own.at(static_cast<size_t>(last) % kSlices);
-    if (count.asked > 0 || count.admitted > 0) {
+    if (count.asked != 0 || count.admitted != 0) {
       report.push_back({hash, count});
     }
   }
@@ -137,7 +146,7 @@
     admitted += static_cast<double>(found->second.own.at(i).admitted +
                                     found->second.peers.at(i).admitted);
   }
-  return admitted / level;
+  return std::max(admitted, 0.0) / level;
 }
 
 }  // namespace jackdawshunt::routing
--- a/jackdawshunt/routing/fair_share.h
+++ b/jackdawshunt/routing/fair_share.h
@@ -31,8 +31,9 @@
 
 // Tokens of one workspace in one slice of time at one entry.
 struct ShareCount {
-  uint64_t asked = 0;
-  uint64_t admitted = 0;
+  int64_t asked = 0;
+  // Below zero when more was taken back than admitted in the slice.
+  int64_t admitted = 0;
 };
 
 struct ShareReport {
@@ -55,6 +56,11 @@
                   uint64_t tokens,
                   kernel::TimePoint now);
 
+  // What was admitted did not run: its upstream was gone or refused it.
+  void OnNotRun(uint64_t workspace_hash,
+                uint64_t tokens,
+                kernel::TimePoint now);
+
   // Counts of this entry in the last complete slice, for the peers.
   std::vector<ShareReport> Report(kernel::TimePoint now) const;
   // Adds a peer's report to the current slice.
@@ -73,6 +79,7 @@
   };
 
   int64_t SliceOf(kernel::TimePoint now) const;
+  ShareCount& CurrentSlice(uint64_t workspace_hash, kernel::TimePoint now);
   // Clears the slices that have passed since the last call.
   void Advance(kernel::TimePoint now);
   // The tokens that a workspace may get in the window, by progressive filling.
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -42,6 +42,15 @@
          request.tried.end();
 }
 
+const BoardOffer* OfferOf(const std::vector<BoardOffer>& offers,
+                          const Upstream& upstream) {
+  const auto found = std::find_if(offers.begin(), offers.end(),
+                                  [&upstream](const BoardOffer& offer) {
+                                    return offer.upstream == upstream.id;
+                                  });
+  return found == offers.end() ? nullptr : &*found;
+}
+
 }  // namespace
 
 std::string_view VerdictName(Verdict verdict) {
@@ -225,28 +234,39 @@
   return decision;
 }
 
+void Router::KeepOffered(std::vector<const Upstream*>& candidates,
+                         const std::vector<BoardOffer>& offers,
+                         kernel::TimePoint now) {
+  std::vector<const Upstream*> offered;
+  std::vector<const Upstream*> others;
+  for (const Upstream* upstream : candidates) {
+    const BoardOffer* offer = OfferOf(offers, *upstream);
+    if (offer == nullptr) {
+      others.push_back(upstream);
+    } else if (offer->is_reachable) {
+      offered.push_back(upstream);
+    } else {
+      health_.Suspect(upstream->id, now);
+    }
+  }
+  if (!offered.empty()) {
+    candidates = std::move(offered);
+  } else if (!others.empty()) {
+    candidates = std::move(others);
+  }
+}
+
 Decision Router::ChooseEngine(const RoutedRequest& request,
                               const std::vector<BoardOffer>& offers,
                               std::vector<const Upstream*> candidates,
                               kernel::TimePoint now) {
-  const auto offer_of = [&offers](const Upstream& upstream) {
-    return std::find_if(offers.begin(), offers.end(),
-                        [&upstream](const BoardOffer& offer) {
-                          return offer.upstream == upstream.id;
-                        });
-  };
-  const auto has_no_offer = [&](const Upstream* upstream) {
-    return offer_of(*upstream) == offers.end();
-  };
-  if (!std::all_of(candidates.begin(), candidates.end(), has_no_offer)) {
-    std::erase_if(candidates, has_no_offer);
-  }
+  KeepOffered(candidates, offers, now);
   std::vector<EngineCandidate> rows;
   rows.reserve(candidates.size());
   for (const Upstream* upstream : candidates) {
     EngineCandidate row = ToCandidate(request, *upstream, now);
-    const auto offer = offer_of(*upstream);
-    if (offer != offers.end()) {
+    const BoardOffer* offer = OfferOf(offers, *upstream);
+    if (offer != nullptr) {
       row.cost = offer->cost;
     }
     rows.push_back(row);
@@ -317,7 +337,8 @@
   }
   state.engine->Claim(request.id, request.part_keys, request.prompt->parts,
                       request.prompt->max_output_tokens, now);
-  if (!request.workspace.empty() && request.sends == 1) {
+  if (!request.workspace.empty() && !request.is_charged) {
+    request.is_charged = true;
     shares_.OnAdmitted(HashOf(request.workspace), ShareTokens(*request.prompt),
                        now);
   }
@@ -346,12 +367,17 @@
   }
 }
 
-void Router::OnEnded(const RoutedRequest& request,
+void Router::OnEnded(RoutedRequest& request,
                      const Upstream& upstream,
                      Outcome outcome,
                      kernel::TimePoint now) {
   health_.Record(upstream.id, outcome, now);
   Release(request, upstream, WasRun(outcome), now);
+  if (request.is_charged && !WasRun(outcome)) {
+    request.is_charged = false;
+    shares_.OnNotRun(HashOf(request.workspace), ShareTokens(*request.prompt),
+                     now);
+  }
 }
 
 void Router::OnAbandoned(const RoutedRequest& request,
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -69,6 +69,7 @@
   uint64_t hash = 0;
   std::vector<std::string> tried;  // Upstreams that it was sent to or failed.
   uint32_t sends = 0;              // Times that it was sent.
+  bool is_charged = false;         // Counts towards its workspace's share.
 };
 
 enum class Verdict {
@@ -82,6 +83,7 @@
 struct BoardOffer {
   std::string upstream;
   EngineCost cost;
+  bool is_reachable = true;  // False: other entries cannot connect to it.
 };
 
 struct Decision {
@@ -137,7 +139,7 @@
   void OnFirstEvent(const RoutedRequest& request,
                     const Upstream& upstream,
                     kernel::TimePoint now);
-  void OnEnded(const RoutedRequest& request,
+  void OnEnded(RoutedRequest& request,
                const Upstream& upstream,
                Outcome outcome,
                kernel::TimePoint now);
@@ -169,6 +171,11 @@
   double EngineTokensPerSecond(size_t engines) const;
   std::vector<const Upstream*> Candidates(const RoutedRequest& request,
                                           kernel::TimePoint now);
+  // Leaves the engines that made an offer, or all if none did, without those
+  // that are reported unreachable.
+  void KeepOffered(std::vector<const Upstream*>& candidates,
+                   const std::vector<BoardOffer>& offers,
+                   kernel::TimePoint now);
   Decision ChooseEngine(const RoutedRequest& request,
                         const std::vector<BoardOffer>& offers,
                         std::vector<const Upstream*> candidates,
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -259,6 +259,71 @@
   EXPECT_EQ(router.Choose(request, {}, Now()).verdict, Verdict::kNoUpstream);
 }
 
+DesiredState MakeEngineState() {
+  DesiredState state = MakeState(1);
+  state.services[0].engine = EngineProfile{.slots = 64, .cache_tokens = 90000};
+  return state;
+}
+
+RoutedRequest MakePromptRequest(Router& router, kernel::TimePoint now) {
+  RoutedRequest request;
+  request.id = "1";
+  request.table = router.table();
+  request.route = router.table()->Match("h.example", "/a/x");
+  request.workspace = "lodge";
+  request.prompt = Prompt{.parts = {{1, 900}, {2, 100}},
+                          .prompt_tokens = 1000,
+                          .max_output_tokens = 10};
+  router.Prepare(request, seconds(8), now);
+  return request;
+}
+
+// While engines are down, each connection that fails would count against the
+// workspace, and its share would be used up by requests that never ran.
+TEST_F(RouterTest, ARequestThatDidNotRunUsesNoShare) {
+  Router router({}, Now());
+  router.SetDesiredState(MakeEngineState());
+  router.directory().Replace({MakeUpstream("a"), MakeUpstream("b")}, Now());
+  router.shares().OnRequest(HashOf("other"), 100000, Now());  // Not served.
+  RoutedRequest request = MakePromptRequest(router, Now());
+  router.OnSent(request, router.Choose(request, {}, Now()), Now());
+  clock_.Advance(milliseconds(300));
+  const double used = router.shares().ShareUsed(HashOf("lodge"), Now());
+  EXPECT_GT(used, 0);
+  clock_.Advance(milliseconds(300));
+  const Upstream first = MakeUpstream(request.tried.back());
+  router.OnEnded(request, first, Outcome::kUnreachable, Now());
+  EXPECT_EQ(router.shares().ShareUsed(HashOf("lodge"), Now()), 0);
+  // Sent elsewhere, it is charged; once, also when it runs twice.
+  router.OnSent(request, router.Choose(request, {}, Now()), Now());
+  clock_.Advance(milliseconds(300));
+  const double again = router.shares().ShareUsed(HashOf("lodge"), Now());
+  EXPECT_GT(again, 0);
+  EXPECT_LE(again, used);
+}
+
+TEST_F(RouterTest, AnEngineThatOthersCannotReachIsLeftOut) {
+  Router router({}, Now());
+  router.SetDesiredState(MakeEngineState());
+  router.directory().Replace(
+      {MakeUpstream("a"), MakeUpstream("b"), MakeUpstream("c")}, Now());
+  RoutedRequest request = MakePromptRequest(router, Now());
+  const std::vector<BoardOffer> offers = {
+      {.upstream = "a", .cost = {}, .is_reachable = false},
+      {.upstream = "b", .cost = {.wait = milliseconds(100)}}};
+  EXPECT_EQ(router.Choose(request, offers, Now()).upstream.id, "b");
+  // Its home is asked elsewhere for a while.
+  for (const Upstream& engine : router.EnginesToAsk(request, Now())) {
+    EXPECT_NE(engine.id, "a");
+  }
+  // When none is left, one is tried all the same.
+  const std::vector<BoardOffer> none = {
+      {.upstream = "a", .cost = {}, .is_reachable = false},
+      {.upstream = "b", .cost = {}, .is_reachable = false},
+      {.upstream = "c", .cost = {}, .is_reachable = false}};
+  EXPECT_EQ(router.Choose(request, none, Now()).verdict, Verdict::kSend);
+}
+
 TEST_F(RouterTest, ACallerThatReturnsHasLessOfItsObjectiveLeft) {
   Router router({}, Now());
   router.SetDesiredState(MakeState(1));
--- a/jackdawshunt/routing/upstream_health.cc
+++ b/jackdawshunt/routing/upstream_health.cc
@@ -77,6 +77,11 @@
   state.avoided_until = now + state.backoff;
 }
 
+void UpstreamHealth::Suspect(std::string_view id, kernel::TimePoint now) {
+  State& state = states_[std::string(id)];
+  state.avoided_until = std::max(state.avoided_until, now + kMinBackoff);
+}
+
 void UpstreamHealth::Forget(std::string_view id) {
   states_.erase(std::string(id));
 }
--- a/jackdawshunt/routing/upstream_health.h
+++ b/jackdawshunt/routing/upstream_health.h
@@ -41,6 +41,8 @@
  public:
   void Record(std::string_view id, Outcome outcome, kernel::TimePoint now);
   void Forget(std::string_view id);
+  // Other entries could not connect to it: it is avoided for a while.
+  void Suspect(std::string_view id, kernel::TimePoint now);
 
   // Whether requests should go elsewhere if they can. Becomes false for one
   // caller at a time when a trial is due; that caller must Record().
