Soak: proxies before gateways, upstreams and store; kept connections; losses

Callers opened a connection for each request, so closing of kept ones was not exercised.

Change: proxies stand before each gateway, each upstream and the store, and settings and entries name them. Faults of connections: one-way and two-way silence, silence of existing ones only, delay, cut, refusal. Three calls in four use a kept connection until the process is gone. A new check: requests that were passed on and lost with only planned work as a reason (at most 3).

--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -33,13 +33,13 @@
 }  // namespace
 
 PlatformCall::PlatformCall(kernel::EventLoop& loop,
-                           const http::Address& gateway,
+                           std::shared_ptr<http1::ClientConnection> connection,
                            const CallOptions& options,
                            std::string id)
     : loop_(loop),
       id_(std::move(id)),
       options_(options),
-      connection_(loop, gateway, {}),
+      connection_(std::move(connection)),
       sent_(loop.clock().Now()) {
   http1::RequestHead head;
   head.method =
@@ -65,13 +65,13 @@
   if (has_body) {
     bytes += options_.body;
   }
-  connection_.Send(bytes, false, *this);
+  connection_->Send(bytes, false, *this);
 }
 
 PlatformCall::~PlatformCall() = default;
 
 void PlatformCall::Leave() {
-  connection_.Forget();
+  connection_->Forget();
 }
 
 bool PlatformCall::IsOwn(const http1::ResponseHead& head) {
@@ -102,12 +102,11 @@
   readiness_port_ = FreePort();
   internal_port_ = FreePort();
   store_ = std::make_unique<StandInStore>(loop_, http::Address{"127.0.0.1", 0});
-  if (options_.has_store_proxy) {
-    store_proxy_ =
-        *Process::Start({.command = {StandInsBinary(), "proxy", "--target",
-                                     store_->address().ToString()},
-                         .folder = folder_.path(),
-                         .name = "store-proxy"});
+  if (options_.has_proxies) {
+    StartProxy(ProxiedHop::kStore, 0, "127.0.0.1", store_->address());
+    for (size_t i = 0; i < options_.gateways; ++i) {
+      StartProxy(ProxiedHop::kCallers, i, "127.0.0.1", gateway_address(i));
+    }
   }
   for (size_t i = 0; i < options_.engines + options_.plain; ++i) {
     const bool is_engine = i < options_.engines;
@@ -119,6 +118,9 @@
             .is_engine = is_engine,
             .events = options_.stream_events},
         runs_));
+    if (options_.has_proxies) {
+      StartProxy(ProxiedHop::kUpstream, i, UpstreamIp(i), upstream_address(i));
+    }
     PutUpstream(i);
   }
   PutConfiguration({"key-lodge"});
@@ -155,8 +157,9 @@
   const StandInUpstreamOptions& options = upstreams_[index]->options();
   store_->Put("servers", options.id,
               {{"service", options.service},
-               {"address", absl::StrCat(UpstreamIp(index), ":",
-                                        upstreams_[index]->port())},
+               {"address",
+                Through(ProxiedHop::kUpstream, index, upstream_address(index))
+                    .ToString()},
                {"zone", "z"},
                {"version", "v1"},
                {"slots", 64},
@@ -217,7 +220,8 @@
   std::string path = absl::StrCat(folder_.path(), "/", name, ".conf");
   std::ofstream(path) << absl::StrCat(
       "node=", name, "\nip=", ip, "\nzone=z\ninternalPorts=", internal_port_,
-      ",", internal_port_, "\nplatform.address=", store_->address().ToString(),
+      ",", internal_port_, "\nplatform.address=",
+      Through(ProxiedHop::kStore, 0, store_->address()).ToString(),
       "\nbounds.revokeMs=", Milliseconds(options_.revocation),
       "\nbounds.strictRevocation=true\nbounds.graceS=8\n"
       "bounds.budgetRatio=0.2\nbounds.budgetWindowS=10\n"
@@ -295,8 +299,55 @@
                                                   const CallOptions& options) {
   std::string id = absl::StrCat(absl::Hex(next_request_++, absl::kZeroPad8));
   routes_[id] = options.route;
-  return std::make_shared<PlatformCall>(loop_, gateway_address(gateway),
-                                        options, std::move(id));
+  return std::make_shared<PlatformCall>(
+      loop_,
+      options.keeps_connection ? KeptConnection(gateway)
+                               : std::make_shared<http1::ClientConnection>(
+                                     loop_,
+                                     Through(ProxiedHop::kCallers, gateway,
+                                             gateway_address(gateway)),
+                                     http1::ClientConnectionOptions{}),
+      options, std::move(id));
+}
+
+std::shared_ptr<http1::ClientConnection> PlatformFleet::KeptConnection(
+    size_t gateway) {
+  auto& kept = kept_[gateway];
+  std::erase_if(kept, [](const auto& connection) {
+    return !connection->is_busy() && !connection->is_usable();
+  });
+  for (const auto& connection : kept) {
+    if (!connection->is_busy()) {
+      return connection;
+    }
+  }
+  kept.push_back(std::make_shared<http1::ClientConnection>(
+      loop_, Through(ProxiedHop::kCallers, gateway, gateway_address(gateway)),
+      http1::ClientConnectionOptions{}));
+  return kept.back();
+}
+
+void PlatformFleet::StartProxy(ProxiedHop hop,
+                               size_t index,
+                               const std::string& ip,
+                               const http::Address& target) {
+  const std::string name =
+      absl::StrCat("proxy-", static_cast<int>(hop), "-", index);
+  proxies_[{hop, index}] = {
+      ip, *Process::Start({.command = {StandInsBinary(), "proxy", "--target",
+                                       target.ToString(), "--ip", ip},
+                           .folder = folder_.path(),
+                           .name = name})};
+}
+
+http::Address PlatformFleet::Through(ProxiedHop hop,
+                                     size_t index,
+                                     const http::Address& target) const {
+  const auto proxy = proxies_.find({hop, index});
+  return proxy == proxies_.end()
+             ? target
+             : http::Address{proxy->second.ip,
+                             proxy->second.process->Port("port")};
 }
 
 bool PlatformFleet::Await(const std::function<bool()>& done) {
@@ -308,9 +359,12 @@
   loop_.RunUntil([] { return false; }, time);
 }
 
-void PlatformFleet::SetStoreProxy(const std::string& faults) {
+void PlatformFleet::SetProxy(ProxiedHop hop,
+                             size_t index,
+                             const std::string& faults) {
+  const ProxyProcess& proxy = proxies_.at({hop, index});
   const auto answer =
-      Fetch({"127.0.0.1", store_proxy_->Port("admin_port")},
+      Fetch({"127.0.0.1", proxy.process->Port("admin_port")},
             {.method = "POST", .path = "/admin/faults", .body = faults});
   if (!answer.ok() || answer->status != 200) {
     base::Log(base::LogLevel::kError, "proxy_not_set", {{"faults", faults}});
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -14,9 +14,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jackdawshunt/http1/client.h"
@@ -33,8 +35,15 @@
   kernel::Duration revocation = std::chrono::seconds(5);
   kernel::Duration route_timeout = std::chrono::seconds(8);
   uint32_t stream_events = 5;
-  // Puts a proxy that injects faults between the processes and the store.
-  bool has_store_proxy = false;
+  // Puts a proxy that injects faults on each hop of ProxiedHop.
+  bool has_proxies = false;
+};
+
+// Where a proxy can stand.
+enum class ProxiedHop {
+  kCallers,   // Between callers and one gateway.
+  kUpstream,  // Between gateways and one upstream.
+  kStore,     // Between all processes and the store.
 };
 
 // Routes of the installation, by the first part of the path.
@@ -49,13 +58,15 @@
   std::string api_key = "key-lodge";
   kernel::Duration deadline = std::chrono::seconds(8);
   std::string body = "{}";
+  // Uses a connection that was kept after an earlier call, and keeps it.
+  bool keeps_connection = false;
 };
 
 // One request of a caller and its answer.
 class PlatformCall final : public http1::ResponseReceiver {
  public:
   PlatformCall(kernel::EventLoop& loop,
-               const http::Address& gateway,
+               std::shared_ptr<http1::ClientConnection> connection,
                const CallOptions& options,
                std::string id);
   ~PlatformCall() override;
@@ -84,7 +95,7 @@
   kernel::EventLoop& loop_;
   const std::string id_;
   const CallOptions options_;
-  http1::ClientConnection connection_;
+  const std::shared_ptr<http1::ClientConnection> connection_;
   http1::ResponseHead head_{.status = 0, .headers = {}};
   std::string body_;
   bool is_complete_ = false;
@@ -117,8 +128,9 @@
   void PutUpstream(size_t index, std::string_view state = "ready");
   void DeleteUpstream(size_t index);
 
-  // Sets faults of the proxy before the store, as JSON.
-  void SetStoreProxy(const std::string& faults);
+  // Sets faults of a proxy, as JSON. `index` is that of the gateway or
+  // upstream.
+  void SetProxy(ProxiedHop hop, size_t index, const std::string& faults);
 
   kernel::EventLoop& loop() { return loop_; }
   kernel::TimePoint now() const { return loop_.clock().Now(); }
@@ -144,6 +156,15 @@
                             const std::string& ip,
                             const std::string& more);
   uint16_t FreePort();
+  std::shared_ptr<http1::ClientConnection> KeptConnection(size_t gateway);
+  void StartProxy(ProxiedHop hop,
+                  size_t index,
+                  const std::string& ip,
+                  const http::Address& target);
+  // The address to connect to: the proxy's where there is one.
+  http::Address Through(ProxiedHop hop,
+                        size_t index,
+                        const http::Address& target) const;
 
   const PlatformFleetOptions options_;
   kernel::EventLoop loop_;
@@ -152,7 +173,13 @@
   RunLog runs_;
   std::map<std::string, std::string> routes_;  // Of requests, by their id.
   std::unique_ptr<StandInStore> store_;
-  std::unique_ptr<Process> store_proxy_;
+  struct ProxyProcess {
+    std::string ip;
+    std::unique_ptr<Process> process;
+  };
+  std::map<std::pair<ProxiedHop, size_t>, ProxyProcess> proxies_;
+  // Callers' connections to each gateway that are used again.
+  std::map<size_t, std::vector<std::shared_ptr<http1::ClientConnection>>> kept_;
   std::vector<std::unique_ptr<StandInUpstream>> upstreams_;
   std::vector<std::unique_ptr<Process>> gateways_;
   std::vector<std::unique_ptr<Process>> boards_;
--- a/jackdawshunt/testing/platform/soak_main.cc
+++ b/jackdawshunt/testing/platform/soak_main.cc
@@ -6,10 +6,10 @@
 //
 // Processes are killed, paused, stopped gracefully and restarted by signals, in
 // series that overlap; the store refuses, resets, falls silent and drops its
-// history, also behind a proxy that delays, cuts one way and silences
-// connections; upstreams crash, misbehave, drain and return; keys are taken
-// away. The same seed gives the same faults at the same times. Exits with 1
-// when a promise was broken and prints the first ones.
+// history; proxies before each gateway, each upstream and the store delay,
+// reset, silence and cut one way; upstreams crash, misbehave, drain and return;
+// keys are taken away. The same seed gives the same faults at the same times.
+// Exits with 1 when a promise was broken and prints the first ones.
 #include <csignal>
 
 #include <algorithm>
@@ -41,6 +41,8 @@
 // A gateway keeps its time limits once it was undisturbed for so long.
 constexpr kernel::Duration kContact = seconds(4);
 constexpr kernel::Duration kRecovery = seconds(12);
+// Requests that may be lost around planned work.
+constexpr size_t kTolerableLosses = 3;
 
 struct SoakOptions {
   uint64_t seed = 1;
@@ -60,7 +62,7 @@
                 .plain = options.plain,
                 .revocation = kRevocation,
                 .route_timeout = kRouteTimeout,
-                .has_store_proxy = true}),
+                .has_proxies = true}),
         disturbed_(options.gateways) {}
 
   int Run() {
@@ -85,6 +87,7 @@
     });
     CheckCalls();
     CheckRuns();
+    CheckLost();
     return Report();
   }
 
@@ -96,6 +99,11 @@
     bool has_left = false;
     bool is_checked = false;
   };
+  struct Disturbance {
+    kernel::TimePoint from{};
+    kernel::TimePoint to{};
+    bool is_planned = false;  // Part of the ordinary running of the system.
+  };
   using Fault = void (Soak::*)();
 
   kernel::TimePoint Now() const { return fleet_.now(); }
@@ -115,6 +123,7 @@
     options.route = kRoutes.at(Pick(kRoutes.size()));
     options.api_key = options.route == kOpen ? "" : PickKey();
     options.deadline = kRouteTimeout;
+    options.keeps_connection = Pick(4) != 0;
     entry.call = fleet_.Call(entry.gateway, options);
     calls_.push_back(entry);
     if (Pick(25) == 0) {
@@ -149,7 +158,7 @@
   }
   void StopGateway() {
     const size_t i = Pick(options_.gateways);
-    Disturb(i, seconds(4));
+    Disturb(i, seconds(4), /*is_planned=*/true);
     fleet_.gateway(i).Terminate();
     After(seconds(4), [this, i] { RestartGateway(i); });
   }
@@ -186,18 +195,41 @@
     After(time, [this] { fleet_.store().SetFault(StoreFault::kNone); });
   }
   void FailStoreConnections() {
-    constexpr std::array<const char*, 4> kProxyFaults = {
-        R"({"blackhole_to_client":true})", R"({"blackhole_to_target":true})",
-        R"({"delay_ms":150})", R"({"cut":true})"};
-    const auto time = milliseconds(100 + Pick(3000));
-    DisturbAll(time);
-    fleet_.SetStoreProxy(kProxyFaults.at(Pick(kProxyFaults.size())));
-    After(time, [this] { HealStoreProxy(); });
+    FailConnections(ProxiedHop::kStore, 0, milliseconds(100 + Pick(3000)));
   }
-  void HealStoreProxy() {
-    fleet_.SetStoreProxy(
+  void FailCallersConnections() {
+    FailConnections(ProxiedHop::kCallers, Pick(options_.gateways),
+                    milliseconds(100 + Pick(2000)));
+  }
+  void FailUpstreamConnections() {
+    FailConnections(ProxiedHop::kUpstream, Pick(fleet_.upstreams()),
+                    milliseconds(100 + Pick(2000)));
+  }
+  // A fault of the network, and of all that it disturbs.
+  void FailConnections(ProxiedHop hop, size_t index, kernel::Duration time) {
+    constexpr std::array<const char*, 6> kProxyFaults = {
+        R"({"blackhole_to_client":true})",
+        R"({"blackhole_to_target":true})",
+        R"({"blackhole_to_client":true,"blackhole_to_target":true,)"
+        R"("only_existing":true})",
+        R"({"delay_ms":150})",
+        R"({"cut":true})",
+        R"({"refuse":true,"cut":true})"};
+    if (hop == ProxiedHop::kStore) {
+      DisturbAll(time);
+    } else if (hop == ProxiedHop::kCallers) {
+      Disturb(index, time);
+    } else {
+      DisturbUpstream(index, time);
+    }
+    fleet_.SetProxy(hop, index, kProxyFaults.at(Pick(kProxyFaults.size())));
+    After(time, [this, hop, index] { HealProxy(hop, index); });
+  }
+  void HealProxy(ProxiedHop hop, size_t index) {
+    fleet_.SetProxy(
+        hop, index,
         R"({"blackhole_to_client":false,"blackhole_to_target":false,)"
-        R"("delay_ms":0})");
+        R"("refuse":false,"delay_ms":0})");
   }
   void DropHistory() {
     DisturbAll(milliseconds(0));
@@ -211,12 +243,17 @@
   void MisbehaveUpstream() {
     const size_t i = Pick(fleet_.upstreams());
     const auto time = milliseconds(100 + Pick(1500));
+    DisturbUpstream(i, time);
     fleet_.upstream(i).SetFault(static_cast<UpstreamFault>(
         1 + Pick(static_cast<size_t>(UpstreamFault::kUnframed))));
     After(time,
           [this, i] { fleet_.upstream(i).SetFault(UpstreamFault::kNone); });
   }
-  void CrashUpstream() { fleet_.upstream(Pick(fleet_.upstreams())).Crash(); }
+  void CrashUpstream() {
+    const size_t i = Pick(fleet_.upstreams());
+    DisturbUpstream(i, {});
+    fleet_.upstream(i).Crash();
+  }
   void DrainUpstream() {
     // One of each service is never drained.
     const size_t i = Pick(2) == 0 ? Pick(options_.engines - 1)
@@ -233,8 +270,12 @@
       fleet_.PutUpstream(i);
     });
   }
-  void Disturb(size_t gateway, kernel::Duration time) {
-    disturbed_[gateway].push_back({Now(), Now() + time});
+  void Disturb(size_t gateway, kernel::Duration time, bool is_planned = false) {
+    disturbed_[gateway].push_back({Now(), Now() + time, is_planned});
+  }
+  void DisturbUpstream(size_t upstream, kernel::Duration time) {
+    disturbed_upstreams_[fleet_.upstream(upstream).options().id].push_back(
+        {Now(), Now() + time});
   }
   void DisturbAll(kernel::Duration time) {
     for (size_t i = 0; i < disturbed_.size(); ++i) {
@@ -242,25 +283,67 @@
     }
   }
 
-  static constexpr std::array<Fault, 13> kFaults = {
-      &Soak::KillGateway,       &Soak::PauseGateway,
-      &Soak::StopGateway,       &Soak::HangUpGateway,
-      &Soak::KillBoard,         &Soak::PauseBoard,
-      &Soak::FailStore,         &Soak::FailStoreConnections,
-      &Soak::DropHistory,       &Soak::ChangeKeys,
-      &Soak::MisbehaveUpstream, &Soak::CrashUpstream,
+  static constexpr std::array<Fault, 15> kFaults = {
+      &Soak::KillGateway,
+      &Soak::PauseGateway,
+      &Soak::StopGateway,
+      &Soak::HangUpGateway,
+      &Soak::KillBoard,
+      &Soak::PauseBoard,
+      &Soak::FailStore,
+      &Soak::FailStoreConnections,
+      &Soak::FailCallersConnections,
+      &Soak::FailUpstreamConnections,
+      &Soak::DropHistory,
+      &Soak::ChangeKeys,
+      &Soak::MisbehaveUpstream,
+      &Soak::CrashUpstream,
       &Soak::DrainUpstream};
 
   // --- Checks.
-  // Whether the gateway was disturbed from `before` the time to its end.
+  static bool WasDisturbed(const std::vector<Disturbance>& spans,
+                           kernel::TimePoint from,
+                           kernel::TimePoint to,
+                           bool counts_planned = true) {
+    return std::any_of(spans.begin(), spans.end(), [&](const auto& span) {
+      return span.from <= to && span.to + kContact >= from &&
+             (counts_planned || !span.is_planned);
+    });
+  }
+  // Whether the gateway was disturbed in the span or shortly before it.
   bool WasDisturbed(size_t gateway,
                     kernel::TimePoint from,
                     kernel::TimePoint to) const {
-    return std::any_of(disturbed_[gateway].begin(), disturbed_[gateway].end(),
-                       [&](const auto& span) {
-                         return span.first <= to &&
-                                span.second + kContact >= from;
-                       });
+    return WasDisturbed(disturbed_[gateway], from, to);
+  }
+
+  // Requests that were passed on and whose connection ended without an answer,
+  // with nothing but planned work as a reason.
+  void CheckLost() {
+    std::vector<std::string> lost;
+    for (const Entry& entry : calls_) {
+      const PlatformCall& call = *entry.call;
+      const auto runs = fleet_.runs().find(call.id());
+      if (!call.loss().has_value() || entry.has_left ||
+          runs == fleet_.runs().end()) {
+        continue;
+      }
+      const kernel::TimePoint ended = entry.sent + call.total();
+      const bool is_excused =
+          WasDisturbed(disturbed_[entry.gateway], entry.sent, ended,
+                       /*counts_planned=*/false) ||
+          std::any_of(runs->second.begin(), runs->second.end(),
+                      [&](const UpstreamRun& run) {
+                        return WasDisturbed(disturbed_upstreams_[run.upstream],
+                                            entry.sent, ended);
+                      });
+      if (!is_excused) {
+        lost.push_back(call.id());
+      }
+    }
+    if (lost.size() > kTolerableLosses) {
+      Violate(absl::StrCat(lost.size(), " requests lost, first ", lost[0]));
+    }
   }
 
   void CheckCalls() {
@@ -332,8 +415,12 @@
   void Heal() {
     timers_.erase(timers_.begin() + 1, timers_.end());
     fleet_.store().SetFault(StoreFault::kNone);
-    HealStoreProxy();
+    HealProxy(ProxiedHop::kStore, 0);
+    for (size_t i = 0; i < options_.gateways; ++i) {
+      HealProxy(ProxiedHop::kCallers, i);
+    }
     for (size_t i = 0; i < fleet_.upstreams(); ++i) {
+      HealProxy(ProxiedHop::kUpstream, i);
       fleet_.upstream(i).SetFault(UpstreamFault::kNone);
       fleet_.PutUpstream(i);
     }
@@ -395,8 +482,8 @@
   PlatformFleet fleet_;
   std::vector<kernel::Timer> timers_;  // The first one starts the calls.
   std::vector<Entry> calls_;
-  std::vector<std::vector<std::pair<kernel::TimePoint, kernel::TimePoint>>>
-      disturbed_;  // By gateway.
+  std::vector<std::vector<Disturbance>> disturbed_;  // By gateway.
+  std::map<std::string, std::vector<Disturbance>> disturbed_upstreams_;
   std::string key_ = "key-lodge";
   std::map<std::string, kernel::TimePoint> revoked_;  // When it was taken away.
   std::map<std::string, kernel::TimePoint> draining_;
--- a/jackdawshunt/testing/stand_ins/main.cc
+++ b/jackdawshunt/testing/stand_ins/main.cc
@@ -40,6 +40,7 @@
 }
 
 void AddListenOptions(CLI::App& app, ListenOptions& options) {
+  app.add_option("--ip", options.ip, "IP of the main port");
   app.add_option("--port", options.port, "Main port; 0 lets the kernel choose");
   app.add_option("--admin-port", options.admin_port, "Port of /admin/ paths");
   app.add_option("--ports-file", options.ports_file, "Receives the ports");
--- a/jackdawshunt/testing/stand_ins/proxy.cc
+++ b/jackdawshunt/testing/stand_ins/proxy.cc
@@ -208,7 +208,7 @@
 }
 
 absl::Status Proxy::Listen(const ListenOptions& options) {
-  const sockaddr_in address = SocketAddress({"127.0.0.1", options.port});
+  const sockaddr_in address = SocketAddress({options.ip, options.port});
   listener_ = evconnlistener_new_bind(
       loop_.base(),
       [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
--- a/jackdawshunt/testing/stand_ins/stand_in.cc
+++ b/jackdawshunt/testing/stand_ins/stand_in.cc
@@ -88,7 +88,7 @@
 }
 
 absl::Status HttpStandIn::Listen(const ListenOptions& options) {
-  const auto port = server_.Listen({"127.0.0.1", options.port});
+  const auto port = server_.Listen({options.ip, options.port});
   if (!port.ok()) {
     return port.status();
   }
--- a/jackdawshunt/testing/stand_ins/stand_in.h
+++ b/jackdawshunt/testing/stand_ins/stand_in.h
@@ -24,6 +24,7 @@
 namespace jackdawshunt::testing {
 
 struct ListenOptions {
+  std::string ip = "127.0.0.1";  // Of the main port.
   uint16_t port = 0;
   uint16_t admin_port = 0;
   std::string ports_file;  // Optional; receives {"port","admin_port"}.
