--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -14,7 +14,7 @@
 constexpr uint32_t kMaxDoublings = 3;
 constexpr std::chrono::milliseconds kNoWait{1};
 // After a change the next watch waits so long.
-constexpr kernel::Duration kGroupChanges = std::chrono::milliseconds(150);
+constexpr kernel::Duration kGroupChanges = std::chrono::milliseconds(400);
 
 }  // namespace
 
