Let idle engines take a workspace beyond its share while the fleet has room

Between 42 and 44 s callers were refused by engines with wait 0 and nothing ahead of their pace: their workspace had 1.4 times its share, and the share was small because little had been admitted in the window.

Change: beyond 1.4 shares a workspace still gets engines that have nothing to read, as long as all entries together admit less than the operator states.

AnIdleEngineTakesAWorkspaceFarBeyondItsShare failed before.

--- a/jackdawshunt/routing/admission.cc
+++ b/jackdawshunt/routing/admission.cc
@@ -53,7 +53,8 @@
       Scale(input.objective, policy.ahead_share * factor);
   const kernel::Duration excess =
       std::max(input.cost.wait - most_wait, input.cost.ahead - most_ahead);
-  if (excess <= kernel::Duration::zero() && factor > 0) {
+  const bool is_open = factor > 0 || input.fleet_has_room;
+  if (excess <= kernel::Duration::zero() && is_open) {
     return {};
   }
   return {.is_admitted = false,
--- a/jackdawshunt/routing/admission.h
+++ b/jackdawshunt/routing/admission.h
@@ -41,6 +41,8 @@
   kernel::Duration deadline_left{};
   // Received over allowed service of the workspace; 1 is its fair share.
   double share_used = 0;
+  // All engines together admit less than the operator states.
+  bool fleet_has_room = true;
   uint64_t request_hash = 0;  // Spreads the returns.
 };
 
@@ -51,8 +53,9 @@
 
 // Factor on the wait that is accepted: a workspace below its share waits
 // longer before it is refused, one beyond it finds room only in engines that
-// are nearly idle, and one far beyond it none while others are short: the more
-// often it tries, the more of the idle moments it would take.
+// are nearly idle. One far beyond it finds room only in engines that have
+// nothing to read, and none while the fleet has no room: the more often it
+// tries, the more of the short moments with room it would take.
 double ShareFactor(double share_used);
 
 AdmissionDecision Decide(const AdmissionInput& input,
--- a/jackdawshunt/routing/fair_share.cc
+++ b/jackdawshunt/routing/fair_share.cc
@@ -109,7 +109,7 @@
     double admitted = 0;
   };
   std::vector<Sums> rows;
-  double admitted_in_all = 0;
+  admitted_in_all_ = 0;
   for (const auto& [hash, workspace] : workspaces_) {
     Sums row;
     for (size_t i = 0; i < kSlices; ++i) {
@@ -118,13 +118,13 @@
       row.admitted += static_cast<double>(workspace.own.at(i).admitted +
                                           workspace.peers.at(i).admitted);
     }
-    admitted_in_all += row.admitted;
+    admitted_in_all_ += row.admitted;
     rows.push_back(row);
   }
   std::sort(rows.begin(), rows.end(),
             [](const Sums& a, const Sums& b) { return a.asked < b.asked; });
   level_ = std::numeric_limits<double>::infinity();
-  double left = admitted_in_all;
+  double left = admitted_in_all_;
   for (size_t i = 0; i < rows.size(); ++i) {
     const double even = left / static_cast<double>(rows.size() - i);
     if (rows[i].asked > even) {
@@ -137,7 +137,7 @@
   for (const Sums& row : rows) {
     missed += std::max(0.0, std::min(row.asked, level_) - row.admitted);
   }
-  if (missed <= kNegligibleMiss * admitted_in_all) {
+  if (missed <= kNegligibleMiss * admitted_in_all_) {
     level_ = std::numeric_limits<double>::infinity();
   }
   return level_;
@@ -159,4 +159,13 @@
   return std::max(admitted, 0.0) / level;
 }
 
+bool FairShare::FleetHasRoom(kernel::TimePoint now) {
+  Advance(now);
+  FillLevel(now);
+  return tokens_per_second_ <= 0 ||
+         admitted_in_all_ <
+             tokens_per_second_ *
+                 std::chrono::duration<double>(slice_ * kSlices).count();
+}
+
 }  // namespace jackdawshunt::routing
--- a/jackdawshunt/routing/fair_share.h
+++ b/jackdawshunt/routing/fair_share.h
@@ -61,6 +61,11 @@
                 uint64_t tokens,
                 kernel::TimePoint now);
 
+  // What the operator states for all engines together; 0: not stated.
+  void set_tokens_per_second(double tokens) { tokens_per_second_ = tokens; }
+  // Whether less than that was admitted in the window.
+  bool FleetHasRoom(kernel::TimePoint now);
+
   // Counts of this entry in the last complete slice, for the peers.
   std::vector<ShareReport> Report(kernel::TimePoint now) const;
   // Adds a peer's report to the current slice.
@@ -89,6 +94,8 @@
   const kernel::Duration slice_;
   std::map<uint64_t, Workspace> workspaces_;
   int64_t current_slice_ = 0;
+  double tokens_per_second_ = 0;
+  double admitted_in_all_ = 0;
   double level_ = 0;
   int64_t level_of_ = -1;  // The time step for which level_ was computed.
 };
--- a/jackdawshunt/routing/load_replay_test.cc
+++ b/jackdawshunt/routing/load_replay_test.cc
@@ -282,6 +282,23 @@
   EXPECT_LT(served(1), 1.5 * served(0));
 }
 
+// "The engines come back empty and a workspace floods": what little was
+// admitted while they were gone makes its share small for the rest of the
+// window.
+TEST(LoadReplayTest, AnIdleEngineTakesAWorkspaceFarBeyondItsShare) {
+  AdmissionInput input{.cost = {.read = milliseconds(60)},
+                       .objective = kObjective,
+                       .objective_left = kObjective,
+                       .deadline_left = kDeadline,
+                       .share_used = 5};
+  EXPECT_TRUE(Decide(input, {}).is_admitted);
+  input.fleet_has_room = false;
+  EXPECT_FALSE(Decide(input, {}).is_admitted);
+  input.fleet_has_room = true;
+  input.cost.wait = milliseconds(5);
+  EXPECT_FALSE(Decide(input, {}).is_admitted);
+}
+
 TEST(LoadReplayTest, NobodyIsRefusedWhileEnginesAreIdle) {
   const Outcome outcome = Replay(
       {.requests_per_s = 12, .templates = 6, .first_workspace_part = 0.8}, {});
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -89,6 +89,7 @@
     return false;
   }
   table_ = std::make_shared<const RoutingTable>(std::move(state));
+  shares_.set_tokens_per_second(table_->state().limits.tokens_per_second);
   return true;
 }
 
@@ -278,6 +279,7 @@
                                   request.objective_left_at_arrival - elapsed),
        .deadline_left = request.ends - now,
        .share_used = decision.share_used,
+       .fleet_has_room = shares_.FleetHasRoom(now),
        .request_hash = request.hash},
       settings_.admission);
   decision.retry_after = admission.retry_after;
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -28,6 +28,7 @@
 using KeyFreshnessTest = ClockTest;
 using OverloadTest = ClockTest;
 using RouterTest = ClockTest;
+using FairShareTest = ClockTest;
 using EngineEstimateTest = ClockTest;
 
 Upstream MakeUpstream(std::string id, std::string service = "desk") {
@@ -302,6 +303,16 @@
   EXPECT_LE(again, used);
 }
 
+TEST_F(FairShareTest, TheFleetHasRoomWhileItAdmitsLessThanIsStated) {
+  FairShare shares(seconds(4));
+  shares.OnAdmitted(1, 5000, Now());
+  EXPECT_TRUE(shares.FleetHasRoom(Now()));  // Nothing is stated.
+  shares.set_tokens_per_second(1000);
+  EXPECT_FALSE(shares.FleetHasRoom(Now()));
+  clock_.Advance(seconds(5));
+  EXPECT_TRUE(shares.FleetHasRoom(Now()));
+}
+
 TEST_F(RouterTest, AnEngineThatOthersCannotReachIsLeftOut) {
   Router router({}, Now());
   router.SetDesiredState(MakeEngineState());
