--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -117,12 +117,14 @@
       .Add("left_ms", WholeMs(request_.ends - Now()));
   if (decision.is_engine) {
     line.Add("offers", decision.offers)
+        .Add("unreachable", decision.unreachable)
         .Add("wait_ms", WholeMs(decision.cost.wait))
         .Add("ahead_ms", WholeMs(decision.cost.ahead))
         .Add("read_ms", WholeMs(decision.cost.read))
         .Add("missing_tokens", decision.cost.missing_tokens)
         .Add("tokens", routing::ShareTokens(*request_.prompt))
         .Add("share_used", decision.share_used)
+        .Add("fleet_has_room", decision.fleet_has_room)
         .Add("objective_left_ms", WholeMs(request_.objective_left_at_arrival));
   }
 }
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -223,6 +223,9 @@
                 : ChoosePlain(request, candidates, now);
   decision.candidates = count;
   decision.offers = offers.size();
+  decision.unreachable = static_cast<size_t>(std::count_if(
+      offers.begin(), offers.end(),
+      [](const BoardOffer& offer) { return !offer.is_reachable; }));
   decision.is_engine = is_engine;
   return decision;
 }
@@ -271,6 +274,7 @@
   decision.share_used = request.workspace.empty()
                             ? 0
                             : shares_.ShareUsed(HashOf(request.workspace), now);
+  decision.fleet_has_room = shares_.FleetHasRoom(now);
   const kernel::Duration elapsed = now - request.arrived;
   const AdmissionDecision admission = Decide(
       {.cost = rows[best].cost,
@@ -279,7 +283,7 @@
                                   request.objective_left_at_arrival - elapsed),
        .deadline_left = request.ends - now,
        .share_used = decision.share_used,
-       .fleet_has_room = shares_.FleetHasRoom(now),
+       .fleet_has_room = decision.fleet_has_room,
        .request_hash = request.hash},
       settings_.admission);
   decision.retry_after = admission.retry_after;
