Answer requests that are unread when a stopping gateway ends accepting

A gateway with 0.09 cores had not yet accepted or read it when, 2.7 s after the signal, it closed its listener (which resets what waits in the accept queue) and all sessions in which it saw no request.

Ruled out: the upstream (the request was not passed on); the grace time (8 s).

Change: the accept queue is emptied before the listener closes, a connection with unread bytes is not idle, and the process stays until such requests have their answer.

--- a/jackdawshunt/gateway/front.cc
+++ b/jackdawshunt/gateway/front.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -134,6 +135,7 @@
 
 void Front::StopAccepting() {
   refuses_all_ = true;
+  listener_->AcceptPending();
   listener_.reset();
   std::vector<Session*> open;
   open.reserve(sessions_.size());
@@ -145,6 +147,13 @@
   }
 }
 
+bool Front::has_open_requests() const {
+  return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& row) {
+    return row.second->is_busy() ||
+           row.second->connection().has_arriving_request();
+  });
+}
+
 size_t Front::busy_calls() const {
   size_t busy = 0;
   for (const auto& [key, session] : sessions_) {
--- a/jackdawshunt/gateway/front.h
+++ b/jackdawshunt/gateway/front.h
@@ -41,6 +41,8 @@
   void StopAccepting();
   size_t open_connections() const { return sessions_.size(); }
   size_t busy_calls() const;
+  // Whether a request is being served or has arrived, read or not.
+  bool has_open_requests() const;
 
  private:
   class Session;
--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -340,7 +340,7 @@
   void StopAccepting() {
     front_.StopAccepting();
     poll_ = loop_.Every(kExitPoll, [this] {
-      if (front_.busy_calls() == 0) {
+      if (!front_.has_open_requests()) {
         loop_.Stop();
       }
     });
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -69,6 +70,16 @@
   return std::unique_ptr<Listener>(new Listener(std::move(impl)));
 }
 
+void Listener::AcceptPending() {
+  const int listening = evconnlistener_get_fd(impl_->listener);
+  for (int fd = 0; fd >= 0;) {
+    fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      impl_->accept(fd);
+    }
+  }
+}
+
 uint16_t Listener::port() const {
   sockaddr_in bound{};
   socklen_t length = sizeof(bound);
@@ -292,11 +303,18 @@
   impl_->Finalize();
 }
 
+bool ServerConnection::has_arriving_request() const {
+  int unread = 0;
+  return impl_->stream.is_open() && !impl_->is_busy &&
+         (has_partial_request() ||
+          (ioctl(impl_->stream.fd(), FIONREAD, &unread) == 0 && unread > 0));
+}
+
 void ServerConnection::CloseWhenIdle() {
   if (!impl_->stream.is_open()) {
     return;
   }
-  if (impl_->is_busy || has_partial_request()) {
+  if (impl_->is_busy || has_arriving_request()) {
     impl_->closes = impl_->is_busy || impl_->closes;
     return;
   }
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -40,6 +40,8 @@
   Listener& operator=(const Listener&) = delete;
 
   uint16_t port() const;
+  // Accepts what waits to be accepted; closing the listener would reset it.
+  void AcceptPending();
 
  private:
   struct Impl;
@@ -110,7 +112,11 @@
   void WriteRaw(std::string_view bytes);
   // Resets the connection, so that the caller sees an incomplete answer.
   void Abort();
-  // Closes the connection now if it is idle, else after the current answer.
+  // Whether bytes of a request have arrived that is not delivered yet, read or
+  // not.
+  bool has_arriving_request() const;
+  // Closes the connection now if it is idle, else after the current answer or
+  // that to the arriving request.
   void CloseWhenIdle();
 
   bool is_open() const;
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -247,6 +247,30 @@
   EXPECT_EQ(fleet_->gateway(0).WaitForExit(), 0);
 }
 
+// A slow gateway stops accepting while connections wait to be accepted and
+// requests wait to be read.
+TEST_F(GatewayProcessTest, RequestsUnreadWhenAcceptingEndsAreAnswered) {
+  Start();
+  const CallOptions kept = {.route = kFetch, .keeps_connection = true};
+  EXPECT_EQ(Call(kept)->status(), 200);
+  fleet_->gateway(0).Terminate();
+  fleet_->RunFor(milliseconds(2400));
+  fleet_->gateway(0).Pause();
+  std::vector<CallPtr> calls = {fleet_->Call(0, kept)};
+  for (int i = 0; i < 5; ++i) {
+    calls.push_back(fleet_->Call(0, {.route = kFetch}));
+  }
+  fleet_->RunFor(milliseconds(600));
+  fleet_->gateway(0).Continue();
+  ASSERT_TRUE(fleet_->Await([&] {
+    return std::all_of(calls.begin(), calls.end(),
+                       [](const CallPtr& call) { return call->is_done(); });
+  }));
+  for (const CallPtr& call : calls) {
+    EXPECT_TRUE(call->is_complete()) << call->id();
+  }
+}
+
 TEST_F(GatewayProcessTest, ServesWithoutBoards) {
   Start();
   fleet_->board(0).Kill();
