--- a/jackdawshunt/gateway/readiness_server.cc
+++ b/jackdawshunt/gateway/readiness_server.cc
@@ -8,17 +8,13 @@
 
 ReadinessServer::ReadinessServer(kernel::EventLoop& loop,
                                  std::function<bool()> is_ready)
-    : loop_(loop), is_ready_(std::move(is_ready)) {}
+    : loop_(loop), is_ready_(std::move(is_ready)), connections_(loop, *this) {}
 
 ReadinessServer::~ReadinessServer() = default;
 
 absl::Status ReadinessServer::Listen(const http::Address& address) {
-  auto listener = http1::Listener::Bind(loop_, address, [this](int fd) {
-    auto connection = std::make_unique<http1::ServerConnection>(
-        loop_, fd, http1::ServerConnectionLimits{}, *this);
-    http1::ServerConnection* const key = connection.get();
-    connections_.emplace(key, std::move(connection));
-  });
+  auto listener = http1::Listener::Bind(
+      loop_, address, [this](int fd) { connections_.Add(fd); });
   if (!listener.ok()) {
     return listener.status();
   }
@@ -44,13 +40,7 @@
 void ReadinessServer::OnDrained(http1::ServerConnection& /*connection*/) {}
 
 void ReadinessServer::OnGone(http1::ServerConnection& connection) {
-  const auto found = connections_.find(&connection);
-  if (found == connections_.end()) {
-    return;
-  }
-  loop_.Post([gone = std::shared_ptr<http1::ServerConnection>(
-                  std::move(found->second))] {});
-  connections_.erase(found);
+  connections_.Remove(connection);
 }
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/readiness_server.h
+++ b/jackdawshunt/gateway/readiness_server.h
@@ -10,7 +10,6 @@
 
 #include <functional>
 #include <memory>
-#include <unordered_map>
 
 #include "absl/status/status.h"
 #include "jackdawshunt/http1/server.h"
@@ -38,9 +37,7 @@
   kernel::EventLoop& loop_;
   const std::function<bool()> is_ready_;
   std::unique_ptr<http1::Listener> listener_;
-  std::unordered_map<http1::ServerConnection*,
-                     std::unique_ptr<http1::ServerConnection>>
-      connections_;
+  http1::ConnectionSet connections_;
 };
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstring>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "event2/listener.h"
@@ -336,4 +337,32 @@
   return impl_->stream.unwritten();
 }
 
+void ConnectionSet::Add(int fd) {
+  auto connection = std::make_unique<ServerConnection>(
+      loop_, fd, ServerConnectionLimits{}, handler_);
+  ServerConnection* const key = connection.get();
+  connections_.emplace(key, std::move(connection));
+}
+
+void ConnectionSet::Remove(ServerConnection& connection) {
+  const auto found = connections_.find(&connection);
+  if (found == connections_.end()) {
+    return;
+  }
+  loop_.Post(
+      [gone = std::shared_ptr<ServerConnection>(std::move(found->second))] {});
+  connections_.erase(found);
+}
+
+void ConnectionSet::AbortAll() {
+  std::vector<ServerConnection*> open;
+  open.reserve(connections_.size());
+  for (const auto& [connection, owned] : connections_) {
+    open.push_back(connection);
+  }
+  for (ServerConnection* const connection : open) {
+    connection->Abort();
+  }
+}
+
 }  // namespace jackdawshunt::http1
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 #include "absl/status/statusor.h"
 #include "jackdawshunt/http/http.h"
@@ -115,8 +116,8 @@
   // Whether bytes of a request have arrived that is not delivered yet, read or
   // not.
   bool has_arriving_request() const;
-  // Closes the connection now if it is idle, else after the current answer or
-  // that to the arriving request.
+  // Closes the connection now if it is idle, else after the current answer. A
+  // request that is arriving is delivered; its answer should close.
   void CloseWhenIdle();
 
   bool is_open() const;
@@ -131,6 +132,38 @@
   std::unique_ptr<Impl> impl_;
 };
 
+// The open connections of a server whose handler keeps nothing else for them.
+//
+// Example:
+//   ConnectionSet connections(loop, handler);
+//   Listener::Bind(loop, address, [&](int fd) { connections.Add(fd); });
+//   // In the handler's OnGone():
+//   connections.Remove(connection);
+class ConnectionSet {
+ public:
+  ConnectionSet(kernel::EventLoop& loop, ServerConnection::Handler& handler)
+      : loop_(loop), handler_(handler) {}
+  ConnectionSet(const ConnectionSet&) = delete;
+  ConnectionSet& operator=(const ConnectionSet&) = delete;
+
+  // Takes an accepted socket.
+  void Add(int fd);
+  // Destroys the connection in a later turn, since it may be calling.
+  void Remove(ServerConnection& connection);
+  // False once the connection was removed.
+  bool Contains(ServerConnection& connection) const {
+    return connections_.contains(&connection);
+  }
+  // Resets all; the handler hears OnGone() for each.
+  void AbortAll();
+
+ private:
+  kernel::EventLoop& loop_;
+  ServerConnection::Handler& handler_;
+  std::unordered_map<ServerConnection*, std::unique_ptr<ServerConnection>>
+      connections_;
+};
+
 }  // namespace jackdawshunt::http1
 
 #endif  // JACKDAWSHUNT_HTTP1_SERVER_H_
--- a/jackdawshunt/testing/platform/stand_in_store.cc
+++ b/jackdawshunt/testing/platform/stand_in_store.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
+#include "jackdawshunt/testing/stand_ins/stand_in.h"
 
 namespace jackdawshunt::testing {
 namespace {
@@ -15,28 +16,13 @@
 constexpr char kPrefix[] = "/jackdawshunt/objects/";
 constexpr size_t kPageItems = 50;
 
-std::map<std::string, std::string> ParseQuery(const std::string& query) {
-  std::map<std::string, std::string> fields;
-  for (const absl::string_view pair :
-       absl::StrSplit(query, '&', absl::SkipEmpty())) {
-    const std::pair<std::string, std::string> field =
-        absl::StrSplit(pair, absl::MaxSplits('=', 1));
-    fields.insert(field);
-  }
-  return fields;
-}
-
 }  // namespace
 
 StandInStore::StandInStore(kernel::EventLoop& loop,
                            const http::Address& address)
-    : loop_(loop) {
-  listener_ = *http1::Listener::Bind(loop, address, [this](int fd) {
-    auto connection = std::make_unique<http1::ServerConnection>(
-        loop_, fd, http1::ServerConnectionLimits{}, *this);
-    http1::ServerConnection* const key = connection.get();
-    connections_.emplace(key, std::move(connection));
-  });
+    : loop_(loop), connections_(loop, *this) {
+  listener_ = *http1::Listener::Bind(loop, address,
+                                     [this](int fd) { connections_.Add(fd); });
 }
 
 StandInStore::~StandInStore() = default;
@@ -93,15 +79,8 @@
 
 void StandInStore::SetFault(StoreFault fault) {
   fault_ = fault;
-  if (fault != StoreFault::kReset) {
-    return;
-  }
-  std::vector<http1::ServerConnection*> open;
-  for (const auto& [connection, owned] : connections_) {
-    open.push_back(connection);
-  }
-  for (http1::ServerConnection* const connection : open) {
-    connection->Abort();
+  if (fault == StoreFault::kReset) {
+    connections_.AbortAll();
   }
 }
 
@@ -233,13 +212,7 @@
 
 void StandInStore::OnGone(http1::ServerConnection& connection) {
   watches_.erase(&connection);
-  const auto found = connections_.find(&connection);
-  if (found == connections_.end()) {
-    return;
-  }
-  loop_.Post([gone = std::shared_ptr<http1::ServerConnection>(
-                  std::move(found->second))] {});
-  connections_.erase(found);
+  connections_.Remove(connection);
 }
 
 }  // namespace jackdawshunt::testing
--- a/jackdawshunt/testing/platform/stand_in_store.h
+++ b/jackdawshunt/testing/platform/stand_in_store.h
@@ -15,7 +15,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 #include "jackdawshunt/http1/server.h"
 #include "nlohmann/json.hpp"
@@ -86,9 +85,7 @@
 
   kernel::EventLoop& loop_;
   std::unique_ptr<http1::Listener> listener_;
-  std::unordered_map<http1::ServerConnection*,
-                     std::unique_ptr<http1::ServerConnection>>
-      connections_;
+  http1::ConnectionSet connections_;
   std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
   std::deque<Event> history_;
   std::map<http1::ServerConnection*, Watch> watches_;
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -21,13 +21,12 @@
                                  const http::Address& address,
                                  StandInUpstreamOptions options,
                                  RunLog& runs)
-    : loop_(loop), options_(std::move(options)), runs_(runs) {
-  listener_ = *http1::Listener::Bind(loop, address, [this](int fd) {
-    auto connection = std::make_unique<http1::ServerConnection>(
-        loop_, fd, http1::ServerConnectionLimits{}, *this);
-    http1::ServerConnection* const key = connection.get();
-    connections_.emplace(key, std::move(connection));
-  });
+    : loop_(loop),
+      options_(std::move(options)),
+      runs_(runs),
+      connections_(loop, *this) {
+  listener_ = *http1::Listener::Bind(loop, address,
+                                     [this](int fd) { connections_.Add(fd); });
 }
 
 StandInUpstream::~StandInUpstream() = default;
@@ -121,7 +120,7 @@
       connection.WriteBody(std::string_view(body).substr(0, body.size() / 2));
       connection.CloseWhenIdle();
       loop_.Post([&connection, this] {
-        if (connections_.contains(&connection)) {
+        if (connections_.Contains(connection)) {
           connection.Abort();
         }
       });
@@ -183,13 +182,7 @@
 }
 
 void StandInUpstream::Crash() {
-  std::vector<http1::ServerConnection*> open;
-  for (const auto& [connection, owned] : connections_) {
-    open.push_back(connection);
-  }
-  for (http1::ServerConnection* const connection : open) {
-    connection->Abort();
-  }
+  connections_.AbortAll();
 }
 
 void StandInUpstream::OnFault(http1::ServerConnection& connection,
@@ -199,13 +192,7 @@
 
 void StandInUpstream::OnGone(http1::ServerConnection& connection) {
   End(connection, true);
-  const auto found = connections_.find(&connection);
-  if (found == connections_.end()) {
-    return;
-  }
-  loop_.Post([gone = std::shared_ptr<http1::ServerConnection>(
-                  std::move(found->second))] {});
-  connections_.erase(found);
+  connections_.Remove(connection);
 }
 
 }  // namespace jackdawshunt::testing
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -106,9 +106,7 @@
   const StandInUpstreamOptions options_;
   RunLog& runs_;
   std::unique_ptr<http1::Listener> listener_;
-  std::unordered_map<http1::ServerConnection*,
-                     std::unique_ptr<http1::ServerConnection>>
-      connections_;
+  http1::ConnectionSet connections_;
   std::unordered_map<http1::ServerConnection*, Job> jobs_;
   UpstreamFault fault_ = UpstreamFault::kNone;
 };
--- a/jackdawshunt/testing/stand_ins/proxy.cc
+++ b/jackdawshunt/testing/stand_ins/proxy.cc
@@ -1,6 +1,5 @@
 #include "jackdawshunt/testing/stand_ins/proxy.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -11,19 +10,13 @@
 #include <string>
 #include <utility>
 
+#include "jackdawshunt/http/socket_address.h"
+
 namespace jackdawshunt::testing {
 namespace {
 
 using nlohmann::json;
 
-sockaddr_in SocketAddress(const http::Address& address) {
-  sockaddr_in result{};
-  result.sin_family = AF_INET;
-  result.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
-  return result;
-}
-
 void DisableNagle(bufferevent* socket) {
   const int on = 1;
   setsockopt(bufferevent_getfd(socket), IPPROTO_TCP, TCP_NODELAY, &on,
@@ -47,7 +40,8 @@
                                        BEV_OPT_CLOSE_ON_FREE)) {
     to_target_.Bind(client_, target_);
     to_client_.Bind(target_, client_);
-    const sockaddr_in address = SocketAddress(proxy.target_);
+    const sockaddr_in address =
+        http::ToSocketAddress(proxy.target_).value_or(sockaddr_in{});
     bufferevent_socket_connect(
         target_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
     DisableNagle(client_);
@@ -208,7 +202,8 @@
 }
 
 absl::Status Proxy::Listen(const ListenOptions& options) {
-  const sockaddr_in address = SocketAddress({options.ip, options.port});
+  const sockaddr_in address =
+      http::ToSocketAddress({options.ip, options.port}).value_or(sockaddr_in{});
   listener_ = evconnlistener_new_bind(
       loop_.base(),
       [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
