Share the frame of decisions, answers and sums that stood twice

DecodeList and DecodeWatch repeated their frame, Call had the ladder of final answers twice, FairShare summed a window in two loops, Router ranked by weight in two ways; Board::IsAvoided changed state behind a name that asks; the exit poll of a stopping gateway asked the kernel about each idle connection even while a call was running.

Change: AnswerForm rows, Call::GiveUp, FairShare::SumsOf, KeepHeaviest, Board::MayTry, busy calls are looked at first. No behaviour changes.

--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -42,15 +42,15 @@
       static_cast<double>(engine.sustained_tokens_per_s) / 1000.0);
 }
 
-bool Board::IsAvoided(kernel::TimePoint now) {
+bool Board::MayTry(kernel::TimePoint now) {
   if (unreachable_in_row_ < kUnreachableReports) {
-    return false;
+    return true;
   }
   if (now < next_trial_) {
-    return true;
+    return false;
   }
   next_trial_ = now + kTrialPeriod;
-  return false;
+  return true;
 }
 
 std::optional<Message> Board::On(const Query& query, kernel::TimePoint now) {
@@ -61,7 +61,7 @@
   return Offer{.nonce = query.nonce,
                .cost = engine_->Estimate(query.part_keys,
                                          ToParts(query.part_tokens), now),
-               .is_reachable = !IsAvoided(now)};
+               .is_reachable = MayTry(now)};
 }
 
 std::optional<Message> Board::On(const Claim& claim, kernel::TimePoint now) {
--- a/jackdawshunt/board/board.h
+++ b/jackdawshunt/board/board.h
@@ -56,9 +56,9 @@
   std::optional<Message> On(const ShareUpdate& update, kernel::TimePoint now);
   std::optional<Message> On(const ShareTotals& totals, kernel::TimePoint now);
   void Meet(const EngineIdentity& engine);
-  // Whether gateways should leave the engine alone. False for one query at a
-  // time when a trial is due.
-  bool IsAvoided(kernel::TimePoint now);
+  // Whether the gateway that asks may try the engine: always while it can be
+  // reached, else one gateway at a time when a trial is due.
+  bool MayTry(kernel::TimePoint now);
 
   void Learn(const StoreKnowledge& store);
 
--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -91,19 +91,32 @@
     Send(decision);
     return;
   }
+  if (decision.verdict == routing::Verdict::kRefuse) {
+    GiveUp("no upstream to resume at", base::ErrorKind::kWaitLimit,
+           decision.retry_after);
+  } else {
+    GiveUp("no upstream to resume at", base::ErrorKind::kNoCapacity,
+           SoonestReturn());
+  }
+}
+
+void Call::GiveUp(std::string_view why_broken_off,
+                  base::ErrorKind kind,
+                  kernel::Duration retry_after) {
   if (is_answer_started_) {
-    BreakOff("no upstream to resume at");
+    BreakOff(why_broken_off);
   } else if (may_have_run_) {
     Fail(base::ErrorKind::kOutcomeUnknown);
-  } else if (decision.verdict == routing::Verdict::kRefuse) {
-    Refuse(base::ErrorKind::kWaitLimit, decision.retry_after);
   } else {
-    Refuse(base::ErrorKind::kNoCapacity,
-           routing::ReturnTime(kernel::Duration::zero(), request_.ends - Now(),
-                               request_.hash));
+    Refuse(kind, retry_after);
   }
 }
 
+kernel::Duration Call::SoonestReturn() const {
+  return routing::ReturnTime(kernel::Duration::zero(), request_.ends - Now(),
+                             request_.hash);
+}
+
 void Call::LogDecision(const routing::Decision& decision) {
   base::LogLine line(base::LogLevel::kInfo, "request_placed");
   line.Add("request", request_.id)
@@ -305,15 +318,8 @@
     Attempt();
     return;
   }
-  if (is_answer_started_) {
-    BreakOff("resuming upstream refused");
-  } else if (may_have_run_) {
-    Fail(base::ErrorKind::kOutcomeUnknown);
-  } else {
-    Refuse(base::ErrorKind::kNoCapacity,
-           routing::ReturnTime(kernel::Duration::zero(), request_.ends - Now(),
-                               request_.hash));
-  }
+  GiveUp("resuming upstream refused", base::ErrorKind::kNoCapacity,
+         SoonestReturn());
 }
 
 void Call::AfterFailure() {
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -92,6 +92,12 @@
   // Tries once more or gives the final answer after a failed attempt.
   void AfterFailure();
   void AfterNotRun();
+  // The final answer when no further attempt is made: breaks a started answer
+  // off, refuses only what has not run.
+  void GiveUp(std::string_view why_broken_off,
+              base::ErrorKind kind,
+              kernel::Duration retry_after);
+  kernel::Duration SoonestReturn() const;
   void BreakOff(std::string_view reason);
   void Resume();
   void Refuse(base::ErrorKind kind,
--- a/jackdawshunt/gateway/front.cc
+++ b/jackdawshunt/gateway/front.cc
@@ -148,10 +148,10 @@
 }
 
 bool Front::has_open_requests() const {
-  return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& row) {
-    return row.second->is_busy() ||
-           row.second->connection().has_arriving_request();
-  });
+  return busy_calls() > 0 ||
+         std::any_of(sessions_.begin(), sessions_.end(), [](const auto& row) {
+           return row.second->connection().has_arriving_request();
+         });
 }
 
 size_t Front::busy_calls() const {
--- a/jackdawshunt/platform/records.cc
+++ b/jackdawshunt/platform/records.cc
@@ -348,6 +348,51 @@
                                            : DecodeValue(kind, name, object)});
 }
 
+void AppendItem(RecordKind kind, const json& item, RecordList& list) {
+  AppendRecord(kind, item, false, list);
+}
+
+void AppendEvent(RecordKind kind, const json& event, RecordList& list) {
+  ObjectReader fields(event);
+  const bool is_removed = fields.Boolean("removed");
+  if (const json* object = fields.Find("object")) {
+    AppendRecord(kind, *object, is_removed, list);
+  }
+}
+
+// How an answer carries its records.
+struct AnswerForm {
+  const char* array;
+  bool has_pages;
+  void (*append)(RecordKind, const json&, RecordList&);
+};
+constexpr AnswerForm kListForm = {"items", true, &AppendItem};
+constexpr AnswerForm kWatchForm = {"events", false, &AppendEvent};
+
+absl::StatusOr<RecordList> DecodeAnswer(RecordKind kind,
+                                        std::string_view body,
+                                        const AnswerForm& form) {
+  const absl::StatusOr<json> parsed = ParseBody(body);
+  if (!parsed.ok()) {
+    return parsed.status();
+  }
+  ObjectReader reader(*parsed);
+  RecordList list;
+  list.revision = reader.RequiredUnsigned("storeRevision");
+  list.has_more = form.has_pages && reader.Boolean("hasMore");
+  const json* entries = reader.Array(form.array);
+  if (entries == nullptr) {
+    reader.Fail(form.array);
+  }
+  if (!reader.status().ok()) {
+    return reader.status();
+  }
+  for (const json& entry : *entries) {
+    form.append(kind, entry, list);
+  }
+  return list;
+}
+
 }  // namespace
 
 std::string_view RecordKindName(RecordKind kind) {
@@ -403,50 +448,11 @@
 }
 
 absl::StatusOr<RecordList> DecodeList(RecordKind kind, std::string_view body) {
-  const absl::StatusOr<json> parsed = ParseBody(body);
-  if (!parsed.ok()) {
-    return parsed.status();
-  }
-  ObjectReader reader(*parsed);
-  RecordList list;
-  list.revision = reader.RequiredUnsigned("storeRevision");
-  list.has_more = reader.Boolean("hasMore");
-  const json* items = reader.Array("items");
-  if (items == nullptr) {
-    reader.Fail("items");
-  }
-  if (!reader.status().ok()) {
-    return reader.status();
-  }
-  for (const json& item : *items) {
-    AppendRecord(kind, item, false, list);
-  }
-  return list;
+  return DecodeAnswer(kind, body, kListForm);
 }
 
 absl::StatusOr<RecordList> DecodeWatch(RecordKind kind, std::string_view body) {
-  const absl::StatusOr<json> parsed = ParseBody(body);
-  if (!parsed.ok()) {
-    return parsed.status();
-  }
-  ObjectReader reader(*parsed);
-  RecordList list;
-  list.revision = reader.RequiredUnsigned("storeRevision");
-  const json* events = reader.Array("events");
-  if (events == nullptr) {
-    reader.Fail("events");
-  }
-  if (!reader.status().ok()) {
-    return reader.status();
-  }
-  for (const json& event : *events) {
-    ObjectReader fields(event);
-    const bool is_removed = fields.Boolean("removed");
-    if (const json* object = fields.Find("object")) {
-      AppendRecord(kind, *object, is_removed, list);
-    }
-  }
-  return list;
+  return DecodeAnswer(kind, body, kWatchForm);
 }
 
 std::string ListPath(RecordKind kind, std::string_view after) {
--- a/jackdawshunt/routing/fair_share.cc
+++ b/jackdawshunt/routing/fair_share.cc
@@ -9,6 +9,7 @@
 // Part of all that is admitted. When workspaces within their share miss less,
 // nobody is held back.
 constexpr double kNegligibleMiss = 0.03;
+constexpr double kNoLimit = std::numeric_limits<double>::infinity();
 // The fill level is computed again after this time.
 constexpr kernel::Duration kLevelAge = std::chrono::milliseconds(100);
 
@@ -98,32 +99,32 @@
   }
 }
 
+FairShare::Sums FairShare::SumsOf(const Workspace& workspace) {
+  Sums sums;
+  for (size_t i = 0; i < kSlices; ++i) {
+    const ShareCount& own = workspace.own.at(i);
+    const ShareCount& peers = workspace.peers.at(i);
+    sums.asked += static_cast<double>(own.asked + peers.asked);
+    sums.admitted += static_cast<double>(own.admitted + peers.admitted);
+  }
+  return sums;
+}
+
 double FairShare::FillLevel(kernel::TimePoint now) {
   const int64_t step = now.time_since_epoch() / kLevelAge;
   if (step == level_of_) {
     return level_;
   }
   level_of_ = step;
-  struct Sums {
-    double asked = 0;
-    double admitted = 0;
-  };
   std::vector<Sums> rows;
   admitted_in_all_ = 0;
   for (const auto& [hash, workspace] : workspaces_) {
-    Sums row;
-    for (size_t i = 0; i < kSlices; ++i) {
-      row.asked += static_cast<double>(workspace.own.at(i).asked +
-                                       workspace.peers.at(i).asked);
-      row.admitted += static_cast<double>(workspace.own.at(i).admitted +
-                                          workspace.peers.at(i).admitted);
-    }
-    admitted_in_all_ += row.admitted;
-    rows.push_back(row);
+    rows.push_back(SumsOf(workspace));
+    admitted_in_all_ += rows.back().admitted;
   }
   std::sort(rows.begin(), rows.end(),
             [](const Sums& a, const Sums& b) { return a.asked < b.asked; });
-  level_ = std::numeric_limits<double>::infinity();
+  level_ = kNoLimit;
   double left = admitted_in_all_;
   for (size_t i = 0; i < rows.size(); ++i) {
     const double even = left / static_cast<double>(rows.size() - i);
@@ -138,7 +139,7 @@
     missed += std::max(0.0, std::min(row.asked, level_) - row.admitted);
   }
   if (missed <= kNegligibleMiss * admitted_in_all_) {
-    level_ = std::numeric_limits<double>::infinity();
+    level_ = kNoLimit;
   }
   return level_;
 }
@@ -147,16 +148,10 @@
   Advance(now);
   const double level = FillLevel(now);
   const auto found = workspaces_.find(workspace_hash);
-  if (found == workspaces_.end() || level <= 0 ||
-      level == std::numeric_limits<double>::infinity()) {
+  if (found == workspaces_.end() || level <= 0 || level == kNoLimit) {
     return 0;
   }
-  double admitted = 0;
-  for (size_t i = 0; i < kSlices; ++i) {
-    admitted += static_cast<double>(found->second.own.at(i).admitted +
-                                    found->second.peers.at(i).admitted);
-  }
-  return std::max(admitted, 0.0) / level;
+  return std::max(SumsOf(found->second).admitted, 0.0) / level;
 }
 
 bool FairShare::FleetHasRoom(kernel::TimePoint now) {
--- a/jackdawshunt/routing/fair_share.h
+++ b/jackdawshunt/routing/fair_share.h
@@ -83,6 +83,13 @@
     std::array<ShareCount, kSlices> peers{};
   };
 
+  // Tokens of one workspace in the window.
+  struct Sums {
+    double asked = 0;
+    double admitted = 0;
+  };
+
+  static Sums SumsOf(const Workspace& workspace);
   int64_t SliceOf(kernel::TimePoint now) const;
   ShareCount& CurrentSlice(uint64_t workspace_hash, kernel::TimePoint now);
   // Clears the slices that have passed since the last call.
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -42,6 +42,17 @@
          request.tried.end();
 }
 
+// Keeps the elements with the highest weights, the highest first.
+template <typename T, typename Weight>
+void KeepHeaviest(std::vector<T>& elements, size_t count, Weight weight) {
+  count = std::min(count, elements.size());
+  std::partial_sort(
+      elements.begin(), elements.begin() + static_cast<ptrdiff_t>(count),
+      elements.end(),
+      [&weight](const T& a, const T& b) { return weight(a) > weight(b); });
+  elements.resize(count);
+}
+
 const BoardOffer* OfferOf(const std::vector<BoardOffer>& offers,
                           const Upstream& upstream) {
   const auto found = std::find_if(offers.begin(), offers.end(),
@@ -196,15 +207,12 @@
     return asked;
   }
   request.engine_tokens_per_s = EngineTokensPerSecond(left.size());
-  const uint64_t key = HomeKey(request);
-  const size_t count = std::min(kHomesAsked, left.size());
-  std::partial_sort(left.begin(), left.begin() + static_cast<ptrdiff_t>(count),
-                    left.end(), [key](const Upstream* a, const Upstream* b) {
-                      return RendezvousWeight(key, a->hash) >
-                             RendezvousWeight(key, b->hash);
-                    });
-  for (size_t i = 0; i < count; ++i) {
-    asked.push_back(*left[i]);
+  KeepHeaviest(left, kHomesAsked,
+               [key = HomeKey(request)](const Upstream* upstream) {
+                 return RendezvousWeight(key, upstream->hash);
+               });
+  for (const Upstream* upstream : left) {
+    asked.push_back(*upstream);
   }
   return asked;
 }
@@ -397,14 +405,9 @@
       }
     }
   }
-  const auto weight = [](const Upstream& upstream) {
+  KeepHeaviest(engines, count, [](const Upstream& upstream) {
     return RendezvousWeight(0, HashOf(upstream.address.ip));
-  };
-  std::sort(engines.begin(), engines.end(),
-            [&weight](const Upstream& a, const Upstream& b) {
-              return weight(a) > weight(b);
-            });
-  engines.resize(std::min(engines.size(), count));
+  });
   return engines;
 }
 
