Exchange share counts every 80 ms while engines are short

The counts of the other gateways were 0.5 to 0.75 s old: a slice of 250 ms was reported when it was complete, by a timer in another phase, and returned with the next update. Replies that came after the next update were dropped with their counts. Change: counts are reported as they are, every 80 ms while more than 0.8 of the stated throughput is requested, else every 250 ms. Totals are taken from one board at a time (TotalsSource) and asked from that one only; late replies are merged. Board::Gateway::reported, which was only written, is gone. Ruled out: asking both boards for totals, since their sums differ in phase and would be merged twice or never.

--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -121,9 +121,6 @@
   }
   gateway.sequence = update.sequence;
   for (const routing::ShareReport& row : update.reports) {
-    routing::ShareCount& reported = gateway.reported[row.workspace_hash];
-    reported.requested += row.count.requested;
-    reported.admitted += row.count.admitted;
     routing::ShareCount& total = totals_[row.workspace_hash];
     total.requested += row.count.requested;
     total.admitted += row.count.admitted;
@@ -138,6 +135,10 @@
   reply.board = incarnation_;
   reply.board_time_us = static_cast<uint64_t>(now.time_since_epoch().count());
   reply.store = store_;
+  if (!update.wants_totals) {
+    gateway.last_sent = totals_;
+    return reply;
+  }
   for (const auto& [workspace, total] : totals_) {
     routing::ShareCount& last_sent = gateway.last_sent[workspace];
     if (total.requested != last_sent.requested ||
--- a/jackdawshunt/board/board.h
+++ b/jackdawshunt/board/board.h
@@ -50,8 +50,6 @@
   struct Gateway {
     kernel::TimePoint last_received{};
     uint64_t sequence = 0;
-    // Sums of the gateway's own reports, by workspace.
-    std::map<uint64_t, routing::ShareCount> reported;
     // Totals known to the gateway, its own reports included, by workspace.
     std::map<uint64_t, routing::ShareCount> last_sent;
   };
--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -1,8 +1,10 @@
 #include "jackdawshunt/board/board.h"
 
 #include <random>
+#include <vector>
 
 #include "gtest/gtest.h"
+#include "jackdawshunt/routing/fair_share.h"
 
 namespace jackdawshunt::board {
 namespace {
@@ -105,6 +107,116 @@
   EXPECT_EQ(Update(1, 4, 0).gateways, 1u);
 }
 
+// Guards against a gateway that takes the totals of another board for a while
+// and then gets the tokens of that time once more.
+TEST_F(BoardTest, TotalsThatAreNotWantedAreNotSentLater) {
+  Update(1, 1, 0);
+  Update(2, 1, 50);
+  const auto unwanted = board_.Handle(
+      ShareUpdate{.gateway = 1, .sequence = 2, .wants_totals = false}, Now());
+  EXPECT_TRUE(std::get<ShareTotals>(*unwanted).reports.empty());
+  EXPECT_TRUE(Update(1, 3, 0).reports.empty());
+}
+
+// Gateways that exchange their counts through one board, with the periods that
+// FairShare asks for and a network delay.
+class ExchangeReplay {
+ public:
+  static constexpr uint64_t kFlooding = 1;
+  static constexpr uint64_t kOther = 2;
+  static constexpr double kTokensPerSecond = 100'000;
+
+  explicit ExchangeReplay(size_t gateways) {
+    for (size_t i = 0; i < gateways; ++i) {
+      Gateway& gateway = gateways_.emplace_back();
+      gateway.shares.set_tokens_per_second(kTokensPerSecond);
+      // Different phases.
+      gateway.next_update = now_ + milliseconds(static_cast<int64_t>(7 * i));
+    }
+  }
+
+  // Lets all gateways together request `tokens_per_second` of each workspace,
+  // and admit a fifth of it, for `time`.
+  void Run(kernel::Duration time, int64_t tokens_per_second) {
+    constexpr kernel::Duration kStep = milliseconds(1);
+    for (const kernel::TimePoint end = now_ + time; now_ < end; now_ += kStep) {
+      const auto tokens = static_cast<uint64_t>(
+          tokens_per_second / 1000 / static_cast<int64_t>(gateways_.size()));
+      for (Gateway& gateway : gateways_) {
+        for (const uint64_t workspace : {kFlooding, kOther}) {
+          gateway.shares.OnRequest(workspace, tokens, now_);
+          gateway.shares.OnAdmitted(workspace, tokens / 5, now_);
+        }
+        Exchange(gateway);
+      }
+    }
+  }
+
+  // Admits a burst at gateway `from` and returns the longest time until it is
+  // known at each other gateway.
+  kernel::Duration TimeUntilKnown(size_t from, int64_t tokens_per_second) {
+    constexpr int64_t kBurst = 1'000'000;
+    gateways_[from].shares.OnAdmitted(kFlooding, kBurst, now_);
+    const kernel::TimePoint start = now_;
+    const auto is_known = [this](Gateway& gateway) {
+      return gateway.shares.Admitted(kFlooding, now_) >= kBurst;
+    };
+    while (!std::all_of(gateways_.begin(), gateways_.end(), is_known)) {
+      Run(milliseconds(1), tokens_per_second);
+    }
+    return now_ - start;
+  }
+
+ private:
+  static constexpr kernel::Duration kNetworkDelay = milliseconds(2);
+
+  struct Gateway {
+    routing::FairShare shares{seconds(4)};
+    kernel::TimePoint next_update{};
+    uint64_t sequence = 0;
+    kernel::TimePoint totals_arrive_at = kernel::TimePoint::max();
+    std::vector<routing::ShareReport> totals;
+  };
+
+  void Exchange(Gateway& gateway) {
+    if (now_ >= gateway.totals_arrive_at) {
+      gateway.shares.Merge(gateway.totals, now_);
+      gateway.totals_arrive_at = kernel::TimePoint::max();
+    }
+    if (now_ < gateway.next_update) {
+      return;
+    }
+    gateway.next_update = now_ + gateway.shares.ReportPeriod(now_);
+    const auto reply = board_.Handle(
+        ShareUpdate{
+            .gateway =
+                1 + static_cast<uint64_t>(&gateway - gateways_.data()),
+            .sequence = ++gateway.sequence,
+            .reports = gateway.shares.TakeReport()},
+        now_);
+    gateway.totals = std::get<ShareTotals>(*reply).reports;
+    gateway.totals_arrive_at = now_ + kNetworkDelay;
+  }
+
+  Board board_{42};
+  std::vector<Gateway> gateways_;
+  kernel::TimePoint now_{seconds(100)};
+};
+
+// Guards against shares by old counts: with counts that are 0.5 s old, a
+// flooding workspace takes several shares in one second and none in the next
+// two.
+TEST(ShareExchangeTest, CountsAreRecentWhileEnginesAreShort) {
+  constexpr kernel::Duration kMaxAge = milliseconds(200);
+  constexpr int64_t kFlood = 1'000'000;
+  ExchangeReplay replay(20);
+  replay.Run(seconds(5), kFlood);
+  for (size_t from = 0; from < 20; ++from) {
+    EXPECT_LT(replay.TimeUntilKnown(from, kFlood), kMaxAge);
+    replay.Run(milliseconds(13), kFlood);
+  }
+}
+
 TEST_F(BoardTest, ForwardsNewestReadOfNewestVersion) {
   Update(1, 1, 0, {.configuration_version = 7, .current_as_of_us = 1000});
   Update(2, 1, 0, {.configuration_version = 7, .current_as_of_us = 900});
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -76,7 +76,8 @@
 json ToJson(const ShareUpdate& update) {
   json out = NewMessage(MessageType::kShareUpdate);
   out.insert(out.end(),
-             {update.gateway, update.sequence, update.store.upstreams_revision,
+             {update.gateway, update.sequence, update.wants_totals,
+              update.store.upstreams_revision,
               update.store.configuration_version, update.store.current_as_of_us,
               EncodeReports(update.reports)});
   return out;
@@ -245,6 +246,7 @@
   ShareUpdate update;
   update.gateway = reader.ReadUnsigned();
   update.sequence = reader.ReadUnsigned();
+  update.wants_totals = reader.ReadBoolean();
   update.store = reader.ReadStoreState();
   update.reports = reader.ReadReports();
   return update;
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -78,16 +78,19 @@
   uint64_t current_as_of_us = 0;
 };
 
-// Report of a gateway on the tokens of its workspaces in the last time slice.
+// Report of a gateway on the tokens of its workspaces since its last report.
 struct ShareUpdate {
   uint64_t gateway = 0;  // Incarnation of the gateway.
   uint64_t sequence = 0;
+  // False if the gateway merges the totals of another board.
+  bool wants_totals = true;
   StoreState store;
   std::vector<routing::ShareReport> reports;
 };
 
-// Reply of a board to a ShareUpdate, with the tokens that all other
-// gateways have reported since this gateway's previous update.
+// Reply of a board to a ShareUpdate, with the tokens that all other gateways
+// have reported since this gateway's previous update; without tokens if the
+// gateway does not want them.
 struct ShareTotals {
   uint64_t sequence = 0;  // The sequence of the update.
   uint32_t gateways = 0;  // Reporting gateways, the receiver included.
--- a/jackdawshunt/gateway/fleet_exchange.cc
+++ b/jackdawshunt/gateway/fleet_exchange.cc
@@ -30,7 +30,7 @@
       [this](const std::string& ip, const board::ShareTotals& totals) {
         OnTotals(ip, totals);
       });
-  timer_ = loop_.Every(router_.shares().slice(), [this] { SendUpdates(); });
+  SendUpdates();
 }
 
 board::StoreState FleetExchange::StoreStateFor(const std::string& ip) const {
@@ -55,24 +55,51 @@
 
 void FleetExchange::SendUpdates() {
   const kernel::TimePoint now = loop_.clock().Now();
+  timer_ = loop_.After(router_.shares().ReportPeriod(now),
+                       [this] { SendUpdates(); });
+  const std::vector<routing::Upstream> engines =
+      router_.EnginesForExchange(kSummingBoards, now);
+  if (engines.empty()) {
+    return;  // The counts are kept for the next update.
+  }
+  std::vector<std::string> ips;
+  ips.reserve(engines.size());
+  for (const routing::Upstream& engine : engines) {
+    ips.push_back(engine.address.ip);
+  }
+  const std::string& source = source_.Choose(ips, now);
   board::ShareUpdate update;
   update.gateway = incarnation_;
   update.sequence = ++sequence_;
-  update.reports = router_.shares().Report(now);
-  are_totals_merged_ = false;
-  sent_at_ = boot_clock_.Now();
-  for (const routing::Upstream& engine :
-       router_.EnginesForExchange(kSummingBoards, now)) {
+  update.reports = router_.shares().TakeReport();
+  sent_at_.at(sequence_ % sent_at_.size()) = boot_clock_.Now();
+  for (const routing::Upstream& engine : engines) {
     update.store = StoreStateFor(engine.address.ip);
+    update.wants_totals = engine.address.ip == source;
     boards_.SendShareUpdate(engine, update);
   }
 }
 
 void FleetExchange::OnTotals(const std::string& ip,
                              const board::ShareTotals& totals) {
-  if (totals.sequence != sequence_) {
+  if (totals.sequence > sequence_ ||
+      sequence_ - totals.sequence >= sent_at_.size()) {
+    return;
+  }
+  const kernel::TimePoint now = loop_.clock().Now();
+  source_.OnReply(ip, now);
+  MergeStoreState(ip, totals);
+  if (ip != source_.current() || totals.sequence <= merged_sequence_) {
     return;
   }
+  merged_sequence_ = totals.sequence;
+  gateways_ = totals.gateways;
+  router_.set_instances(totals.gateways);
+  router_.shares().Merge(totals.reports, now);
+}
+
+void FleetExchange::MergeStoreState(const std::string& ip,
+                                    const board::ShareTotals& totals) {
   BoardClock& clock = clocks_[ip];
   const bool is_same_board = clock.board == totals.board;
   clock = {totals.board, totals.board_time_us, boot_clock_.Now()};
@@ -88,16 +115,10 @@
     // the read from the time of sending cannot make the read look newer than it
     // is.
     freshness_.RecordCurrentAt(
-        sent_at_ - kernel::Duration(static_cast<int64_t>(
-                       totals.board_time_us - totals.store.current_as_of_us)));
+        sent_at_.at(totals.sequence % sent_at_.size()) -
+        kernel::Duration(static_cast<int64_t>(totals.board_time_us -
+                                              totals.store.current_as_of_us)));
   }
-  if (are_totals_merged_) {
-    return;  // Each board sums all gateways, so the first reply is enough.
-  }
-  are_totals_merged_ = true;
-  gateways_ = totals.gateways;
-  router_.set_instances(totals.gateways);
-  router_.shares().Merge(totals.reports, loop_.clock().Now());
 }
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/fleet_exchange.h
+++ b/jackdawshunt/gateway/fleet_exchange.h
@@ -1,4 +1,4 @@
-// Exchanges state between gateways through the boards, at least twice a second:
+// Exchanges state between gateways through the boards several times a second:
 // the workspaces' tokens, the number of gateways, and the age of the
 // configuration.
 //
@@ -12,12 +12,14 @@
 #ifndef JACKDAWSHUNT_GATEWAY_FLEET_EXCHANGE_H_
 #define JACKDAWSHUNT_GATEWAY_FLEET_EXCHANGE_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <unordered_map>
 
 #include "jackdawshunt/gateway/board_client.h"
+#include "jackdawshunt/gateway/totals_source.h"
 #include "jackdawshunt/kernel/boot_clock.h"
 #include "jackdawshunt/kernel/event_loop.h"
 #include "jackdawshunt/routing/key_freshness.h"
@@ -57,8 +59,10 @@
     kernel::TimePoint received_at{};
   };
 
+  // Sends updates and schedules the next ones.
   void SendUpdates();
   void OnTotals(const std::string& ip, const board::ShareTotals& totals);
+  void MergeStoreState(const std::string& ip, const board::ShareTotals& totals);
   // Returns the state of the store as known here, with times of the clock of
   // the board at `ip`.
   board::StoreState StoreStateFor(const std::string& ip) const;
@@ -72,9 +76,12 @@
   kernel::Timer timer_;
   std::unordered_map<std::string, BoardClock> clocks_;  // By the board's IP.
   const uint64_t incarnation_;
-  uint64_t sequence_ = 0;
-  kernel::TimePoint sent_at_{};  // Of the update with `sequence_`.
-  bool are_totals_merged_ = false;
+  uint64_t sequence_ = 0;  // Of the last update.
+  // Times at which the latest updates were sent, by sequence modulo size.
+  std::array<kernel::TimePoint, 8> sent_at_{};
+  TotalsSource source_;
+  // Sequence of the last reply whose totals were merged.
+  uint64_t merged_sequence_ = 0;
   uint32_t gateways_ = 0;
   uint64_t fleet_upstreams_revision_ = 0;
   uint64_t fleet_configuration_version_ = 0;
--- a/jackdawshunt/routing/fair_share.cc
+++ b/jackdawshunt/routing/fair_share.cc
@@ -11,7 +11,15 @@
 constexpr double kNegligibleShortfall = 0.03;
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();
 // Time step after which the fair limit is computed again.
-constexpr kernel::Duration kLimitAge = std::chrono::milliseconds(100);
+constexpr kernel::Duration kLimitAge = std::chrono::milliseconds(50);
+// A count is known at all instances after two periods: one until it is reported
+// and one until the other instances receive the sums.
+constexpr kernel::Duration kReportPeriod = std::chrono::milliseconds(250);
+constexpr kernel::Duration kShortageReportPeriod =
+    std::chrono::milliseconds(80);
+// Engines count as short when more than this fraction of the stated throughput
+// is requested.
+constexpr double kShortageFraction = 0.8;
 
 }  // namespace
 
@@ -47,47 +55,58 @@
   current_slice_ = slice;
 }
 
-ShareCount& FairShare::CurrentSlice(uint64_t workspace_hash,
-                                    kernel::TimePoint now) {
+void FairShare::Count(uint64_t workspace_hash,
+                      ShareCount count,
+                      kernel::TimePoint now) {
   Advance(now);
-  return workspaces_[workspace_hash].own.at(
+  ShareCount& slice = workspaces_[workspace_hash].own.at(
       static_cast<size_t>(current_slice_) % kSlices);
+  ShareCount& unreported = unreported_[workspace_hash];
+  for (ShareCount* const sum : {&slice, &unreported}) {
+    sum->requested += count.requested;
+    sum->admitted += count.admitted;
+  }
 }
 
 void FairShare::OnRequest(uint64_t workspace_hash,
                           uint64_t tokens,
                           kernel::TimePoint now) {
-  CurrentSlice(workspace_hash, now).requested += static_cast<int64_t>(tokens);
+  Count(workspace_hash, {.requested = static_cast<int64_t>(tokens)}, now);
 }
 
 void FairShare::OnAdmitted(uint64_t workspace_hash,
                            uint64_t tokens,
                            kernel::TimePoint now) {
-  CurrentSlice(workspace_hash, now).admitted += static_cast<int64_t>(tokens);
+  Count(workspace_hash, {.admitted = static_cast<int64_t>(tokens)}, now);
 }
 
 void FairShare::OnNotExecuted(uint64_t workspace_hash,
                               uint64_t tokens,
                               kernel::TimePoint now) {
-  CurrentSlice(workspace_hash, now).admitted -= static_cast<int64_t>(tokens);
+  Count(workspace_hash, {.admitted = -static_cast<int64_t>(tokens)}, now);
 }
 
-std::vector<ShareReport> FairShare::Report(kernel::TimePoint now) const {
+std::vector<ShareReport> FairShare::TakeReport() {
   std::vector<ShareReport> report;
-  const int64_t last = SliceIndex(now) - 1;
-  if (last < current_slice_ - 1) {
-    return report;
-  }
-  for (const auto& [hash, workspace] : workspaces_) {
-    const ShareCount& count =
-        workspace.own.at(static_cast<size_t>(last) % kSlices);
+  for (const auto& [hash, count] : unreported_) {
     if (count.requested != 0 || count.admitted != 0) {
       report.push_back({hash, count});
     }
   }
+  unreported_.clear();
   return report;
 }
 
+kernel::Duration FairShare::ReportPeriod(kernel::TimePoint now) {
+  Advance(now);
+  FairLimit(now);
+  const double window_capacity = WindowCapacity();
+  return window_capacity > 0 &&
+                 total_requested_ > kShortageFraction * window_capacity
+             ? kShortageReportPeriod
+             : kReportPeriod;
+}
+
 void FairShare::Merge(const std::vector<ShareReport>& report,
                       kernel::TimePoint now) {
   Advance(now);
@@ -117,9 +136,11 @@
   }
   limit_step_ = step;
   std::vector<Sums> rows;
+  total_requested_ = 0;
   total_admitted_ = 0;
   for (const auto& [hash, workspace] : workspaces_) {
     rows.push_back(WindowSums(workspace));
+    total_requested_ += rows.back().requested;
     total_admitted_ += rows.back().admitted;
   }
   std::sort(rows.begin(), rows.end(), [](const Sums& a, const Sums& b) {
@@ -155,13 +176,23 @@
   return std::max(WindowSums(found->second).admitted, 0.0) / limit;
 }
 
+int64_t FairShare::Admitted(uint64_t workspace_hash, kernel::TimePoint now) {
+  Advance(now);
+  const auto found = workspaces_.find(workspace_hash);
+  return found == workspaces_.end()
+             ? 0
+             : static_cast<int64_t>(WindowSums(found->second).admitted);
+}
+
+double FairShare::WindowCapacity() const {
+  return tokens_per_second_ *
+         std::chrono::duration<double>(slice_ * kSlices).count();
+}
+
 bool FairShare::FleetHasSpareCapacity(kernel::TimePoint now) {
   Advance(now);
   FairLimit(now);
-  return tokens_per_second_ <= 0 ||
-         total_admitted_ <
-             tokens_per_second_ *
-                 std::chrono::duration<double>(slice_ * kSlices).count();
+  return tokens_per_second_ <= 0 || total_admitted_ < WindowCapacity();
 }
 
 }  // namespace jackdawshunt::routing
--- a/jackdawshunt/routing/fair_share.h
+++ b/jackdawshunt/routing/fair_share.h
@@ -2,7 +2,9 @@
 // over all instances.
 //
 // Each instance counts the requested and the admitted tokens per workspace and
-// time slice, and merges the reports of its peers. Progressive filling divides
+// time slice, and merges the reports of its peers, which arrive more often while
+// engines are short: a workspace that sends many times its usual load takes its
+// share of the whole window within a second. Progressive filling divides
 // all tokens admitted in the window: small workspaces get all that they
 // request, the others equal parts. The capacity of engines depends on how much
 // of the prompts is cached, so no fixed capacity is assumed. This protects the
@@ -71,9 +73,10 @@
   // true if none is stated.
   bool FleetHasSpareCapacity(kernel::TimePoint now);
 
-  // Returns the counts of this instance in the last complete slice, for its
-  // peers.
-  std::vector<ShareReport> Report(kernel::TimePoint now) const;
+  // Returns the counts of this instance since the previous call, for its peers.
+  std::vector<ShareReport> TakeReport();
+  // Returns the time from one report to the next.
+  kernel::Duration ReportPeriod(kernel::TimePoint now);
   // Adds a peer's report to the current slice.
   void Merge(const std::vector<ShareReport>& report, kernel::TimePoint now);
 
@@ -81,8 +84,9 @@
   // the window; above 1 it exceeds its share. Returns 0 while no limit
   // applies, because every workspace gets its share.
   double ShareUsed(uint64_t workspace_hash, kernel::TimePoint now);
-
-  kernel::Duration slice() const { return slice_; }
+  // Returns the tokens of the workspace that all instances are known to have
+  // admitted in the window.
+  int64_t Admitted(uint64_t workspace_hash, kernel::TimePoint now);
 
  private:
   struct Workspace {
@@ -98,18 +102,26 @@
 
   static Sums WindowSums(const Workspace& workspace);
   int64_t SliceIndex(kernel::TimePoint now) const;
-  ShareCount& CurrentSlice(uint64_t workspace_hash, kernel::TimePoint now);
+  // Adds to the counts of this instance in the current slice.
+  void Count(uint64_t workspace_hash,
+             ShareCount count,
+             kernel::TimePoint now);
   // Clears the slices that began since the last call and removes idle
   // workspaces.
   void Advance(kernel::TimePoint now);
   // Returns the max-min fair limit of a workspace's tokens in the window, by
   // progressive filling; infinity while every workspace gets its share.
   double FairLimit(kernel::TimePoint now);
+  // Returns the tokens that the engines can serve in the window; 0 if the
+  // operator states no throughput.
+  double WindowCapacity() const;
 
   const kernel::Duration slice_;
   std::map<uint64_t, Workspace> workspaces_;
+  std::map<uint64_t, ShareCount> unreported_;
   int64_t current_slice_ = 0;
   double tokens_per_second_ = 0;
+  double total_requested_ = 0;
   double total_admitted_ = 0;
   double limit_ = 0;
   int64_t limit_step_ = -1;  // Time step for which limit_ was computed.
