Leave short idle moments to workspaces within their share

At the start of traffic the fleet has spare capacity by its counts, and a workspace far beyond its share was admitted whenever an engine had nothing to do for a moment, so the one that tried most often took most. Change: far beyond the share an engine must have been idle for a time that grows with the share used (EngineCost::idle_time, RequiredIdleTime()).

--- a/jackdawshunt/routing/admission.cc
+++ b/jackdawshunt/routing/admission.cc
@@ -20,6 +20,10 @@
                                     ShareStep{1.1, 0.5}, ShareStep{1.2, 0.25},
                                     ShareStep{1.4, 0.1}};
 constexpr double kFarBeyondShareFactor = 0;
+// Idle time required for each share used, up to the maximum.
+constexpr kernel::Duration kIdleTimePerShare = std::chrono::milliseconds(60);
+constexpr kernel::Duration kMaxRequiredIdleTime =
+    std::chrono::milliseconds(400);
 
 kernel::Duration Scale(kernel::Duration duration, double factor) {
   return kernel::Duration(
@@ -40,6 +44,10 @@
   return kFarBeyondShareFactor;
 }
 
+kernel::Duration RequiredIdleTime(double share_used) {
+  return std::min(Scale(kIdleTimePerShare, share_used), kMaxRequiredIdleTime);
+}
+
 AdmissionDecision DecideAdmission(const AdmissionInput& input,
                                   const AdmissionPolicy& policy) {
   const double factor = ShareFactor(input.share_used);
@@ -56,7 +64,9 @@
   const kernel::Duration excess = std::max(
       input.cost.wait - max_wait, input.cost.ahead_of_pace - max_ahead);
   const bool has_share_or_spare_capacity =
-      factor > 0 || input.fleet_has_spare_capacity;
+      factor > 0 ||
+      (input.fleet_has_spare_capacity &&
+       input.cost.idle_time >= RequiredIdleTime(input.share_used));
   if (excess <= kernel::Duration::zero() && has_share_or_spare_capacity) {
     return {};
   }
--- a/jackdawshunt/routing/admission.h
+++ b/jackdawshunt/routing/admission.h
@@ -63,11 +63,15 @@
 // Returns the factor applied to the accepted wait: 1.4 for a workspace well
 // below its fair share, 1 near its share or when `share_used` is 0, and less
 // beyond it, down to 0 far beyond it. At 0 a request is admitted only if the
-// engine has no expected wait and no claims ahead of its pace, and the fleet
-// has spare capacity. Without the last condition, a workspace that tries more
-// often would take more of the short moments of spare capacity.
+// engine has been idle for RequiredIdleTime() and the fleet has spare capacity.
 double ShareFactor(double share_used);
 
+// Returns how long an engine must have been idle before a workspace far beyond
+// its fair share may use it; the time grows with the share used. Without it, a
+// workspace that tries more often would take more of the short moments between
+// two requests, and leave none to workspaces that lack their share.
+kernel::Duration RequiredIdleTime(double share_used);
+
 // Returns whether the request is admitted for the expected cost in `input`
 // and, if not, when its caller should retry.
 AdmissionDecision DecideAdmission(const AdmissionInput& input,
--- a/jackdawshunt/routing/engine_estimate.cc
+++ b/jackdawshunt/routing/engine_estimate.cc
@@ -29,6 +29,8 @@
 // A prompt that waits this much longer than expected counts as lost and no
 // longer delays others.
 constexpr kernel::Duration kLostAfter = std::chrono::seconds(4);
+// Longer idle times are reported as this.
+constexpr kernel::Duration kMaxIdleTime = std::chrono::seconds(10);
 
 double ToMs(kernel::Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -78,6 +80,8 @@
   cost.prefill_time = PrefillTime(cost.uncached_tokens);
   cost.wait = std::max(busy_until_ - now, kernel::Duration::zero());
   cost.ahead_of_pace = std::max(paced_until_ - now, kernel::Duration::zero());
+  cost.idle_time = std::clamp(now - std::max(busy_until_, paced_until_),
+                              kernel::Duration::zero(), kMaxIdleTime);
   if (!waiting_.empty()) {
     // A prompt whose prefill is overdue delays the ones behind it.
     const RunningClaim& oldest = claims_.at(waiting_.front());
--- a/jackdawshunt/routing/engine_estimate.h
+++ b/jackdawshunt/routing/engine_estimate.h
@@ -44,6 +44,8 @@
   // Time by which recent claims exceed the sustained throughput.
   kernel::Duration ahead_of_pace{};
   kernel::Duration prefill_time{};  // For the uncached parts.
+  // Time since the engine had work ahead of its pace; 0 while it has.
+  kernel::Duration idle_time{};
   uint64_t uncached_tokens = 0;
   uint64_t uncached_shared_tokens = 0;  // Excludes the last part.
 
