Let a request be withdrawn before it is written to a connection

A gateway short of processor time reads a request seconds late, and the end of the caller's connection after it. Change: ServerConnection::has_caller_left() looks at the socket; ResponseReceiver::IsStillWanted() is asked when a new connection is established, before a byte is sent.

--- a/jackdawshunt/http1/client.cc
+++ b/jackdawshunt/http1/client.cc
@@ -11,8 +11,8 @@
 namespace jackdawshunt::http1 {
 namespace {
 
-constexpr std::array<std::string_view, 4> kLossNames = {
-    "not_connected", "closed", "reset", "malformed"};
+constexpr std::array<std::string_view, 5> kLossNames = {
+    "not_connected", "closed", "reset", "malformed", "withdrawn"};
 
 // Parses "timeout=N" in a Keep-Alive header, N in seconds. Returns max() if it
 // is absent or malformed.
@@ -67,6 +67,10 @@
     connect_timer.Cancel();
     internal::SetUpstreamSocketOptions(stream.fd(),
                                        options.unacknowledged_timeout);
+    if (receiver != nullptr && !receiver->IsStillWanted()) {
+      CloseAsLost(Loss::kWithdrawn);
+      return;
+    }
     // The request is written only after the connection is established, so that
     // a failed connect is known to have sent nothing.
     stream.Write(unsent_request);
--- a/jackdawshunt/http1/client.h
+++ b/jackdawshunt/http1/client.h
@@ -35,6 +35,7 @@
   kClosed,        // Closed by the peer without a reset.
   kReset,         // Reset, or sent bytes stayed unacknowledged for too long.
   kMalformed,     // The peer sent bytes that are not a valid response.
+  kWithdrawn,     // IsStillWanted() was false; no byte was sent.
 };
 // Returns the name of `loss` for logs.
 std::string_view LossName(Loss loss);
@@ -45,6 +46,10 @@
 class ResponseReceiver {
  public:
   virtual ~ResponseReceiver() = default;
+  // Called when a new connection is established, before the request is sent:
+  // the state on which the request was based can change while the connection is
+  // opened. If it returns false, OnLost(kWithdrawn) follows.
+  virtual bool IsStillWanted() { return true; }
   // Returns whether the response belongs to the request that was sent. A
   // response that does not is skipped, and the connection is not reused.
   virtual bool MatchesRequest(const ResponseHead& head) = 0;
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -1,6 +1,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -49,6 +50,22 @@
     close(fds_.back());
     fds_.pop_back();
   }
+  // Returns all input up to the end of the last connection.
+  std::string ReadAll() {
+    std::string text;
+    loop_.RunUntil(
+        [&] {
+          std::array<char, 4096> buffer;
+          const ssize_t count =
+              recv(fds_.back(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+          if (count > 0) {
+            text.append(buffer.data(), static_cast<size_t>(count));
+          }
+          return count == 0;
+        },
+        seconds(20));
+    return text;
+  }
   void Reset() {
     const linger now{.l_onoff = 1, .l_linger = 0};
     setsockopt(fds_.back(), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
@@ -68,6 +85,7 @@
   bool MatchesRequest(const ResponseHead& head) override {
     return http::FindHeader(head.headers, "Id") == id;
   }
+  bool IsStillWanted() override { return is_wanted; }
   void OnHead(const ResponseHead& head) override { status = head.status; }
   void OnBody(std::string_view data) override { body.append(data); }
   void OnEnd() override { has_ended = true; }
@@ -75,6 +93,7 @@
   bool is_done() const { return has_ended || loss.has_value(); }
 
   std::string id = "1";
+  bool is_wanted = true;
   int status = 0;
   std::string body;
   bool has_ended = false;
@@ -110,6 +129,18 @@
   EXPECT_EQ(connection_.keep_alive(), kernel::Duration(seconds(4)));
 }
 
+// Guards against a request that reaches an upstream after its caller has left,
+// or after the upstream began to drain, because the connection took long to
+// open.
+TEST_F(ClientConnectionTest, SendsNothingThatIsNoLongerWanted) {
+  receiver_.is_wanted = false;
+  Send();
+  AwaitDone();
+  EXPECT_EQ(receiver_.loss, Loss::kWithdrawn);
+  EXPECT_FALSE(connection_.is_usable());
+  EXPECT_EQ(server_.ReadAll(), "");
+}
+
 TEST_F(ClientConnectionTest, SkipsResponseToAnotherRequest) {
   Send();
   server_.Write("HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 5\r\n\r\nother");
@@ -195,6 +226,9 @@
                  const RequestHead& head,
                  std::string&) override {
     targets.push_back(head.target);
+    if (on_request) {
+      on_request(connection);
+    }
     if (responds) {
       connection.Reply({.status = 200, .headers = {}}, head.target);
     }
@@ -207,6 +241,7 @@
   void OnDrained(ServerConnection&) override {}
   void OnClosed(ServerConnection&) override { is_closed = true; }
 
+  std::function<void(ServerConnection&)> on_request;
   std::vector<std::string> targets;
   std::optional<RequestError> error;
   bool responds = true;
@@ -290,6 +325,21 @@
   EXPECT_TRUE(loop_.RunUntil([&] { return handler_.is_closed; }, seconds(20)));
 }
 
+// Guards against requests that are sent on after their callers have left: on a
+// busy instance the end of the connection is read later than the request.
+TEST_F(ServerConnectionTest, KnowsThatCallerLeftBeforeReadingIt) {
+  bool had_left = true;
+  handler_.responds = false;
+  handler_.on_request = [&](ServerConnection& connection) {
+    had_left = connection.has_caller_left();
+    close(std::exchange(caller_, -1));
+    EXPECT_TRUE(connection.has_caller_left());
+  };
+  Write("GET /left HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(loop_.RunUntil([&] { return handler_.is_closed; }, seconds(20)));
+  EXPECT_FALSE(had_left);
+}
+
 TEST_F(ServerConnectionTest, ClosesIdleConnection) {
   EXPECT_TRUE(loop_.RunUntil([&] { return handler_.is_closed; }, seconds(20)));
 }
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <cstring>
 #include <utility>
 #include <vector>
@@ -341,6 +342,17 @@
 }
 size_t ServerConnection::buffered_bytes() const {
   return impl_->stream.unwritten();
+bool ServerConnection::has_caller_left() const {
+  if (!impl_->stream.is_open()) {
+    return true;
+  }
+  char next = 0;
+  const ssize_t count =
+      recv(impl_->stream.fd(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                        errno != EINTR);
+}
+
 }
 
 void ConnectionSet::Add(int fd) {
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -131,6 +131,10 @@
   bool is_open() const;
   // Returns whether a request was delivered and its response is not complete.
   bool is_busy() const;
+  // Returns whether the caller has closed its side of the connection, also if
+  // that was not read yet.
+  bool has_caller_left() const;
+
   // Returns whether part of the next request has been parsed.
   bool has_partial_request() const;
   // Returns the number of written bytes that the socket has not accepted yet.
