Refuse by recent offers without queries, and send only what is wanted

And a placed request was sent although its caller had left or its upstream drained meanwhile. Change: Router::RefuseWithoutQuery() refuses when none of the preferred engines can admit the request given the board's reply of the last 60 ms, less its age, or whatever the reply is because of the workspace's share. Call checks before it sends, and again when a connection is established; such an attempt counts as withdrawn, not as a failure of the upstream. Offered engines are looked up by id instead of in a scan of all, weights are computed once for each engine, and a stream's head is sent with its first event: before that event the request can still be retried, and the caller gets a status.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -77,6 +77,11 @@
     PlaceRequest({});
     return;
   }
+  if (const auto refusal =
+          context_.router.RefuseWithoutQuery(request_, engines, Now())) {
+    ApplyDecision(*refusal);
+    return;
+  }
   query_ = context_.boards.SendQueries(
       engines, request_,
       [this](const std::vector<routing::BoardOffer>& offers) {
@@ -86,11 +91,17 @@
 
 void Call::PlaceRequest(const std::vector<routing::BoardOffer>& offers) {
   query_.reset();
-  const routing::Decision decision =
-      context_.router.Choose(request_, offers, Now());
+  ApplyDecision(context_.router.Choose(request_, offers, Now()));
+}
+
+void Call::ApplyDecision(const routing::Decision& decision) {
   LogDecision(decision);
   if (decision.verdict == routing::Verdict::kSend) {
-    SendAttempt(decision);
+    if (HasCallerLeft()) {
+      Finish(0, "caller left");
+    } else {
+      SendAttempt(decision);
+    }
     return;
   }
   if (decision.verdict == routing::Verdict::kRefuse) {
@@ -173,6 +184,14 @@
   connection_->Send(bytes, head_.method == "HEAD", *this);
 }
 
+bool Call::HasCallerLeft() const {
+  return caller_ == nullptr || caller_->has_caller_left();
+}
+
+bool Call::IsStillWanted() {
+  return !HasCallerLeft() && context_.router.IsReady(upstream_);
+}
+
 bool Call::MatchesRequest(const http1::ResponseHead& head) {
   return platform::DecodeAnswer(head).request_id == request_.id;
 }
@@ -194,15 +213,13 @@
     return;
   }
   body_mode_ = BodyMode::kEvents;
-  if (!is_answer_started_) {
-    StartForwarding(http1::BodyFraming::Chunked());
-  }
 }
 
-void Call::StartForwarding(http1::BodyFraming framing) {
+void Call::StartForwarding(std::string_view first_part) {
   is_answer_started_ = true;
   final_status_ = answer_head_.status;
-  caller_->StartResponse(answer_head_, framing, context_.closes_connections);
+  caller_->StartResponse(answer_head_, http1::BodyFraming::Chunked(),
+                         context_.closes_connections, first_part);
 }
 
 void Call::OnBody(std::string_view data) {
@@ -213,8 +230,8 @@
     collected_.append(data);
     if (collected_.size() > kMaxCollectedBytes) {
       body_mode_ = BodyMode::kForward;
-      StartForwarding(http1::BodyFraming::Chunked());
-      caller_->WriteBody(std::exchange(collected_, {}));
+      StartForwarding(collected_);
+      collected_.clear();
     }
     return;
   }
@@ -232,7 +249,11 @@
       context_.metrics.ObserveFirstByte(kind_name(),
                                         Now() - request_.arrived_at);
     }
-    caller_->WriteBody(whole);
+    if (is_answer_started_) {
+      caller_->WriteBody(whole);
+    } else if (!whole.empty()) {
+      StartForwarding(whole);
+    }
   }
   if (!is_reading_paused_ && caller_->buffered_bytes() > kMaxUnreadBytes) {
     is_reading_paused_ = true;
@@ -274,6 +295,9 @@
   EndAttempt(is_server_error ? routing::Outcome::kServerError
                              : routing::Outcome::kSuccess);
   if (body_mode_ != BodyMode::kCollect) {
+    if (!is_answer_started_) {
+      StartForwarding({});  // A stream without events.
+    }
     caller_->FinishResponse();
     Finish(final_status_, "forwarded");
     return;
@@ -303,10 +327,16 @@
       .Add("loss", http1::LossName(loss))
       .Add("reused_connection", connection_->was_reused())
       .Add("after_ms", ToWholeMs(Now() - sent_at_));
-  if (loss == http1::Loss::kNotConnected) {
-    EndAttempt(routing::Outcome::kUnreachable);
+  if (loss == http1::Loss::kNotConnected || loss == http1::Loss::kWithdrawn) {
+    EndAttempt(loss == http1::Loss::kNotConnected
+                   ? routing::Outcome::kUnreachable
+                   : routing::Outcome::kWithdrawn);
     --request_.send_count;  // The request was not sent.
-    StartAttempt();
+    if (HasCallerLeft()) {
+      Finish(0, "caller left");
+    } else {
+      StartAttempt();
+    }
     return;
   }
   EndAttempt(routing::Outcome::kLost);
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -72,6 +72,7 @@
   bool is_done() const { return is_done_; }
 
   // http1::ResponseReceiver:
+  bool IsStillWanted() override;
   bool MatchesRequest(const http1::ResponseHead& head) override;
   void OnHead(const http1::ResponseHead& head) override;
   void OnBody(std::string_view data) override;
@@ -90,9 +91,10 @@
   // Queries the boards of the candidate engines, if any, then places the
   // request.
   void StartAttempt();
-  // Sends the request to the upstream that the router chooses, or finishes the
-  // call when there is none.
+  // Lets the router choose an upstream and applies its decision.
   void PlaceRequest(const std::vector<routing::BoardOffer>& offers);
+  // Sends, refuses or fails the request.
+  void ApplyDecision(const routing::Decision& decision);
   void SendAttempt(const routing::Decision& decision);
   // Ends the current attempt and releases its connection to the pool.
   void EndAttempt(routing::Outcome outcome);
@@ -125,10 +127,14 @@
   void ReplyError(base::ErrorKind kind,
                   std::optional<kernel::Duration> retry_after);
   void ForwardCollected();
-  void StartForwarding(http1::BodyFraming framing);
+  // Starts the chunked answer to the caller with the first part of its body.
+  void StartForwarding(std::string_view first_part);
   void OnTimeout();
   void Finish(int status, std::string_view reason);
   void LogDecision(const routing::Decision& decision);
+  // Returns whether the caller has disconnected, also if the connection's end
+  // was not processed yet.
+  bool HasCallerLeft() const;
   kernel::TimePoint Now() const { return context_.loop.clock().Now(); }
   std::string_view kind_name() const;
 
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <utility>
 
 namespace jackdawshunt::routing {
@@ -25,6 +26,9 @@
 // Requests whose deadline is shorter than the longest one by no more than this
 // are treated as first attempts.
 constexpr kernel::Duration kRetryMargin = std::chrono::milliseconds(20);
+// A board's reply older than this is not used to refuse other requests. In this
+// time the wait can fall by little more than the time itself.
+constexpr kernel::Duration kMaxOfferAge = std::chrono::milliseconds(60);
 // Number of engines whose boards are queried for a request: the most preferred
 // ones for its shared prefix. Other engines would have to prefill the prefix
 // again, and later requests would not find it cached there.
@@ -43,15 +47,27 @@
                    id) != request.tried_upstreams.end();
 }
 
-// Keeps the `count` elements with the highest weights, in descending order.
-template <typename T, typename Weight>
-void KeepHighestWeights(std::vector<T>& elements, size_t count, Weight weight) {
-  count = std::min(count, elements.size());
-  std::partial_sort(
-      elements.begin(), elements.begin() + static_cast<ptrdiff_t>(count),
-      elements.end(),
-      [&weight](const T& a, const T& b) { return weight(a) > weight(b); });
-  elements.resize(count);
+// Returns the `count` elements with the highest weights, in descending order.
+template <typename Weight>
+std::vector<const Upstream*> HighestWeights(
+    const std::vector<const Upstream*>& elements,
+    size_t count,
+    Weight weight) {
+  std::vector<std::pair<uint64_t, const Upstream*>> weighted;
+  weighted.reserve(elements.size());
+  for (const Upstream* element : elements) {
+    weighted.emplace_back(weight(*element), element);
+  }
+  count = std::min(count, weighted.size());
+  std::partial_sort(weighted.begin(),
+                    weighted.begin() + static_cast<ptrdiff_t>(count),
+                    weighted.end(), std::greater<>());
+  std::vector<const Upstream*> highest;
+  highest.reserve(count);
+  for (size_t i = 0; i < count; ++i) {
+    highest.push_back(weighted[i].second);
+  }
+  return highest;
 }
 
 const BoardOffer* FindOffer(const std::vector<BoardOffer>& offers,
@@ -148,11 +164,12 @@
 
 std::vector<const Upstream*> Router::Candidates(const RoutedRequest& request,
                                                 kernel::TimePoint now) {
-  std::vector<const Upstream*> untried;
-  for (const Upstream* upstream : directory_.Ready(request.service, now)) {
-    if (!WasTried(request, upstream->id)) {
-      untried.push_back(upstream);
-    }
+  std::vector<const Upstream*> untried = directory_.Ready(request.service, now);
+  std::erase_if(untried, [&request](const Upstream* upstream) {
+    return WasTried(request, upstream->id);
+  });
+  if (!health_.MayAvoidAny(now)) {
+    return untried;
   }
   std::vector<const Upstream*> healthy;
   for (const Upstream* upstream : untried) {
@@ -205,70 +222,116 @@
 
 std::vector<Upstream> Router::EnginesToQuery(RoutedRequest& request,
                                              kernel::TimePoint now) {
-  std::vector<const Upstream*> preferred = Candidates(request, now);
+  const std::vector<const Upstream*> candidates = Candidates(request, now);
   std::vector<Upstream> engines;
-  if (!IsForEngine(request, preferred)) {
+  if (!IsForEngine(request, candidates)) {
     return engines;
   }
-  request.engine_tokens_per_s = EngineTokensPerSecond(preferred.size());
-  KeepHighestWeights(preferred, kQueriedEngines,
-                     [key = AffinityKey(request)](const Upstream* upstream) {
-                       return RendezvousWeight(key, upstream->hash);
-                     });
-  for (const Upstream* upstream : preferred) {
+  request.engine_tokens_per_s = EngineTokensPerSecond(candidates.size());
+  for (const Upstream* upstream :
+       HighestWeights(candidates, kQueriedEngines,
+                      [key = AffinityKey(request)](const Upstream& candidate) {
+                        return RendezvousWeight(key, candidate.hash);
+                      })) {
     engines.push_back(*upstream);
   }
   return engines;
 }
 
+std::optional<Decision> Router::RefuseWithoutQuery(
+    const RoutedRequest& request,
+    const std::vector<Upstream>& engines,
+    kernel::TimePoint now) {
+  std::optional<Decision> refusal;
+  for (const Upstream& engine : engines) {
+    const UpstreamState& state = StateOf(engine);
+    const kernel::Duration age = now - state.last_offer_at;
+    // The lowest cost that the board can reply now.
+    EngineCost cost{.idle_time = kernel::Duration::max()};
+    if (age <= kMaxOfferAge) {
+      cost.wait =
+          std::max(state.last_offer.wait - age, kernel::Duration::zero());
+      cost.ahead_of_pace = std::max(state.last_offer.ahead_of_pace - age,
+                                    kernel::Duration::zero());
+      cost.idle_time = state.last_offer.idle_time + age;
+    }
+    Decision decision = Admit(request, cost, now);
+    if (decision.verdict == Verdict::kSend) {
+      return std::nullopt;
+    }
+    if (!refusal.has_value() || decision.retry_after < refusal->retry_after) {
+      refusal = std::move(decision);
+    }
+  }
+  if (refusal.has_value()) {
+    refusal->candidates = engines.size();
+  }
+  return refusal;
+}
+
+bool Router::IsReady(const Upstream& upstream) const {
+  const Upstream* const current = directory_.Find(upstream.id);
+  return current != nullptr && !current->is_draining &&
+         current->address == upstream.address;
+}
+
 Decision Router::Choose(const RoutedRequest& request,
                         const std::vector<BoardOffer>& offers,
                         kernel::TimePoint now) {
-  std::vector<const Upstream*> candidates = Candidates(request, now);
+  std::vector<const Upstream*> candidates =
+      ReachableOffered(request, offers, now);
+  if (candidates.empty()) {
+    candidates = WithoutOffer(Candidates(request, now), offers);
+  }
   if (candidates.empty()) {
     return {};
   }
-  const size_t count = candidates.size();
-  const bool is_engine = IsForEngine(request, candidates);
-  Decision decision =
-      is_engine ? ChooseEngine(request, offers, std::move(candidates), now)
-                : ChoosePlain(request, candidates, now);
-  decision.candidates = count;
+  Decision decision = IsForEngine(request, candidates)
+                          ? ChooseEngine(request, offers, candidates, now)
+                          : ChoosePlain(request, candidates, now);
+  decision.candidates = candidates.size();
   decision.offers = offers.size();
   decision.unreachable = static_cast<size_t>(std::count_if(
       offers.begin(), offers.end(),
       [](const BoardOffer& offer) { return !offer.is_reachable; }));
-  decision.is_engine = is_engine;
   return decision;
 }
 
-void Router::KeepOffered(std::vector<const Upstream*>& candidates,
-                         const std::vector<BoardOffer>& offers,
-                         kernel::TimePoint now) {
-  std::vector<const Upstream*> offered;
+std::vector<const Upstream*> Router::ReachableOffered(
+    const RoutedRequest& request,
+    const std::vector<BoardOffer>& offers,
+    kernel::TimePoint now) {
+  std::vector<const Upstream*> reachable;
+  for (const BoardOffer& offer : offers) {
+    if (!offer.is_reachable) {
+      health_.AvoidUnreachable(offer.upstream, now);
+      continue;
+    }
+    const Upstream* const upstream = directory_.Find(offer.upstream);
+    if (upstream != nullptr && !upstream->is_draining &&
+        !WasTried(request, upstream->id)) {
+      reachable.push_back(upstream);
+    }
+  }
+  return reachable;
+}
+
+std::vector<const Upstream*> Router::WithoutOffer(
+    std::vector<const Upstream*> candidates,
+    const std::vector<BoardOffer>& offers) {
   std::vector<const Upstream*> others;
   for (const Upstream* upstream : candidates) {
-    const BoardOffer* offer = FindOffer(offers, *upstream);
-    if (offer == nullptr) {
+    if (FindOffer(offers, *upstream) == nullptr) {
       others.push_back(upstream);
-    } else if (offer->is_reachable) {
-      offered.push_back(upstream);
-    } else {
-      health_.AvoidUnreachable(upstream->id, now);
     }
   }
-  if (!offered.empty()) {
-    candidates = std::move(offered);
-  } else if (!others.empty()) {
-    candidates = std::move(others);
-  }
+  return others.empty() ? candidates : others;
 }
 
 Decision Router::ChooseEngine(const RoutedRequest& request,
                               const std::vector<BoardOffer>& offers,
-                              std::vector<const Upstream*> candidates,
+                              const std::vector<const Upstream*>& candidates,
                               kernel::TimePoint now) {
-  KeepOffered(candidates, offers, now);
   std::vector<EngineCandidate> rows;
   rows.reserve(candidates.size());
   for (const Upstream* upstream : candidates) {
@@ -276,21 +339,34 @@
     const BoardOffer* offer = FindOffer(offers, *upstream);
     if (offer != nullptr) {
       row.cost = offer->cost;
+      UpstreamState& state = StateOf(*upstream);
+      state.last_offer = offer->cost;
+      state.last_offer_at = now;
     }
     rows.push_back(row);
   }
   const size_t best =
       PickEngine(rows, AffinityKey(request), settings_.placement);
+  Decision decision = Admit(request, rows[best].cost, now);
+  if (decision.verdict == Verdict::kSend) {
+    decision.upstream = *candidates[best];
+  }
+  return decision;
+}
 
+Decision Router::Admit(const RoutedRequest& request,
+                       const EngineCost& cost,
+                       kernel::TimePoint now) {
   Decision decision;
-  decision.cost = rows[best].cost;
+  decision.is_engine = true;
+  decision.cost = cost;
   decision.share_used = request.workspace.empty()
                             ? 0
                             : shares_.ShareUsed(HashOf(request.workspace), now);
   decision.fleet_has_spare_capacity = shares_.FleetHasSpareCapacity(now);
   const kernel::Duration elapsed = now - request.arrived_at;
   const AdmissionDecision admission = DecideAdmission(
-      {.cost = rows[best].cost,
+      {.cost = cost,
        .objective = request.route->latency_objective,
        .remaining_objective =
            std::max(kernel::Duration::zero(),
@@ -301,12 +377,7 @@
        .request_hash = request.hash},
       settings_.admission);
   decision.retry_after = admission.retry_after;
-  if (!admission.is_admitted) {
-    decision.verdict = Verdict::kRefuse;
-    return decision;
-  }
-  decision.verdict = Verdict::kSend;
-  decision.upstream = *candidates[best];
+  decision.verdict = admission.is_admitted ? Verdict::kSend : Verdict::kRefuse;
   return decision;
 }
 
@@ -406,16 +477,19 @@
   if (table_ == nullptr) {
     return engines;
   }
+  std::vector<const Upstream*> all;
   for (const Service& service : table_->state().services) {
     if (service.engine.has_value()) {
-      for (const Upstream* upstream : directory_.Ready(service.name, now)) {
-        engines.push_back(*upstream);
-      }
+      const auto& ready = directory_.Ready(service.name, now);
+      all.insert(all.end(), ready.begin(), ready.end());
     }
   }
-  KeepHighestWeights(engines, count, [](const Upstream& upstream) {
-    return RendezvousWeight(0, HashOf(upstream.address.ip));
-  });
+  for (const Upstream* upstream :
+       HighestWeights(all, count, [](const Upstream& candidate) {
+         return RendezvousWeight(0, HashOf(candidate.address.ip));
+       })) {
+    engines.push_back(*upstream);
+  }
   return engines;
 }
 
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -127,10 +127,22 @@
   // `request.engine_tokens_per_s`. Returns an empty list for plain services.
   std::vector<Upstream> EnginesToQuery(RoutedRequest& request,
                                        kernel::TimePoint now);
+  // Returns a refusal if none of `engines`, the result of EnginesToQuery(),
+  // would admit the request whatever its board replies: because of its
+  // workspace's share, or because of the boards' recent replies to other
+  // requests. Answers the load in which most requests are refused, so that a
+  // refusal takes less processor time than a request that is served.
+  std::optional<Decision> RefuseWithoutQuery(
+      const RoutedRequest& request,
+      const std::vector<Upstream>& engines,
+      kernel::TimePoint now);
   // Returns whether a caller that states this deadline was probably refused
   // before: a retry states less time than first attempts on the route.
   bool IsRetryAfterRefusal(const Route& route, kernel::Duration deadline) const;
 
+  // Returns whether `upstream` may still be sent new requests.
+  bool IsReady(const Upstream& upstream) const;
+
   // Chooses the upstream for the next attempt. If there are offers of reachable
   // engines, only those engines are considered.
   Decision Choose(const RoutedRequest& request,
@@ -176,6 +188,9 @@
   struct UpstreamState {
     std::unique_ptr<EngineEstimate> engine;  // Null for plain services.
     size_t in_flight = 0;
+    // The last reply of the engine's board, to any request.
+    EngineCost last_offer;
+    kernel::TimePoint last_offer_at{};
   };
 
   UpstreamState& StateOf(const Upstream& upstream);
@@ -186,17 +201,26 @@
   // Excludes those to be avoided, unless they are more than two thirds.
   std::vector<const Upstream*> Candidates(const RoutedRequest& request,
                                           kernel::TimePoint now);
-  // Reduces `candidates` to the engines that offers report as reachable or, if
-  // there are none, to the engines without an offer. Keeps all candidates if
-  // all were reported as unreachable. Marks the engines reported as unreachable
-  // to be avoided for a short time.
-  void KeepOffered(std::vector<const Upstream*>& candidates,
-                   const std::vector<BoardOffer>& offers,
-                   kernel::TimePoint now);
+  // Returns the untried engines that offers report as reachable. Marks those
+  // reported as unreachable to be avoided for a short time.
+  std::vector<const Upstream*> ReachableOffered(
+      const RoutedRequest& request,
+      const std::vector<BoardOffer>& offers,
+      kernel::TimePoint now);
+  // Returns the engines to choose from when no offered engine is reachable:
+  // those without an offer or, if there are none, all candidates.
+  std::vector<const Upstream*> WithoutOffer(
+      std::vector<const Upstream*> candidates,
+      const std::vector<BoardOffer>& offers);
   Decision ChooseEngine(const RoutedRequest& request,
                         const std::vector<BoardOffer>& offers,
-                        std::vector<const Upstream*> candidates,
+                        const std::vector<const Upstream*>& candidates,
                         kernel::TimePoint now);
+  // Decides on the admission of the request for `cost`, and fills in the
+  // decision except for its upstream.
+  Decision Admit(const RoutedRequest& request,
+                 const EngineCost& cost,
+                 kernel::TimePoint now);
   EngineCandidate ToCandidate(const RoutedRequest& request,
                               const Upstream& upstream,
                               kernel::TimePoint now);
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -342,6 +342,52 @@
   EXPECT_EQ(router.Choose(request, none, Now()).verdict, Verdict::kSend);
 }
 
+// Guards against the processor time of three queries for each refusal while one
+// workspace sends many times its usual load.
+TEST_F(RouterTest, RefusesByRecentOffersWithoutQuery) {
+  Router router({}, Now());
+  router.SetDesiredState(MakeEngineState());
+  router.directory().Replace({MakeUpstream("a"), MakeUpstream("b")}, Now());
+  RoutedRequest request = MakePromptRequest(router, Now());
+  const auto is_refused = [&] {
+    return router
+        .RefuseWithoutQuery(request, router.EnginesToQuery(request, Now()),
+                            Now())
+        .has_value();
+  };
+  EXPECT_FALSE(is_refused());
+  const auto offer = [&](kernel::Duration wait_at_b) {
+    router.Choose(request,
+                  {{.upstream = "a", .cost = {.wait = seconds(3)}},
+                   {.upstream = "b", .cost = {.wait = wait_at_b}}},
+                  Now());
+  };
+  offer(milliseconds(10));
+  EXPECT_FALSE(is_refused());
+  offer(seconds(3));
+  EXPECT_TRUE(is_refused());
+  clock_.Advance(milliseconds(200));
+  EXPECT_FALSE(is_refused());  // The offers are too old.
+}
+
+// Guards against a request that an upstream gets later than it may, because it
+// waited for a connection.
+TEST_F(RouterTest, DrainingOrReplacedUpstreamIsNotReady) {
+  Router router({}, Now());
+  router.SetDesiredState(MakeState(1));
+  Upstream upstream = MakeUpstream("a");
+  router.directory().Put(upstream, Now());
+  EXPECT_TRUE(router.IsReady(upstream));
+  Upstream moved = upstream;
+  moved.address.port = 2;
+  EXPECT_FALSE(router.IsReady(moved));
+  upstream.is_draining = true;
+  router.directory().Put(upstream, Now());
+  EXPECT_FALSE(router.IsReady(upstream));
+  router.directory().Remove("a", Now());
+  EXPECT_FALSE(router.IsReady(upstream));
+}
+
 TEST_F(RouterTest, RetryAfterRefusalHasShorterObjective) {
   Router router({}, Now());
   router.SetDesiredState(MakeState(1));
--- a/jackdawshunt/routing/upstream_health.cc
+++ b/jackdawshunt/routing/upstream_health.cc
@@ -6,9 +6,9 @@
 namespace jackdawshunt::routing {
 namespace {
 
-constexpr std::array<std::string_view, 7> kOutcomeNames = {
-    "success", "server_error", "overloaded",    "unreachable",
-    "lost",    "silent",       "wrong_instance"};
+constexpr std::array<std::string_view, 8> kOutcomeNames = {
+    "success", "server_error", "overloaded",     "unreachable",
+    "lost",    "silent",       "wrong_instance", "withdrawn"};
 
 // Weight of one outcome in the failure share, which covers about ten requests.
 constexpr double kOutcomeWeight = 0.1;
@@ -30,7 +30,7 @@
     OutcomeClass{false, false}, OutcomeClass{true, false},
     OutcomeClass{false, false}, OutcomeClass{true, true},
     OutcomeClass{true, false},  OutcomeClass{true, true},
-    OutcomeClass{true, true},
+    OutcomeClass{true, true},   OutcomeClass{false, false},
 };
 
 }  // namespace
@@ -41,14 +41,14 @@
 
 bool MayHaveExecuted(Outcome outcome) {
   return outcome != Outcome::kOverloaded && outcome != Outcome::kUnreachable &&
-         outcome != Outcome::kWrongInstance;
+         outcome != Outcome::kWrongInstance && outcome != Outcome::kWithdrawn;
 }
 
 void UpstreamHealth::Record(std::string_view id,
                             Outcome outcome,
                             kernel::TimePoint now) {
-  if (outcome == Outcome::kOverloaded) {
-    return;  // The upstream works; EngineEstimate accounts for its load.
+  if (outcome == Outcome::kOverloaded || outcome == Outcome::kWithdrawn) {
+    return;  // Shows nothing about whether the upstream works.
   }
   State& state = states_[std::string(id)];
   const OutcomeClass& row = kOutcomeClasses.at(static_cast<size_t>(outcome));
@@ -76,13 +76,18 @@
     return;  // The request was sent before the upstream was avoided.
   }
   state.backoff = std::clamp(state.backoff * 2, kMinBackoff, kMaxBackoff);
-  state.avoided_until = now + state.backoff;
+  AvoidUntil(state, now + state.backoff);
+}
+
+void UpstreamHealth::AvoidUntil(State& state, kernel::TimePoint time) {
+  state.avoided_until = time;
+  last_avoided_until_ = std::max(last_avoided_until_, time);
 }
 
 void UpstreamHealth::AvoidUnreachable(std::string_view id,
                                       kernel::TimePoint now) {
   State& state = states_[std::string(id)];
-  state.avoided_until = std::max(state.avoided_until, now + kMinBackoff);
+  AvoidUntil(state, std::max(state.avoided_until, now + kMinBackoff));
 }
 
 void UpstreamHealth::Remove(std::string_view id) {
@@ -107,7 +112,7 @@
     return;
   }
   // Other requests avoid the upstream until the outcome is known.
-  found->second.avoided_until = now + kMinBackoff;
+  AvoidUntil(found->second, now + kMinBackoff);
 }
 
 }  // namespace jackdawshunt::routing
--- a/jackdawshunt/routing/upstream_health.h
+++ b/jackdawshunt/routing/upstream_health.h
@@ -33,6 +33,7 @@
   kLost,           // The connection ended before the answer was complete.
   kSilent,         // No answer before the deadline.
   kWrongInstance,  // Another upstream has the address.
+  kWithdrawn,      // Not sent, because the caller or the upstream left.
 };
 std::string_view OutcomeName(Outcome outcome);
 // Returns whether the upstream may have executed the request.
@@ -40,7 +41,7 @@
 
 class UpstreamHealth {
  public:
-  // Records the outcome of a request; kOverloaded is ignored.
+  // Records the outcome of a request; kOverloaded and kWithdrawn are ignored.
   void Record(std::string_view id, Outcome outcome, kernel::TimePoint now);
   void Remove(std::string_view id);
   // Avoids an upstream for a short time because other instances could not
@@ -50,6 +51,10 @@
   // Returns whether requests should prefer other upstreams. Returns false again
   // when the upstream is due for another try.
   bool IsAvoided(std::string_view id, kernel::TimePoint now) const;
+  // Returns false if IsAvoided() is false for all upstreams.
+  bool MayAvoidAny(kernel::TimePoint now) const {
+    return now < last_avoided_until_;
+  }
   // Returns the share of failed requests, 0 to 1, weighted to the recent ones.
   double FailureShare(std::string_view id) const;
   // Records that a request was sent; call for every request. If the upstream
@@ -68,8 +73,10 @@
   };
 
   void Avoid(State& state, kernel::TimePoint now);
+  void AvoidUntil(State& state, kernel::TimePoint time);
 
   std::unordered_map<std::string, State> states_;
+  kernel::TimePoint last_avoided_until_{};  // Latest of all upstreams.
 };
 
 }  // namespace jackdawshunt::routing
