Use fewer system calls for each connection and answer

Change: head and body of a reply go out in one write; caller socket options are set on the listening socket, from which Linux copies them (checked on the first connection); accepted sockets are already non-blocking; libevent's precise timer, one more system call in each iteration of the loop, is not used.

--- a/jackdawshunt/http1/internal/socket_options.cc
+++ b/jackdawshunt/http1/internal/socket_options.cc
@@ -25,6 +25,12 @@
   }
 }
 
+bool IsSet(int fd, int level, int option) {
+  int value = 0;
+  socklen_t size = sizeof(value);
+  return getsockopt(fd, level, option, &value, &size) == 0 && value != 0;
+}
+
 void SetKeepAlive(int fd) {
   Set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
   Set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
@@ -39,6 +45,11 @@
   SetKeepAlive(fd);
 }
 
+bool HasCallerSocketOptions(int fd) {
+  return IsSet(fd, IPPROTO_TCP, TCP_NODELAY) &&
+         IsSet(fd, SOL_SOCKET, SO_KEEPALIVE);
+}
+
 void SetUpstreamSocketOptions(int fd, kernel::Duration unacknowledged_timeout) {
   SetKeepAlive(fd);
   Set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
--- a/jackdawshunt/http1/internal/socket_options.h
+++ b/jackdawshunt/http1/internal/socket_options.h
@@ -11,8 +11,11 @@
 namespace jackdawshunt::http1::internal {
 
 // Disables the delay of small writes (Nagle) and enables keep-alive probes,
-// which detect callers that disappeared without closing the connection.
+// which detect callers that disappeared without closing the connection. Linux
+// copies these options from a listening socket to the accepted ones.
 void SetCallerSocketOptions(int fd);
+// Returns whether the options of SetCallerSocketOptions() are set.
+bool HasCallerSocketOptions(int fd);
 
 // Sets the options of SetCallerSocketOptions(). In addition, the kernel ends
 // the connection when sent bytes stay unacknowledged for
--- a/jackdawshunt/http1/internal/socket_stream.cc
+++ b/jackdawshunt/http1/internal/socket_stream.cc
@@ -35,7 +35,6 @@
 
 void SocketStream::Adopt(int fd) {
   fd_ = fd;
-  evutil_make_socket_nonblocking(fd_);
   StartEvents();
   SetReading(true);
 }
--- a/jackdawshunt/http1/internal/socket_stream.h
+++ b/jackdawshunt/http1/internal/socket_stream.h
@@ -48,7 +48,8 @@
   SocketStream(const SocketStream&) = delete;
   SocketStream& operator=(const SocketStream&) = delete;
 
-  // Takes ownership of the connected socket `fd` and starts reading.
+  // Takes ownership of the connected, non-blocking socket `fd` and starts
+  // reading.
   void Adopt(int fd);
   // Starts to connect; OnConnected() or OnEnd() follows. Returns false, and
   // calls neither, if the attempt cannot be started.
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -33,8 +34,21 @@
 }  // namespace
 
 struct Listener::Impl {
+  void OnAccepted(int fd) {
+    if (!inherits_options.has_value()) {
+      inherits_options = internal::HasCallerSocketOptions(fd);
+    }
+    if (!*inherits_options) {
+      internal::SetCallerSocketOptions(fd);
+    }
+    accept(fd);
+  }
+
   evconnlistener* listener = nullptr;
   AcceptCallback accept;
+  // Whether accepted sockets have the options of the listening one; unknown
+  // before the first connection.
+  std::optional<bool> inherits_options;
 };
 
 Listener::Listener(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
@@ -57,7 +71,7 @@
   impl->listener = evconnlistener_new_bind(
       loop.base(),
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* context) {
-        static_cast<Impl*>(context)->accept(fd);
+        static_cast<Impl*>(context)->OnAccepted(fd);
       },
       impl.get(),
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
@@ -66,6 +80,7 @@
     return absl::UnavailableError(absl::StrCat(
         "cannot listen at ", address.ToString(), ": ", strerror(errno)));
   }
+  internal::SetCallerSocketOptions(evconnlistener_get_fd(impl->listener));
   evconnlistener_set_error_cb(impl->listener, [](evconnlistener*, void*) {
     base::Log(base::LogLevel::kError, "accept_failed",
               {{"error", strerror(errno)}});
@@ -78,7 +93,7 @@
   for (int fd = 0; fd >= 0;) {
     fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
-      impl_->accept(fd);
+      impl_->OnAccepted(fd);
     }
   }
 }
@@ -105,7 +120,6 @@
         handler(to_handler),
         parser(with_limits.parse),
         stream(on_loop, *this) {
-    internal::SetCallerSocketOptions(fd);
     stream.Adopt(fd);
     StartIdleTimer();
   }
@@ -204,6 +218,15 @@
 
   void Write(std::string_view data) { stream.Write(data); }
 
+  // Appends part of the current response's body in its framing.
+  void AppendBody(std::string_view data, std::string& out) const {
+    if (framing.length.has_value()) {
+      out.append(data);
+    } else if (!data.empty()) {
+      AppendChunk(data, out);
+    }
+  }
+
   void Finish() {
     is_busy = false;
     parser.Reset();
@@ -254,11 +277,14 @@
 
 void ServerConnection::StartResponse(const ResponseHead& head,
                                      BodyFraming framing,
-                                     bool close_after) {
+                                     bool close_after,
+                                     std::string_view first_part) {
   impl_->framing = framing;
   impl_->closes_after_response = impl_->closes_after_response || close_after ||
                                  !impl_->parser.keep_alive();
-  impl_->Write(Serialize(head, framing, impl_->closes_after_response));
+  std::string out = Serialize(head, framing, impl_->closes_after_response);
+  impl_->AppendBody(first_part, out);
+  impl_->Write(out);
 }
 
 void ServerConnection::WriteBody(std::string_view data) {
@@ -271,7 +297,7 @@
   }
   std::string chunk;
   chunk.reserve(data.size() + 16);
-  AppendChunk(data, chunk);
+  impl_->AppendBody(data, chunk);
   impl_->Write(chunk);
 }
 
@@ -285,8 +311,7 @@
 void ServerConnection::Reply(const ResponseHead& head,
                              std::string_view body,
                              bool close_after) {
-  StartResponse(head, BodyFraming::Length(body.size()), close_after);
-  WriteBody(body);
+  StartResponse(head, BodyFraming::Length(body.size()), close_after, body);
   FinishResponse();
 }
 
@@ -317,6 +342,17 @@
           (ioctl(impl_->stream.fd(), FIONREAD, &unread) == 0 && unread > 0));
 }
 
+bool ServerConnection::has_caller_left() const {
+  if (!impl_->stream.is_open()) {
+    return true;
+  }
+  char next = 0;
+  const ssize_t count =
+      recv(impl_->stream.fd(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                        errno != EINTR);
+}
+
 void ServerConnection::CloseWhenIdle() {
   if (!impl_->stream.is_open()) {
     return;
@@ -342,17 +378,6 @@
 }
 size_t ServerConnection::buffered_bytes() const {
   return impl_->stream.unwritten();
-bool ServerConnection::has_caller_left() const {
-  if (!impl_->stream.is_open()) {
-    return true;
-  }
-  char next = 0;
-  const ssize_t count =
-      recv(impl_->stream.fd(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
-  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-                        errno != EINTR);
-}
-
 }
 
 void ConnectionSet::Add(int fd) {
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -31,8 +31,9 @@
  public:
   using AcceptCallback = std::function<void(int fd)>;
 
-  // Listens at `address` and calls `accept` with each accepted socket, which
-  // `accept` then owns. Error: Unavailable if the address cannot be bound.
+  // Listens at `address` and calls `accept` with each accepted socket, which is
+  // non-blocking and which `accept` then owns. Error: Unavailable if the
+  // address cannot be bound.
   static absl::StatusOr<std::unique_ptr<Listener>> Bind(
       kernel::EventLoop& loop,
       const http::Address& address,
@@ -91,8 +92,8 @@
     virtual void OnClosed(ServerConnection& connection) = 0;
   };
 
-  // Takes ownership of the accepted socket `fd`. `loop` and `handler` must
-  // outlive the connection.
+  // Takes ownership of the accepted, non-blocking socket `fd`. `loop` and
+  // `handler` must outlive the connection.
   ServerConnection(kernel::EventLoop& loop,
                    int fd,
                    ServerConnectionLimits limits,
@@ -101,11 +102,13 @@
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
 
-  // Starts the response to the current request; call once per request. With
-  // `close_after` the connection closes when the response is complete.
+  // Starts the response to the current request, with the first part of its
+  // body, which may be empty; call once per request. With `close_after` the
+  // connection closes when the response is complete.
   void StartResponse(const ResponseHead& head,
                      BodyFraming framing,
-                     bool close_after = false);
+                     bool close_after = false,
+                     std::string_view first_part = {});
   // Sends part of the body, framed as a chunk if the response is chunked.
   void WriteBody(std::string_view data);
   // Ends the response; the next request may then be read.
@@ -128,13 +131,13 @@
   // `close_after` with its response.
   void CloseWhenIdle();
 
-  bool is_open() const;
-  // Returns whether a request was delivered and its response is not complete.
-  bool is_busy() const;
   // Returns whether the caller has closed its side of the connection, also if
   // that was not read yet.
   bool has_caller_left() const;
 
+  bool is_open() const;
+  // Returns whether a request was delivered and its response is not complete.
+  bool is_busy() const;
   // Returns whether part of the next request has been parsed.
   bool has_partial_request() const;
   // Returns the number of written bytes that the socket has not accepted yet.
--- a/jackdawshunt/kernel/event_loop.cc
+++ b/jackdawshunt/kernel/event_loop.cc
@@ -60,10 +60,9 @@
 EventLoop::EventLoop() {
   // A write to a socket closed by the peer must not end the process.
   signal(SIGPIPE, SIG_IGN);
-  event_config* config = event_config_new();
-  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
-  base_ = event_base_new_with_config(config);
-  event_config_free(config);
+  // Not EVENT_BASE_FLAG_PRECISE_TIMER: it costs a system call in each iteration
+  // and gains only a few milliseconds of precision.
+  base_ = event_base_new();
   posted_event_ = event_new(
       base_, -1, 0,
       [](evutil_socket_t, short, void* self) {
