Look metrics up once, and build no log line that is dropped

Cause: prometheus-cpp finds a metric by a map of strings, four times a request, and a gateway beyond its log rate formatted each line before dropping it. Change: Metrics keeps its counters by label; LogLine asks the buffer first.

--- a/jackdawshunt/base/internal/log_writer.h
+++ b/jackdawshunt/base/internal/log_writer.h
@@ -9,6 +9,9 @@
 
 namespace jackdawshunt::base::internal {
 
+// Returns whether a line of `level` will be written. If only the rate limit
+// prevents it, the line counts as dropped and must not be built.
+bool WritesLine(LogLevel level);
 // Appends a JSON object with time, level, event and context, without the
 // closing brace.
 void BeginLine(LogLevel level, std::string_view event, std::string& out);
--- a/jackdawshunt/base/log.cc
+++ b/jackdawshunt/base/log.cc
@@ -52,6 +52,12 @@
 
 // Appends lines to the buffer, or writes them at once when there is no buffer.
 class OutputSink final : public spdlog::sinks::base_sink<std::mutex> {
+ public:
+  bool DropsNext() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return Buffer() != nullptr && Buffer()->DropsNext(NowMs());
+  }
+
  protected:
   void sink_it_(const spdlog::details::log_msg& message) override {
     const std::string_view text(message.payload.data(), message.payload.size());
@@ -69,10 +75,15 @@
   }
 };
 
+const std::shared_ptr<OutputSink>& Sink() {
+  static const std::shared_ptr<OutputSink> sink =
+      std::make_shared<OutputSink>();
+  return sink;
+}
+
 spdlog::logger& Logger() {
   static const std::shared_ptr<spdlog::logger> logger =
-      std::make_shared<spdlog::logger>("jackdawshunt",
-                                       std::make_shared<OutputSink>());
+      std::make_shared<spdlog::logger>("jackdawshunt", Sink());
   return *logger;
 }
 
@@ -155,6 +166,11 @@
 
 namespace internal {
 
+bool WritesLine(LogLevel level) {
+  return IsLogged(level) &&
+         (level >= LogLevel::kWarning || !Sink()->DropsNext());
+}
+
 void BeginLine(LogLevel level, std::string_view event, std::string& out) {
   out.reserve(512);
   out.append("{\"time\":\"");
--- a/jackdawshunt/base/log_buffer.cc
+++ b/jackdawshunt/base/log_buffer.cc
@@ -20,18 +20,27 @@
 
 }  // namespace
 
-bool LogBuffer::IsOverRate(int64_t now_ms) {
+bool LogBuffer::IsRateReached(int64_t now_ms) {
   const int64_t second = now_ms / 1000;
   if (second != second_) {
     second_ = second;
     lines_in_second_ = 0;
   }
   return limits_.lines_per_second > 0 &&
-         ++lines_in_second_ > limits_.lines_per_second;
+         lines_in_second_ >= limits_.lines_per_second;
+}
+
+bool LogBuffer::DropsNext(int64_t now_ms) {
+  if (!IsRateReached(now_ms)) {
+    return false;
+  }
+  ++dropped_;
+  return true;
 }
 
 void LogBuffer::Append(std::string_view line, bool is_urgent, int64_t now_ms) {
-  const bool is_over_rate = !is_urgent && IsOverRate(now_ms);
+  const bool is_over_rate = !is_urgent && IsRateReached(now_ms);
+  lines_in_second_ += is_urgent ? 0 : 1;
   if (is_over_rate || size() + line.size() > limits_.bytes) {
     ++dropped_;
     return;
--- a/jackdawshunt/base/log_buffer.h
+++ b/jackdawshunt/base/log_buffer.h
@@ -34,6 +34,9 @@
   // Adds a line, or drops it when a limit is exceeded. Urgent lines are exempt
   // from the rate limit. `now_ms` is the time in milliseconds.
   void Append(std::string_view line, bool is_urgent, int64_t now_ms);
+  // Returns whether a line that is not urgent would exceed the rate limit now,
+  // and if so counts it as dropped, so that the caller need not build it.
+  bool DropsNext(int64_t now_ms);
   // Writes as much as `fd` accepts without blocking.
   void Flush(int fd);
 
@@ -43,7 +46,9 @@
   uint64_t dropped() const { return dropped_; }
 
  private:
-  bool IsOverRate(int64_t now_ms);
+  // Starts a new second of the rate limit if needed. Returns whether the limit
+  // is reached.
+  bool IsRateReached(int64_t now_ms);
 
   const LogBufferLimits limits_;
   std::string lines_;
--- a/jackdawshunt/base/log_buffer_test.cc
+++ b/jackdawshunt/base/log_buffer_test.cc
@@ -41,6 +41,19 @@
   EXPECT_EQ(buffer.size(), 0u);
 }
 
+// Guards against lines that are formatted only to be dropped: an instance that
+// refuses most requests would spend processor time on them.
+TEST(LogBufferTest, KnowsThatNextLineIsDropped) {
+  LogBuffer buffer({.lines_per_second = 2});
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_FALSE(buffer.DropsNext(0));
+    buffer.Append("a\n", false, 0);
+  }
+  EXPECT_TRUE(buffer.DropsNext(0));
+  EXPECT_EQ(buffer.dropped(), 1u);
+  EXPECT_FALSE(buffer.DropsNext(1000));
+}
+
 // Guards against a reader that stops reading blocking the process or growing
 // its memory, and against lost lines that are not counted.
 TEST(LogBufferTest, DoesNotBlockOnStoppedReader) {
--- a/jackdawshunt/base/log_line.cc
+++ b/jackdawshunt/base/log_line.cc
@@ -54,7 +54,7 @@
 }
 
 LogLine::LogLine(LogLevel level, std::string_view event)
-    : level_(level), is_logged_(IsLogged(level)) {
+    : level_(level), is_logged_(internal::WritesLine(level)) {
   if (is_logged_) {
     internal::BeginLine(level, event, text_);
   }
--- a/jackdawshunt/gateway/metrics.cc
+++ b/jackdawshunt/gateway/metrics.cc
@@ -26,14 +26,16 @@
                     .Name("jackdawshunt_gateway_attempts_total")
                     .Help("Requests sent to upstreams, by outcome.")
                     .Register(registry)),
-      first_byte_(prometheus::BuildHistogram()
+      first_byte_{prometheus::BuildHistogram()
                       .Name("jackdawshunt_gateway_first_byte_seconds")
                       .Help("From the request to the first byte of its answer.")
-                      .Register(registry)),
-      total_(prometheus::BuildHistogram()
+                      .Register(registry),
+                  {}},
+      total_{prometheus::BuildHistogram()
                  .Name("jackdawshunt_gateway_answer_seconds")
                  .Help("From the request to the end of its answer.")
-                 .Register(registry)),
+                 .Register(registry),
+             {}},
       state_(prometheus::BuildGauge()
                  .Name("jackdawshunt_gateway_state")
                  .Help("What the process holds and believes.")
@@ -42,31 +44,43 @@
 void Metrics::CountAnswer(std::string_view route_kind,
                           int status,
                           std::string_view reason) {
-  answers_
-      .Add({{"kind", std::string(route_kind)},
-            {"status", std::to_string(status)},
-            {"reason", std::string(reason)}})
-      .Increment();
+  prometheus::Counter*& counter =
+      answer_counters_[{route_kind, status, reason}];
+  if (counter == nullptr) {
+    counter = &answers_.Add({{"kind", std::string(route_kind)},
+                             {"status", std::to_string(status)},
+                             {"reason", std::string(reason)}});
+  }
+  counter->Increment();
 }
 
 void Metrics::CountAttempt(std::string_view outcome) {
-  attempts_.Add({{"outcome", std::string(outcome)}}).Increment();
+  prometheus::Counter*& counter = attempt_counters_[outcome];
+  if (counter == nullptr) {
+    counter = &attempts_.Add({{"outcome", std::string(outcome)}});
+  }
+  counter->Increment();
 }
 
-prometheus::Histogram& Metrics::HistogramFor(
-    prometheus::Family<prometheus::Histogram>& family,
-    std::string_view route_kind) {
-  return family.Add({{"kind", std::string(route_kind)}}, LatencyBounds());
+void Metrics::Observe(LatencyMetric& metric,
+                      std::string_view route_kind,
+                      kernel::Duration latency) {
+  prometheus::Histogram*& histogram = metric.histograms[route_kind];
+  if (histogram == nullptr) {
+    histogram = &metric.family.Add({{"kind", std::string(route_kind)}},
+                                   LatencyBounds());
+  }
+  histogram->Observe(ToSeconds(latency));
 }
 
 void Metrics::ObserveFirstByte(std::string_view route_kind,
                                kernel::Duration latency) {
-  HistogramFor(first_byte_, route_kind).Observe(ToSeconds(latency));
+  Observe(first_byte_, route_kind, latency);
 }
 
 void Metrics::ObserveTotal(std::string_view route_kind,
                            kernel::Duration latency) {
-  HistogramFor(total_, route_kind).Observe(ToSeconds(latency));
+  Observe(total_, route_kind, latency);
 }
 
 void Metrics::SetGauge(const std::string& name, double value) {
--- a/jackdawshunt/gateway/metrics.h
+++ b/jackdawshunt/gateway/metrics.h
@@ -4,13 +4,19 @@
 //   gateway::Metrics metrics(server.registry());
 //   metrics.CountAnswer("stream", 200, "forwarded");
 //
+// Keeps the metric of each combination of labels, since prometheus-cpp looks
+// one up by building a map of strings. Names of kinds, reasons and outcomes
+// must outlive this object; they come from name tables.
+//
 // Not thread-safe.
 #ifndef JACKDAWSHUNT_GATEWAY_METRICS_H_
 #define JACKDAWSHUNT_GATEWAY_METRICS_H_
 
 #include <string>
 #include <string_view>
+#include <tuple>
 
+#include "absl/container/flat_hash_map.h"
 #include "jackdawshunt/kernel/clock.h"
 #include "prometheus/counter.h"
 #include "prometheus/family.h"
@@ -39,15 +45,27 @@
   void SetGauge(const std::string& name, double value);
 
  private:
-  prometheus::Histogram& HistogramFor(
-      prometheus::Family<prometheus::Histogram>& family,
-      std::string_view route_kind);
+  struct LatencyMetric {
+    prometheus::Family<prometheus::Histogram>& family;
+    // By the kind of route.
+    absl::flat_hash_map<std::string_view, prometheus::Histogram*> histograms;
+  };
+
+  static void Observe(LatencyMetric& metric,
+                      std::string_view route_kind,
+                      kernel::Duration latency);
 
   prometheus::Family<prometheus::Counter>& answers_;
   prometheus::Family<prometheus::Counter>& attempts_;
-  prometheus::Family<prometheus::Histogram>& first_byte_;
-  prometheus::Family<prometheus::Histogram>& total_;
+  LatencyMetric first_byte_;
+  LatencyMetric total_;
   prometheus::Family<prometheus::Gauge>& state_;
+  // By the kind of route, the status and the reason.
+  absl::flat_hash_map<std::tuple<std::string_view, int, std::string_view>,
+                      prometheus::Counter*>
+      answer_counters_;
+  // By the outcome.
+  absl::flat_hash_map<std::string_view, prometheus::Counter*> attempt_counters_;
 };
 
 }  // namespace jackdawshunt::gateway
