--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -46,7 +46,7 @@
 void Directory::Put(const Upstream& upstream, kernel::TimePoint /*now*/) {
   const auto [found, is_new] = entries_.try_emplace(upstream.id);
   Entry& entry = found->second;
-  entry.is_expired = false;
+  SetExpired(entry, false);
   Upstream updated = upstream;
   updated.hash = HashOf(updated.id);
   if (!is_new && entry.upstream == updated) {
@@ -62,6 +62,7 @@
     }
   }
   entry.upstream = std::move(updated);
+  ready_.clear();
   if (observer_) {
     observer_(entry.upstream, change);
   }
@@ -73,16 +74,25 @@
     return;
   }
   if (InGrace(now) && !entry->second.upstream.is_draining) {
-    entry->second.is_expired = true;
+    SetExpired(entry->second, true);
     return;
   }
   Erase(entry);
 }
 
+void Directory::SetExpired(Entry& entry, bool is_expired) {
+  if (entry.is_expired != is_expired) {
+    entry.is_expired = is_expired;
+    expired_entries_ += is_expired ? 1 : -1;
+  }
+}
+
 void Directory::Erase(
     std::map<std::string, Entry, std::less<>>::iterator entry) {
+  SetExpired(entry->second, false);
   const Upstream removed = std::move(entry->second.upstream);
   entries_.erase(entry);
+  ready_.clear();
   if (observer_) {
     observer_(removed, Change::kRemoved);
   }
@@ -97,7 +107,7 @@
 }
 
 void Directory::RemoveExpired(kernel::TimePoint now) {
-  if (InGrace(now)) {
+  if (expired_entries_ == 0 || InGrace(now)) {
     return;
   }
   for (auto entry = entries_.begin(); entry != entries_.end();) {
@@ -109,10 +119,14 @@
   }
 }
 
-std::vector<const Upstream*> Directory::Ready(std::string_view service,
-                                              kernel::TimePoint now) {
+const std::vector<const Upstream*>& Directory::Ready(std::string_view service,
+                                                     kernel::TimePoint now) {
   RemoveExpired(now);
-  std::vector<const Upstream*> ready;
+  const auto known = ready_.find(service);
+  if (known != ready_.end()) {
+    return known->second;
+  }
+  std::vector<const Upstream*>& ready = ready_[std::string(service)];
   for (const auto& [id, entry] : entries_) {
     if (entry.upstream.service == service && !entry.upstream.is_draining) {
       ready.push_back(&entry.upstream);
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -49,10 +49,11 @@
   // outage.
   void OnListOutageEnded(kernel::TimePoint now);
 
-  // Returns the upstreams of the service that may be sent new requests. The
-  // pointers are valid until the next change of the directory.
-  std::vector<const Upstream*> Ready(std::string_view service,
-                                     kernel::TimePoint now);
+  // Returns the upstreams of the service that may be sent new requests, in the
+  // order of their ids. Valid until the next change of the directory or call of
+  // this function.
+  const std::vector<const Upstream*>& Ready(std::string_view service,
+                                            kernel::TimePoint now);
   // Returns null when there is no such entry.
   const Upstream* Find(std::string_view id) const;
   size_t size() const { return entries_.size(); }
@@ -63,12 +64,16 @@
     bool is_expired = false;
   };
 
+  void SetExpired(Entry& entry, bool is_expired);
   void Erase(std::map<std::string, Entry, std::less<>>::iterator entry);
   void RemoveExpired(kernel::TimePoint now);
   bool InGrace(kernel::TimePoint now) const;
 
   const kernel::Duration return_grace_;
   std::map<std::string, Entry, std::less<>> entries_;
+  // Results of Ready() since the last change, by service.
+  std::map<std::string, std::vector<const Upstream*>, std::less<>> ready_;
+  size_t expired_entries_ = 0;
   kernel::TimePoint grace_ends_{};
   Observer observer_;
 };
