Group changes of the store for a quarter of the time they may take

Change: the next watch starts after a quarter of the drain time (upstreams) or of the configuration time, in place of 400 ms everywhere; a gateway counts as behind only 300 ms later than that.

--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -30,9 +30,12 @@
 constexpr int kExitUnavailable = 1;
 constexpr int kExitWrongSettings = 2;
 
-// Wait time sent with each watch. A watch that no longer delivers is detected
-// by comparison with the other gateways.
+// A watch that no longer delivers is detected by comparison with the other
+// gateways.
 constexpr std::chrono::milliseconds kWatchWait{25000};
+// Changes are grouped for this part of the time in which they must be in
+// effect.
+constexpr int kChangeGroupingDivisor = 4;
 // A gateway reads the configuration from the store when the reads reported by
 // the others are older than a random age from kMinReadAge to kMaxReadAge, which
 // is fixed per gateway. Few gateways are near the minimum, so that few read at
@@ -42,9 +45,9 @@
 constexpr kernel::Duration kMaxReadAge = std::chrono::milliseconds(2500);
 // Minimum time between reads that KeepCurrent() starts of the configuration.
 constexpr kernel::Duration kMinReadInterval = std::chrono::milliseconds(800);
-// If other gateways have had a newer revision for this time, the watch may have
-// failed.
-constexpr kernel::Duration kMaxTimeBehind = std::chrono::milliseconds(500);
+// If other gateways have had a newer revision for this time and the time in
+// which changes are grouped, the watch may have failed.
+constexpr kernel::Duration kMaxTimeBehind = std::chrono::milliseconds(300);
 constexpr kernel::Duration kKeepCurrentPeriod = std::chrono::milliseconds(100);
 // A shorter outage of the store starts no grace period, since no upstream's
 // record can have expired during it.
@@ -87,12 +90,16 @@
         configuration_(loop_,
                        settings_.store,
                        platform::RecordKind::kDesiredState,
-                       kWatchWait,
+                       {.watch_wait = kWatchWait,
+                        .change_grouping = settings_.promises.configuration /
+                                           kChangeGroupingDivisor},
                        ConfigurationCallbacks()),
         upstreams_(loop_,
                    settings_.store,
                    platform::RecordKind::kUpstream,
-                   kWatchWait,
+                   {.watch_wait = kWatchWait,
+                    .change_grouping =
+                        settings_.promises.drain / kChangeGroupingDivisor},
                    UpstreamCallbacks()) {}
 
   int Run() {
@@ -313,7 +320,9 @@
     }
     if (exchange_.fleet_upstreams_revision() <= upstreams_.revision()) {
       behind_since_ = now;
-    } else if (now - behind_since_ > kMaxTimeBehind) {
+    } else if (now - behind_since_ >
+               kMaxTimeBehind +
+                   settings_.promises.drain / kChangeGroupingDivisor) {
       behind_since_ = now;
       upstreams_.ReadNow();
     }
--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -14,20 +14,17 @@
 constexpr kernel::Duration kMaxRetryDelay = std::chrono::milliseconds(400);
 constexpr uint32_t kMaxDoublings = 3;
 constexpr std::chrono::milliseconds kNoWait{1};
-// Delay of the next watch after a change.
-constexpr kernel::Duration kChangeGroupingDelay =
-    std::chrono::milliseconds(400);
 
 }  // namespace
 
 RecordFollower::RecordFollower(kernel::EventLoop& loop,
                                const http::Address& store,
                                platform::RecordKind kind,
-                               std::chrono::milliseconds watch_wait,
+                               RecordFollowerTimes times,
                                RecordFollowerCallbacks callbacks)
     : loop_(loop),
       kind_(kind),
-      watch_wait_(watch_wait),
+      times_(times),
       callbacks_(std::move(callbacks)),
       source_(loop, store, kind),
       immediate_source_(loop, store, kind) {}
@@ -71,12 +68,11 @@
   ApplyRecords(is_list, *answer);
   callbacks_.on_current(sent);
   if (is_list || answer->records.empty()) {
-    Watch(watch_wait_);
+    Watch(times_.watch_wait);
   } else {
-    // Changes come in groups; after the delay one request returns several.
-    retry_timer_ = loop_.After(kChangeGroupingDelay, [this] {
+    retry_timer_ = loop_.After(times_.change_grouping, [this] {
       retry_timer_.Cancel();
-      Watch(watch_wait_);
+      Watch(times_.watch_wait);
     });
   }
 }
--- a/jackdawshunt/gateway/record_follower.h
+++ b/jackdawshunt/gateway/record_follower.h
@@ -35,14 +35,21 @@
   std::function<void(kernel::Duration gap)> on_reconnected;
 };
 
+struct RecordFollowerTimes {
+  // Time for which the store may hold a watch when there are no changes.
+  std::chrono::milliseconds watch_wait = std::chrono::seconds(25);
+  // Time from a change to the next watch. Changes come in groups, and each
+  // watch that returns is a call of every instance; the time must be short
+  // compared with the one in which a change has to be in effect.
+  kernel::Duration change_grouping = std::chrono::milliseconds(400);
+};
+
 class RecordFollower {
  public:
-  // `watch_wait` is the time for which the store may hold a watch when there
-  // are no changes.
   RecordFollower(kernel::EventLoop& loop,
                  const http::Address& store,
                  platform::RecordKind kind,
-                 std::chrono::milliseconds watch_wait,
+                 RecordFollowerTimes times,
                  RecordFollowerCallbacks callbacks);
   RecordFollower(const RecordFollower&) = delete;
   RecordFollower& operator=(const RecordFollower&) = delete;
@@ -79,7 +86,7 @@
 
   kernel::EventLoop& loop_;
   const platform::RecordKind kind_;
-  const std::chrono::milliseconds watch_wait_;
+  const RecordFollowerTimes times_;
   const RecordFollowerCallbacks callbacks_;
   kernel::BootClock boot_clock_;
   platform::RecordSource source_;            // Lists and watches.
