Let workspaces well below their share use further engines

The preferred engines of the first one's prompts were busier, so it was refused below its share. Change: after a refusal, a workspace below 0.6 of its share may query the next three engines; the accepted wait grows to 1.7 below half of the share, and falls to nothing at 1.3 of it in place of 1.4.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -79,7 +79,7 @@
   }
   if (const auto refusal =
           context_.router.RefuseWithoutQuery(request_, engines, Now())) {
-    ApplyDecision(*refusal);
+    ApplyOrQueryFurther(*refusal);
     return;
   }
   query_ = context_.boards.SendQueries(
@@ -91,7 +91,24 @@
 
 void Call::PlaceRequest(const std::vector<routing::BoardOffer>& offers) {
   query_.reset();
-  ApplyDecision(context_.router.Choose(request_, offers, Now()));
+  ApplyOrQueryFurther(context_.router.Choose(request_, offers, Now()));
+}
+
+void Call::ApplyOrQueryFurther(const routing::Decision& decision) {
+  std::vector<routing::Upstream> further;
+  if (!has_queried_further_) {
+    further = context_.router.FurtherEnginesToQuery(request_, decision, Now());
+  }
+  if (further.empty()) {
+    ApplyDecision(decision);
+    return;
+  }
+  has_queried_further_ = true;
+  query_ = context_.boards.SendQueries(
+      further, request_,
+      [this](const std::vector<routing::BoardOffer>& offers) {
+        PlaceRequest(offers);
+      });
 }
 
 void Call::ApplyDecision(const routing::Decision& decision) {
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -93,6 +93,9 @@
   void StartAttempt();
   // Lets the router choose an upstream and applies its decision.
   void PlaceRequest(const std::vector<routing::BoardOffer>& offers);
+  // Applies the decision unless it is a refusal and the request may use further
+  // engines, whose boards it then queries.
+  void ApplyOrQueryFurther(const routing::Decision& decision);
   // Sends, refuses or fails the request.
   void ApplyDecision(const routing::Decision& decision);
   void SendAttempt(const routing::Decision& decision);
@@ -147,6 +150,7 @@
 
   // The current attempt.
   BoardClient::QueryHandle query_;
+  bool has_queried_further_ = false;
   bool is_engine_attempt_ = false;
   UpstreamPool::Connection connection_;
   routing::Upstream upstream_;
--- a/jackdawshunt/routing/admission.cc
+++ b/jackdawshunt/routing/admission.cc
@@ -16,9 +16,9 @@
   double below;  // Upper bound of the used share, exclusive.
   double factor;
 };
-constexpr std::array kShareSteps = {ShareStep{0.85, 1.4}, ShareStep{1.0, 1.0},
-                                    ShareStep{1.1, 0.5}, ShareStep{1.2, 0.25},
-                                    ShareStep{1.4, 0.1}};
+constexpr std::array kShareSteps = {ShareStep{0.5, 1.7},  ShareStep{0.85, 1.4},
+                                    ShareStep{1.0, 1.0},  ShareStep{1.1, 0.5},
+                                    ShareStep{1.2, 0.25}, ShareStep{1.3, 0.1}};
 constexpr double kFarBeyondShareFactor = 0;
 // Idle time required for each share used, up to the maximum.
 constexpr kernel::Duration kIdleTimePerShare = std::chrono::milliseconds(60);
--- a/jackdawshunt/routing/admission.h
+++ b/jackdawshunt/routing/admission.h
@@ -60,10 +60,11 @@
   kernel::Duration retry_after{};  // Set only for a refusal.
 };
 
-// Returns the factor applied to the accepted wait: 1.4 for a workspace well
-// below its fair share, 1 near its share or when `share_used` is 0, and less
-// beyond it, down to 0 far beyond it. At 0 a request is admitted only if the
-// engine has been idle for RequiredIdleTime() and the fleet has spare capacity.
+// Returns the factor applied to the accepted wait: up to 1.7 for a workspace
+// well below its fair share, 1 near its share or when `share_used` is 0, and
+// less beyond it, down to 0 far beyond it. At 0 a request is admitted only if
+// the engine has been idle for RequiredIdleTime() and the fleet has spare
+// capacity.
 double ShareFactor(double share_used);
 
 // Returns how long an engine must have been idle before a workspace far beyond
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -33,6 +33,8 @@
 // ones for its shared prefix. Other engines would have to prefill the prefix
 // again, and later requests would not find it cached there.
 constexpr size_t kQueriedEngines = 3;
+// Below this used share a workspace may also use the next kQueriedEngines.
+constexpr double kMaxShareForFurtherEngines = 0.6;
 
 // Returns the key of the longest shared prefix, which determines the preferred
 // engines; a prompt without one prefers engines by the hash of its request.
@@ -223,21 +225,40 @@
 std::vector<Upstream> Router::EnginesToQuery(RoutedRequest& request,
                                              kernel::TimePoint now) {
   const std::vector<const Upstream*> candidates = Candidates(request, now);
-  std::vector<Upstream> engines;
   if (!IsForEngine(request, candidates)) {
-    return engines;
+    return {};
   }
   request.engine_tokens_per_s = EngineTokensPerSecond(candidates.size());
-  for (const Upstream* upstream :
-       HighestWeights(candidates, kQueriedEngines,
-                      [key = AffinityKey(request)](const Upstream& candidate) {
-                        return RendezvousWeight(key, candidate.hash);
-                      })) {
-    engines.push_back(*upstream);
+  return PreferredEngines(request, candidates, 0);
+}
+
+std::vector<Upstream> Router::PreferredEngines(
+    const RoutedRequest& request,
+    const std::vector<const Upstream*>& candidates,
+    size_t first) {
+  const std::vector<const Upstream*> preferred =
+      HighestWeights(candidates, first + kQueriedEngines,
+                     [key = AffinityKey(request)](const Upstream& candidate) {
+                       return RendezvousWeight(key, candidate.hash);
+                     });
+  std::vector<Upstream> engines;
+  for (size_t i = first; i < preferred.size(); ++i) {
+    engines.push_back(*preferred[i]);
   }
   return engines;
 }
 
+std::vector<Upstream> Router::FurtherEnginesToQuery(
+    const RoutedRequest& request,
+    const Decision& refusal,
+    kernel::TimePoint now) {
+  if (refusal.verdict != Verdict::kRefuse || refusal.share_used <= 0 ||
+      refusal.share_used >= kMaxShareForFurtherEngines) {
+    return {};
+  }
+  return PreferredEngines(request, Candidates(request, now), kQueriedEngines);
+}
+
 std::optional<Decision> Router::RefuseWithoutQuery(
     const RoutedRequest& request,
     const std::vector<Upstream>& engines,
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -127,6 +127,14 @@
   // `request.engine_tokens_per_s`. Returns an empty list for plain services.
   std::vector<Upstream> EnginesToQuery(RoutedRequest& request,
                                        kernel::TimePoint now);
+  // Returns the engines that follow those of EnginesToQuery(), if the request
+  // may also be placed there after `refusal` by the first ones: its workspace
+  // must be well below its fair share. Other engines have to prefill the shared
+  // prefix again. Answers the load in which the preferred engines of one
+  // workspace's prompts are busier than those of another's.
+  std::vector<Upstream> FurtherEnginesToQuery(const RoutedRequest& request,
+                                              const Decision& refusal,
+                                              kernel::TimePoint now);
   // Returns a refusal if none of `engines`, the result of EnginesToQuery(),
   // would admit the request whatever its board replies: because of its
   // workspace's share, or because of the boards' recent replies to other
@@ -197,6 +205,12 @@
   // Returns the throughput that one of `engines` engines can sustain, from the
   // fleet's stated throughput; 0 if none is stated.
   double EngineTokensPerSecond(size_t engines) const;
+  // Returns kQueriedEngines of `candidates`, after the `first` most preferred
+  // ones for the prompt's shared prefix.
+  static std::vector<Upstream> PreferredEngines(
+      const RoutedRequest& request,
+      const std::vector<const Upstream*>& candidates,
+      size_t first);
   // Returns the upstreams of the request's service that it has not tried.
   // Excludes those to be avoided, unless they are more than two thirds.
   std::vector<const Upstream*> Candidates(const RoutedRequest& request,
