Follow a store that is restored from an older copy

After a drill the store has lost its latest changes, gives their revisions out again and raises the header Store-Era. The header was not read; a watch from an old revision skipped changes without a 410, the highest revision of the fleet made gateways wait for one that was gone, a read of the older copy looked current although a revocation was lost, and the copy's entries brought draining and removed upstreams back. Change: a revision is a pair of era and revision (routing::StoreRevision), decoded in platform/, compared era first and carried in the datagrams. StoreCursor decides whether an answer is applied, dropped or answered by a new list. After a restoration reads count for API keys only once the configuration was written again, or after the revocation time; a configuration never goes back to an older version, and a read counts only if no gateway knows a newer one. Directory keeps draining upstreams draining, adds removed ones only when they write or stay, and keeps entries that the copy lacks for the grace period. The first follower that sees an era lets the other read at once. Gauge store_era; log lines store_restored and store_answer_of_earlier_era.

--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -189,8 +189,7 @@
     gateway.next_update = now_ + gateway.shares.ReportPeriod(now_);
     const auto reply = board_.Handle(
         ShareUpdate{
-            .gateway =
-                1 + static_cast<uint64_t>(&gateway - gateways_.data()),
+            .gateway = 1 + static_cast<uint64_t>(&gateway - gateways_.data()),
             .sequence = ++gateway.sequence,
             .reports = gateway.shares.TakeReport()},
         now_);
@@ -234,19 +233,31 @@
   EXPECT_EQ(totals.board, 42u);
 }
 
+// Guards against a fleet that waits for a revision which the store lost when it
+// was restored from an older copy.
+TEST_F(BoardTest, RevisionOfLaterEraReplacesHigherRevision) {
+  Update(1, 1, 0, {.upstreams_revision = {.era = 1, .revision = 900}});
+  Update(2, 1, 0, {.upstreams_revision = {.era = 2, .revision = 300}});
+  const routing::StoreRevision expected{.era = 2, .revision = 300};
+  EXPECT_EQ(Update(3, 1, 0).store.upstreams_revision, expected);
+  Update(1, 2, 0, {.upstreams_revision = {.era = 1, .revision = 950}});
+  EXPECT_EQ(Update(3, 2, 0).store.upstreams_revision, expected);
+}
+
 TEST(MessagesTest, EncodeThenDecodeKeepsFields) {
   const ShareTotals totals{
       .sequence = 3,
       .gateways = 4,
       .board = 5,
       .board_time_us = 6,
-      .store = {.upstreams_revision = 7,
+      .store = {.upstreams_revision = {.era = 2, .revision = 7},
                 .configuration_version = 8,
                 .current_as_of_us = 9},
       .reports = {{10, {.requested = 11, .admitted = -12}}}};
   const auto decoded = Decode(Encode(totals));
   ASSERT_TRUE(decoded.ok());
   const auto& copy = std::get<ShareTotals>(*decoded);
+  EXPECT_EQ(copy.store.upstreams_revision, totals.store.upstreams_revision);
   EXPECT_EQ(copy.store.current_as_of_us, 9u);
   EXPECT_EQ(copy.reports[0].count.admitted, -12);
 }
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -68,7 +68,8 @@
         .Add(engine.sustained_tokens_per_s);
   }
   FieldWriter& Add(const StoreState& store) {
-    return Add(store.upstreams_revision)
+    return Add(store.upstreams_revision.era)
+        .Add(store.upstreams_revision.revision)
         .Add(store.configuration_version)
         .Add(store.current_as_of_us);
   }
@@ -123,7 +124,7 @@
 }
 
 void Write(const ShareUpdate& update, std::string& out) {
-  FieldWriter(MessageType::kShareUpdate, 7, out)
+  FieldWriter(MessageType::kShareUpdate, 8, out)
       .Add(update.gateway)
       .Add(update.sequence)
       .AddBoolean(update.wants_totals)
@@ -132,7 +133,7 @@
 }
 
 void Write(const ShareTotals& totals, std::string& out) {
-  FieldWriter(MessageType::kShareTotals, 8, out)
+  FieldWriter(MessageType::kShareTotals, 9, out)
       .Add(totals.sequence)
       .Add(uint64_t{totals.gateways})
       .Add(totals.board)
@@ -246,7 +247,8 @@
 
   StoreState ReadStoreState() {
     StoreState store;
-    store.upstreams_revision = ReadUnsigned();
+    store.upstreams_revision.era = ReadUnsigned();
+    store.upstreams_revision.revision = ReadUnsigned();
     store.configuration_version = ReadUnsigned();
     store.current_as_of_us = ReadUnsigned();
     return store;
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -21,6 +21,7 @@
 #include "jackdawshunt/routing/engine_estimate.h"
 #include "jackdawshunt/routing/fair_share.h"
 #include "jackdawshunt/routing/prompt.h"
+#include "jackdawshunt/routing/store_cursor.h"
 
 namespace jackdawshunt::board {
 
@@ -71,8 +72,8 @@
 // so that neither clock differences nor delayed datagrams make a read look
 // newer than it is.
 struct StoreState {
-  uint64_t upstreams_revision = 0;     // Revision of their latest change.
-  uint64_t configuration_version = 0;  // Newest known version.
+  routing::StoreRevision upstreams_revision;  // Of their latest change.
+  uint64_t configuration_version = 0;         // Newest known version.
   // Latest time at which configuration_version was known to be the newest one;
   // 0 if unknown.
   uint64_t current_as_of_us = 0;
--- a/jackdawshunt/gateway/fleet_exchange.cc
+++ b/jackdawshunt/gateway/fleet_exchange.cc
@@ -24,7 +24,8 @@
       freshness_(freshness),
       incarnation_(routing::HashOf(base::NewRequestId())) {}
 
-void FleetExchange::Start(std::function<uint64_t()> upstreams_revision) {
+void FleetExchange::Start(
+    std::function<routing::StoreRevision()> upstreams_revision) {
   upstreams_revision_ = std::move(upstreams_revision);
   boards_.SetTotalsCallback(
       [this](const std::string& ip, const board::ShareTotals& totals) {
--- a/jackdawshunt/gateway/fleet_exchange.h
+++ b/jackdawshunt/gateway/fleet_exchange.h
@@ -38,12 +38,12 @@
 
   // Starts the periodic updates. `upstreams_revision` returns the store's
   // revision of the latest change of upstreams that this gateway has read.
-  void Start(std::function<uint64_t()> upstreams_revision);
+  void Start(std::function<routing::StoreRevision()> upstreams_revision);
 
   // Returns the number of gateways, this one included; 0 if unknown.
   uint32_t gateways() const { return gateways_; }
   // Returns the newest revision of upstreams that any gateway has reported.
-  uint64_t fleet_upstreams_revision() const {
+  routing::StoreRevision fleet_upstreams_revision() const {
     return fleet_upstreams_revision_;
   }
   // Returns the newest configuration version that any gateway has reported.
@@ -72,7 +72,7 @@
   BoardClient& boards_;
   routing::KeyFreshness& freshness_;
   const kernel::BootClock boot_clock_;
-  std::function<uint64_t()> upstreams_revision_;
+  std::function<routing::StoreRevision()> upstreams_revision_;
   kernel::Timer timer_;
   std::unordered_map<std::string, BoardClock> clocks_;  // By the board's IP.
   const uint64_t incarnation_;
@@ -83,7 +83,7 @@
   // Sequence of the last reply whose totals were merged.
   uint64_t merged_sequence_ = 0;
   uint32_t gateways_ = 0;
-  uint64_t fleet_upstreams_revision_ = 0;
+  routing::StoreRevision fleet_upstreams_revision_;
   uint64_t fleet_configuration_version_ = 0;
 };
 
--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -177,17 +177,44 @@
         }
       }
     };
-    return {.on_list = apply,
-            .on_change = apply,
+    return {.on_list =
+                [this, apply](const std::vector<platform::Record>& records,
+                              bool is_restored) {
+                  if (is_restored) {
+                    freshness_.OnStoreRestored(kernel::BootClock().Now());
+                  }
+                  apply(records);
+                },
+            .on_change =
+                [this, apply](const std::vector<platform::Record>& records) {
+                  apply(records);
+                  if (WroteActiveConfiguration(records)) {
+                    freshness_.OnConfigurationWritten();
+                  }
+                },
             .on_current =
                 [this](kernel::TimePoint as_of) {
-                  if (router_.table() != nullptr) {
-                    freshness_.RecordCurrentAt(as_of);
+                  if (router_.table() != nullptr &&
+                      router_.table()->version() >=
+                          exchange_.fleet_configuration_version()) {
+                    freshness_.RecordReadAt(as_of);
                   }
                 },
             .on_reconnected = [](kernel::Duration) {}};
   }
 
+  // Returns whether `records` contain the active configuration or a newer one,
+  // after they were applied.
+  bool WroteActiveConfiguration(
+      const std::vector<platform::Record>& records) const {
+    return std::any_of(
+        records.begin(), records.end(), [this](const platform::Record& record) {
+          const auto* state = std::get_if<routing::DesiredState>(&record.value);
+          return state != nullptr &&
+                 state->version >= router_.table()->version();
+        });
+  }
+
   void ApplyDesiredState(const routing::DesiredState& state) {
     const bool is_newer = router_.SetDesiredState(state);
     base::Log(base::LogLevel::kInfo,
@@ -200,7 +227,8 @@
 
   RecordFollowerCallbacks UpstreamCallbacks() {
     return {.on_list =
-                [this](const std::vector<platform::Record>& records) {
+                [this](const std::vector<platform::Record>& records,
+                       bool is_restored) {
                   std::vector<routing::Upstream> all;
                   for (const platform::Record& record : records) {
                     if (const auto* upstream =
@@ -208,7 +236,8 @@
                       all.push_back(*upstream);
                     }
                   }
-                  router_.directory().Replace(all, loop_.clock().Now());
+                  router_.directory().Replace(all, loop_.clock().Now(),
+                                              is_restored);
                   has_upstreams_ = true;
                 },
             .on_change =
@@ -286,6 +315,8 @@
                       static_cast<double>(boards_.queries_unanswered()));
     metrics_.SetGauge("lag_seconds",
                       std::chrono::duration<double>(overload_.lag()).count());
+    metrics_.SetGauge("store_era",
+                      static_cast<double>(upstreams_.revision().era));
     metrics_.SetGauge("upstreams",
                       static_cast<double>(router_.directory().size()));
   }
@@ -318,6 +349,7 @@
       last_read_ = now;
       configuration_.ReadNow();
     }
+    ReadAfterRestoration();
     if (exchange_.fleet_upstreams_revision() <= upstreams_.revision()) {
       behind_since_ = now;
     } else if (now - behind_since_ >
@@ -328,6 +360,18 @@
     }
   }
 
+  // Lets the follower that has not seen the store's current era read at once.
+  void ReadAfterRestoration() {
+    const uint64_t newest_era =
+        std::max({configuration_.revision().era, upstreams_.revision().era,
+                  exchange_.fleet_upstreams_revision().era});
+    for (RecordFollower* const follower : {&configuration_, &upstreams_}) {
+      if (follower->revision().era < newest_era) {
+        follower->ReadNow();
+      }
+    }
+  }
+
   // Applies only the seeds, since addresses and limits are fixed while the
   // process runs.
   void ReloadSettings(std::string_view trigger) {
--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -41,7 +41,7 @@
 }
 
 void RecordFollower::Watch(std::chrono::milliseconds wait) {
-  source_.Watch(revision_, wait,
+  source_.Watch(cursor_.position(), wait,
                 [this, sent = boot_clock_.Now()](
                     const absl::StatusOr<platform::RecordList>& answer) {
                   OnAnswer(false, sent, answer);
@@ -65,8 +65,17 @@
     consecutive_failures_ = 0;
     callbacks_.on_reconnected(now - unavailable_since_);
   }
-  ApplyRecords(is_list, *answer);
-  callbacks_.on_current(sent);
+  switch (ApplyRecords(is_list, *answer)) {
+    case routing::AnswerUse::kApply:
+      callbacks_.on_current(sent);
+      break;
+    case routing::AnswerUse::kListAgain:
+      List();
+      return;
+    case routing::AnswerUse::kDrop:
+      OnFailure(absl::UnavailableError("an answer of an earlier era"));
+      return;
+  }
   if (is_list || answer->records.empty()) {
     Watch(times_.watch_wait);
   } else {
@@ -77,26 +86,44 @@
   }
 }
 
-void RecordFollower::ApplyRecords(bool is_list,
-                                  const platform::RecordList& list) {
-  revision_ = std::max(revision_, list.revision);
+routing::AnswerUse RecordFollower::ApplyRecords(
+    bool is_list,
+    const platform::RecordList& list) {
+  const routing::StoreRevision before = cursor_.position();
+  const routing::AnswerUse use =
+      is_list ? cursor_.OnList(list.revision) : cursor_.OnWatch(list.revision);
+  if (use != routing::AnswerUse::kApply || (is_list && cursor_.is_restored())) {
+    base::Log(base::LogLevel::kWarning,
+              use == routing::AnswerUse::kDrop ? "store_answer_of_earlier_era"
+                                               : "store_restored",
+              {{"records", platform::RecordKindName(kind_)},
+               {"era", list.revision.era},
+               {"revision", list.revision.revision},
+               {"known_era", before.era},
+               {"known_revision", before.revision},
+               {"lists_again", use == routing::AnswerUse::kListAgain}});
+  }
+  if (use != routing::AnswerUse::kApply) {
+    return use;
+  }
   if (is_list || !list.records.empty()) {
-    changed_revision_ = revision_;
+    changed_revision_ = cursor_.position();
   }
   if (is_list) {
-    callbacks_.on_list(list.records);
+    callbacks_.on_list(list.records, cursor_.is_restored());
   } else if (!list.records.empty()) {
     callbacks_.on_change(list.records);
   }
+  return use;
 }
 
 void RecordFollower::ReadNow() {
-  if (revision_ == 0 || is_reading_now_) {
+  if (!cursor_.has_list() || is_reading_now_) {
     return;
   }
   is_reading_now_ = true;
   immediate_source_.Watch(
-      revision_, kNoWait,
+      cursor_.position(), kNoWait,
       [this, sent = boot_clock_.Now()](
           const absl::StatusOr<platform::RecordList>& answer) {
         OnReadNow(sent, answer);
@@ -108,8 +135,17 @@
     const absl::StatusOr<platform::RecordList>& answer) {
   is_reading_now_ = false;
   if (answer.ok()) {
-    ApplyRecords(/*is_list=*/false, *answer);
-    callbacks_.on_current(sent);
+    switch (ApplyRecords(/*is_list=*/false, *answer)) {
+      case routing::AnswerUse::kApply:
+        callbacks_.on_current(sent);
+        break;
+      case routing::AnswerUse::kListAgain:
+        retry_timer_.Cancel();
+        List();
+        return;
+      case routing::AnswerUse::kDrop:
+        return;
+    }
     if (answer->records.empty()) {
       return;
     }
@@ -135,14 +171,14 @@
   if (consecutive_failures_ == 1 || absl::IsOutOfRange(status)) {
     base::Log(base::LogLevel::kWarning, "store_lost",
               {{"records", platform::RecordKindName(kind_)},
-               {"revision", revision_},
+               {"era", cursor_.position().era},
+               {"revision", cursor_.position().revision},
                {"error", std::string(status.message())}});
   }
-  const bool needs_list = revision_ == 0 || absl::IsOutOfRange(status) ||
-                          absl::IsInvalidArgument(status);
-  if (absl::IsOutOfRange(status)) {
-    revision_ = 0;
+  if (absl::IsOutOfRange(status) || absl::IsInvalidArgument(status)) {
+    cursor_.RequireList();
   }
+  const bool needs_list = !cursor_.has_list();
   const kernel::Duration delay =
       consecutive_failures_ == 1
           ? kernel::Duration::zero()
--- a/jackdawshunt/gateway/record_follower.h
+++ b/jackdawshunt/gateway/record_follower.h
@@ -8,7 +8,8 @@
 //
 // After a failure the follower retries at once, then at growing intervals,
 // always over a new connection. If the store no longer has the history since
-// the last revision, the follower lists again. Not thread-safe.
+// the last revision, or was restored from an older copy, the follower lists
+// again. Not thread-safe.
 #ifndef JACKDAWSHUNT_GATEWAY_RECORD_FOLLOWER_H_
 #define JACKDAWSHUNT_GATEWAY_RECORD_FOLLOWER_H_
 
@@ -23,8 +24,10 @@
 namespace jackdawshunt::gateway {
 
 struct RecordFollowerCallbacks {
-  // Receives all records of the kind.
-  std::function<void(const std::vector<platform::Record>&)> on_list;
+  // Receives all records of the kind. `is_restored` tells that it is the first
+  // list after the store was restored from an older copy.
+  std::function<void(const std::vector<platform::Record>&, bool is_restored)>
+      on_list;
   // Receives the records that changed since the last call.
   std::function<void(const std::vector<platform::Record>&)> on_change;
   // Called when the records reported so far were current at `as_of`, a time of
@@ -63,12 +66,12 @@
 
   // Returns whether a list was received and the last list or watch succeeded.
   bool is_connected() const {
-    return consecutive_failures_ == 0 && revision_ != 0;
+    return consecutive_failures_ == 0 && cursor_.has_list();
   }
   // Returns the store's revision up to which all changes have been received.
-  uint64_t revision() const { return revision_; }
+  routing::StoreRevision revision() const { return cursor_.position(); }
   // Returns the revision of the last answer that brought changes.
-  uint64_t changed_revision() const { return changed_revision_; }
+  routing::StoreRevision changed_revision() const { return changed_revision_; }
   // Returns the number of requests sent to the store.
   uint64_t calls() const { return source_.calls() + immediate_source_.calls(); }
 
@@ -80,8 +83,10 @@
                 const absl::StatusOr<platform::RecordList>& answer);
   void OnReadNow(kernel::TimePoint sent,
                  const absl::StatusOr<platform::RecordList>& answer);
-  // Reports the records of a list or a watch and advances the revision.
-  void ApplyRecords(bool is_list, const platform::RecordList& list);
+  // Reports the records of a list or a watch and advances the revision, or
+  // returns why the answer cannot be applied.
+  routing::AnswerUse ApplyRecords(bool is_list,
+                                  const platform::RecordList& list);
   void OnFailure(const absl::Status& status);
 
   kernel::EventLoop& loop_;
@@ -93,8 +98,8 @@
   platform::RecordSource immediate_source_;  // Requests without a wait.
   bool is_reading_now_ = false;
   kernel::Timer retry_timer_;
-  uint64_t revision_ = 0;  // 0 before the first list.
-  uint64_t changed_revision_ = 0;
+  routing::StoreCursor cursor_;
+  routing::StoreRevision changed_revision_;
   uint32_t consecutive_failures_ = 0;  // Since the last answer.
   kernel::TimePoint unavailable_since_{};
 };
--- a/jackdawshunt/platform/record_source.cc
+++ b/jackdawshunt/platform/record_source.cc
@@ -53,6 +53,7 @@
   bool MatchesRequest(const http1::ResponseHead&) override { return true; }
   void OnHead(const http1::ResponseHead& head) override {
     status = head.status;
+    era = DecodeStoreEra(head);
   }
   void OnBody(std::string_view data) override {
     if (body.size() + data.size() <= kMaxAnswerBytes) {
@@ -66,7 +67,11 @@
       Finish(absl::UnavailableError(
           absl::StrCat("the store answered HTTP ", status)));
     } else {
-      Finish(decoder(kind, body));
+      auto list = decoder(kind, body);
+      if (list.ok()) {
+        list->revision.era = era;
+      }
+      Finish(std::move(list));
     }
   }
   void OnLost(http1::Loss loss) override {
@@ -100,9 +105,14 @@
            }
            // A watch from the first page's revision also returns the changes
            // made while later pages were read.
-           if (collected.revision == 0) {
+           if (collected.revision == routing::StoreRevision()) {
              collected.revision = page->revision;
            }
+           if (collected.revision.era != page->revision.era) {
+             then(absl::UnavailableError(
+                 "the store was restored between two pages of a list"));
+             return;
+           }
            const std::string last =
                page->records.empty() ? "" : page->records.back().name;
            std::move(page->records.begin(), page->records.end(),
@@ -124,6 +134,7 @@
   Callback done;
   std::string body;
   int status = 0;
+  uint64_t era = 0;  // Of the current answer.
   uint64_t calls = 0;
 };
 
@@ -137,11 +148,11 @@
   impl_->ListPages({}, {}, std::move(done));
 }
 
-void RecordSource::Watch(uint64_t revision,
+void RecordSource::Watch(routing::StoreRevision revision,
                          std::chrono::milliseconds wait,
                          Callback done) {
-  impl_->Call(WatchPath(impl_->kind, revision, wait), wait, &DecodeWatch,
-              std::move(done));
+  impl_->Call(WatchPath(impl_->kind, revision.revision, wait), wait,
+              &DecodeWatch, std::move(done));
 }
 
 uint64_t RecordSource::calls() const {
--- a/jackdawshunt/platform/record_source.h
+++ b/jackdawshunt/platform/record_source.h
@@ -44,8 +44,11 @@
   // Calls `done` with all records, read page by page.
   void List(Callback done);
   // Calls `done` with the changes after `revision`. The store waits up to
-  // `wait` for the first one.
-  void Watch(uint64_t revision, std::chrono::milliseconds wait, Callback done);
+  // `wait` for the first one. If the answer has a later era than `revision`,
+  // the store was restored and the changes are incomplete.
+  void Watch(routing::StoreRevision revision,
+             std::chrono::milliseconds wait,
+             Callback done);
 
   // Returns the number of calls sent to the store; each page of a list is one.
   uint64_t calls() const;
--- a/jackdawshunt/platform/records.cc
+++ b/jackdawshunt/platform/records.cc
@@ -1,6 +1,7 @@
 #include "jackdawshunt/platform/records.h"
 
 #include <array>
+#include <charconv>
 #include <cmath>
 #include <optional>
 #include <utility>
@@ -16,6 +17,7 @@
 
 // The configuration is the object of this name; others of its kind are ignored.
 constexpr char kDesiredStateName[] = "main";
+constexpr char kStoreEra[] = "Store-Era";
 
 struct KindRow {
   std::string_view name;       // In log lines.
@@ -379,7 +381,7 @@
   }
   ObjectReader reader(*parsed);
   RecordList list;
-  list.revision = reader.RequiredUnsigned("storeRevision");
+  list.revision.revision = reader.RequiredUnsigned("storeRevision");
   list.has_more = format.has_pages && reader.Boolean("hasMore");
   const json* entries = reader.Array(format.array);
   if (entries == nullptr) {
@@ -456,6 +458,21 @@
   return DecodeAnswer(kind, body, kWatchFormat);
 }
 
+uint64_t DecodeStoreEra(const http1::ResponseHead& head) {
+  const std::string_view text = http::FindHeader(head.headers, kStoreEra);
+  uint64_t era = 0;
+  const auto result =
+      std::from_chars(text.data(), text.data() + text.size(), era);
+  if (result.ec != std::errc() || result.ptr != text.data() + text.size()) {
+    if (!text.empty()) {
+      base::Log(base::LogLevel::kWarning, "store_era_unreadable",
+                {{"value", std::string(text)}});
+    }
+    return 0;
+  }
+  return era;
+}
+
 std::string ListPath(RecordKind kind, std::string_view after) {
   std::string path = absl::StrCat("/jackdawshunt/objects/",
                                   std::string(RowFor(kind).wire_name));
--- a/jackdawshunt/platform/records.h
+++ b/jackdawshunt/platform/records.h
@@ -17,7 +17,9 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "jackdawshunt/http1/message.h"
 #include "jackdawshunt/routing/desired_state.h"
+#include "jackdawshunt/routing/store_cursor.h"
 #include "jackdawshunt/routing/upstream.h"
 #include "nlohmann/json.hpp"
 
@@ -38,9 +40,9 @@
 };
 
 struct RecordList {
-  std::vector<Record> records;  // After a watch, only the changed ones.
-  uint64_t revision = 0;        // Revision of the store to watch from.
-  bool has_more = false;        // Whether a list has further pages.
+  std::vector<Record> records;      // After a watch, only the changed ones.
+  routing::StoreRevision revision;  // Of the store, to watch from.
+  bool has_more = false;            // Whether a list has further pages.
 };
 
 // Decode the "specification" of one record. Error: InvalidArgument, which names
@@ -57,6 +59,10 @@
 absl::StatusOr<RecordList> DecodeList(RecordKind kind, std::string_view body);
 absl::StatusOr<RecordList> DecodeWatch(RecordKind kind, std::string_view body);
 
+// Returns the store's era, which each of its answers states: the number of its
+// restorations from an older copy. Returns 0 if the answer does not state it.
+uint64_t DecodeStoreEra(const http1::ResponseHead& head);
+
 // Returns the path that lists records, starting after the name `after`.
 std::string ListPath(RecordKind kind, std::string_view after);
 // Returns the path that watches for changes after `revision`, for up to `wait`.
--- a/jackdawshunt/platform/records_test.cc
+++ b/jackdawshunt/platform/records_test.cc
@@ -26,7 +26,7 @@
   const auto list =
       DecodeList(RecordKind::kUpstream, ListOf(Item("i-1", kServer)));
   ASSERT_TRUE(list.ok());
-  EXPECT_EQ(list->revision, 530u);
+  EXPECT_EQ(list->revision.revision, 530u);
   ASSERT_EQ(list->records.size(), 1u);
   const auto* upstream =
       std::get_if<routing::Upstream>(&list->records[0].value);
@@ -79,7 +79,7 @@
                       Item("i-1", kServer) + R"(},{"removed":false,"object":)" +
                       Item("i-2", kServer) + R"(}],"storeRevision":533})");
   ASSERT_TRUE(changes.ok());
-  EXPECT_EQ(changes->revision, 533u);
+  EXPECT_EQ(changes->revision.revision, 533u);
   ASSERT_EQ(changes->records.size(), 2u);
   EXPECT_TRUE(std::holds_alternative<Absent>(changes->records[0].value));
   EXPECT_EQ(changes->records[1].name, "i-2");
--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -9,6 +9,10 @@
 namespace jackdawshunt::routing {
 namespace {
 
+// A store is restored from a copy that is some seconds old, so entries removed
+// earlier than this cannot come back.
+constexpr kernel::Duration kRemovalMemory = std::chrono::seconds(60);
+
 constexpr std::array<std::string_view, 5> kChangeNames = {
     "added", "updated", "restarted", "draining", "removed"};
 
@@ -26,12 +30,24 @@
 }
 
 void Directory::Replace(const std::vector<Upstream>& upstreams,
-                        kernel::TimePoint now) {
+                        kernel::TimePoint now,
+                        bool is_restored) {
+  if (is_restored) {
+    OnListOutageEnded(now);
+  }
   std::set<std::string_view> present;
   for (const Upstream& upstream : upstreams) {
     present.insert(upstream.id);
-    Put(upstream, now);
+    if (is_restored && removed_.contains(upstream.id)) {
+      stale_entries_[upstream.id] = {upstream, now + kMaxStaleTime};
+    } else if (!stale_entries_.contains(upstream.id) &&
+               !KeepsDraining(upstream, is_restored)) {
+      Put(upstream, now);
+    }
   }
+  std::erase_if(stale_entries_, [&present](const auto& row) {
+    return !present.contains(row.first);
+  });
   std::vector<std::string> absent;
   for (const auto& [id, entry] : entries_) {
     if (!present.contains(id)) {
@@ -43,10 +59,37 @@
   }
 }
 
+bool Directory::KeepsDraining(const Upstream& listed, bool is_restored) {
+  const auto found = entries_.find(listed.id);
+  if (found == entries_.end() || listed.is_draining ||
+      !found->second.upstream.is_draining ||
+      found->second.upstream.started_unix_ms != listed.started_unix_ms) {
+    return false;
+  }
+  Entry& entry = found->second;
+  entry.keeps_draining = entry.keeps_draining || is_restored;
+  return entry.keeps_draining;
+}
+
+void Directory::AddStaleEntries(kernel::TimePoint now) {
+  std::vector<Upstream> due;
+  for (const auto& [id, entry] : stale_entries_) {
+    if (now >= entry.added_at) {
+      due.push_back(entry.upstream);
+    }
+  }
+  for (const Upstream& upstream : due) {
+    Put(upstream, now);
+  }
+}
+
 void Directory::Put(const Upstream& upstream, kernel::TimePoint /*now*/) {
+  removed_.erase(upstream.id);
+  stale_entries_.erase(upstream.id);
   const auto [found, is_new] = entries_.try_emplace(upstream.id);
   Entry& entry = found->second;
   SetExpired(entry, false);
+  entry.keeps_draining = false;
   Upstream updated = upstream;
   updated.hash = HashOf(updated.id);
   if (!is_new && entry.upstream == updated) {
@@ -69,6 +112,7 @@
 }
 
 void Directory::Remove(std::string_view id, kernel::TimePoint now) {
+  stale_entries_.erase(std::string(id));
   const auto entry = entries_.find(id);
   if (entry == entries_.end()) {
     return;
@@ -77,7 +121,7 @@
     SetExpired(entry->second, true);
     return;
   }
-  Erase(entry);
+  Erase(entry, now);
 }
 
 void Directory::SetExpired(Entry& entry, bool is_expired) {
@@ -87,8 +131,12 @@
   }
 }
 
-void Directory::Erase(
-    std::map<std::string, Entry, std::less<>>::iterator entry) {
+void Directory::Erase(std::map<std::string, Entry, std::less<>>::iterator entry,
+                      kernel::TimePoint now) {
+  std::erase_if(removed_, [now](const auto& row) {
+    return now - row.second > kRemovalMemory;
+  });
+  removed_[entry->first] = now;
   SetExpired(entry->second, false);
   const Upstream removed = std::move(entry->second.upstream);
   entries_.erase(entry);
@@ -113,7 +161,7 @@
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     const auto next = std::next(entry);
     if (entry->second.is_expired) {
-      Erase(entry);
+      Erase(entry, now);
     }
     entry = next;
   }
@@ -122,6 +170,9 @@
 const std::vector<const Upstream*>& Directory::Ready(std::string_view service,
                                                      kernel::TimePoint now) {
   RemoveExpired(now);
+  if (!stale_entries_.empty()) {
+    AddStaleEntries(now);
+  }
   const auto known = ready_.find(service);
   if (known != ready_.end()) {
     return known->second;
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -11,6 +11,10 @@
 // such an outage an entry that disappeared stays usable for a grace period, in
 // which a live upstream registers itself again.
 //
+// A store that was restored from an older copy shows entries as they were: an
+// upstream that is gone, or one that drains as ready. What was known of these
+// before stays in force until the upstream writes its entry again.
+//
 // Not thread-safe.
 #ifndef JACKDAWSHUNT_ROUTING_DIRECTORY_H_
 #define JACKDAWSHUNT_ROUTING_DIRECTORY_H_
@@ -36,10 +40,19 @@
 
   void SetObserver(Observer observer);
 
+  // After this time the store has removed the entry of an upstream that no
+  // longer writes it.
+  static constexpr kernel::Duration kMaxStaleTime = std::chrono::seconds(5);
+
   // Replaces all entries by a list that was read as a whole. Fills in the
-  // hashes of ids.
-  void Replace(const std::vector<Upstream>& upstreams, kernel::TimePoint now);
-  // Adds or updates one entry.
+  // hashes of ids. `is_restored` tells that it is the first list after the
+  // store was restored from an older copy: entries that it lacks stay for the
+  // grace period, and entries that were removed before are added only after
+  // kMaxStaleTime, if they are not removed again.
+  void Replace(const std::vector<Upstream>& upstreams,
+               kernel::TimePoint now,
+               bool is_restored = false);
+  // Adds or updates one entry that the upstream has written.
   void Put(const Upstream& upstream, kernel::TimePoint now);
   // Removes an entry. During the grace period an entry that is not draining is
   // only marked as expired, and removed afterwards unless it is put again.
@@ -62,10 +75,23 @@
   struct Entry {
     Upstream upstream;
     bool is_expired = false;
+    // Lists show a copy of the entry from before it was draining.
+    bool keeps_draining = false;
+  };
+
+  // An entry that only an older copy of the store is known to have.
+  struct StaleEntry {
+    Upstream upstream;
+    kernel::TimePoint added_at{};  // Unless removed before.
   };
 
   void SetExpired(Entry& entry, bool is_expired);
-  void Erase(std::map<std::string, Entry, std::less<>>::iterator entry);
+  // Returns whether a listed entry is from before its upstream was draining.
+  bool KeepsDraining(const Upstream& listed, bool is_restored);
+  // Adds the stale entries whose time has come.
+  void AddStaleEntries(kernel::TimePoint now);
+  void Erase(std::map<std::string, Entry, std::less<>>::iterator entry,
+             kernel::TimePoint now);
   void RemoveExpired(kernel::TimePoint now);
   bool InGrace(kernel::TimePoint now) const;
 
@@ -74,6 +100,9 @@
   // Results of Ready() since the last change, by service.
   std::map<std::string, std::vector<const Upstream*>, std::less<>> ready_;
   size_t expired_entries_ = 0;
+  std::map<std::string, StaleEntry, std::less<>> stale_entries_;
+  // Ids of removed entries and the times of their removal.
+  std::map<std::string, kernel::TimePoint, std::less<>> removed_;
   kernel::TimePoint grace_ends_{};
   Observer observer_;
 };
--- a/jackdawshunt/routing/key_freshness.h
+++ b/jackdawshunt/routing/key_freshness.h
@@ -7,6 +7,12 @@
 // was sent, is younger than that time. Times are of a clock that also runs
 // while the machine is suspended.
 //
+// A store that was restored from an older copy may have lost a revocation that
+// it acknowledged and that no process has read. The operator writes its state
+// again, but a read before that shows nothing about revocations. So after a
+// restoration reads do not count until the configuration was written again, or
+// for the revocation time if it is not, as when the copy lacked no change.
+//
 // Example:
 //   routing::KeyFreshness freshness({
 //       .max_revocation_delay = std::chrono::seconds(5), .is_strict = true});
@@ -32,11 +38,25 @@
  public:
   explicit KeyFreshness(KeyFreshnessSettings settings) : settings_(settings) {}
 
-  // Records that the active configuration was the newest one at `time`. Times
-  // before the recorded one are ignored.
+  // Records that this process read the active configuration as the newest one
+  // at `time`.
+  void RecordReadAt(kernel::TimePoint time) {
+    if (time >= reads_count_from_) {
+      RecordCurrentAt(time);
+    }
+  }
+  // Records that the active configuration was the newest one at `time`, by a
+  // read of another process that counted there. Times before the recorded one
+  // are ignored.
   void RecordCurrentAt(kernel::TimePoint time) {
     current_as_of_ = std::max(current_as_of_, time);
   }
+  // Records that the store was found to be restored from an older copy.
+  void OnStoreRestored(kernel::TimePoint now) {
+    reads_count_from_ = now + settings_.max_revocation_delay;
+  }
+  // Records that the active configuration was written since the restoration.
+  void OnConfigurationWritten() { reads_count_from_ = {}; }
 
   // Returns whether API keys may be accepted.
   bool MayAccept(kernel::TimePoint now) const {
@@ -58,6 +78,7 @@
 
   KeyFreshnessSettings settings_;
   kernel::TimePoint current_as_of_{};
+  kernel::TimePoint reads_count_from_{};
 };
 
 }  // namespace jackdawshunt::routing
