Restore the stand-in store from a copy in tests and in the soak

Change: StandInStore::RestoreCopy(), the header Store-Era, a soak fault after which the operator and the upstreams write theirs again within two seconds, and a test with real processes.

--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -226,6 +226,38 @@
   }
 }
 
+// Guards against an older copy of the store that brings back a revoked key and
+// a draining upstream, and against changes that are missed because the store
+// gives their revisions out a second time.
+TEST_F(GatewayProcessTest, AStoreRestoredFromAnOlderCopyUndoesNothing) {
+  Start();
+  fleet_->RunFor(milliseconds(100));
+  const kernel::TimePoint copied_at = fleet_->now();
+  fleet_->PutUpstream(2, "draining");
+  fleet_->PutConfiguration({"key-new"});
+  ASSERT_TRUE(fleet_->Await([&] {
+    return Call({.route = kFetch, .api_key = "key-new"})->status() == 200;
+  }));
+  fleet_->RunFor(milliseconds(600));
+  fleet_->store().RestoreCopy(fleet_->now() - copied_at);
+  for (int i = 0; i < 10; ++i) {
+    fleet_->RunFor(milliseconds(200));
+    EXPECT_NE(Call({.route = kFetch, .api_key = "key-lodge"})->status(), 200);
+    const CallPtr hold = Call({.route = kHold, .api_key = "key-new"});
+    ASSERT_EQ(hold->status(), 200);
+    EXPECT_EQ(fleet_->runs().at(hold->id()).front().upstream, "i-3");
+  }
+  // All write theirs again, with revisions of lost changes.
+  for (size_t i = 0; i < fleet_->upstreams(); ++i) {
+    fleet_->PutUpstream(i, i == 2 ? "draining" : "ready");
+  }
+  fleet_->PutConfiguration({"key-newer"});
+  EXPECT_TRUE(fleet_->Await([&] {
+    return Call({.route = kFetch, .api_key = "key-newer"})->status() == 200;
+  }));
+  EXPECT_EQ(Call({.route = kFetch, .api_key = "key-new"})->status(), 401);
+}
+
 TEST_F(GatewayProcessTest, AGracefulStopCutsNoStream) {
   Start();
   std::vector<CallPtr> calls;
--- a/jackdawshunt/testing/platform/soak_main.cc
+++ b/jackdawshunt/testing/platform/soak_main.cc
@@ -5,11 +5,12 @@
 //   jackdawshunt_soak --seed 7 --seconds 20
 //
 // Processes are killed, paused, stopped gracefully and restarted by signals, in
-// series that overlap; the store refuses, resets, falls silent and drops its
-// history; proxies before each gateway, each upstream and the store delay,
-// reset, silence and cut one way; upstreams crash, misbehave, drain and return;
-// keys are taken away. The same seed gives the same faults at the same times.
-// Exits with 1 when a promise was broken and prints the first ones.
+// series that overlap; the store refuses, resets, falls silent, drops its
+// history and returns from an older copy; proxies before each gateway, each
+// upstream and the store delay, reset, silence and cut one way; upstreams
+// crash, misbehave, drain and return; keys are taken away. The same seed gives
+// the same faults at the same times. Exits with 1 when a promise was broken and
+// prints the first ones.
 #include <csignal>
 
 #include <algorithm>
@@ -235,6 +236,20 @@
     DisturbAll(milliseconds(0));
     fleet_.store().DropHistory();
   }
+  // The store returns from an older copy; the operator and the upstreams write
+  // theirs again within two seconds.
+  void RestoreStore() {
+    DisturbAll(seconds(2));
+    fleet_.store().RestoreCopy(milliseconds(Pick(4000)));
+    After(milliseconds(Pick(2000)),
+          [this] { fleet_.PutConfiguration({key_}); });
+    for (size_t i = 0; i < fleet_.upstreams(); ++i) {
+      After(milliseconds(Pick(2000)), [this, i] {
+        const std::string& id = fleet_.upstream(i).options().id;
+        fleet_.PutUpstream(i, draining_.contains(id) ? "draining" : "ready");
+      });
+    }
+  }
   void ChangeKeys() {
     revoked_[key_] = Now();
     key_ = absl::StrCat("key-", revoked_.size());
@@ -283,7 +298,7 @@
     }
   }
 
-  static constexpr std::array<Fault, 15> kFaults = {
+  static constexpr std::array<Fault, 16> kFaults = {
       &Soak::KillGateway,
       &Soak::PauseGateway,
       &Soak::StopGateway,
@@ -295,6 +310,7 @@
       &Soak::FailCallersConnections,
       &Soak::FailUpstreamConnections,
       &Soak::DropHistory,
+      &Soak::RestoreStore,
       &Soak::ChangeKeys,
       &Soak::MisbehaveUpstream,
       &Soak::CrashUpstream,
--- a/jackdawshunt/testing/platform/stand_in_store.cc
+++ b/jackdawshunt/testing/platform/stand_in_store.cc
@@ -15,6 +15,7 @@
 
 constexpr char kPrefix[] = "/jackdawshunt/objects/";
 constexpr size_t kPageItems = 50;
+constexpr size_t kCopiesKept = 64;
 
 }  // namespace
 
@@ -62,12 +63,36 @@
 void StandInStore::Record(const std::string& kind, json event) {
   ++revision_;
   history_.push_back({revision_, kind, std::move(event)});
+  copies_.push_back({loop_.clock().Now(), revision_, objects_});
+  if (copies_.size() > kCopiesKept) {
+    copies_.pop_front();
+  }
   AnswerWatches();
 }
 
 void StandInStore::DropHistory() {
   oldest_ = revision_ + 1;
   history_.clear();
+  CutConnections();
+}
+
+void StandInStore::RestoreCopy(kernel::Duration age) {
+  const kernel::TimePoint made_at = loop_.clock().Now() - age;
+  while (copies_.size() > 1 && copies_.back().made_at > made_at) {
+    copies_.pop_back();
+  }
+  ++era_;
+  if (!copies_.empty()) {
+    revision_ = copies_.back().revision;
+    objects_ = copies_.back().objects;
+  }
+  while (!history_.empty() && history_.back().revision > revision_) {
+    history_.pop_back();
+  }
+  CutConnections();
+}
+
+void StandInStore::CutConnections() {
   std::vector<http1::ServerConnection*> waiting;
   for (const auto& [connection, watch] : watches_) {
     waiting.push_back(connection);
@@ -175,7 +200,7 @@
                               const std::string& kind,
                               uint64_t revision,
                               kernel::Duration wait) {
-  if (revision + 1 < oldest_) {
+  if (revision + 1 < oldest_ || revision > revision_) {
     Answer(connection, 410, json::object());
     return;
   }
@@ -200,9 +225,10 @@
 void StandInStore::Answer(http1::ServerConnection& connection,
                           int status,
                           const json& body) {
-  connection.Reply(
-      {.status = status, .headers = {{"Content-Type", "application/json"}}},
-      body.dump());
+  connection.Reply({.status = status,
+                    .headers = {{"Content-Type", "application/json"},
+                                {"Store-Era", std::to_string(era_)}}},
+                   body.dump());
 }
 
 void StandInStore::OnRequestError(http1::ServerConnection& connection,
--- a/jackdawshunt/testing/platform/stand_in_store.h
+++ b/jackdawshunt/testing/platform/stand_in_store.h
@@ -45,6 +45,9 @@
   void SetFault(StoreFault fault);
   // Watches from an earlier revision get 410.
   void DropHistory();
+  // Returns to the state of `age` ago: later changes are lost, revisions go
+  // back, the era rises and connections are cut.
+  void RestoreCopy(kernel::Duration age);
   uint64_t calls() const { return calls_; }
 
   // http1::ServerConnection::Handler:
@@ -62,6 +65,12 @@
     std::string kind;
     nlohmann::json body;
   };
+  // The state after a change.
+  struct Copy {
+    kernel::TimePoint made_at{};
+    uint64_t revision = 0;
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+  };
   struct Watch {
     http1::ServerConnection* connection = nullptr;
     std::string kind;
@@ -81,6 +90,7 @@
                   kernel::Duration wait);
   nlohmann::json EventsSince(const std::string& kind, uint64_t revision) const;
   void Record(const std::string& kind, nlohmann::json event);
+  void CutConnections();
   void AnswerWatches();
 
   kernel::EventLoop& loop_;
@@ -88,6 +98,8 @@
   http1::ConnectionSet connections_;
   std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
   std::deque<Event> history_;
+  std::deque<Copy> copies_;  // Of the last kCopiesKept changes.
+  uint64_t era_ = 1;
   std::map<http1::ServerConnection*, Watch> watches_;
   uint64_t revision_ = 1;
   uint64_t oldest_ = 1;  // Watches from before this revision get 410.
