Apply shares to the last second as well

Change: ShareUsed() is the larger of the share of the window and that of the last second, slightly reduced.

--- a/jackdawshunt/routing/fair_share.cc
+++ b/jackdawshunt/routing/fair_share.cc
@@ -10,6 +10,11 @@
 // more than this, no workspace is limited.
 constexpr double kNegligibleShortfall = 0.03;
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();
+// Slices of about the last second.
+constexpr size_t kShortSlices = 4;
+// A workspace may exceed its share of the last second a little, since a few
+// large requests do that.
+constexpr double kShortWindowWeight = 0.85;
 // Time step after which the fair limit is computed again.
 constexpr kernel::Duration kLimitAge = std::chrono::milliseconds(50);
 // A count is known at all instances after two periods: one until it is reported
@@ -99,7 +104,7 @@
 
 kernel::Duration FairShare::ReportPeriod(kernel::TimePoint now) {
   Advance(now);
-  FairLimit(now);
+  UpdateLimits(now);
   const double window_capacity = WindowCapacity();
   return window_capacity > 0 &&
                  total_requested_ > kShortageFraction * window_capacity
@@ -118,9 +123,13 @@
   }
 }
 
-FairShare::Sums FairShare::WindowSums(const Workspace& workspace) {
+FairShare::Sums FairShare::SumsOf(const Workspace& workspace,
+                                  size_t slices) const {
   Sums sums;
-  for (size_t i = 0; i < kSlices; ++i) {
+  for (size_t age = 0; age < slices; ++age) {
+    const size_t i =
+        static_cast<size_t>(current_slice_ - static_cast<int64_t>(age)) %
+        kSlices;
     const ShareCount& own = workspace.own.at(i);
     const ShareCount& peers = workspace.peers.at(i);
     sums.requested += static_cast<double>(own.requested + peers.requested);
@@ -129,51 +138,65 @@
   return sums;
 }
 
-double FairShare::FairLimit(kernel::TimePoint now) {
-  const int64_t step = now.time_since_epoch() / kLimitAge;
-  if (step == limit_step_) {
-    return limit_;
-  }
-  limit_step_ = step;
-  std::vector<Sums> rows;
-  total_requested_ = 0;
-  total_admitted_ = 0;
-  for (const auto& [hash, workspace] : workspaces_) {
-    rows.push_back(WindowSums(workspace));
-    total_requested_ += rows.back().requested;
-    total_admitted_ += rows.back().admitted;
-  }
+double FairShare::FairLimit(std::vector<Sums>& rows) {
   std::sort(rows.begin(), rows.end(), [](const Sums& a, const Sums& b) {
     return a.requested < b.requested;
   });
-  limit_ = kNoLimit;
-  double remaining = total_admitted_;
+  double total_admitted = 0;
+  for (const Sums& row : rows) {
+    total_admitted += row.admitted;
+  }
+  double limit = kNoLimit;
+  double remaining = total_admitted;
   for (size_t i = 0; i < rows.size(); ++i) {
     const double equal_part = remaining / static_cast<double>(rows.size() - i);
     if (rows[i].requested > equal_part) {
-      limit_ = equal_part;
+      limit = equal_part;
       break;
     }
     remaining -= rows[i].requested;
   }
   double shortfall = 0;
   for (const Sums& row : rows) {
-    shortfall += std::max(0.0, std::min(row.requested, limit_) - row.admitted);
+    shortfall += std::max(0.0, std::min(row.requested, limit) - row.admitted);
   }
-  if (shortfall <= kNegligibleShortfall * total_admitted_) {
-    limit_ = kNoLimit;
+  return shortfall <= kNegligibleShortfall * total_admitted ? kNoLimit : limit;
+}
+
+void FairShare::UpdateLimits(kernel::TimePoint now) {
+  const int64_t step = now.time_since_epoch() / kLimitAge;
+  if (step == limit_step_) {
+    return;
+  }
+  limit_step_ = step;
+  std::vector<Sums> window;
+  std::vector<Sums> last_second;
+  total_requested_ = 0;
+  total_admitted_ = 0;
+  for (const auto& [hash, workspace] : workspaces_) {
+    window.push_back(SumsOf(workspace, kSlices));
+    last_second.push_back(SumsOf(workspace, kShortSlices));
+    total_requested_ += window.back().requested;
+    total_admitted_ += window.back().admitted;
   }
-  return limit_;
+  window_limit_ = FairLimit(window);
+  short_limit_ = FairLimit(last_second);
 }
 
 double FairShare::ShareUsed(uint64_t workspace_hash, kernel::TimePoint now) {
   Advance(now);
-  const double limit = FairLimit(now);
+  UpdateLimits(now);
   const auto found = workspaces_.find(workspace_hash);
-  if (found == workspaces_.end() || limit <= 0 || limit == kNoLimit) {
+  if (found == workspaces_.end()) {
     return 0;
   }
-  return std::max(WindowSums(found->second).admitted, 0.0) / limit;
+  const auto used = [&](size_t slices, double limit) {
+    return limit <= 0 || limit == kNoLimit
+               ? 0
+               : std::max(SumsOf(found->second, slices).admitted, 0.0) / limit;
+  };
+  return std::max(used(kSlices, window_limit_),
+                  kShortWindowWeight * used(kShortSlices, short_limit_));
 }
 
 int64_t FairShare::Admitted(uint64_t workspace_hash, kernel::TimePoint now) {
@@ -181,7 +204,7 @@
   const auto found = workspaces_.find(workspace_hash);
   return found == workspaces_.end()
              ? 0
-             : static_cast<int64_t>(WindowSums(found->second).admitted);
+             : static_cast<int64_t>(SumsOf(found->second, kSlices).admitted);
 }
 
 double FairShare::WindowCapacity() const {
@@ -191,7 +214,7 @@
 
 bool FairShare::FleetHasSpareCapacity(kernel::TimePoint now) {
   Advance(now);
-  FairLimit(now);
+  UpdateLimits(now);
   return tokens_per_second_ <= 0 || total_admitted_ < WindowCapacity();
 }
 
--- a/jackdawshunt/routing/fair_share.h
+++ b/jackdawshunt/routing/fair_share.h
@@ -2,13 +2,14 @@
 // over all instances.
 //
 // Each instance counts the requested and the admitted tokens per workspace and
-// time slice, and merges the reports of its peers, which arrive more often while
-// engines are short: a workspace that sends many times its usual load takes its
-// share of the whole window within a second. Progressive filling divides
-// all tokens admitted in the window: small workspaces get all that they
-// request, the others equal parts. The capacity of engines depends on how much
-// of the prompts is cached, so no fixed capacity is assumed. This protects the
-// other workspaces when one sends many times its usual load.
+// time slice, and merges the reports of its peers, which arrive more often
+// while engines are short: a workspace that sends many times its usual load
+// takes its share of the whole window within a second. For the same reason
+// shares also apply, less strictly, to the last second alone. Progressive
+// filling divides all tokens admitted in the window: small workspaces get all
+// that they request, the others equal parts. The capacity of engines depends on
+// how much of the prompts is cached, so no fixed capacity is assumed. This
+// protects the other workspaces when one sends many times its usual load.
 //
 // Example:
 //   routing::FairShare shares(std::chrono::seconds(4));
@@ -81,8 +82,9 @@
   void Merge(const std::vector<ShareReport>& report, kernel::TimePoint now);
 
   // Returns the admitted tokens of the workspace divided by its fair share of
-  // the window; above 1 it exceeds its share. Returns 0 while no limit
-  // applies, because every workspace gets its share.
+  // the window; above 1 it exceeds its share. If it has used more of its share
+  // of the last second, slightly reduced, returns that. Returns 0 while no
+  // limit applies, because every workspace gets its share.
   double ShareUsed(uint64_t workspace_hash, kernel::TimePoint now);
   // Returns the tokens of the workspace that all instances are known to have
   // admitted in the window.
@@ -94,24 +96,24 @@
     std::array<ShareCount, kSlices> peers{};
   };
 
-  // Tokens of one workspace in the window.
+  // Tokens of one workspace in the latest slices.
   struct Sums {
     double requested = 0;
     double admitted = 0;
   };
 
-  static Sums WindowSums(const Workspace& workspace);
+  Sums SumsOf(const Workspace& workspace, size_t slices) const;
   int64_t SliceIndex(kernel::TimePoint now) const;
   // Adds to the counts of this instance in the current slice.
-  void Count(uint64_t workspace_hash,
-             ShareCount count,
-             kernel::TimePoint now);
+  void Count(uint64_t workspace_hash, ShareCount count, kernel::TimePoint now);
   // Clears the slices that began since the last call and removes idle
   // workspaces.
   void Advance(kernel::TimePoint now);
-  // Returns the max-min fair limit of a workspace's tokens in the window, by
-  // progressive filling; infinity while every workspace gets its share.
-  double FairLimit(kernel::TimePoint now);
+  // Updates the limits and totals if they are too old.
+  void UpdateLimits(kernel::TimePoint now);
+  // Returns the max-min fair limit of a workspace's tokens, by progressive
+  // filling; infinity while every workspace gets its share. Sorts `rows`.
+  static double FairLimit(std::vector<Sums>& rows);
   // Returns the tokens that the engines can serve in the window; 0 if the
   // operator states no throughput.
   double WindowCapacity() const;
@@ -123,8 +125,9 @@
   double tokens_per_second_ = 0;
   double total_requested_ = 0;
   double total_admitted_ = 0;
-  double limit_ = 0;
-  int64_t limit_step_ = -1;  // Time step for which limit_ was computed.
+  double window_limit_ = 0;
+  double short_limit_ = 0;
+  int64_t limit_step_ = -1;  // Time step for which the limits were computed.
 };
 
 }  // namespace jackdawshunt::routing
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -1,5 +1,6 @@
 // Unit tests of the directory, the retry budget, upstream health, key
 // freshness, overload, the router, fair shares and engine estimates.
+#include <map>
 #include <string>
 #include <vector>
 
@@ -310,6 +311,44 @@
   EXPECT_LE(again, used);
 }
 
+// Guards against a workspace that starts to flood and takes its share of the
+// whole window within a second, while all others wait.
+TEST_F(FairShareTest, StartOfFloodGetsLittleMoreThanOthersInItsFirstSecond) {
+  constexpr uint64_t kFlooding = 1;
+  constexpr uint64_t kWorkspaces = 10;
+  constexpr uint64_t kTokens = 1000;
+  constexpr double kMaxShareUsed = 1.3;  // Beyond it nothing is admitted.
+  // Admissions in each millisecond, by what the engines can do.
+  constexpr uint64_t kCapacity = 4;
+  FairShare shares(seconds(4));
+  std::map<uint64_t, uint64_t> admitted;
+  const auto run = [&](kernel::Duration time, bool is_flooding) {
+    admitted.clear();
+    for (kernel::Duration t{}; t < time; t += milliseconds(1)) {
+      clock_.Advance(milliseconds(1));
+      uint64_t remaining = kCapacity;
+      for (uint64_t n = 0; n < 4 * kWorkspaces; ++n) {
+        const uint64_t workspace =
+            is_flooding && n % 4 != 0 ? kFlooding : 1 + n / 4;
+        if (!is_flooding && workspace == kFlooding) {
+          continue;
+        }
+        shares.OnRequest(workspace, kTokens, Now());
+        if (remaining > 0 &&
+            shares.ShareUsed(workspace, Now()) < kMaxShareUsed) {
+          --remaining;
+          shares.OnAdmitted(workspace, kTokens, Now());
+          admitted[workspace] += kTokens;
+        }
+      }
+    }
+  };
+  run(seconds(4), /*is_flooding=*/false);
+  run(seconds(1), /*is_flooding=*/true);
+  EXPECT_LT(admitted[kFlooding], 2 * admitted[kWorkspaces]);
+  EXPECT_GT(admitted[kFlooding], 0u);
+}
+
 TEST_F(FairShareTest, FleetHasSpareCapacityBelowStatedThroughput) {
   FairShare shares(seconds(4));
   shares.OnAdmitted(1, 5000, Now());
