Limit workspaces when one of many lacks its share; bound the reports

The limit applied only when all workspaces together lacked 3% of the tokens, which at 60 of them is half of one's share. And with 190 gateways a report every 80 ms from each would overload the board where they meet. Change: it also applies when one lacks a quarter of its share; the report period is at least 1.2 ms for each gateway (82 ms at 68).

--- a/jackdawshunt/gateway/fleet_exchange.cc
+++ b/jackdawshunt/gateway/fleet_exchange.cc
@@ -56,7 +56,7 @@
 
 void FleetExchange::SendUpdates() {
   const kernel::TimePoint now = loop_.clock().Now();
-  timer_ = loop_.After(router_.shares().ReportPeriod(now),
+  timer_ = loop_.After(router_.shares().ReportPeriod(gateways_, now),
                        [this] { SendUpdates(); });
   const std::vector<routing::Upstream> engines =
       router_.EnginesForExchange(kSummingBoards, now);
--- a/jackdawshunt/routing/fair_share.cc
+++ b/jackdawshunt/routing/fair_share.cc
@@ -7,8 +7,10 @@
 namespace {
 
 // Fraction of all admitted tokens. While workspaces within their share lack no
-// more than this, no workspace is limited.
+// more than this together, and none of them more than kNegligibleShareLack of
+// its share, no workspace is limited.
 constexpr double kNegligibleShortfall = 0.03;
+constexpr double kNegligibleShareLack = 0.25;
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();
 // Slices of about the last second.
 constexpr size_t kShortSlices = 4;
@@ -22,6 +24,9 @@
 constexpr kernel::Duration kReportPeriod = std::chrono::milliseconds(250);
 constexpr kernel::Duration kShortageReportPeriod =
     std::chrono::milliseconds(80);
+// Bounds the reports that arrive at the place where all instances report.
+constexpr kernel::Duration kReportPeriodPerInstance =
+    std::chrono::microseconds(1200);
 // Engines count as short when more than this fraction of the stated throughput
 // is requested.
 constexpr double kShortageFraction = 0.8;
@@ -102,14 +107,15 @@
   return report;
 }
 
-kernel::Duration FairShare::ReportPeriod(kernel::TimePoint now) {
+kernel::Duration FairShare::ReportPeriod(uint32_t instances,
+                                         kernel::TimePoint now) {
   Advance(now);
   UpdateLimits(now);
   const double window_capacity = WindowCapacity();
-  return window_capacity > 0 &&
-                 total_requested_ > kShortageFraction * window_capacity
-             ? kShortageReportPeriod
-             : kReportPeriod;
+  const bool is_short = window_capacity > 0 &&
+                        total_requested_ > kShortageFraction * window_capacity;
+  return std::max(is_short ? kShortageReportPeriod : kReportPeriod,
+                  instances * kReportPeriodPerInstance);
 }
 
 void FairShare::Merge(const std::vector<ShareReport>& report,
@@ -157,10 +163,17 @@
     remaining -= rows[i].requested;
   }
   double shortfall = 0;
+  double largest_lack = 0;
   for (const Sums& row : rows) {
-    shortfall += std::max(0.0, std::min(row.requested, limit) - row.admitted);
+    const double lack =
+        std::max(0.0, std::min(row.requested, limit) - row.admitted);
+    shortfall += lack;
+    largest_lack = std::max(largest_lack, lack);
   }
-  return shortfall <= kNegligibleShortfall * total_admitted ? kNoLimit : limit;
+  return shortfall <= kNegligibleShortfall * total_admitted &&
+                 largest_lack <= kNegligibleShareLack * limit
+             ? kNoLimit
+             : limit;
 }
 
 void FairShare::UpdateLimits(kernel::TimePoint now) {
--- a/jackdawshunt/routing/fair_share.h
+++ b/jackdawshunt/routing/fair_share.h
@@ -76,8 +76,9 @@
 
   // Returns the counts of this instance since the previous call, for its peers.
   std::vector<ShareReport> TakeReport();
-  // Returns the time from one report to the next.
-  kernel::Duration ReportPeriod(kernel::TimePoint now);
+  // Returns the time from one report to the next, when `instances` instances
+  // report to the same place.
+  kernel::Duration ReportPeriod(uint32_t instances, kernel::TimePoint now);
   // Adds a peer's report to the current slice.
   void Merge(const std::vector<ShareReport>& report, kernel::TimePoint now);
 
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -349,6 +349,26 @@
   EXPECT_GT(admitted[kFlooding], 0u);
 }
 
+// Guards against one workspace that gets half of its share among many others:
+// compared with the tokens of all of them it lacks little.
+TEST_F(FairShareTest, OneOfManyWorkspacesThatLacksItsShareIsEnough) {
+  FairShare shares(seconds(4));
+  constexpr uint64_t kWorkspaces = 60;
+  for (uint64_t workspace = 1; workspace <= kWorkspaces; ++workspace) {
+    const bool is_flooding = workspace == 1;
+    const bool lacks = workspace == 2;
+    shares.OnRequest(workspace, is_flooding || lacks ? 900000 : 100000, Now());
+    shares.OnAdmitted(workspace,
+                      is_flooding ? 150000
+                      : lacks     ? 50000
+                                  : 100000,
+                      Now());
+  }
+  EXPECT_GT(shares.ShareUsed(1, Now()), 1.2);
+  EXPECT_GT(shares.ShareUsed(2, Now()), 0);
+  EXPECT_LT(shares.ShareUsed(2, Now()), 0.6);
+}
+
 TEST_F(FairShareTest, FleetHasSpareCapacityBelowStatedThroughput) {
   FairShare shares(seconds(4));
   shares.OnAdmitted(1, 5000, Now());
