--- a/jackdawshunt/routing/fair_share.cc
+++ b/jackdawshunt/routing/fair_share.cc
@@ -170,10 +170,11 @@
     shortfall += lack;
     largest_lack = std::max(largest_lack, lack);
   }
-  return shortfall <= kNegligibleShortfall * total_admitted &&
-                 largest_lack <= kNegligibleShareLack * limit
-             ? kNoLimit
-             : limit;
+  if (shortfall <= kNegligibleShortfall * total_admitted &&
+      largest_lack <= kNegligibleShareLack * limit) {
+    return kNoLimit;
+  }
+  return limit;
 }
 
 void FairShare::UpdateLimits(kernel::TimePoint now) {
@@ -204,9 +205,10 @@
     return 0;
   }
   const auto used = [&](size_t slices, double limit) {
-    return limit <= 0 || limit == kNoLimit
-               ? 0
-               : std::max(SumsOf(found->second, slices).admitted, 0.0) / limit;
+    if (limit <= 0 || limit == kNoLimit) {
+      return 0.0;
+    }
+    return std::max(SumsOf(found->second, slices).admitted, 0.0) / limit;
   };
   return std::max(used(kSlices, window_limit_),
                   kShortWindowWeight * used(kShortSlices, short_limit_));
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -338,7 +338,7 @@
 }
 
 std::vector<const Upstream*> Router::WithoutOffer(
-    std::vector<const Upstream*> candidates,
+    const std::vector<const Upstream*>& candidates,
     const std::vector<BoardOffer>& offers) {
   std::vector<const Upstream*> others;
   for (const Upstream* upstream : candidates) {
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -223,8 +223,8 @@
       kernel::TimePoint now);
   // Returns the engines to choose from when no offered engine is reachable:
   // those without an offer or, if there are none, all candidates.
-  std::vector<const Upstream*> WithoutOffer(
-      std::vector<const Upstream*> candidates,
+  static std::vector<const Upstream*> WithoutOffer(
+      const std::vector<const Upstream*>& candidates,
       const std::vector<BoardOffer>& offers);
   Decision ChooseEngine(const RoutedRequest& request,
                         const std::vector<BoardOffer>& offers,
--- a/jackdawshunt/routing/store_cursor.h
+++ b/jackdawshunt/routing/store_cursor.h
@@ -29,6 +29,7 @@
   uint64_t era = 0;  // Number of restorations; 0 if the store does not tell.
   uint64_t revision = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false report on a defaulted <=>.
   auto operator<=>(const StoreRevision&) const = default;
 };
 
