Refuse connections beyond the limit instead of resetting them

Change: up to 400 connections beyond the limit get one answer, 503 with Retry-After, and are closed; the log has one line a second with their number. Measured: AConnectionBeyondTheLimitIsRefusedAsNotRun, which fails on the code before (the connection ends without an answer).

--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -15,6 +15,10 @@
 // Retry-After of errors that another instance, or this one shortly after, would
 // not return.
 constexpr kernel::Duration kRetryAfter = std::chrono::milliseconds(200);
+// Connections accepted beyond the limit, only to refuse one request each as not
+// run; a reset would tell the caller nothing.
+constexpr size_t kMaxRefusedConnections = 400;
+constexpr kernel::Duration kLimitLogPeriod = std::chrono::seconds(1);
 
 struct FaultError {
   http1::RequestError fault;
@@ -36,12 +40,16 @@
  public:
   Session(HttpFrontend& http_frontend,
           int fd,
-          http1::ServerConnectionLimits limits)
+          http1::ServerConnectionLimits limits,
+          bool is_refused)
       : http_frontend_(http_frontend),
+        is_refused_(is_refused),
         connection_(http_frontend.context_.loop, fd, limits, *this) {}
 
   http1::ServerConnection& connection() { return connection_; }
   bool is_busy() const { return call_ != nullptr && !call_->is_done(); }
+  // Whether the connection exceeds the limit.
+  bool is_refused() const { return is_refused_; }
   void StartCall(std::unique_ptr<Call> call) {
     call_ = std::move(call);
     call_->Start();
@@ -72,6 +80,7 @@
 
  private:
   HttpFrontend& http_frontend_;
+  const bool is_refused_;
   http1::ServerConnection connection_;
   std::unique_ptr<Call> call_;
 };
@@ -100,9 +109,11 @@
 }
 
 void HttpFrontend::Accept(int fd) {
-  if (sessions_.size() >= max_connections_) {
-    base::Log(base::LogLevel::kWarning, "connection_limit",
-              {{"open", sessions_.size()}});
+  const bool is_refused = sessions_.size() >= max_connections_;
+  if (is_refused) {
+    LogConnectionLimit();
+  }
+  if (sessions_.size() >= max_connections_ + kMaxRefusedConnections) {
     close(fd);
     return;
   }
@@ -115,11 +126,24 @@
           .parse = {.header_bytes = limits.header_bytes,
                     .body_bytes = limits.body_bytes},
           .request_timeout = limits.request_timeout,
-          .idle_timeout = limits.idle_timeout});
+          .idle_timeout = limits.idle_timeout},
+      is_refused);
   Session* const key = session.get();
   sessions_.emplace(key, std::move(session));
 }
 
+void HttpFrontend::LogConnectionLimit() {
+  ++connections_over_limit_;
+  const kernel::TimePoint now = context_.loop.clock().Now();
+  if (now - limit_logged_at_ < kLimitLogPeriod) {
+    return;
+  }
+  limit_logged_at_ = now;
+  base::Log(base::LogLevel::kWarning, "connection_limit",
+            {{"open", sessions_.size()},
+             {"refused", std::exchange(connections_over_limit_, 0)}});
+}
+
 void HttpFrontend::Remove(Session* session) {
   const auto found = sessions_.find(session);
   if (found == sessions_.end()) {
@@ -169,7 +193,8 @@
 void HttpFrontend::ReplyError(http1::ServerConnection& connection,
                               std::string_view request_id,
                               base::ErrorKind kind,
-                              std::string_view message) {
+                              std::string_view message,
+                              bool closes) {
   const base::ErrorAnswer& row = base::AnswerFor(kind);
   http1::ResponseHead head;
   head.status = row.http_status;
@@ -188,7 +213,7 @@
       .Add("configuration_age_ms",
            freshness_.Age(boot_clock_.Now()).count() / 1000);
   connection.Reply(head, base::ErrorBody(kind, message, request_id),
-                   context_.closes_connections);
+                   context_.closes_connections || closes);
 }
 
 void HttpFrontend::OnRequest(Session& session,
@@ -201,6 +226,11 @@
                std::string(decoded.status().message()));
     return;
   }
+  if (session.is_refused()) {
+    ReplyError(connection, decoded->id, base::ErrorKind::kOverloaded,
+               "this instance has too many connections", /*closes=*/true);
+    return;
+  }
   const auto table = context_.router.table();
   if (table == nullptr) {
     ReplyError(connection, decoded->id, base::ErrorKind::kNotReady,
--- a/jackdawshunt/gateway/http_frontend.h
+++ b/jackdawshunt/gateway/http_frontend.h
@@ -26,8 +26,9 @@
 
 class HttpFrontend {
  public:
-  // `context` and `freshness` must outlive the frontend. Connections beyond
-  // `max_connections` are closed when accepted.
+  // `context` and `freshness` must outlive the frontend. On connections beyond
+  // `max_connections` the first request is refused; far beyond they are closed
+  // when accepted.
   HttpFrontend(CallContext& context,
                const routing::KeyFreshness& freshness,
                size_t max_connections);
@@ -62,10 +63,14 @@
   void OnRequest(Session& session,
                  const http1::RequestHead& head,
                  std::string& body);
+  // Replies with an error; `closes` closes the connection afterwards.
   void ReplyError(http1::ServerConnection& connection,
                   std::string_view request_id,
                   base::ErrorKind kind,
-                  std::string_view message);
+                  std::string_view message,
+                  bool closes = false);
+  // Counts a connection beyond the limit, and logs the count once a second.
+  void LogConnectionLimit();
 
   CallContext& context_;
   const routing::KeyFreshness& freshness_;
@@ -74,6 +79,8 @@
   std::unique_ptr<http1::Listener> listener_;
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
   bool is_refusing_ = false;
+  uint64_t connections_over_limit_ = 0;  // Since they were last logged.
+  kernel::TimePoint limit_logged_at_{};
 };
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -258,6 +258,31 @@
   EXPECT_EQ(Call({.route = kFetch, .api_key = "key-new"})->status(), 401);
 }
 
+// Guards against resets without an answer when more callers connect than a
+// gateway has descriptors for.
+TEST_F(GatewayProcessTest, AConnectionBeyondTheLimitIsRefusedAsNotRun) {
+  Start({.file_descriptors = 12});
+  SetFault(UpstreamFault::kHang);
+  std::vector<CallPtr> open;
+  for (int i = 0; i < 6; ++i) {
+    open.push_back(fleet_->Call(0, {.route = kHold}));
+  }
+  ASSERT_TRUE(fleet_->Await([&] { return fleet_->runs().size() == 6; }));
+  const CallPtr refused = Call({.route = kHold});
+  EXPECT_TRUE(refused->is_complete());
+  EXPECT_EQ(refused->status(), 503);
+  EXPECT_FALSE(
+      http::FindHeader(refused->head().headers, "Retry-After").empty());
+  EXPECT_EQ(http::FindHeader(refused->head().headers, "Connection"), "close");
+  EXPECT_EQ(Runs(*refused), 0u);
+  open.front()->Leave();
+  EXPECT_TRUE(fleet_->Await([&] {
+    const CallPtr next = fleet_->Call(0, {.route = kOpen, .api_key = ""});
+    fleet_->RunFor(milliseconds(50));
+    return !next->is_done() || next->status() != 503;
+  }));
+}
+
 TEST_F(GatewayProcessTest, AGracefulStopCutsNoStream) {
   Start();
   std::vector<CallPtr> calls;
--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -226,8 +226,8 @@
       "\nbounds.strictRevocation=true\nbounds.graceS=8\n"
       "bounds.budgetRatio=0.2\nbounds.budgetWindowS=10\n"
       "bounds.budgetSlack=50\nlimits.memoryMb=260\n"
-      "limits.fileDescriptors=4100\n",
-      more);
+      "limits.fileDescriptors=",
+      options_.file_descriptors, "\n", more);
   return path;
 }
 
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -37,6 +37,7 @@
   uint32_t stream_events = 5;
   // Puts a proxy that injects faults on each hop of ProxiedHop.
   bool has_proxies = false;
+  uint32_t file_descriptors = 4100;  // Of each process.
 };
 
 // Where a proxy can stand.
