Read all waiting datagrams; trust no own estimate for idle engines

Such a gateway sends hundreds of queries in one iteration of its loop and read 64 datagrams in each, so replies and the totals of the other gateways piled up and came too late. Without offers its own estimate knew no other gateway's requests, and every engine looked idle. Change: up to 2,048 datagrams in one iteration; an own estimate shows no idle time, which a workspace far beyond its share needs. Measured: ReadsAllWaitingDatagramsInOneIteration (64 of 150 before) and OwnEstimateDoesNotShowThatEngineIsIdle fail on the code before.

--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "gtest/gtest.h"
+#include "jackdawshunt/board/datagram_socket.h"
 #include "jackdawshunt/routing/fair_share.h"
 
 namespace jackdawshunt::board {
@@ -266,6 +267,25 @@
   EXPECT_EQ(copy.reports[0].count.admitted, -12);
 }
 
+// Guards against replies that pile up at an instance whose iterations of the
+// loop are long, until all of them are read too late.
+TEST(DatagramSocketTest, ReadsAllWaitingDatagramsInOneIteration) {
+  constexpr size_t kDatagrams = 150;
+  kernel::EventLoop loop;
+  size_t received = 0;
+  auto receiver = DatagramSocket::Bind(
+      loop, {"127.0.0.1", 0},
+      [&](const http::Address&, std::string_view) { ++received; });
+  auto sender = DatagramSocket::Bind(
+      loop, {"127.0.0.1", 0}, [](const http::Address&, std::string_view) {});
+  ASSERT_TRUE(receiver.ok() && sender.ok());
+  for (size_t i = 0; i < kDatagrams; ++i) {
+    (*sender)->Send({"127.0.0.1", (*receiver)->port()}, "x");
+  }
+  ASSERT_TRUE(loop.RunUntil([&] { return received > 0; }, seconds(20)));
+  EXPECT_EQ(received, kDatagrams);
+}
+
 TEST(MessagesTest, CorruptBytesAreRejectedOrHandledSafely) {
   std::mt19937 random(20261203);
   const std::string valid = Encode(Query{
--- a/jackdawshunt/board/datagram_socket.cc
+++ b/jackdawshunt/board/datagram_socket.cc
@@ -19,9 +19,10 @@
 namespace {
 
 constexpr size_t kMaxDatagramBytes = 65536;
-// Datagrams read in one iteration of the loop, so that other events are not
-// delayed.
-constexpr int kMaxReadsPerIteration = 64;
+// Datagrams read in one iteration of the loop. An instance that is short of
+// processor time sends hundreds of queries in one iteration; with a lower limit
+// the replies would pile up, and all of them would be read too late.
+constexpr int kMaxReadsPerIteration = 2048;
 
 }  // namespace
 
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -199,6 +199,8 @@
   EngineEstimate& engine = *StateOf(upstream).engine;
   engine.set_sustained_tokens_per_ms(request.engine_tokens_per_s / 1000.0);
   row.cost = engine.Estimate(request.part_keys, request.prompt->parts, now);
+  // Other instances may have sent requests to it.
+  row.cost.idle_time = kernel::Duration::zero();
   row.is_same_data_centre = upstream.data_centre == settings_.data_centre;
   const double failures = health_.FailureShare(upstream.id);
   if (failures > kTolerableFailureShare) {
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -429,6 +429,27 @@
   EXPECT_FALSE(is_refused());  // The offers are too old.
 }
 
+// Guards against a workspace far beyond its share that is served because its
+// gateway is too busy to read the boards' replies: by the gateway's own
+// requests alone every engine looks idle.
+TEST_F(RouterTest, OwnEstimateDoesNotShowThatEngineIsIdle) {
+  Router router({}, Now());
+  router.SetDesiredState(MakeEngineState());
+  router.directory().Replace({MakeUpstream("a")}, Now());
+  const RoutedRequest request = MakePromptRequest(router, Now());
+  router.shares().OnRequest(HashOf("lodge"), 1000000, Now());
+  router.shares().OnAdmitted(HashOf("lodge"), 500000, Now());
+  router.shares().OnRequest(HashOf("other"), 1000000, Now());
+  router.shares().OnAdmitted(HashOf("other"), 100000, Now());
+  EXPECT_EQ(router.Choose(request, {}, Now()).verdict, Verdict::kRefuse);
+  EXPECT_EQ(
+      router
+          .Choose(request,
+                  {{.upstream = "a", .cost = {.idle_time = seconds(1)}}}, Now())
+          .verdict,
+      Verdict::kSend);
+}
+
 // Guards against a request that an upstream gets later than it may, because it
 // waited for a connection.
 TEST_F(RouterTest, DrainingOrReplacedUpstreamIsNotReady) {
