--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -264,6 +264,7 @@
   Start({.file_descriptors = 12});
   SetFault(UpstreamFault::kHang);
   std::vector<CallPtr> open;
+  open.reserve(6);
   for (int i = 0; i < 6; ++i) {
     open.push_back(fleet_->Call(0, {.route = kHold}));
   }
