Log and count resumptions of streams with software versions

Change: the version of an upstream and the header Resumes are decoded; request_placed states version, resumes and after_event, upstream_changed states version; the counter jackdawshunt_gateway_resumptions_total tells by whom and at which version. No decision changes.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -156,6 +156,7 @@
       .Add("attempt", request_.send_count + 1)
       .Add("verdict", routing::VerdictName(decision.verdict))
       .Add("upstream", decision.upstream.id)
+      .Add("version", decision.upstream.software_version)
       .Add("candidates", decision.candidates)
       .Add("left_ms", ToWholeMs(request_.deadline - Now()));
   if (decision.is_engine) {
@@ -171,10 +172,29 @@
         .Add("objective_left_ms",
              ToWholeMs(request_.remaining_objective_at_arrival));
   }
+  if (request_.resumption.has_value()) {
+    line.Add("resumes", request_.resumption->first_request)
+        .Add("after_event", request_.resumption->last_event_id);
+  }
+  if (has_first_event_) {
+    line.Add("continues_version", first_version_)
+        .Add("after_event", splitter_.last_event_id().value_or(0));
+  }
+}
+
+void Call::CountResumption() {
+  if (has_first_event_) {
+    context_.metrics.CountResumption(
+        "answer",
+        upstream_.software_version == first_version_ ? "same" : "other");
+  } else if (request_.resumption.has_value()) {
+    context_.metrics.CountResumption("caller", "unknown");
+  }
 }
 
 void Call::SendAttempt(const routing::Decision& decision) {
   upstream_ = decision.upstream;
+  CountResumption();
   sent_at_ = Now();
   body_mode_ = BodyMode::kDiscard;
   collected_.clear();
@@ -258,6 +278,7 @@
     const std::string_view whole = splitter_.Feed(data);
     if (!whole.empty() && !has_first_event_) {
       has_first_event_ = true;
+      first_version_ = upstream_.software_version;
       context_.router.OnFirstEvent(request_, upstream_, Now());
       if (is_engine_attempt_) {
         context_.boards.SendProgress(upstream_, request_,
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -135,6 +135,8 @@
   void OnTimeout();
   void Finish(int status, std::string_view reason);
   void LogDecision(const routing::Decision& decision);
+  // Counts the attempt if it continues a started stream.
+  void CountResumption();
   // Returns whether the caller has disconnected, also if the connection's end
   // was not processed yet.
   bool HasCallerLeft() const;
@@ -166,6 +168,8 @@
   bool may_have_executed_ = false;
   bool is_answer_started_ = false;
   bool has_first_event_ = false;
+  // Software version of the upstream that sent the first event.
+  std::string first_version_;
   bool is_done_ = false;
   int final_status_ = 0;
 };
--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -119,6 +119,7 @@
       base::LogLine(base::LogLevel::kInfo, "upstream_changed")
           .Add("upstream", upstream.id)
           .Add("service", upstream.service)
+          .Add("version", upstream.software_version)
           .Add("address", upstream.address.ToString())
           .Add("change", routing::ChangeName(change));
     });
--- a/jackdawshunt/gateway/metrics.cc
+++ b/jackdawshunt/gateway/metrics.cc
@@ -26,6 +26,10 @@
                     .Name("jackdawshunt_gateway_attempts_total")
                     .Help("Requests sent to upstreams, by outcome.")
                     .Register(registry)),
+      resumptions_(prometheus::BuildCounter()
+                       .Name("jackdawshunt_gateway_resumptions_total")
+                       .Help("Started streams sent to be continued.")
+                       .Register(registry)),
       first_byte_{prometheus::BuildHistogram()
                       .Name("jackdawshunt_gateway_first_byte_seconds")
                       .Help("From the request to the first byte of its answer.")
@@ -62,6 +66,12 @@
   counter->Increment();
 }
 
+void Metrics::CountResumption(std::string_view by, std::string_view version) {
+  resumptions_
+      .Add({{"by", std::string(by)}, {"version", std::string(version)}})
+      .Increment();
+}
+
 void Metrics::Observe(LatencyMetric& metric,
                       std::string_view route_kind,
                       kernel::Duration latency) {
--- a/jackdawshunt/gateway/metrics.h
+++ b/jackdawshunt/gateway/metrics.h
@@ -37,6 +37,10 @@
                    std::string_view reason);
   // Counts an attempt at an upstream.
   void CountAttempt(std::string_view outcome);
+  // Counts a started stream that is sent to an upstream to be continued: in
+  // the same answer, or for a caller that resumes it. `version` is "same",
+  // "other" or "unknown", compared with the upstream that began it.
+  void CountResumption(std::string_view by, std::string_view version);
   // Records the time from a request to the first byte of its answer.
   void ObserveFirstByte(std::string_view route_kind, kernel::Duration latency);
   // Records the time from a request to the end of its answer.
@@ -57,6 +61,7 @@
 
   prometheus::Family<prometheus::Counter>& answers_;
   prometheus::Family<prometheus::Counter>& attempts_;
+  prometheus::Family<prometheus::Counter>& resumptions_;
   LatencyMetric first_byte_;
   LatencyMetric total_;
   prometheus::Family<prometheus::Gauge>& state_;
--- a/jackdawshunt/platform/records.cc
+++ b/jackdawshunt/platform/records.cc
@@ -49,6 +49,16 @@
     return field->get<std::string>();
   }
 
+  // Returns a text or the digits of a number; empty when the field is missing
+  // or has another type.
+  std::string Label(const char* name) const {
+    const json* field = Find(name);
+    if (field == nullptr || !(field->is_string() || field->is_number())) {
+      return {};
+    }
+    return field->is_string() ? field->get<std::string>() : field->dump();
+  }
+
   uint64_t RequiredUnsigned(const char* name) {
     const auto value = Unsigned(name);
     if (!value.has_value()) {
@@ -435,6 +445,7 @@
   }
   upstream.slots = static_cast<uint32_t>(
       std::max<uint64_t>(1, reader.RequiredUnsigned("slots")));
+  upstream.software_version = reader.Label("version");
   const std::string state = reader.RequiredText("state");
   if (state == "draining") {
     upstream.is_draining = true;
--- a/jackdawshunt/platform/records_test.cc
+++ b/jackdawshunt/platform/records_test.cc
@@ -35,10 +35,28 @@
   EXPECT_EQ(upstream->service, "s");
   EXPECT_EQ(upstream->address, (http::Address{"10.128.0.9", 8080}));
   EXPECT_EQ(upstream->slots, 64u);
+  EXPECT_EQ(upstream->software_version, "v1");
   EXPECT_EQ(upstream->started_unix_ms, 1790000000123);
   EXPECT_FALSE(upstream->is_draining);
 }
 
+TEST(RecordsTest, UpstreamWithoutSoftwareVersionIsUsable) {
+  std::string no_version = kServer;
+  no_version.replace(no_version.find(R"("version":"v1",)"), 15, "");
+  std::string number = kServer;
+  number.replace(number.find(R"("v1")"), 4, "12");
+  const auto list = DecodeList(
+      RecordKind::kUpstream,
+      ListOf(Item("i-1", no_version) + "," + Item("i-2", number)));
+  ASSERT_TRUE(list.ok());
+  const auto version = [&list](size_t i) {
+    return std::get<routing::Upstream>(list->records.at(i).value)
+        .software_version;
+  };
+  EXPECT_EQ(version(0), "");
+  EXPECT_EQ(version(1), "12");
+}
+
 // Guards against one malformed record making the other records unusable.
 TEST(RecordsTest, UnusableRecordDoesNotAffectOthers) {
   const std::string good = Item("i-good", kServer);
--- a/jackdawshunt/platform/wire.cc
+++ b/jackdawshunt/platform/wire.cc
@@ -19,6 +19,7 @@
 constexpr char kTokenCounts[] = "Token-Counts";
 constexpr char kPromptPrefix[] = "Prompt-Prefix";
 constexpr char kLastEventId[] = "Last-Event-Id";
+constexpr char kResumes[] = "Resumes";
 constexpr char kExpectedInstance[] = "Expected-Instance";
 constexpr char kTenant[] = "Tenant";
 // A keyed digest by which the caller recognises an answer of the upstream
@@ -109,7 +110,8 @@
 
 absl::StatusOr<CallerRequest> DecodeRequest(const http1::RequestHead& head) {
   for (const char* const single :
-       {kRequestId, "Host", kDeadline, kAuthorization, kLastEventId}) {
+       {kRequestId, "Host", kDeadline, kAuthorization, kLastEventId,
+        kResumes}) {
     if (http1::CountHeader(head.headers, single) > 1) {
       return absl::InvalidArgumentError(
           absl::StrCat("header ", single, " appears more than once"));
@@ -146,6 +148,8 @@
   if (!last_event.empty() && absl::SimpleAtoi(ToAbsl(last_event), &event)) {
     request.last_event_id = event;
   }
+  request.resumed_request =
+      std::string(http::FindHeader(head.headers, kResumes));
   if (absl::Status status = DecodePrompt(head, request); !status.ok()) {
     return status;
   }
--- a/jackdawshunt/platform/wire.h
+++ b/jackdawshunt/platform/wire.h
@@ -30,6 +30,8 @@
   std::optional<routing::Prompt> prompt;  // Absent for plain services.
   // The last event that the caller received of an interrupted stream.
   std::optional<uint64_t> last_event_id;
+  // Id of the request whose answer began that stream; empty when not given.
+  std::string resumed_request;
 };
 
 // Error: InvalidArgument, which names the missing or malformed header.
--- a/jackdawshunt/platform/wire_test.cc
+++ b/jackdawshunt/platform/wire_test.cc
@@ -37,6 +37,20 @@
   EXPECT_EQ(request->prompt->own_tokens(), 250u);
 }
 
+TEST(WireTest, DecodesResumptionOfStream) {
+  http1::RequestHead head = GenerationRequest();
+  EXPECT_EQ(DecodeRequest(head)->last_event_id, std::nullopt);
+  EXPECT_EQ(DecodeRequest(head)->resumed_request, "");
+  head.headers.emplace_back("Last-Event-Id", "7");
+  head.headers.emplace_back("Resumes", "b8e2");
+  const auto request = DecodeRequest(head);
+  ASSERT_TRUE(request.ok());
+  EXPECT_EQ(request->last_event_id, 7u);
+  EXPECT_EQ(request->resumed_request, "b8e2");
+  head.headers.emplace_back("resumes", "other");
+  EXPECT_FALSE(DecodeRequest(head).ok());
+}
+
 TEST(WireTest, RejectsMissingIdTwoHostsAndBadTokenCounts) {
   http1::RequestHead no_id = GenerationRequest();
   no_id.headers.erase(no_id.headers.begin() + 1);
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -52,9 +52,16 @@
   PlacementWeights placement;
 };
 
+// A caller's request to continue a stream that an earlier request began.
+struct Resumption {
+  std::string first_request;   // Its id; empty if the caller does not name it.
+  uint64_t last_event_id = 0;  // The last event that the caller received.
+};
+
 // One caller's request over all its attempts.
 struct RoutedRequest {
   std::string id;
+  std::optional<Resumption> resumption;  // Absent for new requests.
   std::shared_ptr<const RoutingTable> table;  // Keeps `route` alive.
   const Route* route = nullptr;
   std::string service;
--- a/jackdawshunt/routing/upstream.h
+++ b/jackdawshunt/routing/upstream.h
@@ -16,6 +16,8 @@
   std::string service;
   http::Address address;
   std::string data_centre;
+  // Version of its software; empty when not stated. Versions have no order.
+  std::string software_version;
   uint32_t slots = 1;
   bool is_draining = false;
   // Unix time of its start in milliseconds; a new value means that it restarted
