Failing tests: streams continued at another software version

The stand-in engines have a software version, which each event states, and the caller's side of the tests joins the events of all its tries and judges the versions.

--- a/jackdawshunt/gateway/metrics.cc
+++ b/jackdawshunt/gateway/metrics.cc
@@ -67,8 +67,7 @@
 }
 
 void Metrics::CountResumption(std::string_view by, std::string_view version) {
-  resumptions_
-      .Add({{"by", std::string(by)}, {"version", std::string(version)}})
+  resumptions_.Add({{"by", std::string(by)}, {"version", std::string(version)}})
       .Increment();
 }
 
--- a/jackdawshunt/platform/records_test.cc
+++ b/jackdawshunt/platform/records_test.cc
@@ -45,9 +45,9 @@
   no_version.replace(no_version.find(R"("version":"v1",)"), 15, "");
   std::string number = kServer;
   number.replace(number.find(R"("v1")"), 4, "12");
-  const auto list = DecodeList(
-      RecordKind::kUpstream,
-      ListOf(Item("i-1", no_version) + "," + Item("i-2", number)));
+  const auto list =
+      DecodeList(RecordKind::kUpstream,
+                 ListOf(Item("i-1", no_version) + "," + Item("i-2", number)));
   ASSERT_TRUE(list.ok());
   const auto version = [&list](size_t i) {
     return std::get<routing::Upstream>(list->records.at(i).value)
--- a/jackdawshunt/platform/wire.cc
+++ b/jackdawshunt/platform/wire.cc
@@ -109,9 +109,8 @@
 }  // namespace
 
 absl::StatusOr<CallerRequest> DecodeRequest(const http1::RequestHead& head) {
-  for (const char* const single :
-       {kRequestId, "Host", kDeadline, kAuthorization, kLastEventId,
-        kResumes}) {
+  for (const char* const single : {kRequestId, "Host", kDeadline,
+                                   kAuthorization, kLastEventId, kResumes}) {
     if (http1::CountHeader(head.headers, single) > 1) {
       return absl::InvalidArgumentError(
           absl::StrCat("header ", single, " appears more than once"));
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include "gtest/gtest.h"
+#include "jackdawshunt/testing/platform/caller_stream.h"
 #include "jackdawshunt/testing/platform/platform_fleet.h"
 
 namespace jackdawshunt::testing {
@@ -39,6 +40,49 @@
     return found == fleet_->runs().end() ? 0 : found->second.size();
   }
 
+  // Starts a resumable stream and returns it once its caller has two events.
+  CallPtr BeginStream(size_t gateway, const std::string& shared_part = "a1") {
+    CallPtr call =
+        fleet_->Call(gateway, {.route = kRevise, .shared_part = shared_part});
+    EXPECT_TRUE(fleet_->Await(
+        [&] { return call->body().find("id: 2\n") != std::string::npos; }));
+    return call;
+  }
+  // Starts streams at gateway 0 whose prompts prefer different engines.
+  std::vector<CallPtr> BeginStreams(size_t count) {
+    std::vector<CallPtr> calls;
+    for (size_t i = 0; i < count; ++i) {
+      calls.push_back(BeginStream(0, std::to_string(i)));
+    }
+    return calls;
+  }
+  void DrainEngines(const std::vector<size_t>& engines) {
+    for (const size_t engine : engines) {
+      fleet_->PutUpstream(engine, "draining");
+    }
+    fleet_->RunFor(milliseconds(700));
+  }
+  // Resumes the streams that `calls` began, all at once, and expects each to be
+  // complete and of one software version.
+  void ExpectResumeAtTheirVersions(const std::vector<CallPtr>& calls,
+                                   size_t gateway,
+                                   uint64_t events) {
+    std::vector<CallerStream> streams(calls.size());
+    std::vector<CallPtr> resumed;
+    for (size_t i = 0; i < calls.size(); ++i) {
+      streams[i].Append(*calls[i]);
+      resumed.push_back(
+          fleet_->Call(gateway, streams[i].Resume(calls[i]->options())));
+    }
+    for (size_t i = 0; i < calls.size(); ++i) {
+      ASSERT_TRUE(fleet_->Await([&] { return resumed[i]->is_done(); }));
+      streams[i].Append(*resumed[i]);
+      EXPECT_EQ(resumed[i]->status(), 200);
+      EXPECT_EQ(streams[i].Fault(), "");
+      EXPECT_EQ(streams[i].last_event_id(), events);
+    }
+  }
+
   std::unique_ptr<PlatformFleet> fleet_;
 };
 
@@ -129,6 +173,82 @@
   EXPECT_GE(fleet_->runs().at(call->id()).back().from_event, 3u);
 }
 
+// Guards against one answer with events of two software versions.
+TEST_F(GatewayProcessTest, AStreamGoesOnOnlyAtItsSoftwareVersion) {
+  Start({.engines = 4, .engine_versions = {"v1", "v2"}, .stream_events = 20});
+  AwaitRepeatBudget();
+  size_t resumed = 0;
+  for (int i = 0; i < 12; ++i) {
+    const CallPtr call = BeginStream(0);
+    const std::string first = fleet_->runs().at(call->id()).front().upstream;
+    fleet_->upstream(std::stoul(first.substr(2))).Crash();
+    ASSERT_TRUE(fleet_->Await([&] { return call->is_done(); }));
+    CallerStream stream;
+    stream.Append(*call);
+    EXPECT_EQ(stream.Fault(), "");
+    resumed += call->is_complete() ? 1 : 0;
+  }
+  EXPECT_GE(resumed, 10u);
+}
+
+// Guards against one answer that goes on at another software version because
+// no other engine of its own is left.
+TEST_F(GatewayProcessTest, AStreamEndsIncompleteWithoutItsSoftwareVersion) {
+  Start({.engine_versions = {"v1", "v2"}, .stream_events = 20});
+  AwaitRepeatBudget();
+  const CallPtr call = BeginStream(0);
+  fleet_->upstream(0).Crash();
+  fleet_->upstream(1).Crash();
+  ASSERT_TRUE(fleet_->Await([&] { return call->is_done(); }));
+  EXPECT_FALSE(call->is_complete());
+  EXPECT_EQ(Runs(*call), 1u);
+}
+
+// Guards against a stream of two software versions after its caller moved to
+// a gateway that did not serve it before, while its engine leaves.
+TEST_F(GatewayProcessTest, ACallerResumesAStreamAtItsSoftwareVersion) {
+  Start({.gateways = 2,
+         .engines = 6,
+         .engine_versions = {"v1", "v2", "v10"},
+         .stream_events = 200});
+  const std::vector<CallPtr> calls = BeginStreams(12);
+  DrainEngines({0, 1, 2});
+  for (const CallPtr& first : calls) {
+    first->Leave();
+  }
+  ExpectResumeAtTheirVersions(calls, 1, 200);
+}
+
+// Guards against the loss of the streams' software versions with the gateway
+// that began them.
+TEST_F(GatewayProcessTest, AStreamOfAKilledGatewayResumesAtItsSoftwareVersion) {
+  Start({.gateways = 2,
+         .engines = 4,
+         .engine_versions = {"v1", "v2"},
+         .stream_events = 200});
+  const std::vector<CallPtr> calls = BeginStreams(12);
+  fleet_->gateway(0).Kill();
+  DrainEngines({0, 1});
+  for (const CallPtr& first : calls) {
+    ASSERT_TRUE(fleet_->Await([&] { return first->is_done(); }));
+  }
+  ExpectResumeAtTheirVersions(calls, 1, 200);
+}
+
+// Guards against a guess where no process knows the version that began a
+// stream: the caller is told that nothing ran.
+TEST_F(GatewayProcessTest, AStreamOfUnknownOriginIsNotResumed) {
+  Start({.engine_versions = {"v1", "v2"}});
+  for (const char* const resumed : {"unknown", ""}) {
+    const CallPtr call = Call(
+        {.route = kRevise, .last_event_id = 2, .resumed_request = resumed});
+    EXPECT_EQ(call->status(), 503);
+    EXPECT_FALSE(http::FindHeader(call->head().headers, "Retry-After").empty());
+    EXPECT_LT(call->total(), kernel::Duration(milliseconds(500)));
+    EXPECT_EQ(Runs(*call), 0u);
+  }
+}
+
 TEST_F(GatewayProcessTest, AStreamThatCannotResumeDoesNotLookComplete) {
   Start();
   CallPtr call = fleet_->Call(0, {.route = kGenerate});
--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -55,8 +55,16 @@
   }
   if (options_.route == kGenerate || options_.route == kRevise) {
     head.headers.emplace_back("Token-Counts", "1000,20");
-    head.headers.emplace_back("Prompt-Prefix",
-                              absl::StrCat("a1:800,", "b", id_, ":200"));
+    head.headers.emplace_back(
+        "Prompt-Prefix",
+        absl::StrCat(options_.shared_part, ":800,b", id_, ":200"));
+  }
+  if (options_.last_event_id.has_value()) {
+    head.headers.emplace_back("Last-Event-Id",
+                              absl::StrCat(*options_.last_event_id));
+  }
+  if (!options_.resumed_request.empty()) {
+    head.headers.emplace_back("Resumes", options_.resumed_request);
   }
   const bool has_body = head.method == "POST";
   std::string bytes = http1::Serialize(
@@ -115,6 +123,11 @@
         StandInUpstreamOptions{
             .id = absl::StrCat("i-", i),
             .service = is_engine ? kEngineService : kPlainService,
+            .version =
+                is_engine
+                    ? options_
+                          .engine_versions[i % options_.engine_versions.size()]
+                    : "v1",
             .is_engine = is_engine,
             .events = options_.stream_events},
         runs_));
@@ -161,7 +174,7 @@
                 Through(ProxiedHop::kUpstream, index, upstream_address(index))
                     .ToString()},
                {"zone", "z"},
-               {"version", "v1"},
+               {"version", options.version},
                {"slots", 64},
                {"state", state},
                {"coldRemainingMs", 0},
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -31,6 +31,8 @@
 struct PlatformFleetOptions {
   size_t gateways = 1;
   size_t engines = 2;
+  // Software versions of the engines, in turn.
+  std::vector<std::string> engine_versions = {"v1"};
   size_t plain = 2;
   kernel::Duration revocation = std::chrono::seconds(5);
   kernel::Duration route_timeout = std::chrono::seconds(8);
@@ -59,6 +61,11 @@
   std::string api_key = "key-lodge";
   kernel::Duration deadline = std::chrono::seconds(8);
   std::string body = "{}";
+  // Id of the shared part of the prompt, on which the preferred engines depend.
+  std::string shared_part = "a1";
+  // Resumes the stream that the request `resumed_request` began.
+  std::optional<uint64_t> last_event_id;
+  std::string resumed_request;
   // Uses a connection that was kept after an earlier call, and keeps it.
   bool keeps_connection = false;
 };
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -31,19 +31,23 @@
 
 StandInUpstream::~StandInUpstream() = default;
 
-std::string StandInUpstream::Event(const std::string& request_id, uint64_t id) {
-  return absl::StrCat("id: ", id, "\ndata: ", request_id, "-", id, "\n\n");
+std::string StandInUpstream::Event(const std::string& request_id,
+                                   uint64_t id,
+                                   const std::string& version) {
+  return absl::StrCat("id: ", id, "\ndata: ", request_id, "-", id, " ", version,
+                      "\n\n");
 }
 
 std::string StandInUpstream::ExpectedBody(const std::string& request_id,
                                           bool is_engine,
-                                          uint32_t events) {
+                                          uint32_t events,
+                                          const std::string& version) {
   if (!is_engine) {
     return absl::StrCat("result of ", request_id);
   }
   std::string body;
   for (uint32_t id = 1; id <= events; ++id) {
-    body += Event(request_id, id);
+    body += Event(request_id, id, version);
   }
   return body;
 }
@@ -77,6 +81,7 @@
   UpstreamRun run;
   run.upstream = options_.id;
   run.service = options_.service;
+  run.version = options_.version;
   run.workspace = Text(http::FindHeader(head.headers, "Tenant"));
   run.carried_key = http1::CountHeader(head.headers, "Authorization") > 0;
   run.began = loop_.clock().Now();
@@ -101,7 +106,8 @@
 void StandInUpstream::Respond(http1::ServerConnection& connection) {
   const std::string request = jobs_.at(&connection).request;
   const std::string body =
-      ExpectedBody(request, options_.is_engine, options_.events);
+      ExpectedBody(request, options_.is_engine, options_.events,
+                   options_.version);
   switch (fault_) {
     case UpstreamFault::kErrors:
     case UpstreamFault::kFalse503:
@@ -163,7 +169,7 @@
     connection.FinishResponse();
     return;
   }
-  connection.WriteBody(Event(job.request, job.next_event));
+  connection.WriteBody(Event(job.request, job.next_event, options_.version));
   ++job.next_event;
   job.timer = loop_.After(options_.event_gap,
                           [this, &connection] { SendEvent(connection); });
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -40,6 +40,7 @@
 struct UpstreamRun {
   std::string upstream;
   std::string service;
+  std::string version;  // Of the upstream's software.
   std::string workspace;
   bool carried_key = false;
   uint64_t from_event = 0;  // First event that was asked for.
@@ -54,6 +55,7 @@
 struct StandInUpstreamOptions {
   std::string id;
   std::string service;
+  std::string version = "v1";  // Of its software; written into each event.
   bool is_engine = true;
   uint32_t events = 5;  // Of one stream.
   kernel::Duration event_gap = std::chrono::milliseconds(10);
@@ -74,11 +76,15 @@
   // Ends all connections, as a crash does.
   void Crash();
 
-  // The whole body that a caller of this request must get.
+  // The whole body that a caller of this request must get from upstreams of
+  // this software version.
   static std::string ExpectedBody(const std::string& request_id,
                                   bool is_engine,
-                                  uint32_t events);
-  static std::string Event(const std::string& request_id, uint64_t id);
+                                  uint32_t events,
+                                  const std::string& version = "v1");
+  static std::string Event(const std::string& request_id,
+                           uint64_t id,
+                           const std::string& version);
 
   // http1::ServerConnection::Handler:
   void OnRequest(http1::ServerConnection& connection,
