Continue streams only at the software version that began them

What callers saw: streams that hold events of two software versions of an engine, in one answer or after they were resumed through another gateway. Cause: a gateway kept no identity of the software that began a stream. The list states the version of each upstream, but it was not decoded, and a resumption was placed like a new request, in an answer and over a caller's tries. Change: the origin of a stream (service and version) is recorded by the gateway that gets its first event, before the caller does, and at the boards of three engines chosen by rendezvous hashing in different data centres. A gateway that gets a resumption looks the origin up, at itself or at these boards, and places the request only at upstreams of the same origin. The choice of a service of a split route follows the origin too. A resumed stream has a whole latency objective, since its caller already has the first event. Why it works: an origin never changes, so a record that is old, or read by a process out of touch, is still right; a record that is lost leads to a refusal.

--- a/jackdawshunt/base/error.cc
+++ b/jackdawshunt/base/error.cc
@@ -43,6 +43,8 @@
                 seconds(1)},
     ErrorAnswer{ErrorKind::kNoCapacity, "no_capacity", 503, Executed::kNo,
                 seconds(2)},
+    ErrorAnswer{ErrorKind::kStreamOriginUnknown, "stream_origin_unknown", 503,
+                Executed::kNo, seconds(1)},
     ErrorAnswer{ErrorKind::kDraining, "draining", 503, Executed::kNo,
                 seconds(1)},
     ErrorAnswer{ErrorKind::kOverloaded, "overloaded", 503, Executed::kNo,
--- a/jackdawshunt/base/error.h
+++ b/jackdawshunt/base/error.h
@@ -26,6 +26,7 @@
   kQueueFull,
   kWaitLimit,
   kNoCapacity,
+  kStreamOriginUnknown,
   kDraining,
   kOverloaded,
   kNotReady,
--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -15,6 +15,9 @@
 // A gateway expires when it has not reported for this time.
 constexpr kernel::Duration kGatewayExpiry = std::chrono::seconds(3);
 
+// Bounds what a gateway can ask a board to keep.
+constexpr kernel::Duration kMaxOriginAge = std::chrono::seconds(300);
+
 // The engine counts as unreachable for all gateways after this many reports
 // without a first event in between. A single report may be due to a fault of
 // the reporting gateway.
@@ -162,7 +165,27 @@
   return std::nullopt;
 }
 
+std::optional<Message> Board::On(const OriginRecord& record,
+                                 kernel::TimePoint now) {
+  origins_.Record(record.request, record.origin,
+                  now + std::clamp(record.resumable_for,
+                                   kernel::Duration::zero(), kMaxOriginAge));
+  return std::nullopt;
+}
+
+std::optional<Message> Board::On(const OriginQuery& query,
+                                 kernel::TimePoint now) {
+  return OriginReply{.nonce = query.nonce,
+                     .origin = origins_.Find(query.request, now)};
+}
+
+std::optional<Message> Board::On(const OriginReply& /*reply*/,
+                                 kernel::TimePoint /*now*/) {
+  return std::nullopt;
+}
+
 void Board::DropExpired(kernel::TimePoint now) {
+  origins_.DropExpired(now);
   if (engine_ != nullptr) {
     engine_->DropExpired(kMaxClaimAge, now);
   }
--- a/jackdawshunt/board/board.h
+++ b/jackdawshunt/board/board.h
@@ -3,7 +3,8 @@
 // A board runs beside one engine. All gateways report the requests that they
 // send to the engine, so the board estimates its queue and KV cache better than
 // any single gateway can. The board also sums the tokens of each workspace over
-// the gateways that report to it.
+// the gateways that report to it, and keeps the origins of some streams of all
+// engines.
 //
 // Example:
 //   board::Board board(incarnation);
@@ -24,6 +25,7 @@
 #include "jackdawshunt/board/messages.h"
 #include "jackdawshunt/kernel/clock.h"
 #include "jackdawshunt/routing/engine_estimate.h"
+#include "jackdawshunt/routing/stream_origins.h"
 
 namespace jackdawshunt::board {
 
@@ -36,7 +38,7 @@
   // is none, such as to a Claim, to a duplicate ShareUpdate, or to a Query
   // whose lists differ in length.
   std::optional<Message> Handle(const Message& message, kernel::TimePoint now);
-  // Drops expired claims and gateways; call every second.
+  // Drops expired claims, gateways and origins; call every second.
   void DropExpired(kernel::TimePoint now);
 
   // Returns the estimate of the engine; null until the first valid Query or
@@ -44,6 +46,7 @@
   const routing::EngineEstimate* engine() const { return engine_.get(); }
   // Returns the number of gateways that report to this board.
   size_t gateways() const { return gateways_.size(); }
+  const routing::StreamOrigins& origins() const { return origins_; }
 
  private:
   // State of one gateway that reports to this board.
@@ -54,8 +57,8 @@
     std::map<uint64_t, routing::ShareCount> last_sent;
   };
 
-  // Handle() calls the overload for the type of its message. Offers and totals
-  // are messages to gateways and are ignored.
+  // Handle() calls the overload for the type of its message. Offers, totals and
+  // origin replies are messages to gateways and are ignored.
   std::optional<Message> On(const Query& query, kernel::TimePoint now);
   std::optional<Message> On(const Offer& offer, kernel::TimePoint now);
   std::optional<Message> On(const Claim& claim, kernel::TimePoint now);
@@ -63,6 +66,9 @@
                             kernel::TimePoint now);
   std::optional<Message> On(const ShareUpdate& update, kernel::TimePoint now);
   std::optional<Message> On(const ShareTotals& totals, kernel::TimePoint now);
+  std::optional<Message> On(const OriginRecord& record, kernel::TimePoint now);
+  std::optional<Message> On(const OriginQuery& query, kernel::TimePoint now);
+  std::optional<Message> On(const OriginReply& reply, kernel::TimePoint now);
   // Starts a new estimate if `engine` is another incarnation than that of the
   // current estimate, and updates the sustained throughput.
   void EnsureEngine(const EngineIdentity& engine);
@@ -81,6 +87,7 @@
   kernel::TimePoint next_trial_{};
   std::unordered_map<uint64_t, Gateway> gateways_;
   std::map<uint64_t, routing::ShareCount> totals_;  // Over all gateways.
+  routing::StreamOrigins origins_;
 };
 
 }  // namespace jackdawshunt::board
--- a/jackdawshunt/board/board_role.cc
+++ b/jackdawshunt/board/board_role.cc
@@ -52,7 +52,9 @@
     loop_.Run();
     base::Log(base::LogLevel::kInfo, "stopped",
               {{"datagrams_dropped", socket_->dropped()},
-               {"datagrams_unreadable", unreadable_}});
+               {"datagrams_unreadable", unreadable_},
+               {"stream_origins", board_.origins().size()},
+               {"stream_origins_rejected", board_.origins().rejected()}});
     return 0;
   }
 
--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -95,6 +95,30 @@
   EXPECT_TRUE(std::get<Offer>(*board_.Handle(restarted, Now())).is_reachable);
 }
 
+// Guards against the loss of a stream's software version with the gateway that
+// began it.
+TEST_F(BoardTest, AnswersOriginOfStreamUntilItCannotBeResumed) {
+  const auto origin_of = [&](uint64_t request) {
+    const auto reply = std::get<OriginReply>(
+        *board_.Handle(OriginQuery{.nonce = 5, .request = request}, Now()));
+    EXPECT_EQ(reply.nonce, 5u);
+    return reply.origin;
+  };
+  EXPECT_EQ(origin_of(7), routing::kUnknownOrigin);
+  board_.Handle(
+      OriginRecord{.request = 7, .origin = 33, .resumable_for = seconds(12)},
+      Now());
+  board_.Handle(
+      OriginRecord{.request = 8, .origin = 34, .resumable_for = seconds(-1)},
+      Now());
+  EXPECT_EQ(origin_of(7), 33u);
+  EXPECT_EQ(origin_of(8), routing::kUnknownOrigin);
+  clock_.Advance(seconds(12));
+  EXPECT_EQ(origin_of(7), routing::kUnknownOrigin);
+  board_.DropExpired(Now());
+  EXPECT_EQ(board_.origins().size(), 0u);
+}
+
 TEST_F(BoardTest, TotalsCoverOtherGatewaysSinceLastUpdate) {
   EXPECT_TRUE(Update(1, 1, 100).reports.empty());
   const ShareTotals second = Update(2, 1, 50);
@@ -267,6 +291,24 @@
   EXPECT_EQ(copy.reports[0].count.admitted, -12);
 }
 
+TEST(MessagesTest, EncodeThenDecodeKeepsStreamOrigins) {
+  const auto record = Decode(Encode(
+      OriginRecord{.request = 1, .origin = 2, .resumable_for = seconds(3)}));
+  ASSERT_TRUE(record.ok());
+  EXPECT_EQ(std::get<OriginRecord>(*record).request, 1u);
+  EXPECT_EQ(std::get<OriginRecord>(*record).origin, 2u);
+  EXPECT_EQ(std::get<OriginRecord>(*record).resumable_for,
+            kernel::Duration(seconds(3)));
+  const auto query = Decode(Encode(OriginQuery{.nonce = 4, .request = 5}));
+  ASSERT_TRUE(query.ok());
+  EXPECT_EQ(std::get<OriginQuery>(*query).nonce, 4u);
+  EXPECT_EQ(std::get<OriginQuery>(*query).request, 5u);
+  const auto reply = Decode(Encode(OriginReply{.nonce = 6, .origin = 7}));
+  ASSERT_TRUE(reply.ok());
+  EXPECT_EQ(std::get<OriginReply>(*reply).nonce, 6u);
+  EXPECT_EQ(std::get<OriginReply>(*reply).origin, 7u);
+}
+
 // Guards against replies that pile up at an instance whose iterations of the
 // loop are long, until all of them are read too late.
 TEST(DatagramSocketTest, ReadsAllWaitingDatagramsInOneIteration) {
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -18,6 +18,9 @@
   kProgress,
   kShareUpdate,
   kShareTotals,
+  kOriginRecord,
+  kOriginQuery,
+  kOriginReply,
 };
 
 // Longer lists are rejected.
@@ -142,6 +145,25 @@
       .Add(totals.reports);
 }
 
+void Write(const OriginRecord& record, std::string& out) {
+  FieldWriter(MessageType::kOriginRecord, 3, out)
+      .Add(record.request)
+      .Add(record.origin)
+      .Add(record.resumable_for);
+}
+
+void Write(const OriginQuery& query, std::string& out) {
+  FieldWriter(MessageType::kOriginQuery, 2, out)
+      .Add(query.nonce)
+      .Add(query.request);
+}
+
+void Write(const OriginReply& reply, std::string& out) {
+  FieldWriter(MessageType::kOriginReply, 2, out)
+      .Add(reply.nonce)
+      .Add(reply.origin);
+}
+
 // Owns the memory of one decoded message.
 class Zone {
  public:
@@ -342,10 +364,33 @@
   return totals;
 }
 
+Message ReadOriginRecord(FieldReader& reader) {
+  OriginRecord record;
+  record.request = reader.ReadUnsigned();
+  record.origin = reader.ReadUnsigned();
+  record.resumable_for = reader.ReadDuration();
+  return record;
+}
+
+Message ReadOriginQuery(FieldReader& reader) {
+  OriginQuery query;
+  query.nonce = reader.ReadUnsigned();
+  query.request = reader.ReadUnsigned();
+  return query;
+}
+
+Message ReadOriginReply(FieldReader& reader) {
+  OriginReply reply;
+  reply.nonce = reader.ReadUnsigned();
+  reply.origin = reader.ReadUnsigned();
+  return reply;
+}
+
 using MessageReader = Message (*)(FieldReader&);
-constexpr std::array<MessageReader, 6> kReaders = {
-    &ReadQuery,    &ReadOffer,       &ReadClaim,
-    &ReadProgress, &ReadShareUpdate, &ReadShareTotals};
+constexpr std::array<MessageReader, 9> kReaders = {
+    &ReadQuery,        &ReadOffer,       &ReadClaim,
+    &ReadProgress,     &ReadShareUpdate, &ReadShareTotals,
+    &ReadOriginRecord, &ReadOriginQuery, &ReadOriginReply};
 
 }  // namespace
 
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -101,8 +101,35 @@
   std::vector<routing::ShareReport> reports;
 };
 
-using Message =
-    std::variant<Query, Offer, Claim, ProgressReport, ShareUpdate, ShareTotals>;
+// Report of a gateway that a request began a stream.
+struct OriginRecord {
+  uint64_t request = 0;  // Hash of the request's id.
+  uint64_t origin = 0;   // See routing::StreamOriginOf().
+  // Time for which the caller may resume the stream.
+  kernel::Duration resumable_for{};
+};
+
+// Query from a gateway for the origin of the stream that a request began.
+struct OriginQuery {
+  uint64_t nonce = 0;
+  uint64_t request = 0;
+};
+
+// Reply of a board to the origin query with the same nonce.
+struct OriginReply {
+  uint64_t nonce = 0;
+  uint64_t origin = 0;  // routing::kUnknownOrigin without a record.
+};
+
+using Message = std::variant<Query,
+                             Offer,
+                             Claim,
+                             ProgressReport,
+                             ShareUpdate,
+                             ShareTotals,
+                             OriginRecord,
+                             OriginQuery,
+                             OriginReply>;
 
 // Returns the MessagePack encoding of `message`.
 std::string Encode(const Message& message);
--- a/jackdawshunt/gateway/board_client.cc
+++ b/jackdawshunt/gateway/board_client.cc
@@ -77,8 +77,12 @@
 
 void BoardClient::Send(const routing::Upstream& engine,
                        const board::Message& message) {
+  SendTo(engine.address.ip, message);
+}
+
+void BoardClient::SendTo(const std::string& ip, const board::Message& message) {
   if (socket_ != nullptr) {
-    socket_->Send({engine.address.ip, board_port_}, board::Encode(message));
+    socket_->Send({ip, board_port_}, board::Encode(message));
   }
 }
 
@@ -152,6 +156,12 @@
     }
     return;
   }
+  if (const auto* origin = std::get_if<board::OriginReply>(&*message)) {
+    if (on_origin_) {
+      on_origin_(from.ip, *origin);
+    }
+    return;
+  }
   const auto* offer = std::get_if<board::Offer>(&*message);
   if (offer == nullptr) {
     return;
@@ -210,4 +220,8 @@
   on_totals_ = std::move(callback);
 }
 
+void BoardClient::SetOriginCallback(OriginCallback callback) {
+  on_origin_ = std::move(callback);
+}
+
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/board_client.h
+++ b/jackdawshunt/gateway/board_client.h
@@ -68,6 +68,13 @@
   // Sets the function that is called with each ShareTotals that arrives.
   void SetTotalsCallback(TotalsCallback callback);
 
+  // Sends `message` to the board at `ip`.
+  void SendTo(const std::string& ip, const board::Message& message);
+  // Sets the function that is called with each OriginReply that arrives.
+  using OriginCallback = std::function<void(const std::string& board_ip,
+                                            const board::OriginReply&)>;
+  void SetOriginCallback(OriginCallback callback);
+
   // Drops the state of queries whose handles were destroyed; call every second.
   void DropAbandonedQueries();
 
@@ -94,6 +101,7 @@
   // Consecutive queries without a reply in time, by the board's IP.
   std::unordered_map<std::string, uint32_t> consecutive_unanswered_;
   TotalsCallback on_totals_;
+  OriginCallback on_origin_;
   uint64_t next_nonce_ = 1;
   uint64_t queries_sent_ = 0;
   uint64_t queries_unanswered_ = 0;
--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -67,6 +67,30 @@
   deadline_ = context_.loop.After(
       std::max(request_.deadline - Now(), kernel::Duration::zero()),
       [this] { OnTimeout(); });
+  if (!request_.resumption.has_value()) {
+    StartAttempt();
+    return;
+  }
+  origin_lookup_ = context_.origins.Find(
+      request_, [this](const OriginAnswer& answer) { OnOriginFound(answer); });
+}
+
+void Call::OnOriginFound(const OriginAnswer& answer) {
+  const bool is_known = answer.origin != routing::kUnknownOrigin;
+  base::LogLine(base::LogLevel::kInfo, "stream_origin")
+      .Add("request", request_.id)
+      .Add("resumes", request_.resumption->first_request)
+      .Add("after_event", request_.resumption->last_event_id)
+      .Add("known", is_known)
+      .Add("rounds", answer.rounds)
+      .Add("ms", ToWholeMs(answer.time));
+  context_.metrics.ObserveOriginLookup(answer.time);
+  if (!is_known) {
+    CountResumption("origin_unknown");
+    Refuse(base::ErrorKind::kStreamOriginUnknown, MinRetryAfter());
+    return;
+  }
+  context_.router.BindToOrigin(request_, answer.origin, Now());
   StartAttempt();
 }
 
@@ -121,6 +145,7 @@
     }
     return;
   }
+  CountResumption(routing::VerdictName(decision.verdict));
   if (decision.verdict == routing::Verdict::kRefuse) {
     FinishWithoutRetry("no upstream to resume at", base::ErrorKind::kWaitLimit,
                        decision.retry_after);
@@ -177,24 +202,21 @@
         .Add("after_event", request_.resumption->last_event_id);
   }
   if (has_first_event_) {
-    line.Add("continues_version", first_version_)
-        .Add("after_event", splitter_.last_event_id().value_or(0));
+    line.Add("continues_after_event", splitter_.last_event_id().value_or(0));
   }
 }
 
-void Call::CountResumption() {
+void Call::CountResumption(std::string_view result) {
   if (has_first_event_) {
-    context_.metrics.CountResumption(
-        "answer",
-        upstream_.software_version == first_version_ ? "same" : "other");
+    context_.metrics.CountResumption("gateway", result);
   } else if (request_.resumption.has_value()) {
-    context_.metrics.CountResumption("caller", "unknown");
+    context_.metrics.CountResumption("caller", result);
   }
 }
 
 void Call::SendAttempt(const routing::Decision& decision) {
   upstream_ = decision.upstream;
-  CountResumption();
+  CountResumption("sent");
   sent_at_ = Now();
   body_mode_ = BodyMode::kDiscard;
   collected_.clear();
@@ -277,15 +299,7 @@
   } else if (body_mode_ == BodyMode::kEvents) {
     const std::string_view whole = splitter_.Feed(data);
     if (!whole.empty() && !has_first_event_) {
-      has_first_event_ = true;
-      first_version_ = upstream_.software_version;
-      context_.router.OnFirstEvent(request_, upstream_, Now());
-      if (is_engine_attempt_) {
-        context_.boards.SendProgress(upstream_, request_,
-                                     board::Progress::kFirstEvent);
-      }
-      context_.metrics.ObserveFirstByte(kind_name(),
-                                        Now() - request_.arrived_at);
+      OnFirstEvent();
     }
     if (is_answer_started_) {
       caller_->WriteBody(whole);
@@ -299,6 +313,22 @@
   }
 }
 
+void Call::OnFirstEvent() {
+  has_first_event_ = true;
+  if (!request_.origin.has_value()) {
+    request_.origin = upstream_.origin;
+    if (request_.route->is_resumable) {
+      context_.origins.Record(request_);
+    }
+  }
+  context_.router.OnFirstEvent(request_, upstream_, Now());
+  if (is_engine_attempt_) {
+    context_.boards.SendProgress(upstream_, request_,
+                                 board::Progress::kFirstEvent);
+  }
+  context_.metrics.ObserveFirstByte(kind_name(), Now() - request_.arrived_at);
+}
+
 void Call::OnCallerDrained() {
   if (is_reading_paused_ && connection_ != nullptr) {
     is_reading_paused_ = false;
@@ -507,6 +537,7 @@
 void Call::Finish(int status, std::string_view reason) {
   is_done_ = true;
   query_.reset();
+  origin_lookup_.reset();
   deadline_.Cancel();
   const kernel::Duration total = Now() - request_.arrived_at;
   context_.metrics.CountAnswer(kind_name(), status, reason);
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -22,6 +22,7 @@
 #include "jackdawshunt/gateway/board_client.h"
 #include "jackdawshunt/gateway/event_splitter.h"
 #include "jackdawshunt/gateway/metrics.h"
+#include "jackdawshunt/gateway/origin_client.h"
 #include "jackdawshunt/gateway/upstream_pool.h"
 #include "jackdawshunt/http1/client.h"
 #include "jackdawshunt/http1/server.h"
@@ -38,6 +39,7 @@
   routing::Router& router;
   UpstreamPool& pool;
   BoardClient& boards;
+  OriginClient& origins;
   Metrics& metrics;
   const routing::OverloadGauge& overload;
   // Each answer closes its connection, so that the caller opens the next one at
@@ -88,6 +90,9 @@
     kEvents,   // Forwarded event by event.
   };
 
+  // Starts the first attempt of a request that resumes a stream, or refuses it
+  // if the origin of the stream is not known.
+  void OnOriginFound(const OriginAnswer& answer);
   // Queries the boards of the candidate engines, if any, then places the
   // request.
   void StartAttempt();
@@ -136,7 +141,9 @@
   void Finish(int status, std::string_view reason);
   void LogDecision(const routing::Decision& decision);
   // Counts the attempt if it continues a started stream.
-  void CountResumption();
+  void CountResumption(std::string_view result);
+  // Records the first event of the stream.
+  void OnFirstEvent();
   // Returns whether the caller has disconnected, also if the connection's end
   // was not processed yet.
   bool HasCallerLeft() const;
@@ -164,12 +171,11 @@
   bool is_reading_paused_ = false;
 
   // The whole call.
+  OriginClient::LookupHandle origin_lookup_;
   EventSplitter splitter_;
   bool may_have_executed_ = false;
   bool is_answer_started_ = false;
   bool has_first_event_ = false;
-  // Software version of the upstream that sent the first event.
-  std::string first_version_;
   bool is_done_ = false;
   int final_status_ = 0;
 };
--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -17,6 +17,7 @@
 #include "jackdawshunt/gateway/fleet_exchange.h"
 #include "jackdawshunt/gateway/http_frontend.h"
 #include "jackdawshunt/gateway/metrics.h"
+#include "jackdawshunt/gateway/origin_client.h"
 #include "jackdawshunt/gateway/readiness_server.h"
 #include "jackdawshunt/gateway/record_follower.h"
 #include "jackdawshunt/kernel/registry.h"
@@ -83,7 +84,8 @@
         metrics_(operator_server_.registry()),
         pool_(loop_),
         boards_(loop_, settings_.ip, settings_.first_internal_port),
-        context_{loop_, router_, pool_, boards_, metrics_, overload_},
+        origins_(loop_, router_, boards_),
+        context_{loop_, router_, pool_, boards_, origins_, metrics_, overload_},
         http_frontend_(context_, freshness_, MaxConnections(settings_)),
         exchange_(loop_, router_, boards_, freshness_),
         readiness_(loop_, [this] { return IsReady(); }),
@@ -295,6 +297,7 @@
     router_.Tick(loop_.clock().Now());
     pool_.CloseIdleConnections();
     boards_.DropAbandonedQueries();
+    origins_.DropExpired();
     struct stat info {};
     if (stat(settings_path_.c_str(), &info) == 0 &&
         info.st_mtime != settings_mtime_) {
@@ -318,6 +321,9 @@
                       std::chrono::duration<double>(overload_.lag()).count());
     metrics_.SetGauge("store_era",
                       static_cast<double>(upstreams_.revision().era));
+    metrics_.SetGauge("stream_origins", static_cast<double>(origins_.size()));
+    metrics_.SetGauge("stream_origins_rejected",
+                      static_cast<double>(origins_.rejected()));
     metrics_.SetGauge("upstreams",
                       static_cast<double>(router_.directory().size()));
   }
@@ -419,6 +425,7 @@
   Metrics metrics_;
   UpstreamPool pool_;
   BoardClient boards_;
+  OriginClient origins_;
   routing::OverloadGauge overload_;
   CallContext context_;
   HttpFrontend http_frontend_;
--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -281,9 +281,10 @@
     return;
   }
   request.prompt = std::move(decoded->prompt);
-  if (decoded->last_event_id.has_value()) {
+  if (request.route->kind == routing::RouteKind::kStream &&
+      decoded->resumes_stream()) {
     request.resumption = {.first_request = decoded->resumed_request,
-                          .last_event_id = *decoded->last_event_id};
+                          .last_event_id = decoded->last_event_id};
   }
   context_.router.Prepare(request, decoded->deadline,
                           context_.loop.clock().Now());
--- a/jackdawshunt/gateway/metrics.cc
+++ b/jackdawshunt/gateway/metrics.cc
@@ -28,7 +28,7 @@
                     .Register(registry)),
       resumptions_(prometheus::BuildCounter()
                        .Name("jackdawshunt_gateway_resumptions_total")
-                       .Help("Started streams sent to be continued.")
+                       .Help("Started streams that were to be continued.")
                        .Register(registry)),
       first_byte_{prometheus::BuildHistogram()
                       .Name("jackdawshunt_gateway_first_byte_seconds")
@@ -40,6 +40,14 @@
                  .Help("From the request to the end of its answer.")
                  .Register(registry),
              {}},
+      origin_lookup_(
+          prometheus::BuildHistogram()
+              .Name("jackdawshunt_gateway_origin_lookup_seconds")
+              .Help("Time to find the software version of a resumed stream.")
+              .Register(registry)
+              .Add({},
+                   prometheus::Histogram::BucketBoundaries{
+                       0.001, 0.005, 0.01, 0.02, 0.04, 0.08, 0.16})),
       state_(prometheus::BuildGauge()
                  .Name("jackdawshunt_gateway_state")
                  .Help("What the process holds and believes.")
@@ -66,11 +74,15 @@
   counter->Increment();
 }
 
-void Metrics::CountResumption(std::string_view by, std::string_view version) {
-  resumptions_.Add({{"by", std::string(by)}, {"version", std::string(version)}})
+void Metrics::CountResumption(std::string_view by, std::string_view result) {
+  resumptions_.Add({{"by", std::string(by)}, {"result", std::string(result)}})
       .Increment();
 }
 
+void Metrics::ObserveOriginLookup(kernel::Duration time) {
+  origin_lookup_.Observe(ToSeconds(time));
+}
+
 void Metrics::Observe(LatencyMetric& metric,
                       std::string_view route_kind,
                       kernel::Duration latency) {
--- a/jackdawshunt/gateway/metrics.h
+++ b/jackdawshunt/gateway/metrics.h
@@ -37,10 +37,12 @@
                    std::string_view reason);
   // Counts an attempt at an upstream.
   void CountAttempt(std::string_view outcome);
-  // Counts a started stream that is sent to an upstream to be continued: in
-  // the same answer, or for a caller that resumes it. `version` is "same",
-  // "other" or "unknown", compared with the upstream that began it.
-  void CountResumption(std::string_view by, std::string_view version);
+  // Counts a started stream that was to be continued: `by` the gateway in the
+  // same answer, or the caller with another request. `result` is "sent" or the
+  // reason why it was not.
+  void CountResumption(std::string_view by, std::string_view result);
+  // Records the time of a lookup of a stream's origin.
+  void ObserveOriginLookup(kernel::Duration time);
   // Records the time from a request to the first byte of its answer.
   void ObserveFirstByte(std::string_view route_kind, kernel::Duration latency);
   // Records the time from a request to the end of its answer.
@@ -64,6 +66,7 @@
   prometheus::Family<prometheus::Counter>& resumptions_;
   LatencyMetric first_byte_;
   LatencyMetric total_;
+  prometheus::Histogram& origin_lookup_;
   prometheus::Family<prometheus::Gauge>& state_;
   // By the kind of route, the status and the reason.
   absl::flat_hash_map<std::tuple<std::string_view, int, std::string_view>,
--- a/jackdawshunt/platform/wire.cc
+++ b/jackdawshunt/platform/wire.cc
@@ -141,12 +141,8 @@
     request.api_key = std::string(
         absl::StripAsciiWhitespace(authorization.substr(kKeyScheme.size())));
   }
-  const std::string_view last_event =
-      http::FindHeader(head.headers, kLastEventId);
-  uint64_t event = 0;
-  if (!last_event.empty() && absl::SimpleAtoi(ToAbsl(last_event), &event)) {
-    request.last_event_id = event;
-  }
+  request.last_event_id =
+      std::string(http::FindHeader(head.headers, kLastEventId));
   request.resumed_request =
       std::string(http::FindHeader(head.headers, kResumes));
   if (absl::Status status = DecodePrompt(head, request); !status.ok()) {
--- a/jackdawshunt/platform/wire.h
+++ b/jackdawshunt/platform/wire.h
@@ -28,10 +28,15 @@
   std::optional<kernel::Duration> deadline;
   std::string api_key;                    // Empty when not given.
   std::optional<routing::Prompt> prompt;  // Absent for plain services.
-  // The last event that the caller received of an interrupted stream.
-  std::optional<uint64_t> last_event_id;
-  // Id of the request whose answer began that stream; empty when not given.
+  // The last event that the caller received of an interrupted stream, and the
+  // id of the request whose answer began it; empty when not given.
+  std::string last_event_id;
   std::string resumed_request;
+
+  // Returns whether the caller continues an interrupted stream.
+  bool resumes_stream() const {
+    return !last_event_id.empty() || !resumed_request.empty();
+  }
 };
 
 // Error: InvalidArgument, which names the missing or malformed header.
--- a/jackdawshunt/platform/wire_test.cc
+++ b/jackdawshunt/platform/wire_test.cc
@@ -39,13 +39,13 @@
 
 TEST(WireTest, DecodesResumptionOfStream) {
   http1::RequestHead head = GenerationRequest();
-  EXPECT_EQ(DecodeRequest(head)->last_event_id, std::nullopt);
-  EXPECT_EQ(DecodeRequest(head)->resumed_request, "");
+  EXPECT_FALSE(DecodeRequest(head)->resumes_stream());
   head.headers.emplace_back("Last-Event-Id", "7");
   head.headers.emplace_back("Resumes", "b8e2");
   const auto request = DecodeRequest(head);
   ASSERT_TRUE(request.ok());
-  EXPECT_EQ(request->last_event_id, 7u);
+  EXPECT_TRUE(request->resumes_stream());
+  EXPECT_EQ(request->last_event_id, "7");
   EXPECT_EQ(request->resumed_request, "b8e2");
   head.headers.emplace_back("resumes", "other");
   EXPECT_FALSE(DecodeRequest(head).ok());
--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "jackdawshunt/routing/prompt.h"
+#include "jackdawshunt/routing/stream_origins.h"
 
 namespace jackdawshunt::routing {
 namespace {
@@ -92,6 +93,8 @@
   entry.keeps_draining = false;
   Upstream updated = upstream;
   updated.hash = HashOf(updated.id);
+  updated.address_hash = HashOf(updated.address.ip);
+  updated.origin = StreamOriginOf(updated.service, updated.software_version);
   if (!is_new && entry.upstream == updated) {
     return;
   }
@@ -186,6 +189,16 @@
   return ready;
 }
 
+std::vector<const Upstream*> Directory::Listed(std::string_view service) const {
+  std::vector<const Upstream*> listed;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.upstream.service == service) {
+      listed.push_back(&entry.upstream);
+    }
+  }
+  return listed;
+}
+
 const Upstream* Directory::Find(std::string_view id) const {
   const auto entry = entries_.find(id);
   return entry == entries_.end() ? nullptr : &entry->second.upstream;
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -67,6 +67,9 @@
   // this function.
   const std::vector<const Upstream*>& Ready(std::string_view service,
                                             kernel::TimePoint now);
+  // Returns all upstreams of the service, draining ones included. Valid until
+  // the next change of the directory.
+  std::vector<const Upstream*> Listed(std::string_view service) const;
   // Returns null when there is no such entry.
   const Upstream* Find(std::string_view id) const;
   size_t size() const { return entries_.size(); }
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -33,6 +33,16 @@
 // ones for its shared prefix. Other engines would have to prefill the prefix
 // again, and later requests would not find it cached there.
 constexpr size_t kQueriedEngines = 3;
+// Number of boards that keep the origin of a stream. The stream can be resumed
+// while one of them is left.
+constexpr size_t kOriginHomes = 3;
+// Number of boards that are queried among the ready engines and again among all
+// listed ones. More than kOriginHomes, since engines that were added meanwhile
+// take the places of some homes.
+constexpr size_t kQueriedOriginHomes = 6;
+// A caller that states no deadline may resume a stream for this time.
+constexpr kernel::Duration kDefaultResumableTime = std::chrono::seconds(60);
+constexpr kernel::Duration kMaxResumableTime = std::chrono::seconds(300);
 // Below this used share a workspace may also use the next kQueriedEngines.
 constexpr double kMaxShareForFurtherEngines = 0.6;
 
@@ -49,6 +59,49 @@
                    id) != request.tried_upstreams.end();
 }
 
+// Returns the IPs of `count` engines for the key: those with the highest
+// weights whose data centres differ, then others.
+std::vector<std::string> SpreadHomes(
+    uint64_t key,
+    const std::vector<const Upstream*>& engines,
+    size_t count) {
+  std::vector<std::pair<uint64_t, const Upstream*>> weighted;
+  weighted.reserve(engines.size());
+  for (const Upstream* engine : engines) {
+    weighted.emplace_back(RendezvousWeight(key, engine->address_hash), engine);
+  }
+  std::vector<const Upstream*> homes;
+  for (const bool must_differ : {true, false}) {
+    while (homes.size() < count) {
+      const std::pair<uint64_t, const Upstream*>* best = nullptr;
+      for (const auto& row : weighted) {
+        if (best != nullptr && row.first <= best->first) {
+          continue;
+        }
+        const bool is_excluded =
+            std::any_of(homes.begin(), homes.end(), [&](const Upstream* home) {
+              return home->address.ip == row.second->address.ip ||
+                     (must_differ &&
+                      home->data_centre == row.second->data_centre);
+            });
+        if (!is_excluded) {
+          best = &row;
+        }
+      }
+      if (best == nullptr) {
+        break;
+      }
+      homes.push_back(best->second);
+    }
+  }
+  std::vector<std::string> ips;
+  ips.reserve(homes.size());
+  for (const Upstream* home : homes) {
+    ips.push_back(home->address.ip);
+  }
+  return ips;
+}
+
 // Returns the `count` elements with the highest weights, in descending order.
 template <typename Weight>
 std::vector<const Upstream*> HighestWeights(
@@ -142,6 +195,13 @@
         std::max(kernel::Duration::zero(),
                  route.latency_objective - (longest - *deadline));
   }
+  if (request.resumption.has_value()) {
+    // The objective was that of the first event, which the caller has.
+    request.remaining_objective_at_arrival = route.latency_objective;
+  }
+  request.resumable_until =
+      now +
+      std::min(deadline.value_or(kDefaultResumableTime), kMaxResumableTime);
   if (request.prompt.has_value()) {
     request.part_keys = PartKeys(request.prompt->parts);
   }
@@ -152,6 +212,53 @@
   }
 }
 
+void Router::BindToOrigin(RoutedRequest& request,
+                          uint64_t origin,
+                          kernel::TimePoint now) {
+  request.origin = origin;
+  for (const WeightedService& candidate : request.route->services) {
+    const auto& ready = directory_.Ready(candidate.service, now);
+    if (std::any_of(ready.begin(), ready.end(),
+                    [origin](const Upstream* upstream) {
+                      return upstream->origin == origin;
+                    })) {
+      request.service = candidate.service;
+      return;
+    }
+  }
+}
+
+std::vector<std::string> Router::OriginHomes(uint64_t request_hash,
+                                             kernel::TimePoint now) {
+  return SpreadHomes(request_hash, ReadyEngines(now), kOriginHomes);
+}
+
+std::vector<std::string> Router::PossibleOriginHomes(uint64_t request_hash,
+                                                     kernel::TimePoint now) {
+  std::vector<std::string> homes =
+      SpreadHomes(request_hash, ReadyEngines(now), kQueriedOriginHomes);
+  std::vector<const Upstream*> listed;
+  for (const Service& service : table_->state().services) {
+    if (service.engine.has_value()) {
+      const auto of_service = directory_.Listed(service.name);
+      listed.insert(listed.end(), of_service.begin(), of_service.end());
+    }
+  }
+  for (std::string& ip :
+       SpreadHomes(request_hash, listed, kQueriedOriginHomes)) {
+    if (std::find(homes.begin(), homes.end(), ip) == homes.end()) {
+      homes.push_back(std::move(ip));
+    }
+  }
+  return homes;
+}
+
+bool Router::MayServe(const RoutedRequest& request, const Upstream& upstream) {
+  return !WasTried(request, upstream.id) &&
+         (!request.origin.has_value() || (*request.origin != kUnknownOrigin &&
+                                          *request.origin == upstream.origin));
+}
+
 Router::UpstreamState& Router::StateOf(const Upstream& upstream) {
   const auto [found, is_new] = upstreams_.try_emplace(upstream.id);
   if (is_new && table_ != nullptr) {
@@ -168,7 +275,7 @@
                                                 kernel::TimePoint now) {
   std::vector<const Upstream*> untried = directory_.Ready(request.service, now);
   std::erase_if(untried, [&request](const Upstream* upstream) {
-    return WasTried(request, upstream->id);
+    return !MayServe(request, *upstream);
   });
   if (!health_.MayAvoidAny(now)) {
     return untried;
@@ -332,7 +439,7 @@
     }
     const Upstream* const upstream = directory_.Find(offer.upstream);
     if (upstream != nullptr && !upstream->is_draining &&
-        !WasTried(request, upstream->id)) {
+        MayServe(request, *upstream)) {
       reachable.push_back(upstream);
     }
   }
@@ -494,22 +601,26 @@
   Release(request, upstream, true, now);
 }
 
-std::vector<Upstream> Router::EnginesForExchange(size_t count,
-                                                 kernel::TimePoint now) {
-  std::vector<Upstream> engines;
+std::vector<const Upstream*> Router::ReadyEngines(kernel::TimePoint now) {
+  std::vector<const Upstream*> engines;
   if (table_ == nullptr) {
     return engines;
   }
-  std::vector<const Upstream*> all;
   for (const Service& service : table_->state().services) {
     if (service.engine.has_value()) {
       const auto& ready = directory_.Ready(service.name, now);
-      all.insert(all.end(), ready.begin(), ready.end());
+      engines.insert(engines.end(), ready.begin(), ready.end());
     }
   }
+  return engines;
+}
+
+std::vector<Upstream> Router::EnginesForExchange(size_t count,
+                                                 kernel::TimePoint now) {
+  std::vector<Upstream> engines;
   for (const Upstream* upstream :
-       HighestWeights(all, count, [](const Upstream& candidate) {
-         return RendezvousWeight(0, HashOf(candidate.address.ip));
+       HighestWeights(ReadyEngines(now), count, [](const Upstream& candidate) {
+         return RendezvousWeight(0, candidate.address_hash);
        })) {
     engines.push_back(*upstream);
   }
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -36,6 +36,7 @@
 #include "jackdawshunt/routing/placement.h"
 #include "jackdawshunt/routing/prompt.h"
 #include "jackdawshunt/routing/retry_budget.h"
+#include "jackdawshunt/routing/stream_origins.h"
 #include "jackdawshunt/routing/upstream_health.h"
 
 namespace jackdawshunt::routing {
@@ -54,14 +55,14 @@
 
 // A caller's request to continue a stream that an earlier request began.
 struct Resumption {
-  std::string first_request;   // Its id; empty if the caller does not name it.
-  uint64_t last_event_id = 0;  // The last event that the caller received.
+  std::string first_request;  // Its id; empty if the caller does not name it.
+  std::string last_event_id;  // The last event that the caller received.
 };
 
 // One caller's request over all its attempts.
 struct RoutedRequest {
   std::string id;
-  std::optional<Resumption> resumption;  // Absent for new requests.
+  std::optional<Resumption> resumption;       // Absent for new requests.
   std::shared_ptr<const RoutingTable> table;  // Keeps `route` alive.
   const Route* route = nullptr;
   std::string service;
@@ -71,12 +72,17 @@
   double engine_tokens_per_s = 0;  // Sustained by one engine; 0 if unknown.
   kernel::TimePoint arrived_at{};
   kernel::TimePoint deadline{};  // The caller does not wait longer.
+  // The caller does not resume the stream later than this.
+  kernel::TimePoint resumable_until{};
   kernel::Duration remaining_objective_at_arrival{};
   uint64_t hash = 0;
   std::vector<std::string> tried_upstreams;  // Excluded from further attempts.
   uint32_t send_count = 0;                   // Attempts sent.
   // Whether its tokens count as admitted in its workspace's share.
   bool is_counted_in_share = false;
+  // The origin of its stream, once it has begun; only upstreams of the same
+  // origin may continue it.
+  std::optional<uint64_t> origin;
 };
 
 enum class Verdict {
@@ -129,6 +135,20 @@
                std::optional<kernel::Duration> deadline,
                kernel::TimePoint now);
 
+  // Restricts `request` to upstreams of the stream's origin.
+  void BindToOrigin(RoutedRequest& request,
+                    uint64_t origin,
+                    kernel::TimePoint now);
+  // Returns the IPs of the engines whose boards keep the origin of the stream
+  // that the request with this hash began, in different data centres where
+  // possible.
+  std::vector<std::string> OriginHomes(uint64_t request_hash,
+                                       kernel::TimePoint now);
+  // Returns the IPs of the engines whose boards may have been the homes at an
+  // instance with a somewhat older list of engines.
+  std::vector<std::string> PossibleOriginHomes(uint64_t request_hash,
+                                               kernel::TimePoint now);
+
   // Returns the engines whose boards should be queried before the next attempt:
   // the preferred engines of the prompt's shared prefix. Sets
   // `request.engine_tokens_per_s`. Returns an empty list for plain services.
@@ -209,6 +229,8 @@
   };
 
   UpstreamState& StateOf(const Upstream& upstream);
+  // Returns the engines of all services that may be sent new requests.
+  std::vector<const Upstream*> ReadyEngines(kernel::TimePoint now);
   // Returns the throughput that one of `engines` engines can sustain, from the
   // fleet's stated throughput; 0 if none is stated.
   double EngineTokensPerSecond(size_t engines) const;
@@ -218,7 +240,10 @@
       const RoutedRequest& request,
       const std::vector<const Upstream*>& candidates,
       size_t first);
-  // Returns the upstreams of the request's service that it has not tried.
+  // Returns whether `upstream` has not been tried and, if the request's stream
+  // has begun, may continue it.
+  static bool MayServe(const RoutedRequest& request, const Upstream& upstream);
+  // Returns the upstreams of the request's service that may serve it.
   // Excludes those to be avoided, unless they are more than two thirds.
   std::vector<const Upstream*> Candidates(const RoutedRequest& request,
                                           kernel::TimePoint now);
--- a/jackdawshunt/routing/upstream.h
+++ b/jackdawshunt/routing/upstream.h
@@ -12,7 +12,10 @@
 
 struct Upstream {
   std::string id;
-  uint64_t hash = 0;  // HashOf(id); set by Directory.
+  uint64_t hash = 0;          // HashOf(id); set by Directory.
+  uint64_t address_hash = 0;  // HashOf(address.ip); set by Directory.
+  // StreamOriginOf(service, software_version); set by Directory.
+  uint64_t origin = 0;
   std::string service;
   http::Address address;
   std::string data_centre;
