Let callers that do not name a stream's request resume it where one version serves

Change: such a stream is continued if the list of upstreams, known for as long as a caller may take, has shown one software version of the service in that time, and this gateway hears from the boards. Otherwise it is refused. The new process test failed before.

--- a/jackdawshunt/gateway/fleet_exchange.cc
+++ b/jackdawshunt/gateway/fleet_exchange.cc
@@ -11,6 +11,7 @@
 // Number of boards that sum the workspaces' tokens; more than one, in case one
 // fails.
 constexpr size_t kSummingBoards = 2;
+constexpr kernel::Duration kContactTimeout = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -89,6 +90,7 @@
   }
   const kernel::TimePoint now = loop_.clock().Now();
   source_.OnReply(ip, now);
+  last_reply_at_ = now;
   MergeStoreState(ip, totals);
   if (ip != source_.current() || totals.sequence <= merged_sequence_) {
     return;
@@ -99,6 +101,11 @@
   router_.shares().Merge(totals.reports, now);
 }
 
+bool FleetExchange::IsInContact() const {
+  return last_reply_at_ != kernel::TimePoint{} &&
+         loop_.clock().Now() - last_reply_at_ <= kContactTimeout;
+}
+
 void FleetExchange::MergeStoreState(const std::string& ip,
                                     const board::ShareTotals& totals) {
   BoardClock& clock = clocks_[ip];
--- a/jackdawshunt/gateway/origin_client.cc
+++ b/jackdawshunt/gateway/origin_client.cc
@@ -48,9 +48,15 @@
     FoundCallback found) {
   const kernel::TimePoint now = loop_.clock().Now();
   const std::string& first_request = request.resumption->first_request;
+  if (first_request.empty()) {
+    const bool is_in_contact = is_in_contact_ && is_in_contact_();
+    found({.origin = is_in_contact ? router_.SoleOrigin(request, now)
+                                   : routing::kUnknownOrigin});
+    return nullptr;
+  }
   const uint64_t hash = routing::HashOf(first_request);
   const uint64_t known = origins_.Find(hash, now);
-  if (known != routing::kUnknownOrigin || first_request.empty()) {
+  if (known != routing::kUnknownOrigin) {
     found({.origin = known});
     return nullptr;
   }
--- a/jackdawshunt/gateway/origin_client.h
+++ b/jackdawshunt/gateway/origin_client.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "jackdawshunt/gateway/board_client.h"
 #include "jackdawshunt/kernel/event_loop.h"
@@ -48,9 +49,17 @@
   // must be set.
   void Record(const routing::RoutedRequest& request);
 
+  // Sets the function that returns whether this instance currently hears from
+  // the others, so that it would know of new software versions.
+  void SetContactCheck(std::function<bool()> is_in_contact) {
+    is_in_contact_ = std::move(is_in_contact);
+  }
+
   // Looks up the origin of the stream that `request` resumes; its resumption
-  // must be set. Calls `found` once, possibly before it returns. Destroying the
-  // returned handle cancels the lookup.
+  // must be set. If the caller does not name the request that began the stream,
+  // the origin is known only where one software version serves. Calls `found`
+  // once, possibly before it returns. Destroying the returned handle cancels
+  // the lookup.
   using LookupHandle = std::shared_ptr<void>;
   [[nodiscard]] LookupHandle Find(const routing::RoutedRequest& request,
                                   FoundCallback found);
@@ -75,6 +84,7 @@
   routing::StreamOrigins origins_;
   std::unordered_map<uint64_t, std::weak_ptr<Lookup>> lookups_;  // By nonce.
   uint64_t next_nonce_ = 1;
+  std::function<bool()> is_in_contact_;
 };
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -13,6 +13,8 @@
 // A store is restored from a copy that is some seconds old, so entries removed
 // earlier than this cannot come back.
 constexpr kernel::Duration kRemovalMemory = std::chrono::seconds(60);
+// Time for which the software versions of unlisted upstreams are kept.
+constexpr kernel::Duration kUnlistedMemory = std::chrono::seconds(300);
 
 constexpr std::array<std::string_view, 5> kChangeNames = {
     "added", "updated", "restarted", "draining", "removed"};
@@ -33,6 +35,7 @@
 void Directory::Replace(const std::vector<Upstream>& upstreams,
                         kernel::TimePoint now,
                         bool is_restored) {
+  known_since_ = std::min(known_since_, now);
   if (is_restored) {
     OnListOutageEnded(now);
   }
@@ -84,7 +87,7 @@
   }
 }
 
-void Directory::Put(const Upstream& upstream, kernel::TimePoint /*now*/) {
+void Directory::Put(const Upstream& upstream, kernel::TimePoint now) {
   removed_.erase(upstream.id);
   stale_entries_.erase(upstream.id);
   const auto [found, is_new] = entries_.try_emplace(upstream.id);
@@ -107,6 +110,9 @@
       change = Change::kDraining;
     }
   }
+  if (!is_new && entry.upstream.origin != updated.origin) {
+    RecordUnlisted(entry.upstream, now);
+  }
   entry.upstream = std::move(updated);
   ready_.clear();
   if (observer_) {
@@ -140,6 +146,7 @@
     return now - row.second > kRemovalMemory;
   });
   removed_[entry->first] = now;
+  RecordUnlisted(entry->second.upstream, now);
   SetExpired(entry->second, false);
   const Upstream removed = std::move(entry->second.upstream);
   entries_.erase(entry);
@@ -199,6 +206,32 @@
   return listed;
 }
 
+void Directory::RecordUnlisted(const Upstream& upstream,
+                               kernel::TimePoint now) {
+  std::erase_if(unlisted_, [now](const auto& row) {
+    return now - row.second > kUnlistedMemory;
+  });
+  unlisted_[{upstream.service, upstream.origin}] = now;
+}
+
+uint64_t Directory::SoleOrigin(std::string_view service,
+                               kernel::Duration window,
+                               kernel::TimePoint now) const {
+  if (window > kUnlistedMemory || known_since_ > now - window) {
+    return kUnknownOrigin;
+  }
+  std::set<uint64_t> origins;
+  for (const Upstream* upstream : Listed(service)) {
+    origins.insert(upstream->origin);
+  }
+  for (const auto& [key, unlisted_at] : unlisted_) {
+    if (key.first == service && now - unlisted_at <= window) {
+      origins.insert(key.second);
+    }
+  }
+  return origins.size() == 1 ? *origins.begin() : kUnknownOrigin;
+}
+
 const Upstream* Directory::Find(std::string_view id) const {
   const auto entry = entries_.find(id);
   return entry == entries_.end() ? nullptr : &entry->second.upstream;
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -70,6 +70,13 @@
   // Returns all upstreams of the service, draining ones included. Valid until
   // the next change of the directory.
   std::vector<const Upstream*> Listed(std::string_view service) const;
+  // Returns the origin of all streams that began at `service` within `window`,
+  // as far as the list tells: kUnknownOrigin if upstreams of several software
+  // versions, or of an unknown one, were listed in that time, or if the list
+  // has been known for a shorter time.
+  uint64_t SoleOrigin(std::string_view service,
+                      kernel::Duration window,
+                      kernel::TimePoint now) const;
   // Returns null when there is no such entry.
   const Upstream* Find(std::string_view id) const;
   size_t size() const { return entries_.size(); }
@@ -93,6 +100,7 @@
   bool KeepsDraining(const Upstream& listed, bool is_restored);
   // Adds the stale entries whose time has come.
   void AddStaleEntries(kernel::TimePoint now);
+  void RecordUnlisted(const Upstream& upstream, kernel::TimePoint now);
   void Erase(std::map<std::string, Entry, std::less<>>::iterator entry,
              kernel::TimePoint now);
   void RemoveExpired(kernel::TimePoint now);
@@ -107,6 +115,9 @@
   // Ids of removed entries and the times of their removal.
   std::map<std::string, kernel::TimePoint, std::less<>> removed_;
   kernel::TimePoint grace_ends_{};
+  kernel::TimePoint known_since_ = kernel::TimePoint::max();
+  // By service and origin, the last time at which an upstream was unlisted.
+  std::map<std::pair<std::string, uint64_t>, kernel::TimePoint> unlisted_;
   Observer observer_;
 };
 
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -228,6 +228,20 @@
   }
 }
 
+uint64_t Router::SoleOrigin(const RoutedRequest& request,
+                            kernel::TimePoint now) const {
+  const Route& route = *request.route;
+  const auto longest = longest_deadline_.find(route.name);
+  const kernel::Duration window =
+      longest == longest_deadline_.end()
+          ? route.timeout
+          : std::max(route.timeout, longest->second);
+  return route.services.size() == 1
+             ? directory_.SoleOrigin(route.services.front().service, window,
+                                     now)
+             : kUnknownOrigin;
+}
+
 std::vector<std::string> Router::OriginHomes(uint64_t request_hash,
                                              kernel::TimePoint now) {
   return SpreadHomes(request_hash, ReadyEngines(now), kOriginHomes);
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -139,6 +139,11 @@
   void BindToOrigin(RoutedRequest& request,
                     uint64_t origin,
                     kernel::TimePoint now);
+  // Returns the origin of the stream that `request` resumes, if all streams on
+  // its route that its caller can still resume have the same one; otherwise
+  // kUnknownOrigin.
+  uint64_t SoleOrigin(const RoutedRequest& request,
+                      kernel::TimePoint now) const;
   // Returns the IPs of the engines whose boards keep the origin of the stream
   // that the request with this hash began, in different data centres where
   // possible.
--- a/jackdawshunt/routing/stream_origins_test.cc
+++ b/jackdawshunt/routing/stream_origins_test.cc
@@ -216,6 +216,41 @@
             request.route->latency_objective);
 }
 
+// Guards against a guess for a caller that does not name the request that began
+// its stream: the version is known only if no other one can have begun it.
+TEST_F(StreamOriginRouterTest, SoleOriginNeedsOneVersionForTheWholeWindow) {
+  Directory directory(seconds(2));
+  constexpr kernel::Duration kWindow = seconds(12);
+  const auto sole_origin = [&] {
+    return directory.SoleOrigin("llm", kWindow, Now());
+  };
+  const uint64_t v1 = StreamOriginOf("llm", "v1");
+  const uint64_t v2 = StreamOriginOf("llm", "v1.1");
+  EXPECT_EQ(sole_origin(), kUnknownOrigin);
+  directory.Replace({Engine(0), Engine(3)}, Now());
+  clock_.Advance(seconds(11));
+  EXPECT_EQ(sole_origin(), kUnknownOrigin);  // Earlier versions are unknown.
+  clock_.Advance(seconds(1));
+  EXPECT_EQ(sole_origin(), v1);
+  directory.Put(Engine(1), Now());
+  EXPECT_EQ(sole_origin(), kUnknownOrigin);
+  directory.Remove("i-0", Now());
+  Upstream draining = Engine(3);
+  draining.is_draining = true;
+  directory.Put(draining, Now());
+  clock_.Advance(seconds(20));
+  EXPECT_EQ(sole_origin(), kUnknownOrigin);
+  directory.Remove("i-3", Now());
+  clock_.Advance(seconds(12));
+  EXPECT_EQ(sole_origin(), kUnknownOrigin);
+  clock_.Advance(milliseconds(1));
+  EXPECT_EQ(sole_origin(), v2);
+  Upstream unstated = Engine(4);
+  unstated.software_version = "";
+  directory.Put(unstated, Now());
+  EXPECT_EQ(sole_origin(), kUnknownOrigin);
+}
+
 TEST_F(StreamOriginRouterTest, HomesAreInDifferentDataCentres) {
   const auto router = MakeRouter(120);
   for (uint64_t key = 1; key <= 200; ++key) {
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -249,6 +249,27 @@
   }
 }
 
+// Guards against the refusal of callers that do not name the request that began
+// their stream, where one software version serves.
+TEST_F(GatewayProcessTest, AnUnnamedStreamResumesWhileOneVersionServes) {
+  Start({.gateways = 2,
+         .route_timeout = milliseconds(2000),
+         .stream_events = 20});
+  const CallPtr first = BeginStream(0);
+  first->Leave();
+  CallerStream stream;
+  stream.Append(*first);
+  CallOptions options = stream.Resume(first->options());
+  options.resumed_request.clear();
+  options.deadline = milliseconds(1900);
+  fleet_->RunFor(milliseconds(2500));
+  const CallPtr second = Call(options, 1);
+  stream.Append(*second);
+  EXPECT_EQ(second->status(), 200);
+  EXPECT_EQ(stream.Fault(), "");
+  EXPECT_EQ(stream.last_event_id(), 20u);
+}
+
 TEST_F(GatewayProcessTest, AStreamThatCannotResumeDoesNotLookComplete) {
   Start();
   CallPtr call = fleet_->Call(0, {.route = kGenerate});
