Soak: engines of several software versions, releases, callers that resume

Change: the soak's engines have three versions in turn and are replaced by others at random; callers resume interrupted streams at random gateways, and what each caller holds over all its tries must be whole and of one version.

--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -19,7 +19,7 @@
 
 class GatewayProcessTest : public ::testing::Test {
  protected:
-  void Start(PlatformFleetOptions options = {}) {
+  void Start(const PlatformFleetOptions& options = {}) {
     fleet_ = std::make_unique<PlatformFleet>(options);
     fleet_->Start();
   }
--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -105,7 +105,7 @@
 }
 
 PlatformFleet::PlatformFleet(PlatformFleetOptions options)
-    : options_(options), network_(NetworkOfThisProcess()) {
+    : options_(std::move(options)), network_(NetworkOfThisProcess()) {
   callers_port_ = FreePort();
   readiness_port_ = FreePort();
   internal_port_ = FreePort();
@@ -186,6 +186,19 @@
   store_->Delete("servers", upstreams_[index]->options().id);
 }
 
+void PlatformFleet::ReplaceUpstream(size_t index, const std::string& version) {
+  const http::Address address = upstream_address(index);
+  StandInUpstreamOptions options = upstreams_[index]->options();
+  DeleteUpstream(index);
+  upstreams_[index]->Stop();
+  replaced_upstreams_.push_back(std::move(upstreams_[index]));
+  options.id = absl::StrCat("i-", index, "-", replaced_upstreams_.size());
+  options.version = version;
+  upstreams_[index] =
+      std::make_unique<StandInUpstream>(loop_, address, options, runs_);
+  PutUpstream(index);
+}
+
 void PlatformFleet::PutConfiguration(
     const std::vector<std::string>& lodge_keys) {
   const auto route = [this](const char* name, const char* kind,
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -135,6 +135,9 @@
   void PutConfiguration(const std::vector<std::string>& lodge_keys);
   void PutUpstream(size_t index, std::string_view state = "ready");
   void DeleteUpstream(size_t index);
+  // Replaces an upstream by a new one with another id and this software
+  // version, at the same address.
+  void ReplaceUpstream(size_t index, const std::string& version);
 
   // Sets faults of a proxy, as JSON. `index` is that of the gateway or
   // upstream.
@@ -189,6 +192,7 @@
   // Callers' connections to each gateway that are used again.
   std::map<size_t, std::vector<std::shared_ptr<http1::ClientConnection>>> kept_;
   std::vector<std::unique_ptr<StandInUpstream>> upstreams_;
+  std::vector<std::unique_ptr<StandInUpstream>> replaced_upstreams_;
   std::vector<std::unique_ptr<Process>> gateways_;
   std::vector<std::unique_ptr<Process>> boards_;
   uint16_t callers_port_ = 0;
--- a/jackdawshunt/testing/platform/soak_main.cc
+++ b/jackdawshunt/testing/platform/soak_main.cc
@@ -8,15 +8,17 @@
 // series that overlap; the store refuses, resets, falls silent, drops its
 // history and returns from an older copy; proxies before each gateway, each
 // upstream and the store delay, reset, silence and cut one way; upstreams
-// crash, misbehave, drain and return; keys are taken away. The same seed gives
-// the same faults at the same times. Exits with 1 when a promise was broken and
-// prints the first ones.
+// crash, misbehave, drain and return; engines are replaced by others of another
+// software version; keys are taken away. Callers resume interrupted streams at
+// other gateways. The same seed gives the same faults at the same times. Exits
+// with 1 when a promise was broken and prints the first ones.
 #include <csignal>
 
 #include <algorithm>
 #include <array>
 #include <functional>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <random>
 #include <string>
@@ -26,6 +28,7 @@
 #include "CLI/CLI.hpp"
 #include "absl/strings/str_cat.h"
 #include "jackdawshunt/testing/http_helper.h"
+#include "jackdawshunt/testing/platform/caller_stream.h"
 #include "jackdawshunt/testing/platform/platform_fleet.h"
 
 namespace jackdawshunt::testing {
@@ -44,12 +47,17 @@
 constexpr kernel::Duration kRecovery = seconds(12);
 // Requests that may be lost around planned work.
 constexpr size_t kTolerableLosses = 3;
+constexpr uint32_t kStreamEvents = 20;
+// Requests with which a caller resumes one stream.
+constexpr int kMaxResumptions = 2;
+// Software versions of engines.
+constexpr std::array<const char*, 3> kVersions = {"v2", "v10", "v1.1"};
 
 struct SoakOptions {
   uint64_t seed = 1;
   double seconds = 15;
   size_t gateways = 3;
-  size_t engines = 3;
+  size_t engines = 6;
   size_t plain = 3;
 };
 
@@ -60,9 +68,11 @@
         random_(options.seed),
         fleet_({.gateways = options.gateways,
                 .engines = options.engines,
+                .engine_versions = {kVersions.begin(), kVersions.end()},
                 .plain = options.plain,
                 .revocation = kRevocation,
                 .route_timeout = kRouteTimeout,
+                .stream_events = kStreamEvents,
                 .has_proxies = true}),
         disturbed_(options.gateways) {}
 
@@ -99,6 +109,9 @@
     kernel::TimePoint sent{};
     bool has_left = false;
     bool is_checked = false;
+    // What its caller has of its stream; null for plain requests.
+    std::shared_ptr<CallerStream> stream;
+    int resumptions = 0;  // Requests that resumed the stream, with this one.
   };
   struct Disturbance {
     kernel::TimePoint from{};
@@ -125,16 +138,64 @@
     options.api_key = options.route == kOpen ? "" : PickKey();
     options.deadline = kRouteTimeout;
     options.keeps_connection = Pick(4) != 0;
+    if (options.route == kGenerate || options.route == kRevise) {
+      options.shared_part = absl::StrCat(Pick(6));
+      entry.stream = std::make_shared<CallerStream>();
+    }
     entry.call = fleet_.Call(entry.gateway, options);
     calls_.push_back(entry);
     if (Pick(25) == 0) {
-      After(milliseconds(Pick(60)), [this, index = calls_.size() - 1] {
+      After(milliseconds(Pick(160)), [this, index = calls_.size() - 1] {
         calls_[index].has_left = true;
         calls_[index].call->Leave();
+        CheckStream(calls_[index]);
       });
     }
   }
 
+  // Continues the stream of `interrupted` with a request at any gateway.
+  void ResumeStream(const Entry& interrupted) {
+    Entry entry;
+    entry.gateway = Pick(options_.gateways);
+    entry.sent = Now();
+    entry.stream = interrupted.stream;
+    entry.resumptions = interrupted.resumptions + 1;
+    entry.call = fleet_.Call(entry.gateway,
+                             entry.stream->Resume(interrupted.call->options()));
+    resumptions_ += 1;
+    resumed_.push_back(std::move(entry));
+  }
+
+  // Checks the stream of a request that has ended or whose caller has left, and
+  // resumes it if it is interrupted.
+  void CheckStream(Entry& entry) {
+    if (entry.stream == nullptr) {
+      return;
+    }
+    const PlatformCall& call = *entry.call;
+    CallerStream& stream = *entry.stream;
+    const uint64_t known_events = stream.last_event_id();
+    if (call.status() == 200) {
+      stream.Append(call);
+    }
+    if (entry.resumptions > 0 && stream.last_event_id() > known_events) {
+      ++continued_;
+    }
+    if (const std::string fault = stream.Fault(); !fault.empty()) {
+      Violate(fault);
+    }
+    if (call.is_complete() && call.status() == 200) {
+      if (stream.last_event_id() != kStreamEvents) {
+        Violate(absl::StrCat(call.id(), " looks complete after event ",
+                             stream.last_event_id()));
+      }
+    } else if (call.options().route == kRevise && stream.last_event_id() > 0 &&
+               stream.last_event_id() < kStreamEvents &&
+               entry.resumptions < kMaxResumptions) {
+      ResumeStream(entry);
+    }
+  }
+
   // Mostly a key in force, now and then one that was taken away.
   std::string PickKey() {
     if (!revoked_.empty() && Pick(6) == 0) {
@@ -269,6 +330,15 @@
     DisturbUpstream(i, {});
     fleet_.upstream(i).Crash();
   }
+  void ReplaceEngine() {
+    const size_t i = Pick(options_.engines);
+    if (draining_.contains(fleet_.upstream(i).options().id)) {
+      return;
+    }
+    DisturbUpstream(i, {});
+    fleet_.ReplaceUpstream(i, kVersions.at(Pick(kVersions.size())));
+    DisturbUpstream(i, {});
+  }
   void DrainUpstream() {
     // One of each service is never drained.
     const size_t i = Pick(2) == 0 ? Pick(options_.engines - 1)
@@ -298,7 +368,7 @@
     }
   }
 
-  static constexpr std::array<Fault, 16> kFaults = {
+  static constexpr std::array<Fault, 18> kFaults = {
       &Soak::KillGateway,
       &Soak::PauseGateway,
       &Soak::StopGateway,
@@ -314,6 +384,8 @@
       &Soak::ChangeKeys,
       &Soak::MisbehaveUpstream,
       &Soak::CrashUpstream,
+      &Soak::ReplaceEngine,
+      &Soak::ReplaceEngine,
       &Soak::DrainUpstream};
 
   // --- Checks.
@@ -363,6 +435,9 @@
   }
 
   void CheckCalls() {
+    // Requests that resume streams are checked like others.
+    std::move(resumed_.begin(), resumed_.end(), std::back_inserter(calls_));
+    resumed_.clear();
     for (Entry& entry : calls_) {
       if (entry.is_checked || entry.has_left) {
         continue;
@@ -380,13 +455,11 @@
       if (call.has_foreign_answer()) {
         Violate(absl::StrCat(call.id(), " got another request's answer"));
       }
-      if (call.is_complete() && call.status() == 200) {
-        const bool is_engine = call.options().route == kGenerate ||
-                               call.options().route == kRevise;
-        if (call.body() !=
-            StandInUpstream::ExpectedBody(call.id(), is_engine, 5)) {
-          Violate(absl::StrCat(call.id(), " got a wrong body: ", call.body()));
-        }
+      CheckStream(entry);
+      if (call.is_complete() && call.status() == 200 &&
+          entry.stream == nullptr &&
+          call.body() != StandInUpstream::ExpectedBody(call.id(), false, 0)) {
+        Violate(absl::StrCat(call.id(), " got a wrong body: ", call.body()));
       }
     }
   }
@@ -478,6 +551,8 @@
     std::cout << nlohmann::json{{"seed", options_.seed},
                                 {"calls", calls_.size()},
                                 {"served", served},
+                                {"resumptions", resumptions_},
+                                {"continued", continued_},
                                 {"violations", violations_.size()}}
                      .dump()
               << "\n";
@@ -498,6 +573,9 @@
   PlatformFleet fleet_;
   std::vector<kernel::Timer> timers_;  // The first one starts the calls.
   std::vector<Entry> calls_;
+  std::vector<Entry> resumed_;  // Not yet in calls_.
+  size_t resumptions_ = 0;      // Requests that resumed streams.
+  size_t continued_ = 0;        // Resumptions that brought events.
   std::vector<std::vector<Disturbance>> disturbed_;  // By gateway.
   std::map<std::string, std::vector<Disturbance>> disturbed_upstreams_;
   std::string key_ = "key-lodge";
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -105,9 +105,8 @@
 
 void StandInUpstream::Respond(http1::ServerConnection& connection) {
   const std::string request = jobs_.at(&connection).request;
-  const std::string body =
-      ExpectedBody(request, options_.is_engine, options_.events,
-                   options_.version);
+  const std::string body = ExpectedBody(request, options_.is_engine,
+                                        options_.events, options_.version);
   switch (fault_) {
     case UpstreamFault::kErrors:
     case UpstreamFault::kFalse503:
@@ -191,6 +190,11 @@
   connections_.AbortAll();
 }
 
+void StandInUpstream::Stop() {
+  listener_.reset();
+  Crash();
+}
+
 void StandInUpstream::OnRequestError(http1::ServerConnection& connection,
                                      http1::RequestError /*fault*/) {
   connection.Reply({.status = 400, .headers = {}}, {});
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -75,6 +75,9 @@
   void SetFault(UpstreamFault fault) { fault_ = fault; }
   // Ends all connections, as a crash does.
   void Crash();
+  // Ends all connections and accepts no others; port() must not be called
+  // afterwards.
+  void Stop();
 
   // The whole body that a caller of this request must get from upstreams of
   // this software version.
