Believe what upstreams say of themselves: leaving, and Retry-After of a 503

Cause: neither Server-Leaving nor an upstream's Retry-After was decoded, so an upstream that left without a draining entry, or that turned this gateway away, went on getting requests. Change: any answer with Server-Leaving: 1 makes this start of the upstream count as draining at this gateway, whatever its entry says, until an entry with a later start; a 503 with Retry-After keeps all requests of this gateway from the upstream for that time, also those that wait for a connection. Zero, unreadable and negative values are ignored (with a log line if unreadable); the time is at most 300 s. A caller that finds all upstreams held back is refused at once as not run. Measured: two process tests, one test of the directory and one of the decoder failed without it; 29 process tests pass.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -151,7 +151,7 @@
                        decision.retry_after);
   } else {
     FinishWithoutRetry("no upstream to resume at", base::ErrorKind::kNoCapacity,
-                       MinRetryAfter());
+                       decision.retry_after);
   }
 }
 
@@ -248,7 +248,7 @@
 }
 
 bool Call::IsStillWanted() {
-  return !HasCallerLeft() && context_.router.IsReady(upstream_);
+  return !HasCallerLeft() && context_.router.IsReady(upstream_, Now());
 }
 
 bool Call::MatchesRequest(const http1::ResponseHead& head) {
@@ -257,6 +257,7 @@
 
 void Call::OnHead(const http1::ResponseHead& head) {
   answer_ = platform::DecodeAnswer(head);
+  ApplyUpstreamState();
   answer_head_.status = head.status;
   answer_head_.headers = http1::EndToEndHeaders(head.headers);
   collected_.clear();
@@ -274,6 +275,31 @@
   body_mode_ = BodyMode::kEvents;
 }
 
+void Call::ApplyUpstreamState() {
+  if (answer_.is_wrong_instance) {
+    return;  // It is the state of another upstream.
+  }
+  if (answer_.is_leaving && context_.router.OnLeaving(upstream_, Now())) {
+    LogUpstreamState("leaving", kernel::Duration::zero());
+  }
+  if (answer_.retry_after.value_or(kernel::Duration::zero()) >
+      kernel::Duration::zero()) {
+    context_.router.HoldBack(upstream_, Now() + *answer_.retry_after);
+    LogUpstreamState("held_back", *answer_.retry_after);
+  }
+}
+
+void Call::LogUpstreamState(std::string_view state, kernel::Duration time) {
+  context_.metrics.CountUpstreamState(state);
+  base::LogLine(base::LogLevel::kInfo, "upstream_state")
+      .Add("upstream", upstream_.id)
+      .Add("started_unix_ms", upstream_.started_unix_ms)
+      .Add("state", state)
+      .Add("source", "answer")
+      .Add("request", request_.id)
+      .Add("for_ms", ToWholeMs(time));
+}
+
 void Call::StartForwarding(std::string_view first_part) {
   is_answer_started_ = true;
   final_status_ = answer_head_.status;
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -140,6 +140,9 @@
   void OnTimeout();
   void Finish(int status, std::string_view reason);
   void LogDecision(const routing::Decision& decision);
+  // Applies what the answer's head tells of the upstream itself.
+  void ApplyUpstreamState();
+  void LogUpstreamState(std::string_view state, kernel::Duration time);
   // Counts the attempt if it continues a started stream.
   void CountResumption(std::string_view result);
   // Records the first event of the stream.
--- a/jackdawshunt/gateway/metrics.cc
+++ b/jackdawshunt/gateway/metrics.cc
@@ -30,6 +30,11 @@
                        .Name("jackdawshunt_gateway_resumptions_total")
                        .Help("Started streams that were to be continued.")
                        .Register(registry)),
+      upstream_states_(prometheus::BuildCounter()
+                           .Name("jackdawshunt_gateway_upstream_states_total")
+                           .Help("Answers by which an upstream said that it "
+                                 "leaves or wants no requests.")
+                           .Register(registry)),
       first_byte_{prometheus::BuildHistogram()
                       .Name("jackdawshunt_gateway_first_byte_seconds")
                       .Help("From the request to the first byte of its answer.")
@@ -79,6 +84,10 @@
       .Increment();
 }
 
+void Metrics::CountUpstreamState(std::string_view state) {
+  upstream_states_.Add({{"state", std::string(state)}}).Increment();
+}
+
 void Metrics::ObserveOriginLookup(kernel::Duration time) {
   origin_lookup_.Observe(ToSeconds(time));
 }
--- a/jackdawshunt/gateway/metrics.h
+++ b/jackdawshunt/gateway/metrics.h
@@ -41,6 +41,9 @@
   // same answer, or the caller with another request. `result` is "sent" or the
   // reason why it was not.
   void CountResumption(std::string_view by, std::string_view result);
+  // Counts an answer that changed the state of its upstream: "leaving" or
+  // "held_back".
+  void CountUpstreamState(std::string_view state);
   // Records the time of a lookup of a stream's origin.
   void ObserveOriginLookup(kernel::Duration time);
   // Records the time from a request to the first byte of its answer.
@@ -64,6 +67,7 @@
   prometheus::Family<prometheus::Counter>& answers_;
   prometheus::Family<prometheus::Counter>& attempts_;
   prometheus::Family<prometheus::Counter>& resumptions_;
+  prometheus::Family<prometheus::Counter>& upstream_states_;
   LatencyMetric first_byte_;
   LatencyMetric total_;
   prometheus::Histogram& origin_lookup_;
--- a/jackdawshunt/platform/wire.cc
+++ b/jackdawshunt/platform/wire.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
+#include "jackdawshunt/base/log.h"
 
 namespace jackdawshunt::platform {
 namespace {
@@ -28,6 +29,9 @@
 constexpr char kNotExecuted[] = "Not-Executed";
 constexpr char kRetryAfter[] = "Retry-After";
 
+constexpr char kServerLeaving[] = "Server-Leaving";
+constexpr int kHttpServiceUnavailable = 503;
+
 constexpr char kReadinessPath[] = "/jackdawshunt/readiness";
 constexpr absl::string_view kKeyScheme = "Token ";
 constexpr int kHttpMisdirectedRequest = 421;
@@ -106,6 +110,24 @@
   return absl::OkStatus();
 }
 
+// Returns nullopt, with a log line, when the value is not a number of seconds.
+std::optional<kernel::Duration> DecodeUpstreamRetryAfter(
+    const http1::ResponseHead& head) {
+  const std::string_view text = http::FindHeader(head.headers, kRetryAfter);
+  if (text.empty()) {
+    return std::nullopt;
+  }
+  double seconds = 0;
+  if (!absl::SimpleAtod(ToAbsl(text), &seconds) || !(seconds >= 0)) {
+    base::Log(base::LogLevel::kWarning, "retry_after_unreadable",
+              {{"value", std::string(text)}});
+    return std::nullopt;
+  }
+  const std::chrono::duration<double> stated(std::min(
+      seconds, std::chrono::duration<double>(kMaxUpstreamRetryAfter).count()));
+  return std::chrono::duration_cast<kernel::Duration>(stated);
+}
+
 }  // namespace
 
 absl::StatusOr<CallerRequest> DecodeRequest(const http1::RequestHead& head) {
@@ -197,6 +219,10 @@
   answer.is_wrong_instance = head.status == kHttpMisdirectedRequest;
   answer.is_not_executed = answer.is_wrong_instance ||
                            http1::CountHeader(head.headers, kNotExecuted) > 0;
+  answer.is_leaving = http::FindHeader(head.headers, kServerLeaving) == "1";
+  if (head.status == kHttpServiceUnavailable) {
+    answer.retry_after = DecodeUpstreamRetryAfter(head);
+  }
   return answer;
 }
 
--- a/jackdawshunt/platform/wire.h
+++ b/jackdawshunt/platform/wire.h
@@ -67,8 +67,15 @@
   bool is_not_executed = false;
   // The address now belongs to another upstream.
   bool is_wrong_instance = false;
+  // The upstream states that it is shutting down.
+  bool is_leaving = false;
+  // Set on a 503: the upstream wants no requests of this instance for so long.
+  // At most kMaxUpstreamRetryAfter; absent if the value cannot be used.
+  std::optional<kernel::Duration> retry_after;
   bool is_success() const { return status >= 200 && status < 300; }
 };
+inline constexpr kernel::Duration kMaxUpstreamRetryAfter =
+    std::chrono::seconds(300);
 
 UpstreamAnswer DecodeAnswer(const http1::ResponseHead& head);
 
--- a/jackdawshunt/platform/wire_test.cc
+++ b/jackdawshunt/platform/wire_test.cc
@@ -51,6 +51,28 @@
   EXPECT_FALSE(DecodeRequest(head).ok());
 }
 
+TEST(WireTest, DecodesLeavingAndRetryAfterOfUpstream) {
+  const auto decode = [](int status, const char* name, const char* value) {
+    return DecodeAnswer({.status = status, .headers = {{name, value}}});
+  };
+  EXPECT_TRUE(decode(200, "server-leaving", "1").is_leaving);
+  EXPECT_TRUE(decode(503, "Server-Leaving", "1").is_leaving);
+  EXPECT_FALSE(decode(200, "Server-Leaving", "0").is_leaving);
+  EXPECT_FALSE(decode(200, "Other", "1").is_leaving);
+  using std::chrono::seconds;
+  EXPECT_EQ(decode(503, "Retry-After", "7").retry_after,
+            kernel::Duration(seconds(7)));
+  EXPECT_EQ(decode(503, "Retry-After", "0").retry_after,
+            kernel::Duration::zero());
+  EXPECT_EQ(decode(503, "Retry-After", "1e300").retry_after,
+            kMaxUpstreamRetryAfter);
+  for (const char* const bad :
+       {"-3", "soon", "nan", "7 s", "Fri, 04 Dec 2026 09:00:00 GMT", ""}) {
+    EXPECT_EQ(decode(503, "Retry-After", bad).retry_after, std::nullopt) << bad;
+  }
+  EXPECT_EQ(decode(429, "Retry-After", "7").retry_after, std::nullopt);
+}
+
 TEST(WireTest, RejectsMissingIdTwoHostsAndBadTokenCounts) {
   http1::RequestHead no_id = GenerationRequest();
   no_id.headers.erase(no_id.headers.begin() + 1);
--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -98,6 +98,14 @@
   updated.hash = HashOf(updated.id);
   updated.address_hash = HashOf(updated.address.ip);
   updated.origin = StreamOriginOf(updated.service, updated.software_version);
+  const auto leaving = leaving_.find(updated.id);
+  if (leaving != leaving_.end()) {
+    if (updated.started_unix_ms > leaving->second.started_unix_ms) {
+      leaving_.erase(leaving);
+    } else {
+      updated.is_draining = true;
+    }
+  }
   if (!is_new && entry.upstream == updated) {
     return;
   }
@@ -121,6 +129,28 @@
   }
 }
 
+bool Directory::MarkLeaving(const Upstream& upstream, kernel::TimePoint now) {
+  const auto entry = entries_.find(upstream.id);
+  const bool is_other_start =
+      entry != entries_.end() &&
+      entry->second.upstream.started_unix_ms != upstream.started_unix_ms;
+  if (is_other_start || leaving_.contains(upstream.id)) {
+    return false;
+  }
+  std::erase_if(leaving_, [&](const auto& row) {
+    return !entries_.contains(row.first) &&
+           now - row.second.known_since > kUnlistedMemory;
+  });
+  leaving_[upstream.id] = {.started_unix_ms = upstream.started_unix_ms,
+                           .known_since = now};
+  if (entry != entries_.end()) {
+    const bool is_expired = entry->second.is_expired;
+    Put(Upstream(entry->second.upstream), now);
+    SetExpired(entry->second, is_expired);
+  }
+  return true;
+}
+
 void Directory::Remove(std::string_view id, kernel::TimePoint now) {
   stale_entries_.erase(std::string(id));
   const auto entry = entries_.find(id);
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -59,6 +59,11 @@
   // only marked as expired, and removed afterwards unless it is put again.
   void Remove(std::string_view id, kernel::TimePoint now);
 
+  // Records that this start of an upstream has said itself that it leaves. It
+  // counts as draining from now on, whatever the list states, until it starts
+  // again. Returns false if that is known or the start is not the listed one.
+  bool MarkLeaving(const Upstream& upstream, kernel::TimePoint now);
+
   // Starts the grace period; call when the list can be read again after an
   // outage.
   void OnListOutageEnded(kernel::TimePoint now);
@@ -118,6 +123,12 @@
   std::map<std::string, StaleEntry, std::less<>> stale_entries_;
   // Ids of removed entries and the times of their removal.
   std::map<std::string, kernel::TimePoint, std::less<>> removed_;
+  // An upstream that has said that it leaves.
+  struct Leaving {
+    int64_t started_unix_ms = 0;
+    kernel::TimePoint known_since{};
+  };
+  std::map<std::string, Leaving, std::less<>> leaving_;  // By id.
   kernel::TimePoint grace_ends_{};
   kernel::TimePoint known_since_ = kernel::TimePoint::max();
   // By service and origin, the last time at which an upstream was unlisted.
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -229,8 +229,36 @@
   return homes;
 }
 
-bool Router::MayServe(const RoutedRequest& request, const Upstream& upstream) {
-  return !WasTried(request, upstream.id) &&
+void Router::HoldBack(const Upstream& upstream, kernel::TimePoint until) {
+  kernel::TimePoint& held = held_back_until_[upstream.id];
+  held = std::max(held, until);
+}
+
+bool Router::IsHeldBack(const std::string& id, kernel::TimePoint now) const {
+  if (held_back_until_.empty()) {
+    return false;
+  }
+  const auto held = held_back_until_.find(id);
+  return held != held_back_until_.end() && now < held->second;
+}
+
+kernel::Duration Router::TimeHeldBack(std::string_view service,
+                                      kernel::TimePoint now) {
+  kernel::Duration shortest = kernel::Duration::max();
+  for (const Upstream* upstream : directory_.Ready(service, now)) {
+    const auto held = held_back_until_.find(upstream->id);
+    if (held != held_back_until_.end() && now < held->second) {
+      shortest = std::min(shortest, held->second - now);
+    }
+  }
+  return shortest == kernel::Duration::max() ? kernel::Duration::zero()
+                                             : shortest;
+}
+
+bool Router::MayServe(const RoutedRequest& request,
+                      const Upstream& upstream,
+                      kernel::TimePoint now) const {
+  return !WasTried(request, upstream.id) && !IsHeldBack(upstream.id, now) &&
          (!request.origin.has_value() || (*request.origin != kUnknownOrigin &&
                                           *request.origin == upstream.origin));
 }
@@ -250,8 +278,8 @@
 std::vector<const Upstream*> Router::Candidates(const RoutedRequest& request,
                                                 kernel::TimePoint now) {
   std::vector<const Upstream*> untried = directory_.Ready(request.service, now);
-  std::erase_if(untried, [&request](const Upstream* upstream) {
-    return !MayServe(request, *upstream);
+  std::erase_if(untried, [&](const Upstream* upstream) {
+    return !MayServe(request, *upstream, now);
   });
   if (!health_.MayAvoidAny(now)) {
     return untried;
@@ -375,10 +403,10 @@
   return refusal;
 }
 
-bool Router::IsReady(const Upstream& upstream) const {
+bool Router::IsReady(const Upstream& upstream, kernel::TimePoint now) const {
   const Upstream* const current = directory_.Find(upstream.id);
   return current != nullptr && !current->is_draining &&
-         current->address == upstream.address;
+         current->address == upstream.address && !IsHeldBack(upstream.id, now);
 }
 
 Decision Router::Choose(const RoutedRequest& request,
@@ -390,7 +418,10 @@
     candidates = WithoutOffer(Candidates(request, now), offers);
   }
   if (candidates.empty()) {
-    return {};
+    Decision none;
+    none.retry_after = RetryDelay(TimeHeldBack(request.service, now),
+                                  request.deadline - now, request.hash);
+    return none;
   }
   Decision decision = IsForEngine(request, candidates)
                           ? ChooseEngine(request, offers, candidates, now)
@@ -415,7 +446,7 @@
     }
     const Upstream* const upstream = directory_.Find(offer.upstream);
     if (upstream != nullptr && !upstream->is_draining &&
-        MayServe(request, *upstream)) {
+        MayServe(request, *upstream, now)) {
       reachable.push_back(upstream);
     }
   }
@@ -604,6 +635,8 @@
 }
 
 void Router::Tick(kernel::TimePoint now) {
+  std::erase_if(held_back_until_,
+                [now](const auto& row) { return now >= row.second; });
   for (auto& [id, state] : upstreams_) {
     if (state.engine != nullptr) {
       state.engine->DropExpired(kMaxRequestAge, now);
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -182,7 +182,16 @@
   bool IsRetryAfterRefusal(const Route& route, kernel::Duration deadline) const;
 
   // Returns whether `upstream` may still be sent new requests.
-  bool IsReady(const Upstream& upstream) const;
+  bool IsReady(const Upstream& upstream, kernel::TimePoint now) const;
+  // Records that an answer of `upstream` says that it leaves. Returns false if
+  // that is known.
+  bool OnLeaving(const Upstream& upstream, kernel::TimePoint now) {
+    return directory_.MarkLeaving(upstream, now);
+  }
+  // Records that `upstream` wants no requests of this instance before `until`.
+  // Answers the load in which upstreams turn requests away: what is sent to
+  // them meanwhile is lost time for its caller and more load for them.
+  void HoldBack(const Upstream& upstream, kernel::TimePoint until);
 
   // Chooses the upstream for the next attempt. If there are offers of reachable
   // engines, only those engines are considered.
@@ -248,9 +257,16 @@
       const RoutedRequest& request,
       const std::vector<const Upstream*>& candidates,
       size_t first);
-  // Returns whether `upstream` has not been tried and, if the request's stream
-  // has begun, may continue it.
-  static bool MayServe(const RoutedRequest& request, const Upstream& upstream);
+  // Returns whether `upstream` has not been tried, wants requests and, if the
+  // request's stream has begun, may continue it.
+  bool MayServe(const RoutedRequest& request,
+                const Upstream& upstream,
+                kernel::TimePoint now) const;
+  bool IsHeldBack(const std::string& id, kernel::TimePoint now) const;
+  // Returns the time until the first upstream of the service wants requests
+  // again; zero if none is held back.
+  kernel::Duration TimeHeldBack(std::string_view service,
+                                kernel::TimePoint now);
   // Returns the upstreams of the request's service that may serve it.
   // Excludes those to be avoided, unless they are more than two thirds.
   std::vector<const Upstream*> Candidates(const RoutedRequest& request,
@@ -300,6 +316,8 @@
   // Longest deadline that callers stated, by route; first attempts state it.
   std::unordered_map<std::string, kernel::Duration> longest_deadline_;
   uint32_t instances_ = 0;
+  // By id; only upstreams that want no requests before the time.
+  std::unordered_map<std::string, kernel::TimePoint> held_back_until_;
   // Changes of the directory and version of the table that the rings are of.
   std::pair<uint64_t, uint64_t> homes_source_;
   OriginHomes ready_homes_;
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -73,6 +73,30 @@
   EXPECT_EQ(directory.Ready("desk", Now())[0]->id, "b");
 }
 
+// Guards against an upstream that said itself that it leaves and is believed to
+// be ready again because of its entry.
+TEST_F(DirectoryTest, LeavingUpstreamStaysDrainingUntilItStartsAgain) {
+  Directory directory(seconds(2));
+  Upstream a = MakeUpstream("a");
+  a.started_unix_ms = 5;
+  directory.Replace({a, MakeUpstream("b")}, Now());
+  EXPECT_TRUE(directory.MarkLeaving(a, Now()));
+  EXPECT_FALSE(directory.MarkLeaving(a, Now()));
+  EXPECT_EQ(directory.Ready("desk", Now()).size(), 1u);
+  directory.Put(a, Now());
+  directory.Replace({a, MakeUpstream("b")}, Now(), /*is_restored=*/true);
+  EXPECT_EQ(directory.Ready("desk", Now()).size(), 1u);
+  directory.Remove("a", Now());
+  directory.Put(a, Now());
+  EXPECT_EQ(directory.Ready("desk", Now()).size(), 1u);
+  Upstream restarted = a;
+  restarted.started_unix_ms = 6;
+  directory.Put(restarted, Now());
+  EXPECT_EQ(directory.Ready("desk", Now()).size(), 2u);
+  EXPECT_FALSE(directory.MarkLeaving(a, Now()));  // Of an earlier start.
+  EXPECT_EQ(directory.Ready("desk", Now()).size(), 2u);
+}
+
 TEST_F(DirectoryTest, ReportsRestartUnderSameId) {
   Directory directory(seconds(2));
   std::vector<Directory::Change> changes;
@@ -457,15 +481,15 @@
   router.SetDesiredState(MakeState(1));
   Upstream upstream = MakeUpstream("a");
   router.directory().Put(upstream, Now());
-  EXPECT_TRUE(router.IsReady(upstream));
+  EXPECT_TRUE(router.IsReady(upstream, Now()));
   Upstream moved = upstream;
   moved.address.port = 2;
-  EXPECT_FALSE(router.IsReady(moved));
+  EXPECT_FALSE(router.IsReady(moved, Now()));
   upstream.is_draining = true;
   router.directory().Put(upstream, Now());
-  EXPECT_FALSE(router.IsReady(upstream));
+  EXPECT_FALSE(router.IsReady(upstream, Now()));
   router.directory().Remove("a", Now());
-  EXPECT_FALSE(router.IsReady(upstream));
+  EXPECT_FALSE(router.IsReady(upstream, Now()));
 }
 
 TEST_F(RouterTest, RetryAfterRefusalHasShorterObjective) {
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -353,6 +353,51 @@
   }
 }
 
+// Guards against requests to an upstream that says only in its answers that it
+// leaves, also when its entry states that it is ready, or comes back.
+TEST_F(GatewayProcessTest, AnUpstreamThatSaysThatItLeavesGetsNothingNew) {
+  Start();
+  fleet_->upstream(2).SetLeaving(true);
+  const auto runs_at_leaving = [&] {
+    return Call({.route = kFetch})->status() == 200
+               ? fleet_->upstream(2).arrivals()
+               : 0;
+  };
+  ASSERT_TRUE(fleet_->Await([&] { return runs_at_leaving() == 1; }));
+  for (int i = 0; i < 12; ++i) {
+    if (i == 4) {
+      fleet_->DeleteUpstream(2);
+      fleet_->RunFor(milliseconds(700));
+      fleet_->PutUpstream(2);
+      fleet_->RunFor(milliseconds(700));
+    }
+    EXPECT_EQ(runs_at_leaving(), 1u);
+  }
+}
+
+// Guards against requests to an upstream that has turned one away for a time;
+// when all have, callers are refused at once as not run.
+TEST_F(GatewayProcessTest, AnUpstreamsRetryAfterIsObeyed) {
+  Start();
+  SetFault(UpstreamFault::kHoldOff);
+  const auto arrivals = [&] {
+    return fleet_->upstream(2).arrivals() + fleet_->upstream(3).arrivals();
+  };
+  const kernel::TimePoint began = fleet_->now();
+  EXPECT_EQ(Call({.route = kFetch})->status(), 503);
+  EXPECT_EQ(arrivals(), 2u);
+  while (fleet_->now() - began < kernel::Duration(milliseconds(1800))) {
+    const CallPtr call = Call({.route = kHold});
+    EXPECT_EQ(call->status(), 503);
+    EXPECT_LT(call->total(), kernel::Duration(milliseconds(500)));
+    EXPECT_FALSE(http::FindHeader(call->head().headers, "Retry-After").empty());
+  }
+  EXPECT_EQ(arrivals(), 2u);
+  SetFault(UpstreamFault::kNone);
+  EXPECT_TRUE(
+      fleet_->Await([&] { return Call({.route = kHold})->status() == 200; }));
+}
+
 TEST_F(GatewayProcessTest, ListsAgainWhenTheHistoryIsGone) {
   Start();
   fleet_->store().SetFault(StoreFault::kBusy);
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -57,6 +57,9 @@
   http1::ResponseHead head;
   head.status = status;
   head.headers = {{"Request-Id", request}, {"Instance-Id", options_.id}};
+  if (is_leaving_) {
+    head.headers.emplace_back("Server-Leaving", "1");
+  }
   if (fault_ != UpstreamFault::kUnsealed) {
     head.headers.emplace_back(kSignature, absl::StrCat("seal.", request));
   }
@@ -72,8 +75,12 @@
     connection.Reply(Head(request, 421), {});
     return;
   }
-  if (fault_ == UpstreamFault::kShed) {
+  ++arrivals_;
+  if (fault_ == UpstreamFault::kShed || fault_ == UpstreamFault::kHoldOff) {
     http1::ResponseHead shed = Head(request, 503);
+    if (fault_ == UpstreamFault::kHoldOff) {
+      shed.headers.emplace_back("Retry-After", "2");
+    }
     shed.headers.emplace_back(kNotRun, "1");
     connection.Reply(shed, {});
     return;
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -34,6 +34,7 @@
   kForeign,   // Sends another request's answer first.
   kUnsealed,  // Leaves its signature out.
   kUnframed,  // Marks the end of the answer by closing.
+  kHoldOff,   // Does not run: 503 with Retry-After of two seconds.
 };
 
 // One run of a request at an upstream.
@@ -73,6 +74,10 @@
   uint16_t port() const { return listener_->port(); }
   const StandInUpstreamOptions& options() const { return options_; }
   void SetFault(UpstreamFault fault) { fault_ = fault; }
+  // Says in all answers that it leaves.
+  void SetLeaving(bool is_leaving) { is_leaving_ = is_leaving; }
+  // Requests that arrived, run or not.
+  size_t arrivals() const { return arrivals_; }
   // Ends all connections, as a crash does.
   void Crash();
   // Ends all connections and accepts no others; port() must not be called
@@ -118,6 +123,8 @@
   http1::ConnectionSet connections_;
   std::unordered_map<http1::ServerConnection*, Job> jobs_;
   UpstreamFault fault_ = UpstreamFault::kNone;
+  bool is_leaving_ = false;
+  size_t arrivals_ = 0;
 };
 
 }  // namespace jackdawshunt::testing
