Stand-in: a truncated stream continues after the caller's last event

The stand-in engine with the fault kTruncate sent its stream from the first event even to a request with Last-Event-Id: 30, half of its 60 events, had arrived. Change: it begins after the caller's last event. The check is as strict as before.

--- a/jackdawshunt/board/messages_benchmark.cc
+++ b/jackdawshunt/board/messages_benchmark.cc
@@ -7,7 +7,7 @@
 
 void EncodeAndDecode(benchmark::State& state, const Message& message) {
   size_t bytes = 0;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const std::string encoded = Encode(message);
     bytes = encoded.size();
     benchmark::DoNotOptimize(Decode(encoded));
--- a/jackdawshunt/routing/stream_origins_benchmark.cc
+++ b/jackdawshunt/routing/stream_origins_benchmark.cc
@@ -37,7 +37,7 @@
 void BM_OriginHomes(benchmark::State& state) {
   const auto router = MakeRouter(state.range(0));
   uint64_t key = 1;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(router->OriginHomesOf(++key, {}));
   }
 }
@@ -46,7 +46,7 @@
 void BM_PossibleOriginHomes(benchmark::State& state) {
   const auto router = MakeRouter(state.range(0));
   uint64_t key = 1;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(router->PossibleOriginHomesOf(++key, {}));
   }
 }
@@ -59,7 +59,7 @@
     origins.Record(i, 1, now + std::chrono::seconds(1));
   }
   uint64_t key = 0;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     key = (key + 1) % static_cast<uint64_t>(state.range(0));
     origins.Record(key, 2, now + std::chrono::seconds(1));
     benchmark::DoNotOptimize(origins.Find(key, now));
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -112,8 +112,16 @@
 
 void StandInUpstream::Respond(http1::ServerConnection& connection) {
   const std::string request = jobs_.at(&connection).request;
-  const std::string body = ExpectedBody(request, options_.is_engine,
-                                        options_.events, options_.version);
+  std::string body = ExpectedBody(request, options_.is_engine, options_.events,
+                                  options_.version);
+  if (options_.is_engine) {
+    // Without the events that the caller already has.
+    const uint64_t first_event = jobs_.at(&connection).next_event;
+    body.erase(
+        0, ExpectedBody(request, true, static_cast<uint32_t>(first_event - 1),
+                        options_.version)
+               .size());
+  }
   switch (fault_) {
     case UpstreamFault::kErrors:
     case UpstreamFault::kFalse503:
