Match replies about origins by the stream, not only by number

Cause: each process numbers its queries from 1, so a late reply to an earlier process at the same address, such as from a board that was frozen meanwhile, could be taken as the answer about another stream, which would then go on at the wrong software version. Change: a reply names the request that it is about.

--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -176,6 +176,7 @@
 std::optional<Message> Board::On(const OriginQuery& query,
                                  kernel::TimePoint now) {
   return OriginReply{.nonce = query.nonce,
+                     .request = query.request,
                      .origin = origins_.Find(query.request, now)};
 }
 
--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -102,6 +102,7 @@
     const auto reply = std::get<OriginReply>(
         *board_.Handle(OriginQuery{.nonce = 5, .request = request}, Now()));
     EXPECT_EQ(reply.nonce, 5u);
+    EXPECT_EQ(reply.request, request);
     return reply.origin;
   };
   EXPECT_EQ(origin_of(7), routing::kUnknownOrigin);
@@ -303,9 +304,11 @@
   ASSERT_TRUE(query.ok());
   EXPECT_EQ(std::get<OriginQuery>(*query).nonce, 4u);
   EXPECT_EQ(std::get<OriginQuery>(*query).request, 5u);
-  const auto reply = Decode(Encode(OriginReply{.nonce = 6, .origin = 7}));
+  const auto reply =
+      Decode(Encode(OriginReply{.nonce = 6, .request = 8, .origin = 7}));
   ASSERT_TRUE(reply.ok());
   EXPECT_EQ(std::get<OriginReply>(*reply).nonce, 6u);
+  EXPECT_EQ(std::get<OriginReply>(*reply).request, 8u);
   EXPECT_EQ(std::get<OriginReply>(*reply).origin, 7u);
 }
 
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -159,8 +159,9 @@
 }
 
 void Write(const OriginReply& reply, std::string& out) {
-  FieldWriter(MessageType::kOriginReply, 2, out)
+  FieldWriter(MessageType::kOriginReply, 3, out)
       .Add(reply.nonce)
+      .Add(reply.request)
       .Add(reply.origin);
 }
 
@@ -382,6 +383,7 @@
 Message ReadOriginReply(FieldReader& reader) {
   OriginReply reply;
   reply.nonce = reader.ReadUnsigned();
+  reply.request = reader.ReadUnsigned();
   reply.origin = reader.ReadUnsigned();
   return reply;
 }
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -115,9 +115,10 @@
   uint64_t request = 0;
 };
 
-// Reply of a board to the origin query with the same nonce.
+// Reply of a board to the origin query with the same nonce and request.
 struct OriginReply {
   uint64_t nonce = 0;
+  uint64_t request = 0;
   uint64_t origin = 0;  // routing::kUnknownOrigin without a record.
 };
 
--- a/jackdawshunt/board/messages_benchmark.cc
+++ b/jackdawshunt/board/messages_benchmark.cc
@@ -31,7 +31,8 @@
 BENCHMARK(BM_OriginQuery);
 
 void BM_OriginReply(benchmark::State& state) {
-  EncodeAndDecode(state, OriginReply{.nonce = 100000, .origin = kHash});
+  EncodeAndDecode(
+      state, OriginReply{.nonce = 100000, .request = kHash, .origin = kHash});
 }
 BENCHMARK(BM_OriginReply);
 
--- a/jackdawshunt/gateway/origin_client.cc
+++ b/jackdawshunt/gateway/origin_client.cc
@@ -101,6 +101,9 @@
     lookups_.erase(found);
     return;
   }
+  if (reply.request != lookup->request_hash) {
+    return;  // To an earlier process at this address.
+  }
   lookup->rounds.OnReply(ip, reply.origin);
   if (lookup->rounds.result().has_value()) {
     Finish(reply.nonce, *lookup);
