Continue unnamed streams only while no gateway has a newer list

Cause: a gateway that was suspended or lagged could take its old list for the fleet's and continue the stream of a caller that sends no Resumes at a version that it does not know to be one of several. Change: the last reply of a board is timed on the clock that goes on during a suspension, and the list counts only if no gateway has reported a newer one.

--- a/jackdawshunt/gateway/fleet_exchange.cc
+++ b/jackdawshunt/gateway/fleet_exchange.cc
@@ -90,7 +90,7 @@
   }
   const kernel::TimePoint now = loop_.clock().Now();
   source_.OnReply(ip, now);
-  last_reply_at_ = now;
+  last_reply_at_ = boot_clock_.Now();
   MergeStoreState(ip, totals);
   if (ip != source_.current() || totals.sequence <= merged_sequence_) {
     return;
@@ -101,9 +101,10 @@
   router_.shares().Merge(totals.reports, now);
 }
 
-bool FleetExchange::IsInContact() const {
+bool FleetExchange::IsListCurrent() const {
   return last_reply_at_ != kernel::TimePoint{} &&
-         loop_.clock().Now() - last_reply_at_ <= kContactTimeout;
+         boot_clock_.Now() - last_reply_at_ <= kContactTimeout &&
+         !(upstreams_revision_() < fleet_upstreams_revision_);
 }
 
 void FleetExchange::MergeStoreState(const std::string& ip,
--- a/jackdawshunt/gateway/fleet_exchange.h
+++ b/jackdawshunt/gateway/fleet_exchange.h
@@ -42,8 +42,9 @@
 
   // Returns the number of gateways, this one included; 0 if unknown.
   uint32_t gateways() const { return gateways_; }
-  // Returns whether a board has replied within the last second.
-  bool IsInContact() const;
+  // Returns whether a board has replied within the last second, and no gateway
+  // has reported a newer list of upstreams than this one has.
+  bool IsListCurrent() const;
   // Returns the newest revision of upstreams that any gateway has reported.
   routing::StoreRevision fleet_upstreams_revision() const {
     return fleet_upstreams_revision_;
@@ -85,7 +86,7 @@
   // Sequence of the last reply whose totals were merged.
   uint64_t merged_sequence_ = 0;
   uint32_t gateways_ = 0;
-  kernel::TimePoint last_reply_at_{};
+  kernel::TimePoint last_reply_at_{};  // Of boot_clock_.
   routing::StoreRevision fleet_upstreams_revision_;
   uint64_t fleet_configuration_version_ = 0;
 };
--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -129,7 +129,7 @@
     upstreams_.Start();
     tick_timer_ = loop_.Every(kTickPeriod, [this] { Tick(); });
     exchange_.Start([this] { return upstreams_.changed_revision(); });
-    origins_.SetContactCheck([this] { return exchange_.IsInContact(); });
+    origins_.SetListCheck([this] { return exchange_.IsListCurrent(); });
     keep_current_timer_ =
         loop_.Every(kKeepCurrentPeriod, [this] { KeepCurrent(); });
     last_lag_check_ = loop_.clock().Now();
--- a/jackdawshunt/gateway/origin_client.cc
+++ b/jackdawshunt/gateway/origin_client.cc
@@ -49,9 +49,9 @@
   const kernel::TimePoint now = loop_.clock().Now();
   const std::string& first_request = request.resumption->first_request;
   if (first_request.empty()) {
-    const bool is_in_contact = is_in_contact_ && is_in_contact_();
-    found({.origin = is_in_contact ? router_.SoleOrigin(request, now)
-                                   : routing::kUnknownOrigin});
+    const bool is_current = is_list_current_ && is_list_current_();
+    found({.origin = is_current ? router_.SoleOrigin(request, now)
+                                : routing::kUnknownOrigin});
     return nullptr;
   }
   const uint64_t hash = routing::HashOf(first_request);
--- a/jackdawshunt/gateway/origin_client.h
+++ b/jackdawshunt/gateway/origin_client.h
@@ -49,10 +49,10 @@
   // must be set.
   void Record(const routing::RoutedRequest& request);
 
-  // Sets the function that returns whether this instance currently hears from
-  // the others, so that it would know of new software versions.
-  void SetContactCheck(std::function<bool()> is_in_contact) {
-    is_in_contact_ = std::move(is_in_contact);
+  // Sets the function that returns whether this instance has the fleet's newest
+  // list of upstreams, so that it knows of new software versions.
+  void SetListCheck(std::function<bool()> is_list_current) {
+    is_list_current_ = std::move(is_list_current);
   }
 
   // Looks up the origin of the stream that `request` resumes; its resumption
@@ -84,7 +84,7 @@
   routing::StreamOrigins origins_;
   std::unordered_map<uint64_t, std::weak_ptr<Lookup>> lookups_;  // By nonce.
   uint64_t next_nonce_ = 1;
-  std::function<bool()> is_in_contact_;
+  std::function<bool()> is_list_current_;
 };
 
 }  // namespace jackdawshunt::gateway
