--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -584,6 +584,9 @@
   if (has_begun) {
     line.Add("since_first_event_ms", ToWholeMs(Now() - *first_event_at_));
   }
+  if (body_mode_ == BodyMode::kEvents) {
+    line.Add("partial_event_bytes", splitter_.partial().size());
+  }
   if (request_.prompt.has_value()) {
     line.Add("parts", routing::PartIdsText(request_.shared_parts));
   }
