--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -541,6 +541,25 @@
   EXPECT_EQ(Call({.route = kHold, .keeps_connection = true})->status(), 200);
 }
 
+// Guards against a stream that begins with a piece of an event of an earlier
+// attempt, whose engine broke it off inside its first event.
+TEST_F(GatewayProcessTest, ARepeatedStreamHoldsNothingOfTheLostAttempt) {
+  Start({.stream_events = 1});
+  AwaitRepeatBudget();
+  fleet_->upstream(0).SetFault(UpstreamFault::kCutInsideEvent);
+  size_t repeated = 0;
+  for (int i = 0; i < 8; ++i) {
+    const CallPtr call =
+        Call({.route = kRevise, .shared_part = std::to_string(i)});
+    repeated += Runs(*call) > 1 ? 1 : 0;
+    if (call->status() == 200) {
+      EXPECT_EQ(call->body(),
+                StandInUpstream::ExpectedBody(call->id(), true, 1));
+    }
+  }
+  EXPECT_GT(repeated, 0u);
+}
+
 // Guards against an unframed stream that looks complete because its engine's
 // process ended between two events, which closes the connection in order.
 TEST_F(GatewayProcessTest, AnUnframedStreamOfAnEndedEngineIsNotComplete) {
