Put nothing of a lost attempt before the events of the next one

Cause: the incomplete event of an attempt was dropped only when the caller already had events. An engine that broke off inside its first event left a piece in the splitter, and the repeated answer was appended to it. Change: what belongs to an attempt's answer is reset where the attempt is sent. Measured: the test passes, with all 36 of gateway_process_test and 20 of gateway_test. Ruled out: late second answers, with and without a length, on the same sites.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -267,6 +267,7 @@
   body_mode_ = BodyMode::kDiscard;
   discarded_bytes_ = 0;
   collected_.clear();
+  splitter_.DropPartial();
   platform::ForwardedFields fields;
   fields.remaining_deadline = request_.deadline - sent_at_;
   fields.upstream_id = upstream_.id;
@@ -613,7 +614,6 @@
 }
 
 void Call::ResumeStream() {
-  splitter_.DropPartial();
   if (body_mode_ == BodyMode::kForward || splitter_.has_split_event() ||
       !context_.router.TrySpendRetry(request_, Now())) {
     AbortAnswer("upstream lost");
--- a/jackdawshunt/gateway/event_splitter.h
+++ b/jackdawshunt/gateway/event_splitter.h
@@ -32,7 +32,7 @@
   // the stream cannot be continued after a whole event.
   bool has_split_event() const { return has_split_event_; }
 
-  // Drops an incomplete event; call when its stream has ended.
+  // Drops an incomplete event; call before the bytes of another answer.
   void DropPartial();
   // Returns the bytes of the incomplete event; valid until the next call.
   std::string_view partial() const;
