Log a hash of what an upstream gets of a request

Change: request_placed and attempt_lost state content, a hash of method, host, path, workspace, body and prompt, made once a request. No decision depends on it.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "jackdawshunt/base/log_line.h"
 
 namespace jackdawshunt::gateway {
@@ -201,6 +202,7 @@
       .Add("upstream", decision.upstream.id)
       .Add("version", decision.upstream.software_version)
       .Add("candidates", decision.candidates)
+      .Add("content", absl::StrCat(absl::Hex(request_.content)))
       .Add("left_ms", ToWholeMs(request_.deadline - Now()));
   if (decision.is_engine) {
     line.Add("offers", decision.offers)
@@ -581,6 +583,7 @@
       .Add("loss", http1::LossName(loss))
       .Add("reused_connection", connection_->was_reused())
       .Add("status", answer_.status)
+      .Add("content", absl::StrCat(absl::Hex(request_.content)))
       .Add("after_ms", ToWholeMs(Now() - sent_at_));
   if (has_begun) {
     line.Add("since_first_event_ms", ToWholeMs(Now() - *first_event_at_));
--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -8,6 +8,7 @@
 
 #include "jackdawshunt/base/log.h"
 #include "jackdawshunt/base/log_line.h"
+#include "jackdawshunt/routing/request_content.h"
 
 namespace jackdawshunt::gateway {
 namespace {
@@ -302,6 +303,13 @@
     request.resumption = {.first_request = decoded->resumed_request,
                           .last_event_id = decoded->last_event_id};
   }
+  request.content = routing::ContentHash(
+      {.method = head.method,
+       .host = decoded->host,
+       .target = head.target,
+       .workspace = request.workspace,
+       .body = body,
+       .prompt = request.prompt.has_value() ? &*request.prompt : nullptr});
   context_.router.Prepare(request, decoded->deadline,
                           context_.loop.clock().Now());
   session.StartCall(std::make_unique<Call>(
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -80,6 +80,7 @@
   kernel::TimePoint resumable_until{};
   kernel::Duration remaining_objective_at_arrival{};
   uint64_t hash = 0;
+  uint64_t content = 0;                      // See ContentHash().
   std::vector<std::string> tried_upstreams;  // Excluded from further attempts.
   uint32_t send_count = 0;                   // Attempts sent.
   // Whether its tokens count as admitted in its workspace's share.
