Let stand-ins end when they run a deadly request

Cause: a request that ends each upstream that runs it could not be played in process tests; the stand-ins knew deadly prompt parts only. Change: StandInUpstream and PlatformFleet take a marker in the target or the body of deadly requests, with a record of ends of its own. Both records name the request. CallOptions has a path, and the fleet a time of work for its upstreams.

--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -46,7 +46,7 @@
   http1::RequestHead head;
   head.method =
       options_.route == kFetch || options_.route == kOpen ? "GET" : "POST";
-  head.target = absl::StrCat("/", options_.route, "/x");
+  head.target = absl::StrCat("/", options_.route, "/", options_.path);
   head.headers = {
       {"Host", kHost},
       {"Request-Id", id_},
@@ -133,7 +133,8 @@
                           .engine_versions[i % options_.engine_versions.size()]
                     : "v1",
             .is_engine = is_engine,
-            .events = options_.stream_events},
+            .events = options_.stream_events,
+            .work = options_.work},
         runs_));
     upstream_addresses_.push_back({UpstreamIp(i), upstreams_[i]->port()});
     if (options_.has_proxies) {
@@ -220,9 +221,7 @@
   options.id = absl::StrCat("i-", index, "-", replaced_upstreams_.size());
   upstreams_[index] = std::make_unique<StandInUpstream>(
       loop_, address, std::move(options), runs_);
-  if (arm_ && index < options_.engines) {
-    arm_(index);
-  }
+  Arm(index);
   PutUpstream(index);
 }
 
@@ -243,21 +242,51 @@
   });
 }
 
+StandInUpstream::CrashFunction PlatformFleet::EndsUpstream(
+    size_t index,
+    kernel::Duration down_for,
+    kernel::Duration listed_for,
+    std::vector<DeadlyEnd>& ends) {
+  return [this, index, down_for, listed_for, &ends,
+          upstream = upstreams_[index].get()](const std::string& request) {
+    if (upstream == upstreams_[index].get() && IsUpstreamUp(index)) {
+      ends.push_back({upstream->options().id, request, now()});
+      EndUpstream(index, down_for, listed_for);
+    }
+  };
+}
+
+void PlatformFleet::Arm(size_t index) {
+  if (arm_part_ && index < options_.engines) {
+    arm_part_(index);
+  }
+  if (arm_request_) {
+    arm_request_(index);
+  }
+}
+
 void PlatformFleet::SetDeadlyPart(const std::string& part,
                                   kernel::Duration down_for,
                                   kernel::Duration listed_for) {
-  arm_ = [this, part, down_for, listed_for](size_t index) {
+  arm_part_ = [this, part, down_for, listed_for](size_t index) {
     upstreams_[index]->SetDeadlyPart(
-        part, [this, index, down_for, listed_for,
-               upstream = upstreams_[index].get()] {
-          if (upstream == upstreams_[index].get() && IsUpstreamUp(index)) {
-            deadly_ends_.push_back({upstream->options().id, now()});
-            EndUpstream(index, down_for, listed_for);
-          }
-        });
+        part, EndsUpstream(index, down_for, listed_for, deadly_ends_));
+  };
+  for (size_t i = 0; i < upstreams_.size(); ++i) {
+    Arm(i);
+  }
+}
+
+void PlatformFleet::SetDeadlyRequest(const std::string& marker,
+                                     kernel::Duration down_for,
+                                     kernel::Duration listed_for) {
+  arm_request_ = [this, marker, down_for, listed_for](size_t index) {
+    upstreams_[index]->SetDeadlyRequest(
+        marker,
+        EndsUpstream(index, down_for, listed_for, deadly_request_ends_));
   };
-  for (size_t i = 0; i < options_.engines; ++i) {
-    arm_(i);
+  for (size_t i = 0; i < upstreams_.size(); ++i) {
+    Arm(i);
   }
 }
 
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -38,6 +38,7 @@
   kernel::Duration revocation = std::chrono::seconds(5);
   kernel::Duration route_timeout = std::chrono::seconds(8);
   uint32_t stream_events = 5;
+  kernel::Duration work = std::chrono::milliseconds(5);  // Of each run.
   // Puts a proxy that injects faults on each hop of ProxiedHop.
   bool has_proxies = false;
   uint32_t file_descriptors = 4100;  // Of each process.
@@ -59,6 +60,7 @@
 
 struct CallOptions {
   std::string route = kGenerate;
+  std::string path = "x";  // Below the route's, with the query.
   std::string api_key = "key-lodge";
   kernel::Duration deadline = std::chrono::seconds(8);
   std::string body = "{}";
@@ -152,12 +154,22 @@
   void SetDeadlyPart(const std::string& part,
                      kernel::Duration down_for,
                      kernel::Duration listed_for);
-  // Ends of engines by the deadly part so far.
+  // Makes all upstreams end as above when they begin an answer to a request
+  // whose target or body holds this marker; empty for none.
+  void SetDeadlyRequest(const std::string& marker,
+                        kernel::Duration down_for,
+                        kernel::Duration listed_for);
   struct DeadlyEnd {
     std::string upstream;
+    std::string request;
     kernel::TimePoint at{};
   };
+  // Ends of engines by the deadly part so far.
   const std::vector<DeadlyEnd>& deadly_ends() const { return deadly_ends_; }
+  // Ends of upstreams by deadly requests so far.
+  const std::vector<DeadlyEnd>& deadly_request_ends() const {
+    return deadly_request_ends_;
+  }
   // Returns whether the upstream runs.
   bool IsUpstreamUp(size_t index) const { return !down_.contains(index); }
 
@@ -191,6 +203,14 @@
                             const std::string& more);
   // Returns different ports that the kernel gives out.
   static std::array<uint16_t, 3> FreePorts();
+  // Returns a function that records an end in `ends` and ends the upstream that
+  // is now at `index`.
+  StandInUpstream::CrashFunction EndsUpstream(size_t index,
+                                              kernel::Duration down_for,
+                                              kernel::Duration listed_for,
+                                              std::vector<DeadlyEnd>& ends);
+  // Sets what is deadly for the upstream that is now at `index`.
+  void Arm(size_t index);
   // Starts an upstream with another id in the place of one that has ended.
   void StartSuccessor(size_t index,
                       const http::Address& address,
@@ -225,7 +245,10 @@
   std::map<size_t, kernel::Timer> down_;         // Until they start again.
   std::map<std::string, kernel::Timer> listed_;  // Ended ones, by id.
   std::vector<DeadlyEnd> deadly_ends_;
-  std::function<void(size_t index)> arm_;  // Sets the deadly part of an engine.
+  std::vector<DeadlyEnd> deadly_request_ends_;
+  // Set the deadly part of an engine and the deadly request of an upstream.
+  std::function<void(size_t index)> arm_part_;
+  std::function<void(size_t index)> arm_request_;
   std::vector<std::unique_ptr<Process>> gateways_;
   std::vector<std::unique_ptr<Process>> boards_;
   uint16_t callers_port_ = 0;
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -72,13 +73,25 @@
   return head;
 }
 
-void StandInUpstream::SetDeadlyPart(std::string part,
-                                    std::function<void()> crash) {
+void StandInUpstream::SetDeadlyPart(std::string part, CrashFunction crash) {
   deadly_part_ = std::move(part);
-  crash_ = std::move(crash);
+  crash_for_part_ = std::move(crash);
 }
 
-bool StandInUpstream::IsDeadly(const http1::RequestHead& head) const {
+void StandInUpstream::SetDeadlyRequest(std::string marker,
+                                       CrashFunction crash) {
+  deadly_marker_ = std::move(marker);
+  crash_for_request_ = std::move(crash);
+}
+
+bool StandInUpstream::IsDeadlyRequest(const http1::RequestHead& head,
+                                      const std::string& body) const {
+  return !deadly_marker_.empty() &&
+         (absl::StrContains(head.target, deadly_marker_) ||
+          absl::StrContains(body, deadly_marker_));
+}
+
+bool StandInUpstream::HoldsDeadlyPart(const http1::RequestHead& head) const {
   if (deadly_part_.empty()) {
     return false;
   }
@@ -92,7 +105,7 @@
 
 void StandInUpstream::OnRequest(http1::ServerConnection& connection,
                                 const http1::RequestHead& head,
-                                std::string& /*body*/) {
+                                std::string& body) {
   const std::string request =
       Text(http::FindHeader(head.headers, "Request-Id"));
   if (http::FindHeader(head.headers, "Expected-Instance") != options_.id) {
@@ -126,7 +139,11 @@
   Job job;
   job.request = request;
   job.next_event = last_event + 1;
-  job.is_deadly = IsDeadly(head);
+  if (HoldsDeadlyPart(head)) {
+    job.crash = crash_for_part_;
+  } else if (IsDeadlyRequest(head, body)) {
+    job.crash = crash_for_request_;
+  }
   job.run = runs_[request].size();
   runs_[request].push_back(run);
   if (fault_ != UpstreamFault::kHang) {
@@ -137,11 +154,11 @@
 }
 
 void StandInUpstream::Respond(http1::ServerConnection& connection) {
-  if (jobs_.at(&connection).is_deadly) {
-    loop_.Post(crash_);  // Closes this connection.
+  const std::string request = jobs_.at(&connection).request;
+  if (const CrashFunction& crash = jobs_.at(&connection).crash) {
+    loop_.Post([crash, request] { crash(request); });  // Closes the connection.
     return;
   }
-  const std::string request = jobs_.at(&connection).request;
   std::string body = ExpectedBody(request, options_.is_engine, options_.events,
                                   options_.version);
   if (options_.is_engine) {
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -89,9 +89,14 @@
   void SetFault(UpstreamFault fault) { fault_ = fault; }
   // Says in all answers that it leaves.
   void SetLeaving(bool is_leaving) { is_leaving_ = is_leaving; }
+  // Is told the id of the request whose run ends the upstream.
+  using CrashFunction = std::function<void(const std::string& request)>;
   // Calls `crash` when it begins an answer to a prompt that holds this part,
   // not as the last one. An empty part means that there is none.
-  void SetDeadlyPart(std::string part, std::function<void()> crash);
+  void SetDeadlyPart(std::string part, CrashFunction crash);
+  // Calls `crash` when it begins an answer to a request whose target or body
+  // holds this marker. An empty marker means that there is none.
+  void SetDeadlyRequest(std::string marker, CrashFunction crash);
   // Names this limit of requests a second in all answers; none if absent.
   void SetLimit(std::optional<double> per_second) { limit_ = per_second; }
   // Requests that arrived, run or not.
@@ -134,12 +139,16 @@
  private:
   struct Job {
     std::string request;
-    size_t run = 0;  // Index in the log.
-    bool is_deadly = false;
+    size_t run = 0;       // Index in the log.
+    CrashFunction crash;  // Null unless the request is deadly.
     uint64_t next_event = 1;
     kernel::Timer timer;
   };
 
+  // Returns whether the prompt of the request holds the deadly part.
+  bool HoldsDeadlyPart(const http1::RequestHead& head) const;
+  bool IsDeadlyRequest(const http1::RequestHead& head,
+                       const std::string& body) const;
   void Respond(http1::ServerConnection& connection);
   void SendEvent(http1::ServerConnection& connection);
   // Sends the first half of an answer without length or chunks, then resets the
@@ -161,12 +170,11 @@
   std::unordered_map<http1::ServerConnection*, Job> jobs_;
   // Answers that never end.
   std::unordered_map<http1::ServerConnection*, kernel::Timer> endless_;
-  // Returns whether the prompt of the request holds the deadly part.
-  bool IsDeadly(const http1::RequestHead& head) const;
-
   UpstreamFault fault_ = UpstreamFault::kNone;
   std::string deadly_part_;
-  std::function<void()> crash_;
+  CrashFunction crash_for_part_;
+  std::string deadly_marker_;
+  CrashFunction crash_for_request_;
   bool is_leaving_ = false;
   std::optional<double> limit_;
   std::vector<Arrival> arrival_log_;
