--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -1,6 +1,8 @@
 // The gateway and board roles as real processes against stand-ins of the
 // users' platform.
+#include <algorithm>
 #include <csignal>
+#include <functional>
 
 #include "gtest/gtest.h"
 #include "jackdawshunt/testing/platform/caller_stream.h"
@@ -83,9 +85,98 @@
     }
   }
 
+  // Calls that are sent one after the other, at each gateway in turn.
+  struct CallSeries {
+    std::vector<CallPtr> calls;
+    std::vector<kernel::TimePoint> sent;
+    kernel::Timer timer;
+  };
+  // Starts a call every 100 ms, the i-th one with `options(i)`.
+  void StartSeries(CallSeries& series,
+                   size_t gateways,
+                   std::function<CallOptions(size_t)> options) {
+    series.timer = fleet_->loop().Every(
+        milliseconds(100),
+        [this, &series, gateways, options = std::move(options)] {
+          const size_t i = series.calls.size();
+          series.sent.push_back(fleet_->now());
+          series.calls.push_back(fleet_->Call(i % gateways, options(i)));
+        });
+  }
+  static bool IsRefusedAsDeadly(const PlatformCall& call) {
+    return call.body().find("request_quarantined") != std::string::npos;
+  }
+  // Sends a deadly request again and again beside sound requests, and expects
+  // that the fleet stops to send it to upstreams.
+  void ExpectDeadlyRequestIsRefused(
+      const CallOptions& deadly,
+      const std::function<CallOptions(size_t)>& sound);
+
   std::unique_ptr<PlatformFleet> fleet_;
 };
 
+void GatewayProcessTest::ExpectDeadlyRequestIsRefused(
+    const CallOptions& deadly,
+    const std::function<CallOptions(size_t)>& sound) {
+  constexpr size_t kGateways = 3;
+  constexpr size_t kEndsBeforeRefusal = 3;
+  constexpr size_t kSendsAfterContact = 3;
+  constexpr kernel::Duration kContact = seconds(4);
+  constexpr kernel::Duration kDownFor = seconds(2);
+  Start({.gateways = kGateways, .plain = 4, .work = milliseconds(60)});
+  fleet_->SetDeadlyRequest("dead", kDownFor, seconds(1));
+  CallSeries sound_series;
+  StartSeries(sound_series, kGateways, sound);
+  fleet_->RunFor(seconds(1));
+  EXPECT_TRUE(fleet_->deadly_request_ends().empty());
+  CallSeries deadly_series;
+  StartSeries(deadly_series, kGateways, [&](size_t) { return deadly; });
+  fleet_->RunFor(seconds(12));
+  deadly_series.timer = {};
+  sound_series.timer = {};
+  const auto is_done = [](const CallPtr& call) { return call->is_done(); };
+  ASSERT_TRUE(fleet_->Await([&] {
+    return std::ranges::all_of(deadly_series.calls, is_done) &&
+           std::ranges::all_of(sound_series.calls, is_done);
+  }));
+
+  const auto& ends = fleet_->deadly_request_ends();
+  ASSERT_FALSE(ends.empty());
+  EXPECT_LE(ends.size(), kEndsBeforeRefusal + kSendsAfterContact);
+  const kernel::TimePoint known =
+      ends[std::min(ends.size(), kEndsBeforeRefusal) - 1].at + kContact;
+  size_t late_sends = 0;
+  size_t refused = 0;
+  for (size_t i = 0; i < deadly_series.calls.size(); ++i) {
+    const PlatformCall& call = *deadly_series.calls[i];
+    if (Runs(call) > 0) {
+      EXPECT_EQ(call.status(), 502) << call.id();
+      for (const UpstreamRun& run : fleet_->runs().at(call.id())) {
+        late_sends += run.began > known ? 1 : 0;
+      }
+    } else if (deadly_series.sent[i] > known) {
+      EXPECT_EQ(call.status(), 503) << call.id();
+      EXPECT_TRUE(IsRefusedAsDeadly(call)) << call.body();
+      EXPECT_FALSE(
+          http::FindHeader(call.head().headers, "Retry-After").empty());
+      EXPECT_LT(call.total(), kernel::Duration(milliseconds(500)));
+      ++refused;
+    }
+  }
+  EXPECT_LE(late_sends, kSendsAfterContact);
+  EXPECT_GE(refused, 20u);
+  size_t served = 0;
+  for (size_t i = 0; i < sound_series.calls.size(); ++i) {
+    const PlatformCall& call = *sound_series.calls[i];
+    EXPECT_FALSE(IsRefusedAsDeadly(call)) << call.id();
+    if (sound_series.sent[i] > ends.back().at + kDownFor + kContact) {
+      EXPECT_EQ(call.status(), 200) << call.id();
+      ++served;
+    }
+  }
+  EXPECT_GE(served, 10u);
+}
+
 TEST_F(GatewayProcessTest, ServesEveryKindOfRoute) {
   Start();
   for (const char* const route : {kGenerate, kRevise, kHold, kFetch}) {
@@ -452,6 +543,50 @@
   }
 }
 
+// Guards against a request that ends one upstream after the other because each
+// gateway takes it for a new one every time it comes.
+TEST_F(GatewayProcessTest, ARequestThatEndsUpstreamsIsRefusedByAllGateways) {
+  ExpectDeadlyRequestIsRefused(
+      {.route = kFetch, .path = "x?job=dead"}, [](size_t i) {
+        return CallOptions{.route = kFetch,
+                           .path = "x?job=" + std::to_string(i % 5)};
+      });
+}
+
+// Guards against the same by a request that must not run twice, and against a
+// "not run" for one that has.
+TEST_F(GatewayProcessTest, AnUnsafeRequestThatEndsUpstreamsIsRefused) {
+  ExpectDeadlyRequestIsRefused({.route = kHold, .body = "dead"}, [](size_t i) {
+    return CallOptions{.route = kHold, .body = std::to_string(i % 5)};
+  });
+  EXPECT_TRUE(fleet_->RunTwice().empty());
+}
+
+// Guards against blame for a request that is polled while upstreams end for
+// other reasons.
+TEST_F(GatewayProcessTest,
+       SoundRequestsStayInUseWhenUpstreamsEndForOtherReasons) {
+  Start({.gateways = 2, .plain = 4, .work = milliseconds(60)});
+  CallSeries polls;
+  StartSeries(polls, 2, [](size_t) { return CallOptions{.route = kFetch}; });
+  fleet_->RunFor(seconds(1));
+  for (size_t i = 0; i < 12; ++i) {
+    fleet_->EndUpstream(2 + i % 4, milliseconds(900), milliseconds(500));
+    fleet_->RunFor(milliseconds(400));
+  }
+  polls.timer = {};
+  EXPECT_TRUE(fleet_->Await([&] {
+    return std::ranges::all_of(
+        polls.calls, [](const CallPtr& call) { return call->is_done(); });
+  }));
+  size_t served = 0;
+  for (const CallPtr& call : polls.calls) {
+    EXPECT_FALSE(IsRefusedAsDeadly(*call)) << call->id();
+    served += call->status() == 200 ? 1 : 0;
+  }
+  EXPECT_GE(served, polls.calls.size() / 2);
+}
+
 // Returns the most arrivals at `upstream` in any four seconds from `from` on.
 size_t MostIn4Seconds(const StandInUpstream& upstream, kernel::TimePoint from) {
   std::vector<kernel::TimePoint> times;
