--- a/jackdawshunt/base/error.cc
+++ b/jackdawshunt/base/error.cc
@@ -47,6 +47,8 @@
                 Executed::kNo, seconds(1)},
     ErrorAnswer{ErrorKind::kPromptQuarantined, "prompt_quarantined", 503,
                 Executed::kNo, seconds(60)},
+    ErrorAnswer{ErrorKind::kRequestQuarantined, "request_quarantined", 503,
+                Executed::kNo, seconds(60)},
     ErrorAnswer{ErrorKind::kDraining, "draining", 503, Executed::kNo,
                 seconds(1)},
     ErrorAnswer{ErrorKind::kOverloaded, "overloaded", 503, Executed::kNo,
--- a/jackdawshunt/base/error.h
+++ b/jackdawshunt/base/error.h
@@ -28,6 +28,7 @@
   kNoCapacity,
   kStreamOriginUnknown,
   kPromptQuarantined,
+  kRequestQuarantined,
   kDraining,
   kOverloaded,
   kNotReady,
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -82,13 +82,14 @@
         .Add(store.current_as_of_us);
   }
   FieldWriter& Add(const AgedFact& fact) {
-    msgpack_pack_array(&packer_, 6);
+    msgpack_pack_array(&packer_, 7);
     Add(static_cast<uint64_t>(fact.kind))
         .Add(fact.subject)
         .Add(fact.source)
         .Add(fact.age);
     msgpack_pack_double(&packer_, fact.value);
-    return Add(fact.parts);
+    return Add(IdsOf(fact.suspects, routing::SubjectKind::kPart))
+        .Add(IdsOf(fact.suspects, routing::SubjectKind::kRequest));
   }
   FieldWriter& Add(const std::vector<AgedFact>& facts) {
     msgpack_pack_array(&packer_, facts.size());
@@ -334,7 +335,12 @@
     fact.source = row.ReadUnsigned();
     fact.age = row.ReadDuration();
     fact.value = row.ReadNumber();
-    fact.parts = row.ReadNumbers<uint64_t>();
+    for (const routing::SubjectKind subject_kind :
+         {routing::SubjectKind::kPart, routing::SubjectKind::kRequest}) {
+      for (const uint64_t id : row.ReadNumbers<uint64_t>()) {
+        fact.suspects.push_back({subject_kind, id});
+      }
+    }
     is_valid_ = is_valid_ && row.is_valid_ &&
                 kind <= static_cast<uint64_t>(routing::kLastFactKind) &&
                 fact.age >= kernel::Duration::zero() &&
@@ -547,7 +553,7 @@
           .source = fact.source,
           .age = std::max(now - fact.at, kernel::Duration::zero()),
           .value = fact.value,
-          .parts = fact.parts};
+          .suspects = fact.suspects};
 }
 
 routing::Fact FromAged(const AgedFact& aged, kernel::TimePoint now) {
@@ -556,8 +562,8 @@
                      .source = aged.source,
                      .at = now - aged.age,
                      .value = aged.value,
-                     .parts = aged.parts};
-  std::sort(fact.parts.begin(), fact.parts.end());
+                     .suspects = aged.suspects};
+  std::sort(fact.suspects.begin(), fact.suspects.end());
   return fact;
 }
 
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -110,10 +110,10 @@
   uint64_t source = 0;
   kernel::Duration age{};
   double value = 0;
-  std::vector<uint64_t> parts;
+  std::vector<routing::Subject> suspects;
 };
 // Keeps a datagram of facts below the size at which it would be split.
-inline constexpr size_t kMaxFactsPerMessage = 5;
+inline constexpr size_t kMaxFactsPerMessage = 4;
 
 AgedFact ToAged(const routing::Fact& fact, kernel::TimePoint now);
 routing::Fact FromAged(const AgedFact& aged, kernel::TimePoint now);
--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -47,13 +47,20 @@
   switch (verdict) {
     case routing::Verdict::kRefuse:
       return base::ErrorKind::kWaitLimit;
-    case routing::Verdict::kQuarantined:
+    case routing::Verdict::kPartsQuarantined:
       return base::ErrorKind::kPromptQuarantined;
+    case routing::Verdict::kRequestQuarantined:
+      return base::ErrorKind::kRequestQuarantined;
     default:
       return base::ErrorKind::kNoCapacity;
   }
 }
 
+std::string PartsText(const routing::RoutedRequest& request) {
+  return routing::PartIdsText(
+      IdsOf(request.subjects, routing::SubjectKind::kPart));
+}
+
 board::Progress ToProgress(routing::Outcome outcome) {
   if (outcome == routing::Outcome::kUnreachable) {
     return board::Progress::kUnreachable;
@@ -212,7 +219,7 @@
         .Add("read_ms", ToWholeMs(decision.cost.prefill_time))
         .Add("missing_tokens", decision.cost.uncached_tokens)
         .Add("tokens", routing::ShareTokens(*request_.prompt))
-        .Add("parts", routing::PartIdsText(request_.shared_parts))
+        .Add("parts", PartsText(request_))
         .Add("share_used", decision.share_used)
         .Add("fleet_has_room", decision.fleet_has_spare_capacity)
         .Add("objective_left_ms",
@@ -563,13 +570,20 @@
 }
 
 void Call::OnQuarantineChanged() {
-  if (is_done_ || connection_ == nullptr || first_event_at_.has_value() ||
-      !context_.router.RefuseQuarantined(request_, Now()).has_value()) {
+  // The body of a plain answer follows its head at once.
+  const bool has_answer = request_.prompt.has_value()
+                              ? first_event_at_.has_value()
+                              : answer_.status != 0;
+  if (is_done_ || connection_ == nullptr || has_answer) {
+    return;
+  }
+  const auto refusal = context_.router.RefuseQuarantined(request_, Now());
+  if (!refusal.has_value()) {
     return;
   }
   AbandonAttempt();
   may_have_executed_ = true;
-  FinishWithoutRetry("prompt quarantined", base::ErrorKind::kPromptQuarantined,
+  FinishWithoutRetry("quarantined", RefusalKind(refusal->verdict),
                      MinRetryAfter());
 }
 
@@ -592,7 +606,7 @@
     line.Add("partial_event_bytes", splitter_.partial().size());
   }
   if (request_.prompt.has_value()) {
-    line.Add("parts", routing::PartIdsText(request_.shared_parts));
+    line.Add("parts", PartsText(request_));
   }
 }
 
--- a/jackdawshunt/gateway/fact_sync.cc
+++ b/jackdawshunt/gateway/fact_sync.cc
@@ -78,7 +78,7 @@
   for (const routing::Fact& fact : facts) {
     const auto row = beliefs.facts().rows().find({fact.kind, fact.subject});
     if (row != beliefs.facts().rows().end() &&
-        row->second.fact.parts == fact.parts) {
+        row->second.fact.suspects == fact.suspects) {
       at_board_[row->first] = row->second.revision;
     }
   }
--- a/jackdawshunt/gateway/fact_sync_test.cc
+++ b/jackdawshunt/gateway/fact_sync_test.cc
@@ -34,10 +34,21 @@
     }
   }
 
+  static std::vector<routing::Subject> Parts(const std::vector<uint64_t>& ids) {
+    std::vector<routing::Subject> subjects;
+    for (const uint64_t id : ids) {
+      subjects.push_back({routing::SubjectKind::kPart, id});
+    }
+    return subjects;
+  }
+
   void End(size_t gateway, const std::vector<uint64_t>& parts) {
+    EndUnder(gateway, Parts(parts));
+  }
+  void EndUnder(size_t gateway, const std::vector<routing::Subject>& subjects) {
     routing::Upstream upstream;
     upstream.id = "start-" + std::to_string(++starts_);
-    gateways_[gateway]->beliefs.OnLostBeforeAnswer(upstream, parts, Now());
+    gateways_[gateway]->beliefs.OnLostBeforeAnswer(upstream, subjects, Now());
     gateways_[gateway]->beliefs.OnEnded(upstream.id);
   }
 
@@ -86,8 +97,10 @@
   size_t Quarantining() const {
     size_t count = 0;
     for (const auto& gateway : gateways_) {
-      count +=
-          gateway->beliefs.Quarantine({kDeadlyPart}, Now()) != nullptr ? 1 : 0;
+      count += gateway->beliefs.FindQuarantine(Parts({kDeadlyPart}), Now()) !=
+                       nullptr
+                   ? 1
+                   : 0;
     }
     return count;
   }
@@ -163,13 +176,13 @@
   AddGateways(3);
   End(0, {7});
   clock_.Advance(seconds(1));
-  gateways_[2]->beliefs.OnAnswerBegan({7}, Now(), Now());
+  gateways_[2]->beliefs.OnAnswerBegan(Parts({7}), Now(), Now());
   clock_.Advance(seconds(1));
   End(1, {7});
   Exchange();
   Exchange();
   for (const auto& gateway : gateways_) {
-    EXPECT_EQ(gateway->beliefs.Quarantine({7}, Now()), nullptr);
+    EXPECT_EQ(gateway->beliefs.FindQuarantine(Parts({7}), Now()), nullptr);
   }
 }
 
@@ -181,12 +194,12 @@
     End(0, {7, 100 + i});
     clock_.Advance(seconds(1));
   }
-  gateways_[0]->beliefs.OnAnswerBegan({7}, Now(), Now());
+  gateways_[0]->beliefs.OnAnswerBegan(Parts({7}), Now(), Now());
   Exchange();
   AddGateways(1);
   size_t concluded = 0;
   gateways_[1]->beliefs.SetObserver(
-      [&](const std::vector<routing::QuarantinedParts>& quarantine) {
+      [&](const std::vector<routing::Quarantine>& quarantine) {
         concluded += quarantine.size();
       });
   Exchange();
@@ -200,7 +213,7 @@
 TEST_F(FactSyncTest, NothingIsSentWithoutNews) {
   AddGateways(10);
   End(0, {1, kDeadlyPart});
-  gateways_[3]->beliefs.OnAnswerBegan({1}, Now(), Now());
+  gateways_[3]->beliefs.OnAnswerBegan(Parts({1}), Now(), Now());
   for (int i = 0; i < 10; ++i) {
     Exchange();
   }
@@ -215,13 +228,16 @@
 // gateway's control traffic may be 19 KB/s.
 TEST_F(FactSyncTest, FullStoreReachesManyGatewaysInBoundedBytes) {
   AddGateways(530);
-  uint64_t part = 1000;
+  uint64_t id = 0;
   for (int i = 0; i < 200; ++i) {
-    std::vector<uint64_t> parts;
-    for (size_t k = 0; k < routing::kMaxFactParts; ++k) {
-      parts.push_back(++part);
+    std::vector<routing::Subject> subjects;
+    for (const routing::SubjectKind kind :
+         {routing::SubjectKind::kPart, routing::SubjectKind::kRequest}) {
+      for (size_t k = 0; k < routing::MaxSuspects(kind); ++k) {
+        subjects.push_back({kind, routing::HashOf(std::to_string(++id))});
+      }
     }
-    End(0, parts);
+    EndUnder(0, subjects);
     clock_.Advance(milliseconds(300));
   }
   for (int i = 0; i < 4; ++i) {
--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -61,6 +61,10 @@
 // A killed process loses at most this much of its log.
 constexpr kernel::Duration kLogFlushPeriod = std::chrono::milliseconds(200);
 constexpr kernel::Duration kLagCheckPeriod = std::chrono::milliseconds(25);
+// Log events and metrics of quarantines, by the kind of what is refused.
+constexpr std::array<std::string_view,
+                     static_cast<size_t>(routing::kLastSubjectKind) + 1>
+    kQuarantineEvents = {"parts_quarantined", "request_quarantined"};
 constexpr kernel::Duration kTickPeriod = std::chrono::seconds(1);
 // The balancer removes an instance after two failed checks, one a second.
 constexpr kernel::Duration kAcceptWhileDraining =
@@ -130,7 +134,7 @@
           .Add("change", routing::ChangeName(change));
     });
     router_.beliefs().SetObserver(
-        [this](const std::vector<routing::QuarantinedParts>& quarantine) {
+        [this](const std::vector<routing::Quarantine>& quarantine) {
           OnQuarantineChanged(quarantine);
         });
     configuration_.Start();
@@ -165,12 +169,19 @@
     return router;
   }
 
-  void OnQuarantineChanged(
-      const std::vector<routing::QuarantinedParts>& quarantine) {
+  void OnQuarantineChanged(const std::vector<routing::Quarantine>& quarantine) {
     const kernel::TimePoint now = loop_.clock().Now();
-    for (const routing::QuarantinedParts& quarantined : quarantine) {
-      base::LogLine(base::LogLevel::kWarning, "parts_quarantined")
-          .Add("parts", routing::PartIdsText(quarantined.parts))
+    for (const routing::Quarantine& quarantined : quarantine) {
+      base::LogLine line(
+          base::LogLevel::kWarning,
+          kQuarantineEvents.at(static_cast<size_t>(quarantined.kind())));
+      const auto requests =
+          IdsOf(quarantined.subjects, routing::SubjectKind::kRequest);
+      if (!requests.empty()) {
+        line.Add("content", routing::PartIdsText(requests));
+      }
+      line.Add("parts", routing::PartIdsText(IdsOf(
+                            quarantined.subjects, routing::SubjectKind::kPart)))
           .Add("ends", quarantined.ends)
           .Add("own", quarantined.source == router_.beliefs().source())
           .Add("age_ms", (now - quarantined.since).count() / 1000)
@@ -353,9 +364,16 @@
     metrics_.SetGauge("stream_origins", static_cast<double>(origins_.size()));
     metrics_.SetGauge("stream_origins_rejected",
                       static_cast<double>(origins_.rejected()));
-    metrics_.SetGauge(
-        "parts_quarantined",
-        static_cast<double>(router_.beliefs().quarantine().size()));
+    for (size_t kind = 0; kind < kQuarantineEvents.size(); ++kind) {
+      const auto& quarantine = router_.beliefs().quarantine();
+      metrics_.SetGauge(std::string(kQuarantineEvents.at(kind)),
+                        static_cast<double>(std::count_if(
+                            quarantine.begin(), quarantine.end(),
+                            [kind](const routing::Quarantine& quarantined) {
+                              return static_cast<size_t>(quarantined.kind()) ==
+                                     kind;
+                            })));
+    }
     metrics_.SetGauge(
         "facts", static_cast<double>(router_.beliefs().facts().rows().size()));
     metrics_.SetGauge("permits_refused",
--- a/jackdawshunt/routing/beliefs.cc
+++ b/jackdawshunt/routing/beliefs.cc
@@ -17,22 +17,22 @@
 // Time after which the facts that are known suffice, though others were
 // announced.
 constexpr kernel::Duration kMaxIncompleteTime = std::chrono::seconds(1);
-// Parts of one generation of `sound_`.
-constexpr size_t kMaxSoundParts = 4096;
+// Subjects of one kind in one generation of sound times.
+constexpr size_t kMaxSoundTimes = 4096;
 
 // Ends closer than this count as one: what ended them, such as the loss of a
 // data centre, may be outside the upstreams.
 constexpr kernel::Duration kSimultaneousEnds = std::chrono::milliseconds(100);
-// Ends that a part must explain to be quarantined, and how many more if answers
-// on it are known to have begun before.
+// Ends that a subject must explain to be quarantined, and how many more if
+// answers on it are known to have begun before.
 constexpr size_t kMinEnds = 2;
 constexpr size_t kMoreEndsIfSound = 2;
-// A gateway that has just started does not know which parts are sound, so it
-// lets the others tell it before it concludes.
+// A gateway that has just started does not know which subjects are sound, so
+// it lets the others tell it before it concludes.
 constexpr kernel::Duration kLearningTime = std::chrono::seconds(10);
 constexpr kernel::Duration kTellingTime = std::chrono::milliseconds(600);
-// Few ends can be a coincidence, so that the part is soon tried again. Each
-// further end doubles the time, up to the age of the facts.
+// Few ends can be a coincidence, so that the subject is soon tried again.
+// Each further end doubles the time, up to the age of the facts.
 constexpr kernel::Duration kFirstQuarantine = std::chrono::seconds(20);
 constexpr size_t kMaxDoublings = 5;
 
@@ -55,9 +55,9 @@
   return count;
 }
 
-// The ends that a part may explain.
+// The ends that a subject may explain.
 struct Suspect {
-  uint64_t part = 0;
+  Subject subject;
   std::set<const Fact*> ends;
   size_t distinct_ends = 0;
   bool was_sound = false;
@@ -67,7 +67,7 @@
     return distinct_ends - std::min(distinct_ends, credit);
   }
   // Returns whether it explains at least half of the ends in the time of its
-  // own ones. Where many upstreams end, a part is beside some of them by
+  // own ones. Where many upstreams end, a subject is beside some of them by
   // chance.
   bool ExplainsHalfOf(const std::set<const Fact*>& unexplained) const {
     const auto [first, last] = std::minmax_element(
@@ -90,24 +90,35 @@
 
 }  // namespace
 
-void Beliefs::OnAnswerBegan(const std::vector<uint64_t>& parts,
+SubjectKind Quarantine::kind() const {
+  return std::any_of(subjects.begin(), subjects.end(),
+                     [](const Subject& subject) {
+                       return subject.kind == SubjectKind::kRequest;
+                     })
+             ? SubjectKind::kRequest
+             : SubjectKind::kPart;
+}
+
+void Beliefs::OnAnswerBegan(const std::vector<Subject>& subjects,
                             kernel::TimePoint at,
                             kernel::TimePoint now) {
-  for (const uint64_t part : parts) {
-    kernel::TimePoint& last = sound_[part];
+  for (const Subject& subject : subjects) {
+    SoundTimes& times = sound_.at(static_cast<size_t>(subject.kind));
+    kernel::TimePoint& last = times.recent[subject.id];
     last = std::max(last, at);
+    if (times.recent.size() > kMaxSoundTimes) {
+      times.older = std::exchange(times.recent, {});
+    }
   }
-  if (sound_.size() > kMaxSoundParts) {
-    sound_before_ = std::exchange(sound_, {});
-  }
-  if (TellSoundness(parts, now)) {
+  if (TellSoundness(subjects, now)) {
     UpdateQuarantine(now);
   }
 }
 
-std::optional<kernel::TimePoint> Beliefs::LastSoundAt(uint64_t part) const {
-  for (const auto* generation : {&sound_, &sound_before_}) {
-    const auto found = generation->find(part);
+std::optional<kernel::TimePoint> Beliefs::LastSoundAt(Subject subject) const {
+  const SoundTimes& times = sound_.at(static_cast<size_t>(subject.kind));
+  for (const auto* generation : {&times.recent, &times.older}) {
+    const auto found = generation->find(subject.id);
     if (found != generation->end()) {
       return found->second;
     }
@@ -115,29 +126,43 @@
   return std::nullopt;
 }
 
-bool Beliefs::AreKnownSound(const std::vector<uint64_t>& parts) const {
-  return std::all_of(parts.begin(), parts.end(), [this](uint64_t part) {
-    return LastSoundAt(part).has_value() ||
-           facts_.Find(FactKind::kPartSound, part) != nullptr;
-  });
+bool Beliefs::IsKnownSound(Subject subject) const {
+  return LastSoundAt(subject).has_value() ||
+         facts_.FindSound(subject) != nullptr;
 }
 
-bool Beliefs::TellSoundness(const std::vector<uint64_t>& parts,
+bool Beliefs::MayRepeatAfterEnd(const std::vector<Subject>& subjects,
+                                uint64_t start) const {
+  bool has_sound = false;
+  for (const Subject& subject : subjects) {
+    const bool is_sound = IsKnownSound(subject);
+    has_sound |= is_sound;
+    if (subject.kind == SubjectKind::kPart
+            ? !is_sound
+            : facts_.IsSuspectedElsewhere(subject, start)) {
+      return false;
+    }
+  }
+  return has_sound;
+}
+
+bool Beliefs::TellSoundness(const std::vector<Subject>& subjects,
                             kernel::TimePoint now) {
   bool has_changed = false;
   for (const auto& [key, row] : facts_.rows()) {
     if (key.first != FactKind::kStartEnded) {
       break;  // Rows are in the order of their kinds.
     }
-    for (const uint64_t part : parts) {
-      const Fact* const told = facts_.Find(FactKind::kPartSound, part);
-      const auto known = LastSoundAt(part);
-      const bool is_suspected = std::binary_search(row.fact.parts.begin(),
-                                                   row.fact.parts.end(), part);
-      if (is_suspected && known.has_value() &&
-          (told == nullptr || told->at < row.fact.at)) {
-        has_changed |= facts_.Merge({.kind = FactKind::kPartSound,
-                                     .subject = part,
+    for (const Subject& subject : subjects) {
+      if (!std::binary_search(row.fact.suspects.begin(),
+                              row.fact.suspects.end(), subject)) {
+        continue;
+      }
+      const Fact* const told = facts_.FindSound(subject);
+      const auto known = LastSoundAt(subject);
+      if (known.has_value() && (told == nullptr || told->at < row.fact.at)) {
+        has_changed |= facts_.Merge({.kind = SoundFactKind(subject.kind),
+                                     .subject = subject.id,
                                      .source = source_,
                                      .at = *known},
                                     now);
@@ -148,10 +173,10 @@
 }
 
 void Beliefs::OnLostBeforeAnswer(const Upstream& upstream,
-                                 const std::vector<uint64_t>& parts,
+                                 const std::vector<Subject>& subjects,
                                  kernel::TimePoint now) {
   // The end of an upstream that has announced it is expected.
-  if (parts.empty() || upstream.is_draining) {
+  if (subjects.empty() || upstream.is_draining) {
     return;
   }
   const uint64_t start = StartOf(upstream);
@@ -163,13 +188,7 @@
   if (is_new) {
     loss = {.upstream_id = upstream.id, .at = now};
   }
-  for (const uint64_t part : parts) {
-    if (loss.parts.size() < kMaxFactParts &&
-        std::find(loss.parts.begin(), loss.parts.end(), part) ==
-            loss.parts.end()) {
-      loss.parts.push_back(part);
-    }
-  }
+  AddSuspects(subjects, start, loss.suspects);
   // Other requests at this start may have been lost before.
   if (facts_.Find(FactKind::kStartEnded, start) != nullptr) {
     AddPendingLoss(start);
@@ -201,14 +220,13 @@
 }
 
 void Beliefs::RecordEnd(uint64_t start, const PendingLoss& loss) {
-  Fact end{.kind = FactKind::kStartEnded,
-           .subject = start,
-           .source = source_,
-           .at = loss.at,
-           .parts = loss.parts};
-  std::sort(end.parts.begin(), end.parts.end());
+  const Fact end{.kind = FactKind::kStartEnded,
+                 .subject = start,
+                 .source = source_,
+                 .at = loss.at,
+                 .suspects = loss.suspects};
   if (facts_.Merge(end, loss.at)) {
-    TellSoundness(end.parts, loss.at);
+    TellSoundness(end.suspects, loss.at);
     UpdateQuarantine(loss.at);
   }
 }
@@ -303,7 +321,7 @@
     if (facts_.Merge(fact, now)) {
       has_changed = true;
       if (fact.kind == FactKind::kStartEnded) {
-        TellSoundness(fact.parts, now);
+        TellSoundness(fact.suspects, now);
         AddPendingLoss(fact.subject);
       }
       has_start_facts_ |= fact.kind == FactKind::kStartLeaving ||
@@ -333,17 +351,16 @@
       unexplained.insert(&row.fact);
     }
   }
-  std::map<uint64_t, Suspect> suspects;
+  std::map<Subject, Suspect> suspects;
   for (const FactStore::Suspicion& suspicion : facts_.Suspicions()) {
-    Suspect& suspect = suspects[suspicion.part];
-    suspect.part = suspicion.part;
-    suspect.was_sound =
-        facts_.Find(FactKind::kPartSound, suspicion.part) != nullptr;
+    Suspect& suspect = suspects[suspicion.subject];
+    suspect.subject = suspicion.subject;
+    suspect.was_sound = facts_.FindSound(suspicion.subject) != nullptr;
     suspect.ends.insert(suspicion.end);
   }
-  std::vector<QuarantinedParts> quarantine;
+  std::vector<Quarantine> quarantine;
   while (!suspects.empty()) {
-    for (auto& [part, suspect] : suspects) {
+    for (auto& [subject, suspect] : suspects) {
       suspect.distinct_ends = CountDistinct(suspect.ends);
     }
     const Suspect worst = std::max_element(suspects.begin(), suspects.end(),
@@ -355,18 +372,18 @@
       break;
     }
     if (!worst.ExplainsHalfOf(unexplained) || !MayConclude(worst.ends, now)) {
-      suspects.erase(worst.part);
+      suspects.erase(worst.subject);
       continue;
     }
-    QuarantinedParts quarantined{
+    Quarantine quarantined{
         .ends = worst.ends.size(),
         .time = std::min(
             kFirstQuarantine *
                 (1 << std::min(worst.score() - kMinEnds, kMaxDoublings)),
             FactStore::MaxAge(FactKind::kStartEnded))};
-    for (const auto& [part, suspect] : suspects) {
+    for (const auto& [subject, suspect] : suspects) {
       if (suspect.ends == worst.ends && suspect.was_sound == worst.was_sound) {
-        quarantined.parts.push_back(part);
+        quarantined.subjects.push_back(subject);
       }
     }
     for (const Fact* end : worst.ends) {
@@ -378,7 +395,7 @@
     quarantine.push_back(std::move(quarantined));
     for (const Fact* end : worst.ends) {
       unexplained.erase(end);
-      for (auto& [part, suspect] : suspects) {
+      for (auto& [subject, suspect] : suspects) {
         suspect.ends.erase(end);
       }
     }
@@ -394,18 +411,18 @@
   }
 }
 
-const QuarantinedParts* Beliefs::Quarantine(const std::vector<uint64_t>& parts,
-                                            kernel::TimePoint now) const {
-  for (const QuarantinedParts& quarantined : quarantine_) {
-    if (now >= EndOf(quarantined)) {
+const Quarantine* Beliefs::FindQuarantine(const std::vector<Subject>& subjects,
+                                          kernel::TimePoint now) const {
+  for (const Quarantine& quarantine : quarantine_) {
+    if (now >= EndOf(quarantine)) {
       continue;
     }
-    if (std::all_of(quarantined.parts.begin(), quarantined.parts.end(),
-                    [&parts](uint64_t part) {
-                      return std::find(parts.begin(), parts.end(), part) !=
-                             parts.end();
+    if (std::all_of(quarantine.subjects.begin(), quarantine.subjects.end(),
+                    [&subjects](const Subject& subject) {
+                      return std::find(subjects.begin(), subjects.end(),
+                                       subject) != subjects.end();
                     })) {
-      return &quarantined;
+      return &quarantine;
     }
   }
   return nullptr;
--- a/jackdawshunt/routing/beliefs.h
+++ b/jackdawshunt/routing/beliefs.h
@@ -1,23 +1,24 @@
-// What this gateway believes of prompt parts and of upstreams' starts, and the
-// decisions that follow from it.
+// What this gateway believes of upstreams' starts and of what ends them, and
+// the decisions that follow from it.
 //
-// A part of a prompt can end each engine that begins an answer on it. Beside it
-// run many sound parts, and engines also end for other reasons. When a start of
-// an upstream ends, the parts of all prompts there whose answers had not begun
-// are suspected, at all gateways together. A part is quarantined if it explains
-// several ends at different times since the last answer that began on it. The
-// part with the most ends is blamed first, and an end that it explains counts
-// against no other part.
+// A part of a prompt can end each engine that begins an answer on it, and a
+// whole request can end each upstream that runs it. Beside them run many sound
+// ones, and upstreams also end for other reasons. When a start of an upstream
+// ends, all subjects (see SubjectKind) of the requests there whose answers had
+// not begun are suspected, at all gateways together. A subject is quarantined
+// if it explains several ends at different times since the last answer that
+// began on it. The subject with the most ends is blamed first, and an end that
+// it explains counts against no other one.
 //
 // Example:
 //   routing::Beliefs beliefs(incarnation);
-//   beliefs.OnLostBeforeAnswer(upstream, parts, now);
+//   beliefs.OnLostBeforeAnswer(upstream, subjects, now);
 //   beliefs.OnEnded(upstream.id);
-//   bool is_refused = beliefs.Quarantine(parts, now) != nullptr;
+//   bool is_refused = beliefs.FindQuarantine(subjects, now) != nullptr;
 //
-// Answers the load in which requests of one kind end one engine after the
-// other: each is offered to the next engine, and all others that run there are
-// broken off.
+// Answers the load in which requests of one kind end one upstream after the
+// other: each is offered to the next upstream, and all others that run there
+// are broken off.
 //
 // Upstreams also say of themselves that they leave, that they want nothing for
 // a while, or that they take only so many requests a second from all gateways.
@@ -28,6 +29,7 @@
 #ifndef JACKDAWSHUNT_ROUTING_BELIEFS_H_
 #define JACKDAWSHUNT_ROUTING_BELIEFS_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -44,21 +46,26 @@
 
 namespace jackdawshunt::routing {
 
-// Parts that are refused together: requests that hold all of them. More than
-// one part only if all the ends so far are of requests that held all of them.
-struct QuarantinedParts {
-  std::vector<uint64_t> parts;
+// Subjects that are refused together: requests that hold all of them. More than
+// one subject only if all the ends so far are of requests that held all of
+// them.
+struct Quarantine {
+  std::vector<Subject> subjects;
   size_t ends = 0;            // That they explain.
   kernel::Duration time{};    // From `since` on; longer after more ends.
   kernel::TimePoint since{};  // The latest end.
   uint64_t source = 0;        // Gateway that learned of the latest end.
-  bool operator==(const QuarantinedParts&) const = default;
+  bool operator==(const Quarantine&) const = default;
+
+  // Returns the kind of what is refused: requests with these parts, or one
+  // request.
+  SubjectKind kind() const;
 };
 
 class Beliefs {
  public:
   // Called after each change of the quarantine, with the new one.
-  using Observer = std::function<void(const std::vector<QuarantinedParts>&)>;
+  using Observer = std::function<void(const std::vector<Quarantine>&)>;
 
   // `source` identifies this run of the gateway, which has begun at `started`.
   explicit Beliefs(uint64_t source, kernel::TimePoint started = {})
@@ -66,16 +73,16 @@
 
   void SetObserver(Observer observer) { observer_ = std::move(observer); }
 
-  // Records that an answer to a prompt with the shared `parts` began at `at`
-  // and its upstream went on afterwards.
-  void OnAnswerBegan(const std::vector<uint64_t>& parts,
+  // Records that an answer to a request with these subjects began at `at` and
+  // its upstream went on afterwards.
+  void OnAnswerBegan(const std::vector<Subject>& subjects,
                      kernel::TimePoint at,
                      kernel::TimePoint now);
   // Records that the connection to `upstream` was lost before an answer to a
-  // prompt with the shared `parts` had begun. Counts only if the start of the
+  // request with these subjects had begun. Counts only if the start of the
   // upstream turns out to have ended.
   void OnLostBeforeAnswer(const Upstream& upstream,
-                          const std::vector<uint64_t>& parts,
+                          const std::vector<Subject>& subjects,
                           kernel::TimePoint now);
   // Returns whether a loss was recorded at this start, and it is not known
   // whether the start has ended.
@@ -84,17 +91,20 @@
   // without notice.
   void OnEnded(std::string_view upstream_id, uint64_t except_start = 0);
 
-  // Returns quarantined parts all of which are in the shared `parts` of a
-  // prompt; null if there are none.
-  const QuarantinedParts* Quarantine(const std::vector<uint64_t>& parts,
-                                     kernel::TimePoint now) const;
-  // Returns the time at which the parts are tried again.
-  static kernel::TimePoint EndOf(const QuarantinedParts& quarantined) {
-    return quarantined.since + quarantined.time;
+  // Returns a quarantine that holds for a request with these subjects; null if
+  // there is none.
+  const Quarantine* FindQuarantine(const std::vector<Subject>& subjects,
+                                   kernel::TimePoint now) const;
+  // Returns the time at which the subjects are tried again.
+  static kernel::TimePoint EndOf(const Quarantine& quarantine) {
+    return quarantine.since + quarantine.time;
   }
-  // Returns whether answers on all these parts are known to have begun. If not,
-  // a request that was lost before its answer may be the cause of the loss.
-  bool AreKnownSound(const std::vector<uint64_t>& parts) const;
+  // Returns whether a request with these subjects that was lost before its
+  // answer may be repeated, although its upstream's `start` has ended: answers
+  // on its parts are known, or on the whole request if it has none, and the
+  // request is not suspected of another end.
+  bool MayRepeatAfterEnd(const std::vector<Subject>& subjects,
+                         uint64_t start) const;
 
   // Records that an answer of `upstream` says that it leaves. Returns whether
   // that is new.
@@ -125,15 +135,13 @@
   kernel::TimePoint MayPlaceAt(uint64_t start, kernel::TimePoint now) const;
 
   // Merges facts of other gateways. `has_more` tells that others will follow at
-  // once; until then nothing new is concluded, since what clears a part may be
-  // among them.
+  // once; until then nothing new is concluded, since what clears a subject may
+  // be among them.
   void MergeFacts(const std::vector<Fact>& facts,
                   kernel::TimePoint now,
                   bool has_more = false);
   const FactStore& facts() const { return facts_; }
-  const std::vector<QuarantinedParts>& quarantine() const {
-    return quarantine_;
-  }
+  const std::vector<Quarantine>& quarantine() const { return quarantine_; }
   uint64_t source() const { return source_; }
 
   // Drops what is too old; call every second.
@@ -144,7 +152,13 @@
   struct PendingLoss {
     std::string upstream_id;
     kernel::TimePoint at{};
-    std::vector<uint64_t> parts;
+    std::vector<Subject> suspects;
+  };
+  // Last times at which answers on subjects of one kind began here. Two
+  // generations, of which the older one is dropped when the newer one is full.
+  struct SoundTimes {
+    std::unordered_map<uint64_t, kernel::TimePoint> recent;
+    std::unordered_map<uint64_t, kernel::TimePoint> older;
   };
 
   using Times = std::unordered_map<uint64_t, kernel::TimePoint>;  // By start.
@@ -155,10 +169,13 @@
   // Adds what was lost here at a start that has ended.
   void AddPendingLoss(uint64_t start);
   void RecordEnd(uint64_t start, const PendingLoss& loss);
-  // Adds facts on those of `parts` that are suspected and that are known here
-  // to be sound. Returns whether there were any news.
-  bool TellSoundness(const std::vector<uint64_t>& parts, kernel::TimePoint now);
-  std::optional<kernel::TimePoint> LastSoundAt(uint64_t part) const;
+  // Adds facts on those of `subjects` that are suspected and that are known
+  // here to be sound. Returns whether there were any news.
+  bool TellSoundness(const std::vector<Subject>& subjects,
+                     kernel::TimePoint now);
+  std::optional<kernel::TimePoint> LastSoundAt(Subject subject) const;
+  // Returns whether answers on the subject are known to have begun.
+  bool IsKnownSound(Subject subject) const;
   void UpdateQuarantine(kernel::TimePoint now);
 
   // Returns whether a conclusion may rest on these ends: not yet if this
@@ -171,11 +188,8 @@
   Observer observer_;
   FactStore facts_;
   std::unordered_map<uint64_t, PendingLoss> pending_;  // By start.
-  // Last times at which answers began here, by part. Two generations, of which
-  // the older one is dropped when the newer one is full.
-  std::unordered_map<uint64_t, kernel::TimePoint> sound_;
-  std::unordered_map<uint64_t, kernel::TimePoint> sound_before_;
-  std::vector<QuarantinedParts> quarantine_;
+  std::array<SoundTimes, static_cast<size_t>(kLastSubjectKind) + 1> sound_;
+  std::vector<Quarantine> quarantine_;
   Times held_back_until_;
   Times no_permit_until_;
   // Until then, more facts are expected.
--- a/jackdawshunt/routing/beliefs_benchmark.cc
+++ b/jackdawshunt/routing/beliefs_benchmark.cc
@@ -21,9 +21,9 @@
 void EndStarts(Beliefs& beliefs, kernel::ManualClock& clock, int count) {
   static uint64_t part = 1000;
   for (int i = 0; i < count; ++i) {
-    std::vector<uint64_t> parts = {kDeadlyPart};
-    while (parts.size() < kMaxFactParts) {
-      parts.push_back(++part);
+    std::vector<Subject> parts = {{SubjectKind::kPart, kDeadlyPart}};
+    while (parts.size() < MaxSuspects(SubjectKind::kPart)) {
+      parts.push_back({SubjectKind::kPart, ++part});
     }
     const Upstream upstream = MakeStart(static_cast<int>(part));
     beliefs.OnLostBeforeAnswer(upstream, parts, clock.Now());
@@ -37,9 +37,11 @@
   kernel::ManualClock clock;
   Beliefs beliefs(1);
   EndStarts(beliefs, clock, static_cast<int>(state.range(0)));
-  const std::vector<uint64_t> parts = {1, 2};
+  const std::vector<Subject> subjects = {{SubjectKind::kPart, 1},
+                                         {SubjectKind::kPart, 2},
+                                         {SubjectKind::kRequest, 3}};
   while (state.KeepRunning()) {
-    benchmark::DoNotOptimize(beliefs.Quarantine(parts, clock.Now()));
+    benchmark::DoNotOptimize(beliefs.FindQuarantine(subjects, clock.Now()));
   }
 }
 BENCHMARK(CheckOfARequest)->Arg(0)->Arg(64);
@@ -49,9 +51,11 @@
   kernel::ManualClock clock;
   Beliefs beliefs(1);
   EndStarts(beliefs, clock, static_cast<int>(state.range(0)));
-  const std::vector<uint64_t> parts = {1, 2};
+  const std::vector<Subject> subjects = {{SubjectKind::kPart, 1},
+                                         {SubjectKind::kPart, 2},
+                                         {SubjectKind::kRequest, 3}};
   while (state.KeepRunning()) {
-    beliefs.OnAnswerBegan(parts, clock.Now(), clock.Now());
+    beliefs.OnAnswerBegan(subjects, clock.Now(), clock.Now());
   }
 }
 BENCHMARK(ProofOfAnAnswer)->Arg(0)->Arg(64);
--- a/jackdawshunt/routing/fleet_facts.cc
+++ b/jackdawshunt/routing/fleet_facts.cc
@@ -7,6 +7,8 @@
 #include <set>
 #include <tuple>
 
+#include "jackdawshunt/routing/prompt.h"
+
 namespace jackdawshunt::routing {
 namespace {
 
@@ -16,13 +18,12 @@
 
 // Gateways learn of an end at different times; the first one is kept.
 bool MergeEnd(const Fact& fact, Fact& kept) {
-  std::vector<uint64_t> parts;
-  std::set_union(kept.parts.begin(), kept.parts.end(), fact.parts.begin(),
-                 fact.parts.end(), std::back_inserter(parts));
-  if (parts.size() == kept.parts.size() || parts.size() > kMaxFactParts) {
+  std::vector<Subject> suspects = kept.suspects;
+  AddSuspects(fact.suspects, kept.subject, suspects);
+  if (suspects == kept.suspects) {
     return false;
   }
-  kept.parts = std::move(parts);
+  kept.suspects = std::move(suspects);
   kept.at = std::min(kept.at, fact.at);
   return true;
 }
@@ -59,7 +60,7 @@
   return true;
 }
 
-// An answer that began this long before an end also clears its parts.
+// An answer that began this long before an end also clears its subjects.
 constexpr kernel::Duration kSoundBeforeEnd = std::chrono::seconds(1);
 // Divisor of the facts of a kind that are dropped at once, so that their choice
 // costs little per fact.
@@ -72,18 +73,82 @@
   kernel::Duration max_age;
 };
 constexpr std::array kKinds = {
-    KindRow{"start_ended", &MergeEnd, 64, std::chrono::minutes(10)},
+    KindRow{"start_ended", &MergeEnd, 56, std::chrono::minutes(10)},
     KindRow{"part_sound", &MergeLatest, 1536, std::chrono::minutes(10)},
     KindRow{"start_leaving", &MergeOnce, 8192, std::chrono::minutes(10)},
     KindRow{"start_limit", &MergeLimit, 8192, std::chrono::minutes(1)},
+    KindRow{"request_sound", &MergeLatest, 512, std::chrono::minutes(10)},
 };
 
 const KindRow& RowOf(FactKind kind) {
   return kKinds.at(static_cast<size_t>(kind));
 }
 
+struct SubjectKindRow {
+  FactKind sound;
+  size_t max_suspects;
+};
+constexpr std::array kSubjectKinds = {
+    SubjectKindRow{FactKind::kPartSound, 24},
+    SubjectKindRow{FactKind::kRequestSound, 8},
+};
+
+const SubjectKindRow& RowOf(SubjectKind kind) {
+  return kSubjectKinds.at(static_cast<size_t>(kind));
+}
+
+// Returns whether the subject may explain the end; an answer that began later,
+// as `sound` states, clears it.
+bool MayExplain(const Fact* sound, const Fact& end) {
+  return sound == nullptr || sound->at + kSoundBeforeEnd < end.at;
+}
+
 }  // namespace
 
+std::vector<uint64_t> IdsOf(const std::vector<Subject>& subjects,
+                            SubjectKind kind) {
+  std::vector<uint64_t> ids;
+  for (const Subject& subject : subjects) {
+    if (subject.kind == kind) {
+      ids.push_back(subject.id);
+    }
+  }
+  return ids;
+}
+
+FactKind SoundFactKind(SubjectKind kind) {
+  return RowOf(kind).sound;
+}
+
+size_t MaxSuspects(SubjectKind kind) {
+  return RowOf(kind).max_suspects;
+}
+
+void AddSuspects(const std::vector<Subject>& suspects,
+                 uint64_t start,
+                 std::vector<Subject>& kept) {
+  std::vector<Subject> all = kept;
+  all.insert(all.end(), suspects.begin(), suspects.end());
+  // The rank depends on the start, so that a subject that is dropped at one end
+  // may be kept at another.
+  std::sort(all.begin(), all.end(),
+            [start](const Subject& a, const Subject& b) {
+              return std::make_tuple(a.kind, RendezvousWeight(start, a.id)) <
+                     std::make_tuple(b.kind, RendezvousWeight(start, b.id));
+            });
+  all.erase(std::unique(all.begin(), all.end()), all.end());
+  kept.clear();
+  size_t of_kind = 0;
+  for (const Subject& subject : all) {
+    of_kind = kept.empty() || kept.back().kind != subject.kind ? 0 : of_kind;
+    if (of_kind < MaxSuspects(subject.kind)) {
+      kept.push_back(subject);
+      ++of_kind;
+    }
+  }
+  std::sort(kept.begin(), kept.end());
+}
+
 std::string_view FactKindName(FactKind kind) {
   return RowOf(kind).name;
 }
@@ -93,7 +158,7 @@
 }
 
 bool FactStore::Merge(const Fact& fact, kernel::TimePoint now) {
-  if (now - fact.at > MaxAge(fact.kind) || fact.parts.size() > kMaxFactParts) {
+  if (now - fact.at > MaxAge(fact.kind)) {
     return false;
   }
   const auto [found, is_new] =
@@ -103,38 +168,54 @@
   }
   found->second.revision = ++revision_;
   if (is_new) {
+    found->second.fact.suspects.clear();
+    AddSuspects(fact.suspects, fact.subject, found->second.fact.suspects);
     DropSomeIfTooMany(fact.kind);
   }
   return true;
 }
 
+bool FactStore::IsSuspectedElsewhere(Subject subject, uint64_t start) const {
+  const Fact* const sound = FindSound(subject);
+  for (const auto& [key, row] : rows_) {
+    if (key.first != FactKind::kStartEnded) {
+      break;  // Rows are in the order of their kinds.
+    }
+    if (key.second != start && MayExplain(sound, row.fact) &&
+        std::binary_search(row.fact.suspects.begin(), row.fact.suspects.end(),
+                           subject)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<FactStore::Suspicion> FactStore::Suspicions() const {
   std::vector<Suspicion> all;
   for (const auto& [key, row] : rows_) {
     if (key.first != FactKind::kStartEnded) {
       break;  // Rows are in the order of their kinds.
     }
-    for (const uint64_t part : row.fact.parts) {
-      all.push_back({part, &row.fact});
+    for (const Subject& subject : row.fact.suspects) {
+      all.push_back({subject, &row.fact});
     }
   }
-  std::stable_sort(
-      all.begin(), all.end(),
-      [](const Suspicion& a, const Suspicion& b) { return a.part < b.part; });
+  std::stable_sort(all.begin(), all.end(),
+                   [](const Suspicion& a, const Suspicion& b) {
+                     return a.subject < b.subject;
+                   });
   std::vector<Suspicion> suspicions;
   for (auto first = all.begin(); first != all.end();) {
-    const auto last = std::find_if(first, all.end(),
-                                   [part = first->part](const Suspicion& row) {
-                                     return row.part != part;
-                                   });
+    const auto last = std::find_if(
+        first, all.end(), [subject = first->subject](const Suspicion& row) {
+          return row.subject != subject;
+        });
     const Fact* const sound =
-        last - first > 1 ? Find(FactKind::kPartSound, first->part) : nullptr;
+        last - first > 1 ? FindSound(first->subject) : nullptr;
     const size_t size_before = suspicions.size();
-    std::copy_if(first, last, std::back_inserter(suspicions),
-                 [sound](const Suspicion& row) {
-                   return sound == nullptr ||
-                          sound->at + kSoundBeforeEnd < row.end->at;
-                 });
+    std::copy_if(
+        first, last, std::back_inserter(suspicions),
+        [sound](const Suspicion& row) { return MayExplain(sound, *row.end); });
     if (suspicions.size() - size_before < 2) {
       suspicions.resize(size_before);
     }
@@ -157,8 +238,8 @@
     needed.insert({FactKind::kStartEnded, suspicion.end->subject});
   }
   for (const auto& [key, row] : rows_) {
-    for (const uint64_t part : row.fact.parts) {
-      needed.insert({FactKind::kPartSound, part});
+    for (const Subject& subject : row.fact.suspects) {
+      needed.insert({SoundFactKind(subject.kind), subject.id});
     }
   }
   std::vector<std::tuple<bool, kernel::TimePoint, Key>> ranked;
--- a/jackdawshunt/routing/fleet_facts.h
+++ b/jackdawshunt/routing/fleet_facts.h
@@ -1,10 +1,12 @@
-// Facts about prompt parts and upstreams' starts that gateways learn from
-// answers and losses, and tell each other through the boards.
+// Facts about upstreams' starts, and about what they were sent, that gateways
+// learn from answers and losses, and tell each other through the boards.
 //
 // Example:
 //   routing::FactStore facts;
 //   facts.Merge({.kind = routing::FactKind::kStartEnded, .subject = start,
-//                .source = gateway, .at = now, .parts = {0x91bd3f06}}, now);
+//                .source = gateway, .at = now,
+//                .suspects = {{routing::SubjectKind::kPart, 0x91bd3f06}}},
+//                now);
 //   for (const routing::Fact* fact : facts.ChangedSince(revision, 8)) {}
 //
 // Merging is commutative and idempotent, so facts may arrive in any order and
@@ -14,6 +16,7 @@
 #ifndef JACKDAWSHUNT_ROUTING_FLEET_FACTS_H_
 #define JACKDAWSHUNT_ROUTING_FLEET_FACTS_H_
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -25,20 +28,40 @@
 
 namespace jackdawshunt::routing {
 
+// What can end the upstreams that serve it.
+enum class SubjectKind : uint8_t {
+  kPart,     // A shared part of prompts.
+  kRequest,  // All that an upstream gets of a request; see ContentHash().
+};
+inline constexpr SubjectKind kLastSubjectKind = SubjectKind::kRequest;
+
+struct Subject {
+  SubjectKind kind = SubjectKind::kPart;
+  uint64_t id = 0;
+
+  auto operator<=>(const Subject&) const = default;
+};
+// Returns the ids of the subjects of this kind.
+std::vector<uint64_t> IdsOf(const std::vector<Subject>& subjects,
+                            SubjectKind kind);
+
 enum class FactKind : uint8_t {
-  // The start `subject` of an upstream ended without notice, while answers to
-  // prompts with `parts` had not begun there.
+  // The start `subject` of an upstream ended without notice, while answers on
+  // `suspects` had not begun there.
   kStartEnded,
-  // An answer to a prompt with the part `subject` began, and its upstream went
-  // on.
+  // An answer on the part `subject` began, and its upstream went on.
   kPartSound,
   // The start `subject` of an upstream says that it leaves.
   kStartLeaving,
   // The start `subject` of an upstream takes `value` requests a second from all
   // instances together; 0 if it names no limit any more.
   kStartLimit,
+  // An answer to the request `subject` began, and its upstream went on.
+  kRequestSound,
 };
-inline constexpr FactKind kLastFactKind = FactKind::kStartLimit;
+inline constexpr FactKind kLastFactKind = FactKind::kRequestSound;
+// Returns the kind of the facts that clear subjects of `kind`.
+FactKind SoundFactKind(SubjectKind kind);
 std::string_view FactKindName(FactKind kind);
 
 struct Fact {
@@ -47,11 +70,18 @@
   uint64_t source = 0;  // Incarnation of the gateway that learned it.
   kernel::TimePoint at{};
   double value = 0;
-  std::vector<uint64_t> parts;  // Sorted; at most kMaxFactParts.
+  std::vector<Subject> suspects;  // Sorted; see AddSuspects().
 
   bool operator==(const Fact&) const = default;
 };
-inline constexpr size_t kMaxFactParts = 24;
+// Suspects of one end that are kept at most.
+size_t MaxSuspects(SubjectKind kind);
+// Adds `suspects` of the end of `start` to `kept`, sorted and without
+// duplicates. If there are too many of a kind, keeps those that all gateways
+// keep, in whichever order they learn of them.
+void AddSuspects(const std::vector<Subject>& suspects,
+                 uint64_t start,
+                 std::vector<Subject>& kept);
 
 class FactStore {
  public:
@@ -71,14 +101,21 @@
   const std::map<Key, Row>& rows() const { return rows_; }
   // Returns null when there is no such fact.
   const Fact* Find(FactKind kind, uint64_t subject) const;
-  // A part that may explain the end of a start.
+  // Returns the fact that clears a subject; null if there is none.
+  const Fact* FindSound(Subject subject) const {
+    return Find(SoundFactKind(subject.kind), subject.id);
+  }
+  // Returns whether the subject may explain the end of a start other than
+  // `start`.
+  bool IsSuspectedElsewhere(Subject subject, uint64_t start) const;
+  // A subject that may explain the end of a start.
   struct Suspicion {
-    uint64_t part = 0;
+    Subject subject;
     const Fact* end = nullptr;
   };
-  // Returns the suspicions of all parts that may explain more than one end, in
-  // the order of the parts. An answer clears its parts of the ends before it.
-  // Valid until the next change.
+  // Returns the suspicions of all subjects that may explain more than one end,
+  // in the order of the subjects. An answer clears its subjects of the ends
+  // before it. Valid until the next change.
   std::vector<Suspicion> Suspicions() const;
   // Returns the facts that changed after `revision`, at most `count`, in the
   // order of their changes. Valid until the next change.
--- a/jackdawshunt/routing/prompt_part_test.cc
+++ b/jackdawshunt/routing/prompt_part_test.cc
@@ -80,6 +80,7 @@
     prompt.prompt_tokens = 1000;
     prompt.max_output_tokens = 10;
     request.prompt = std::move(prompt);
+    request.content = HashOf(request.id);
     router_.Prepare(request, seconds(8), Now());
     return request;
   }
@@ -179,6 +180,14 @@
   EXPECT_TRUE(router_.TrySpendRetry(request, Now()));
 }
 
+std::vector<Subject> Parts(const std::vector<uint64_t>& ids) {
+  std::vector<Subject> subjects;
+  for (const uint64_t id : ids) {
+    subjects.push_back({SubjectKind::kPart, id});
+  }
+  return subjects;
+}
+
 Upstream MakeStart(int number) {
   Upstream upstream;
   upstream.id = "start-" + std::to_string(number);
@@ -193,7 +202,7 @@
   // A start of an upstream ends while answers on `parts` have not begun.
   void End(Beliefs& beliefs, const std::vector<uint64_t>& parts) {
     const Upstream upstream = MakeStart(++starts_);
-    beliefs.OnLostBeforeAnswer(upstream, parts, Now());
+    beliefs.OnLostBeforeAnswer(upstream, Parts(parts), Now());
     beliefs.OnEnded(upstream.id);
   }
   void End(const std::vector<uint64_t>& parts) { End(beliefs_, parts); }
@@ -208,9 +217,9 @@
   clock_.Advance(seconds(1));
   End({3, 4, kDeadlyPart});
   ASSERT_EQ(beliefs_.quarantine().size(), 1u);
-  EXPECT_EQ(beliefs_.quarantine()[0].parts, std::vector<uint64_t>{kDeadlyPart});
-  EXPECT_NE(beliefs_.Quarantine({9, kDeadlyPart}, Now()), nullptr);
-  EXPECT_EQ(beliefs_.Quarantine({1, 2, 3, 4}, Now()), nullptr);
+  EXPECT_EQ(beliefs_.quarantine()[0].subjects, Parts({kDeadlyPart}));
+  EXPECT_NE(beliefs_.FindQuarantine(Parts({9, kDeadlyPart}), Now()), nullptr);
+  EXPECT_EQ(beliefs_.FindQuarantine(Parts({1, 2, 3, 4}), Now()), nullptr);
 }
 
 // Guards against a part that stays unknown because the gateway that lost its
@@ -218,18 +227,18 @@
 TEST_F(BeliefsTest, EndSeenByAnotherGatewayConfirmsOwnLosses) {
   for (int i = 0; i < 2; ++i) {
     const Upstream upstream = MakeStart(++starts_);
-    beliefs_.OnLostBeforeAnswer(upstream, {kDeadlyPart}, Now());
+    beliefs_.OnLostBeforeAnswer(upstream, Parts({kDeadlyPart}), Now());
     beliefs_.MergeFacts({{.kind = FactKind::kStartEnded,
                           .subject = StartOf(upstream),
                           .source = 2,
                           .at = Now(),
-                          .parts = {kFirstPart}}},
+                          .suspects = Parts({kFirstPart})}},
                         Now());
-    beliefs_.OnAnswerBegan({kFirstPart}, Now(), Now());
+    beliefs_.OnAnswerBegan(Parts({kFirstPart}), Now(), Now());
     clock_.Advance(seconds(1));
   }
-  EXPECT_NE(beliefs_.Quarantine({kDeadlyPart}, Now()), nullptr);
-  EXPECT_EQ(beliefs_.Quarantine({kFirstPart}, Now()), nullptr);
+  EXPECT_NE(beliefs_.FindQuarantine(Parts({kDeadlyPart}), Now()), nullptr);
+  EXPECT_EQ(beliefs_.FindQuarantine(Parts({kFirstPart}), Now()), nullptr);
 }
 
 // Guards against the quarantine of rare parts when a data centre is lost.
@@ -244,7 +253,7 @@
 // Guards against blame for connections that live upstreams drop.
 TEST_F(BeliefsTest, LossesAtLiveUpstreamsBlameNoPart) {
   for (int i = 0; i < 10; ++i) {
-    beliefs_.OnLostBeforeAnswer(MakeStart(i), {1}, Now());
+    beliefs_.OnLostBeforeAnswer(MakeStart(i), Parts({1}), Now());
     clock_.Advance(seconds(1));
     beliefs_.DropExpired(Now());
   }
@@ -256,7 +265,7 @@
   for (int i = 0; i < 10; ++i) {
     Upstream upstream = MakeStart(i);
     upstream.is_draining = true;
-    beliefs_.OnLostBeforeAnswer(upstream, {1}, Now());
+    beliefs_.OnLostBeforeAnswer(upstream, Parts({1}), Now());
     beliefs_.OnEnded(upstream.id);
     clock_.Advance(seconds(1));
   }
@@ -269,28 +278,29 @@
   End({kFirstPart, kDeadlyPart});
   clock_.Advance(seconds(1));
   End({kFirstPart, kDeadlyPart});
-  EXPECT_NE(beliefs_.Quarantine({kFirstPart, kDeadlyPart}, Now()), nullptr);
-  EXPECT_EQ(beliefs_.Quarantine({kFirstPart, 7}, Now()), nullptr);
-  EXPECT_EQ(beliefs_.Quarantine({7, kDeadlyPart}, Now()), nullptr);
+  EXPECT_NE(beliefs_.FindQuarantine(Parts({kFirstPart, kDeadlyPart}), Now()),
+            nullptr);
+  EXPECT_EQ(beliefs_.FindQuarantine(Parts({kFirstPart, 7}), Now()), nullptr);
+  EXPECT_EQ(beliefs_.FindQuarantine(Parts({7, kDeadlyPart}), Now()), nullptr);
   // An answer on one of them tells them apart.
   clock_.Advance(seconds(1));
-  beliefs_.OnAnswerBegan({kFirstPart}, Now(), Now());
-  EXPECT_EQ(beliefs_.Quarantine({kFirstPart, 7}, Now()), nullptr);
-  EXPECT_NE(beliefs_.Quarantine({7, kDeadlyPart}, Now()), nullptr);
+  beliefs_.OnAnswerBegan(Parts({kFirstPart}), Now(), Now());
+  EXPECT_EQ(beliefs_.FindQuarantine(Parts({kFirstPart, 7}), Now()), nullptr);
+  EXPECT_NE(beliefs_.FindQuarantine(Parts({7, kDeadlyPart}), Now()), nullptr);
 }
 
 // Guards against trust in what a part did long ago: a release of the engines
 // can make it deadly.
 TEST_F(BeliefsTest, PartThatWasSoundAndTurnsDeadlyIsQuarantined) {
-  beliefs_.OnAnswerBegan({5}, Now(), Now());
+  beliefs_.OnAnswerBegan(Parts({5}), Now(), Now());
   clock_.Advance(seconds(20));
   for (int i = 0; i < 3; ++i) {
     End({5});
     clock_.Advance(seconds(1));
-    EXPECT_EQ(beliefs_.Quarantine({5}, Now()), nullptr);
+    EXPECT_EQ(beliefs_.FindQuarantine(Parts({5}), Now()), nullptr);
   }
   End({5});
-  EXPECT_NE(beliefs_.Quarantine({5}, Now()), nullptr);
+  EXPECT_NE(beliefs_.FindQuarantine(Parts({5}), Now()), nullptr);
 }
 
 // Guards against a long quarantine of a part that was beside few ends by
@@ -302,9 +312,11 @@
     End({kDeadlyPart});
     clock_.Advance(seconds(time) - milliseconds(1));
     beliefs_.DropExpired(Now());
-    EXPECT_NE(beliefs_.Quarantine({kDeadlyPart}, Now()), nullptr) << time;
+    EXPECT_NE(beliefs_.FindQuarantine(Parts({kDeadlyPart}), Now()), nullptr)
+        << time;
     clock_.Advance(milliseconds(1));
-    EXPECT_EQ(beliefs_.Quarantine({kDeadlyPart}, Now()), nullptr) << time;
+    EXPECT_EQ(beliefs_.FindQuarantine(Parts({kDeadlyPart}), Now()), nullptr)
+        << time;
   }
 }
 
@@ -315,10 +327,10 @@
   End(started, {5});
   clock_.Advance(milliseconds(200));
   End(started, {5});
-  EXPECT_EQ(started.Quarantine({5}, Now()), nullptr);
+  EXPECT_EQ(started.FindQuarantine(Parts({5}), Now()), nullptr);
   clock_.Advance(seconds(1));
   started.DropExpired(Now());
-  EXPECT_NE(started.Quarantine({5}, Now()), nullptr);
+  EXPECT_NE(started.FindQuarantine(Parts({5}), Now()), nullptr);
 }
 
 // Guards against the refusal of a sound part that is beside some of many ends.
@@ -328,7 +340,7 @@
                    : std::vector<uint64_t>{100 + i});
     clock_.Advance(seconds(1));
   }
-  EXPECT_EQ(beliefs_.Quarantine({7}, Now()), nullptr);
+  EXPECT_EQ(beliefs_.FindQuarantine(Parts({7}), Now()), nullptr);
   EXPECT_TRUE(beliefs_.quarantine().empty());
 }
 
@@ -342,7 +354,7 @@
     clock_.Advance(milliseconds(300));
   }
   ASSERT_EQ(beliefs_.quarantine().size(), 1u);
-  EXPECT_EQ(beliefs_.quarantine()[0].parts, std::vector<uint64_t>{kDeadlyPart});
+  EXPECT_EQ(beliefs_.quarantine()[0].subjects, Parts({kDeadlyPart}));
 }
 
 // Guards against a caller that sends new parts without end, and against ends
@@ -354,14 +366,14 @@
   uint64_t part = 1u << 20;
   for (int i = 0; i < 2000; ++i) {
     std::vector<uint64_t> parts;
-    for (size_t k = 0; k < 2 * kMaxFactParts; ++k) {
+    for (size_t k = 0; k < 2 * MaxSuspects(SubjectKind::kPart); ++k) {
       parts.push_back(++part);
     }
     End(parts);
-    beliefs_.OnAnswerBegan({++part, ++part}, Now(), Now());
+    beliefs_.OnAnswerBegan(Parts({++part, ++part}), Now(), Now());
     clock_.Advance(milliseconds(1));
   }
-  EXPECT_NE(beliefs_.Quarantine({kDeadlyPart}, Now()), nullptr);
+  EXPECT_NE(beliefs_.FindQuarantine(Parts({kDeadlyPart}), Now()), nullptr);
   EXPECT_EQ(beliefs_.quarantine().size(), 1u);
   EXPECT_LE(beliefs_.facts().rows().size(), 2000u);
 }
@@ -382,7 +394,7 @@
                      .source = static_cast<uint64_t>(i),
                      // All gateways see an end at the same time.
                      .at = now - seconds(60 - 3 * (i % 8)),
-                     .parts = {parts.begin(), parts.end()}});
+                     .suspects = Parts({parts.begin(), parts.end()})});
   }
   Beliefs one(1);
   Beliefs other(2);
@@ -397,7 +409,7 @@
   other.MergeFacts(facts, now);
   RC_ASSERT(one.quarantine().size() == other.quarantine().size());
   for (size_t i = 0; i < one.quarantine().size(); ++i) {
-    RC_ASSERT(one.quarantine()[i].parts == other.quarantine()[i].parts);
+    RC_ASSERT(one.quarantine()[i].subjects == other.quarantine()[i].subjects);
   }
 }
 
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -8,8 +8,8 @@
 namespace jackdawshunt::routing {
 namespace {
 
-constexpr std::array<std::string_view, 4> kVerdictNames = {
-    "send", "refuse", "no_upstream", "quarantined"};
+constexpr std::array<std::string_view, 5> kVerdictNames = {
+    "send", "refuse", "no_upstream", "quarantined", "request_quarantined"};
 
 // Prefill rate assumed for an engine until one is observed.
 constexpr double kDefaultPrefillTokensPerMs = 30.0;
@@ -160,8 +160,11 @@
       std::min(deadline.value_or(kDefaultResumableTime), kMaxResumableTime);
   if (request.prompt.has_value()) {
     request.part_keys = PartKeys(request.prompt->parts);
-    request.shared_parts = SharedPartIds(request.prompt->parts);
+    for (const uint64_t part : SharedPartIds(request.prompt->parts)) {
+      request.subjects.push_back({SubjectKind::kPart, part});
+    }
   }
+  request.subjects.push_back({SubjectKind::kRequest, request.content});
   budget_.OnRequest(request.service, now);
   if (request.prompt.has_value() && !request.workspace.empty()) {
     shares_.OnRequest(HashOf(request.workspace), ShareTokens(*request.prompt),
@@ -423,15 +426,17 @@
 
 std::optional<Decision> Router::RefuseQuarantined(const RoutedRequest& request,
                                                   kernel::TimePoint now) const {
-  const QuarantinedParts* const parts =
-      beliefs_.Quarantine(request.shared_parts, now);
-  if (parts == nullptr) {
+  const Quarantine* const quarantine =
+      beliefs_.FindQuarantine(request.subjects, now);
+  if (quarantine == nullptr) {
     return std::nullopt;
   }
   Decision refusal;
-  refusal.verdict = Verdict::kQuarantined;
+  refusal.verdict = quarantine->kind() == SubjectKind::kRequest
+                        ? Verdict::kRequestQuarantined
+                        : Verdict::kPartsQuarantined;
   refusal.retry_after =
-      std::max(Beliefs::EndOf(*parts) - now, kernel::Duration::zero());
+      std::max(Beliefs::EndOf(*quarantine) - now, kernel::Duration::zero());
   return refusal;
 }
 
@@ -572,7 +577,7 @@
       request.lost_at_start.has_value() &&
       beliefs_.facts().Find(FactKind::kStartEnded, *request.lost_at_start) !=
           nullptr &&
-      !beliefs_.AreKnownSound(request.shared_parts);
+      !beliefs_.MayRepeatAfterEnd(request.subjects, *request.lost_at_start);
   return !may_end_another && request.route->is_repeatable() &&
          request.send_count < request.route->attempts &&
          now < request.deadline &&
@@ -630,7 +635,7 @@
                      Outcome outcome,
                      kernel::TimePoint now) {
   health_.Record(upstream.id, outcome, now);
-  RecordParts(request, upstream, outcome, now);
+  RecordSubjects(request, upstream, outcome, now);
   Release(request, upstream, MayHaveExecuted(outcome), now);
   if (request.is_counted_in_share && !MayHaveExecuted(outcome)) {
     request.is_counted_in_share = false;
@@ -644,22 +649,26 @@
                                kernel::TimePoint now) {
   if (!request.is_answer_proven && now - began_at >= kAnswerProofTime) {
     request.is_answer_proven = true;
-    beliefs_.OnAnswerBegan(request.shared_parts, began_at, now);
+    beliefs_.OnAnswerBegan(request.subjects, began_at, now);
   }
 }
 
-void Router::RecordParts(RoutedRequest& request,
-                         const Upstream& upstream,
-                         Outcome outcome,
-                         kernel::TimePoint now) {
-  if (request.is_answer_proven || request.shared_parts.empty()) {
+void Router::RecordSubjects(RoutedRequest& request,
+                            const Upstream& upstream,
+                            Outcome outcome,
+                            kernel::TimePoint now) {
+  if (request.is_answer_proven) {
     return;
   }
-  if (outcome == Outcome::kSuccess) {
-    beliefs_.OnAnswerBegan(request.shared_parts, now, now);
+  // An engine can fail before it begins an answer on the prompt.
+  const bool has_answered =
+      outcome == Outcome::kSuccess ||
+      (outcome == Outcome::kServerError && !request.prompt.has_value());
+  if (has_answered) {
+    beliefs_.OnAnswerBegan(request.subjects, now, now);
   } else if (outcome == Outcome::kLost) {
     request.lost_at_start = StartOf(upstream);
-    beliefs_.OnLostBeforeAnswer(upstream, request.shared_parts, now);
+    beliefs_.OnLostBeforeAnswer(upstream, request.subjects, now);
   }
 }
 
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -72,15 +72,16 @@
   std::string workspace;  // Empty on public routes.
   std::optional<Prompt> prompt;
   std::vector<uint64_t> part_keys;
-  std::vector<uint64_t> shared_parts;  // See SharedPartIds().
-  double engine_tokens_per_s = 0;      // Sustained by one engine; 0 if unknown.
+  double engine_tokens_per_s = 0;  // Sustained by one engine; 0 if unknown.
   kernel::TimePoint arrived_at{};
   kernel::TimePoint deadline{};  // The caller does not wait longer.
   // The caller does not resume the stream later than this.
   kernel::TimePoint resumable_until{};
   kernel::Duration remaining_objective_at_arrival{};
   uint64_t hash = 0;
-  uint64_t content = 0;                      // See ContentHash().
+  uint64_t content = 0;  // See ContentHash().
+  // Its prompt's shared parts and the request itself.
+  std::vector<Subject> subjects;
   std::vector<std::string> tried_upstreams;  // Excluded from further attempts.
   uint32_t send_count = 0;                   // Attempts sent.
   // Whether its tokens count as admitted in its workspace's share.
@@ -96,9 +97,10 @@
 
 enum class Verdict {
   kSend,
-  kRefuse,       // Would wait too long; the caller should retry later.
-  kNoUpstream,   // The service has no untried upstream.
-  kQuarantined,  // Its prompt holds parts that end upstreams.
+  kRefuse,              // Would wait too long; the caller should retry later.
+  kNoUpstream,          // The service has no untried upstream.
+  kPartsQuarantined,    // Its prompt holds parts that end upstreams.
+  kRequestQuarantined,  // The request ends upstreams.
 };
 std::string_view VerdictName(Verdict verdict);
 
@@ -217,7 +219,7 @@
   // empty if there is none.
   std::string PermitHomeOf(const Upstream& upstream, kernel::TimePoint now);
 
-  // Returns a refusal if the request's prompt holds quarantined parts.
+  // Returns a refusal if the request or parts of its prompt are quarantined.
   std::optional<Decision> RefuseQuarantined(const RoutedRequest& request,
                                             kernel::TimePoint now) const;
 
@@ -343,11 +345,11 @@
                bool was_executed,
                kernel::TimePoint now);
 
-  // Records what the end of an attempt shows of the parts of its prompt.
-  void RecordParts(RoutedRequest& request,
-                   const Upstream& upstream,
-                   Outcome outcome,
-                   kernel::TimePoint now);
+  // Records what the end of an attempt shows of the subjects of its request.
+  void RecordSubjects(RoutedRequest& request,
+                      const Upstream& upstream,
+                      Outcome outcome,
+                      kernel::TimePoint now);
 
   const RouterSettings settings_;
   std::shared_ptr<const RoutingTable> table_;
