Let gateways try quarantined subjects again one after the other

Cause: when a quarantine was over, all gateways sent whatever came with its subjects at once, so that several upstreams could end before the first end was known (read; the record has ten such requests a second at four gateways). Change: each gateway's trial begins at its own time in a quarter of the quarantine's time, and lets one request a second through until its outcome is known.

--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -186,7 +186,7 @@
           .Add("own", quarantined.source == router_.beliefs().source())
           .Add("age_ms", (now - quarantined.since).count() / 1000)
           .Add("for_ms",
-               (routing::Beliefs::EndOf(quarantined) - now).count() / 1000);
+               (router_.beliefs().TrialFrom(quarantined) - now).count() / 1000);
     }
     base::LogLine(base::LogLevel::kInfo, "quarantine_changed")
         .Add("entries", quarantine.size());
--- a/jackdawshunt/routing/beliefs.cc
+++ b/jackdawshunt/routing/beliefs.cc
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "jackdawshunt/routing/prompt.h"
+
 namespace jackdawshunt::routing {
 namespace {
 
@@ -35,6 +37,11 @@
 // Each further end doubles the time, up to the age of the facts.
 constexpr kernel::Duration kFirstQuarantine = std::chrono::seconds(20);
 constexpr size_t kMaxDoublings = 5;
+// Part of a quarantine's time over which the gateways' trials are spread, as a
+// divisor.
+constexpr int kTrialSpreadDivisor = 4;
+// Time in which the outcome of a trial is expected.
+constexpr kernel::Duration kTrialTime = std::chrono::seconds(1);
 
 // Returns the number of ends that are not simultaneous with an earlier one.
 size_t CountDistinct(const std::set<const Fact*>& facts) {
@@ -88,6 +95,16 @@
   }
 };
 
+// Returns whether a request with `subjects` has all that is quarantined.
+bool HoldsAll(const std::vector<Subject>& subjects,
+              const Quarantine& quarantine) {
+  return std::all_of(quarantine.subjects.begin(), quarantine.subjects.end(),
+                     [&subjects](const Subject& subject) {
+                       return std::find(subjects.begin(), subjects.end(),
+                                        subject) != subjects.end();
+                     });
+}
+
 }  // namespace
 
 SubjectKind Quarantine::kind() const {
@@ -411,17 +428,41 @@
   }
 }
 
-const Quarantine* Beliefs::FindQuarantine(const std::vector<Subject>& subjects,
-                                          kernel::TimePoint now) const {
+kernel::TimePoint Beliefs::TrialFrom(const Quarantine& quarantine) const {
+  const kernel::Duration spread = quarantine.time / kTrialSpreadDivisor;
+  const uint64_t turn =
+      RendezvousWeight(source_, quarantine.subjects.front().id);
+  return quarantine.since + quarantine.time +
+         kernel::Duration(static_cast<int64_t>(
+             turn % static_cast<uint64_t>(spread.count())));
+}
+
+kernel::TimePoint Beliefs::RefusedUntil(const Quarantine& quarantine) const {
+  const auto trial = trials_.find(quarantine.subjects.front());
+  const kernel::TimePoint from = TrialFrom(quarantine);
+  return trial == trials_.end() ? from
+                                : std::max(from, trial->second + kTrialTime);
+}
+
+bool Beliefs::OnSent(const std::vector<Subject>& subjects,
+                     kernel::TimePoint now) {
+  bool is_trial = false;
   for (const Quarantine& quarantine : quarantine_) {
-    if (now >= EndOf(quarantine)) {
-      continue;
+    if (HoldsAll(subjects, quarantine)) {
+      trials_[quarantine.subjects.front()] = now;
+      is_trial = true;
     }
-    if (std::all_of(quarantine.subjects.begin(), quarantine.subjects.end(),
-                    [&subjects](const Subject& subject) {
-                      return std::find(subjects.begin(), subjects.end(),
-                                       subject) != subjects.end();
-                    })) {
+  }
+  return is_trial;
+}
+
+const Quarantine* Beliefs::FindQuarantine(const std::vector<Subject>& subjects,
+                                          kernel::TimePoint now,
+                                          bool is_trial) const {
+  for (const Quarantine& quarantine : quarantine_) {
+    const kernel::TimePoint until =
+        is_trial ? TrialFrom(quarantine) : RefusedUntil(quarantine);
+    if (now < until && HoldsAll(subjects, quarantine)) {
       return &quarantine;
     }
   }
@@ -432,6 +473,9 @@
   std::erase_if(pending_, [now](const auto& row) {
     return now - row.second.at > kMaxPendingTime;
   });
+  std::erase_if(trials_, [now](const auto& row) {
+    return now - row.second > kTrialTime;
+  });
   for (Times* const times : {&held_back_until_, &no_permit_until_}) {
     std::erase_if(*times, [now](const auto& row) { return now >= row.second; });
   }
--- a/jackdawshunt/routing/beliefs.h
+++ b/jackdawshunt/routing/beliefs.h
@@ -92,13 +92,19 @@
   void OnEnded(std::string_view upstream_id, uint64_t except_start = 0);
 
   // Returns a quarantine that holds for a request with these subjects; null if
-  // there is none.
+  // there is none. Once its time has passed, one request at a time is let
+  // through as a trial; `is_trial` tells that this request is one.
   const Quarantine* FindQuarantine(const std::vector<Subject>& subjects,
-                                   kernel::TimePoint now) const;
-  // Returns the time at which the subjects are tried again.
-  static kernel::TimePoint EndOf(const Quarantine& quarantine) {
-    return quarantine.since + quarantine.time;
-  }
+                                   kernel::TimePoint now,
+                                   bool is_trial = false) const;
+  // Returns the time from which this gateway tries the subjects again. Gateways
+  // try in turn, so that the others hear of the first trial's end.
+  kernel::TimePoint TrialFrom(const Quarantine& quarantine) const;
+  // Returns when the next request with the quarantined subjects may be sent.
+  kernel::TimePoint RefusedUntil(const Quarantine& quarantine) const;
+  // Records that a request with these subjects is sent. Returns whether it is a
+  // trial of quarantined subjects.
+  bool OnSent(const std::vector<Subject>& subjects, kernel::TimePoint now);
   // Returns whether a request with these subjects that was lost before its
   // answer may be repeated, although its upstream's `start` has ended: answers
   // on its parts are known, or on the whole request if it has none, and the
@@ -190,6 +196,8 @@
   std::unordered_map<uint64_t, PendingLoss> pending_;  // By start.
   std::array<SoundTimes, static_cast<size_t>(kLastSubjectKind) + 1> sound_;
   std::vector<Quarantine> quarantine_;
+  // Of the latest trials here, by the first subject of the quarantine.
+  std::map<Subject, kernel::TimePoint> trials_;
   Times held_back_until_;
   Times no_permit_until_;
   // Until then, more facts are expected.
--- a/jackdawshunt/routing/deadly_request_test.cc
+++ b/jackdawshunt/routing/deadly_request_test.cc
@@ -128,6 +128,35 @@
   EXPECT_LE(sent, kAllowedEnds + kAllowedLateSends);
 }
 
+// Guards against several upstreams that end at once when a quarantine is over,
+// because all that comes meanwhile is sent.
+TEST_F(EndedPlainUpstreamsTest, OneRequestAtATimeTriesWhetherItIsSound) {
+  clock_.Advance(seconds(10));  // The gateway has learned what is sound.
+  while (SendToUpstreamsThatEnd(kDeadlyContent) > 0) {
+    clock_.Advance(milliseconds(500));
+  }
+  int sent = 0;
+  RoutedRequest first;
+  for (int i = 0; i < 600 && sent == 0; ++i) {
+    clock_.Advance(milliseconds(100));
+    first = MakeRequest(kDeadlyContent);
+    const Decision decision = router_.Choose(first, {}, Now());
+    if (decision.verdict == Verdict::kSend) {
+      router_.OnSent(first, decision, Now());
+      ++sent;
+    }
+  }
+  ASSERT_EQ(sent, 1);
+  EXPECT_FALSE(router_.RefuseQuarantined(first, Now()).has_value());
+  const RoutedRequest second = MakeRequest(kDeadlyContent);
+  const auto refusal = router_.RefuseQuarantined(second, Now());
+  ASSERT_TRUE(refusal.has_value());
+  EXPECT_GT(refusal->retry_after, kernel::Duration::zero());
+  // A trial without an answer does not hold up the next one for long.
+  clock_.Advance(seconds(2));
+  EXPECT_FALSE(router_.RefuseQuarantined(second, Now()).has_value());
+}
+
 // Guards against the refusal of requests that were beside the deadly one.
 TEST_F(EndedPlainUpstreamsTest, RequestsBesideTheDeadlyOneStayInUse) {
   for (uint64_t i = 0; i < 10; ++i) {
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -427,7 +427,7 @@
 std::optional<Decision> Router::RefuseQuarantined(const RoutedRequest& request,
                                                   kernel::TimePoint now) const {
   const Quarantine* const quarantine =
-      beliefs_.FindQuarantine(request.subjects, now);
+      beliefs_.FindQuarantine(request.subjects, now, request.is_trial);
   if (quarantine == nullptr) {
     return std::nullopt;
   }
@@ -435,8 +435,8 @@
   refusal.verdict = quarantine->kind() == SubjectKind::kRequest
                         ? Verdict::kRequestQuarantined
                         : Verdict::kPartsQuarantined;
-  refusal.retry_after =
-      std::max(Beliefs::EndOf(*quarantine) - now, kernel::Duration::zero());
+  refusal.retry_after = std::max(beliefs_.RefusedUntil(*quarantine) - now,
+                                 kernel::Duration::zero());
   return refusal;
 }
 
@@ -592,6 +592,7 @@
   ++request.send_count;
   request.is_answer_proven = false;
   request.lost_at_start.reset();
+  request.is_trial = beliefs_.OnSent(request.subjects, now);
   health_.StartTrial(upstream.id, now);
   UpstreamState& state = StateOf(upstream);
   ++state.in_flight;
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -82,6 +82,8 @@
   uint64_t content = 0;  // See ContentHash().
   // Its prompt's shared parts and the request itself.
   std::vector<Subject> subjects;
+  bool is_trial =
+      false;  // Whether the last attempt tries quarantined subjects.
   std::vector<std::string> tried_upstreams;  // Excluded from further attempts.
   uint32_t send_count = 0;                   // Attempts sent.
   // Whether its tokens count as admitted in its workspace's share.
