Treat a response to another request as malformed after HEAD

The framing of a response to another request was taken from the method of the current one. If either request was HEAD, a body was parsed as another response, or the next response was taken for a body.

ForeignResponseToHeadRequestIsMalformed and ForeignResponseAfterHeadRequestIsMalformed failed before: the body of the late response completed the HEAD request, and the receiver got the body "second" although the first response to it had the body "first".

Ruled out: connections without a HEAD request skip such responses as before.

--- a/jackdawshunt/http1/client.cc
+++ b/jackdawshunt/http1/client.cc
@@ -106,7 +106,7 @@
       if (!stream.is_open()) {
         return;  // Cancelled by a callback.
       }
-      if (parser.state() == ParseState::kInvalid ||
+      if (parser.state() == ParseState::kInvalid || has_unknown_framing ||
           foreign_body_bytes > kMaxForeignBodyBytes) {
         CloseAsLost(Loss::kMalformed);
         return;
@@ -124,6 +124,7 @@
     matches_request = receiver->MatchesRequest(head);
     if (!matches_request) {
       has_foreign_response = true;
+      has_unknown_framing = has_sent_head_request;
       return;
     }
     const std::string_view keep_alive_header =
@@ -188,6 +189,10 @@
   bool matches_request = false;
   // A response to another request was received.
   bool has_foreign_response = false;
+  bool has_sent_head_request = false;
+  // The end of a response to another request is not known, since the method of
+  // that request is not: a response to HEAD has no body.
+  bool has_unknown_framing = false;
   size_t foreign_body_bytes = 0;  // Of all such responses.
   bool is_head_request = false;
 };
@@ -204,6 +209,7 @@
   Impl& self = *impl_;
   self.receiver = &receiver;
   self.is_head_request = is_head_request;
+  self.has_sent_head_request |= is_head_request;
   self.matches_request = false;
   self.parser.Reset(is_head_request);
   ++self.request_count;
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -102,8 +102,10 @@
 
 class ClientConnectionTest : public ::testing::Test {
  protected:
-  void Send() {
-    connection_.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", false, receiver_);
+  void Send(bool is_head_request = false) {
+    connection_.Send(is_head_request ? "HEAD / HTTP/1.1\r\nHost: x\r\n\r\n"
+                                     : "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+                     is_head_request, receiver_);
     server_.AwaitConnections(1);
   }
   void AwaitDone() {
@@ -197,6 +199,42 @@
   EXPECT_EQ(receiver_.loss, Loss::kClosed);
 }
 
+// Guards against a response taken from the body of a late one: a response to
+// another request is framed by the method of that request, and the current one
+// is HEAD.
+TEST_F(ClientConnectionTest, ForeignResponseToHeadRequestIsMalformed) {
+  Send(/*is_head_request=*/true);
+  const std::string body =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\n";
+  server_.Write("HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+  AwaitDone();
+  EXPECT_FALSE(receiver_.has_ended);
+  EXPECT_EQ(receiver_.loss, Loss::kMalformed);
+}
+
+// Guards against a response that loses its beginning to a late one, which
+// answers an earlier HEAD request and has no body despite its length.
+TEST_F(ClientConnectionTest, ForeignResponseAfterHeadRequestIsMalformed) {
+  receiver_.id = "0";
+  Send(/*is_head_request=*/true);
+  const std::string to_head =
+      "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 50\r\n\r\n";
+  server_.Write(to_head);
+  AwaitDone();
+  ASSERT_TRUE(connection_.is_usable());
+  receiver_ = {};
+  Send();
+  // As the body of the late response, these 50 bytes would hide the first of
+  // two responses.
+  server_.Write(to_head +
+                "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nfirst"
+                "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 6\r\n\r\nsecond");
+  AwaitDone();
+  EXPECT_EQ(receiver_.body, "");
+  EXPECT_EQ(receiver_.loss, Loss::kMalformed);
+}
+
 // Guards against memory and time for a response to another request that never
 // ends.
 TEST_F(ClientConnectionTest, ForeignResponseWithoutEndIsMalformed) {
