Never send two requests of one id on the same connection

Answers are told apart by the ids of their requests, which callers choose. A late second answer to a request was taken for the answer to a later request of the same id, possibly of another workspace, on that connection.

The connection now keeps the hashes of the ids that it has sent, at most 4096, and the pool passes over it for a request of the same id. The pool also looks past the most recently used connection for a usable one.

ALateAnswerToARequestOfTheSameIdReachesNobody failed before: every second of 12 calls got the 204 and empty body of the call before it. It passes now.

The stand-in gets late second answers with a length, in chunks, as 204 and as a refusal (Not-Executed, Server-Leaving, Retry-After), and answers without length or chunks that are followed by another one. LateSecondAnswersReachNobody, which passed before too, shows that late answers of other ids reach neither a caller nor the upstream's state.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -289,15 +289,17 @@
       forwarded,
       has_body ? std::optional<uint64_t>(body_.size()) : std::nullopt);
   bytes.append(body_);
-  connection_ = context_.pool.Acquire(upstream_, request_.route->is_repeatable()
-                                                     ? kMaxIdleIfRepeatable
-                                                     : kMaxIdleIfNotRepeatable);
+  connection_ = context_.pool.Acquire(upstream_,
+                                      request_.route->is_repeatable()
+                                          ? kMaxIdleIfRepeatable
+                                          : kMaxIdleIfNotRepeatable,
+                                      request_.hash);
   context_.router.OnSent(request_, decision, sent_at_);
   is_engine_attempt_ = decision.is_engine;
   if (is_engine_attempt_) {
     context_.boards.SendClaim(upstream_, request_);
   }
-  connection_->Send(bytes, head_.method == "HEAD", *this);
+  connection_->Send(bytes, head_.method == "HEAD", *this, request_.hash);
 }
 
 bool Call::HasCallerLeft() const {
--- a/jackdawshunt/gateway/upstream_pool.cc
+++ b/jackdawshunt/gateway/upstream_pool.cc
@@ -28,15 +28,21 @@
 
 UpstreamPool::Connection UpstreamPool::Acquire(
     const routing::Upstream& upstream,
-    kernel::Duration max_idle) {
+    kernel::Duration max_idle,
+    uint64_t request_key) {
   const kernel::TimePoint now = loop_.clock().Now();
   auto& idle = idle_[upstream.address.ToString()];
   while (!idle.empty() && !idle.front()->is_usable()) {
     idle.pop_front();
   }
-  if (!idle.empty() && IsReusable(*idle.front(), max_idle, now)) {
-    Connection connection = std::move(idle.front());
-    idle.pop_front();
+  const auto found =
+      std::find_if(idle.begin(), idle.end(), [&](const Connection& candidate) {
+        return IsReusable(*candidate, max_idle, now) &&
+               !candidate->has_sent(request_key);
+      });
+  if (found != idle.end()) {
+    Connection connection = std::move(*found);
+    idle.erase(found);
     return connection;
   }
   ++connections_opened_;
--- a/jackdawshunt/gateway/upstream_pool.h
+++ b/jackdawshunt/gateway/upstream_pool.h
@@ -2,7 +2,7 @@
 //
 // Example:
 //   auto connection =
-//       pool.Acquire(upstream, /*max_idle=*/std::chrono::seconds(2));
+//       pool.Acquire(upstream, /*max_idle=*/std::chrono::seconds(2), key);
 //   // ... one request ...
 //   pool.Release(upstream, std::move(connection));
 //
@@ -30,10 +30,12 @@
 
   explicit UpstreamPool(kernel::EventLoop& loop);
 
-  // Returns an idle connection that was used less than `max_idle` ago, or a new
-  // one that opens with the first request.
+  // Returns an idle connection that was used less than `max_idle` ago and has
+  // not sent a request with `request_key`, or a new one that opens with the
+  // first request.
   Connection Acquire(const routing::Upstream& upstream,
-                     kernel::Duration max_idle);
+                     kernel::Duration max_idle,
+                     uint64_t request_key);
   // Returns `connection`, which must not be null, to the pool. Discards it if
   // it is not usable or the upstream has enough idle connections.
   void Release(const routing::Upstream& upstream, Connection connection);
--- a/jackdawshunt/http1/client.cc
+++ b/jackdawshunt/http1/client.cc
@@ -5,6 +5,7 @@
 #include <cstring>
 #include <utility>
 
+#include "absl/container/flat_hash_set.h"
 #include "jackdawshunt/http1/internal/socket_options.h"
 #include "jackdawshunt/http1/internal/socket_stream.h"
 
@@ -17,6 +18,10 @@
 // More bytes of responses to other requests end the connection.
 constexpr size_t kMaxForeignBodyBytes = size_t{256} * 1024;
 
+// After so many requests a connection is not reused, which bounds the memory
+// for their keys.
+constexpr size_t kMaxRequestKeys = 4096;
+
 // Parses "timeout=N" in a Keep-Alive header, N in seconds. Returns max() if it
 // is absent or malformed.
 kernel::Duration ParseKeepAlive(std::string_view value) {
@@ -153,7 +158,8 @@
       return;
     }
     const bool reusable = keeps_open && !has_foreign_response && !has_unread &&
-                          stream.unwritten() == 0;
+                          stream.unwritten() == 0 &&
+                          request_keys.size() < kMaxRequestKeys;
     ResponseReceiver* const finished_receiver =
         std::exchange(receiver, nullptr);
     if (reusable) {
@@ -183,6 +189,7 @@
   kernel::Duration keep_alive = kernel::Duration::max();
   kernel::TimePoint idle_since{};
   uint64_t request_count = 0;
+  absl::flat_hash_set<uint64_t> request_keys;
   bool is_connected = false;
   bool is_closed = false;
   // The response being parsed belongs to the current request.
@@ -205,7 +212,8 @@
 
 void ClientConnection::Send(std::string_view request,
                             bool is_head_request,
-                            ResponseReceiver& receiver) {
+                            ResponseReceiver& receiver,
+                            uint64_t request_key) {
   Impl& self = *impl_;
   self.receiver = &receiver;
   self.is_head_request = is_head_request;
@@ -213,6 +221,9 @@
   self.matches_request = false;
   self.parser.Reset(is_head_request);
   ++self.request_count;
+  if (request_key != 0) {
+    self.request_keys.insert(request_key);
+  }
   if (self.is_connected) {
     self.stream.Write(request);
     return;
@@ -237,6 +248,9 @@
 bool ClientConnection::is_usable() const {
   return !impl_->is_closed;
 }
+bool ClientConnection::has_sent(uint64_t request_key) const {
+  return impl_->request_keys.contains(request_key);
+}
 bool ClientConnection::is_busy() const {
   return impl_->receiver != nullptr;
 }
--- a/jackdawshunt/http1/client.h
+++ b/jackdawshunt/http1/client.h
@@ -12,6 +12,7 @@
 #ifndef JACKDAWSHUNT_HTTP1_CLIENT_H_
 #define JACKDAWSHUNT_HTTP1_CLIENT_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -70,10 +71,12 @@
 
   // Sends the bytes of one request. Requires !is_busy() and is_usable().
   // `receiver` must stay valid until OnEnd(), OnLost() or CancelRequest(). No
-  // callback runs before Send() returns.
+  // callback runs before Send() returns. `request_key` is a hash of the id that
+  // responses name, if they do; see has_sent().
   void Send(std::string_view request,
             bool is_head_request,
-            ResponseReceiver& receiver);
+            ResponseReceiver& receiver,
+            uint64_t request_key = 0);
   // Closes the connection without a callback; it is not usable afterwards.
   void CancelRequest();
 
@@ -84,6 +87,9 @@
   // Returns false once the connection has ended, or can't be reused because the
   // peer sent bytes outside the response.
   bool is_usable() const;
+  // Returns whether a request with this key was sent on the connection, so that
+  // a late response to it would be taken for that to another one.
+  bool has_sent(uint64_t request_key) const;
   // Returns whether a request was sent and its response is not complete.
   bool is_busy() const;
   // Returns whether the latest response had neither a length nor chunks, so
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -199,6 +199,12 @@
   EXPECT_EQ(receiver_.loss, Loss::kClosed);
 }
 
+TEST_F(ClientConnectionTest, KnowsTheRequestsThatItHasSent) {
+  connection_.Send("GET / HTTP/1.1\r\n\r\n", false, receiver_, 7);
+  EXPECT_TRUE(connection_.has_sent(7));
+  EXPECT_FALSE(connection_.has_sent(8));
+}
+
 // Guards against a response taken from the body of a late one: a response to
 // another request is framed by the method of that request, and the current one
 // is HEAD.
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -695,6 +695,41 @@
   EXPECT_GT(repeated, 0u);
 }
 
+// Guards against second answers, late and in any framing, that reach a caller
+// or change what is known of their upstream.
+TEST_F(GatewayProcessTest, LateSecondAnswersReachNobody) {
+  Start();
+  for (const UpstreamFault fault :
+       {UpstreamFault::kLateLength, UpstreamFault::kLateChunked,
+        UpstreamFault::kLateNoContent, UpstreamFault::kLateRefusal}) {
+    SetFault(fault);
+    for (int i = 0; i < 12; ++i) {
+      for (const char* const route : {kHold, kFetch, kGenerate}) {
+        const CallPtr call = Call({.route = route});
+        EXPECT_EQ(call->status(), 200) << static_cast<int>(fault);
+        EXPECT_EQ(call->body(),
+                  StandInUpstream::ExpectedBody(
+                      call->id(), std::string(route) == kGenerate, 5));
+        EXPECT_EQ(Runs(*call), 1u);
+      }
+    }
+  }
+  EXPECT_EQ(fleet_->GatewayLog(0).find("\"upstream_state\""),
+            std::string::npos);
+}
+
+// Guards against an answer to another request of the same id, which callers
+// choose: it comes late, where the answer to the second one is expected.
+TEST_F(GatewayProcessTest, ALateAnswerToARequestOfTheSameIdReachesNobody) {
+  Start();
+  SetFault(UpstreamFault::kLateNoContent);
+  for (int i = 0; i < 12; ++i) {
+    const CallPtr call = Call({.route = kFetch, .request_id = "chosen"});
+    EXPECT_EQ(call->status(), 200);
+    EXPECT_EQ(call->body(), "result of chosen");
+  }
+}
+
 // Guards against an unframed stream that looks complete because its engine's
 // process ended between two events, which closes the connection in order.
 TEST_F(GatewayProcessTest, AnUnframedStreamOfAnEndedEngineIsNotComplete) {
--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -413,7 +413,10 @@
 
 std::shared_ptr<PlatformCall> PlatformFleet::Call(size_t gateway,
                                                   const CallOptions& options) {
-  std::string id = absl::StrCat(absl::Hex(next_request_++, absl::kZeroPad8));
+  std::string id =
+      options.request_id.empty()
+          ? absl::StrCat(absl::Hex(next_request_++, absl::kZeroPad8))
+          : options.request_id;
   routes_[id] = options.route;
   return std::make_shared<PlatformCall>(
       loop_,
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -70,6 +70,7 @@
   // Resumes the stream that the request `resumed_request` began.
   std::optional<uint64_t> last_event_id;
   std::string resumed_request;
+  std::string request_id;  // A new one if empty.
   // Uses a connection that was kept after an earlier call, and keeps it.
   bool keeps_connection = false;
 };
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -15,10 +15,40 @@
 constexpr char kNotRun[] = "Not-Executed";
 constexpr char kSignature[] = "Response-Seal";
 
+// Time from an answer to a second one.
+constexpr kernel::Duration kSecondAnswerDelay = std::chrono::milliseconds(20);
+
 std::string Text(std::string_view view) {
   return std::string(view);
 }
 
+bool IsUnframed(UpstreamFault fault) {
+  return fault == UpstreamFault::kUnframed ||
+         fault == UpstreamFault::kUnframedSecond ||
+         fault == UpstreamFault::kUnframedEarlier ||
+         fault == UpstreamFault::kUnframedRefusal ||
+         fault == UpstreamFault::kUnframedSecondRun;
+}
+
+bool IsLate(UpstreamFault fault) {
+  return fault == UpstreamFault::kLateLength ||
+         fault == UpstreamFault::kLateChunked ||
+         fault == UpstreamFault::kLateNoContent ||
+         fault == UpstreamFault::kLateRefusal;
+}
+
+// Returns the bytes of an answer that is framed as `fault` asks for.
+std::string Frame(UpstreamFault fault,
+                  const http1::ResponseHead& head,
+                  const std::string& body) {
+  if (fault == UpstreamFault::kLateChunked) {
+    std::string text = http1::Serialize(head, http1::BodyFraming::Chunked());
+    http1::AppendChunk(body, text);
+    return text.append(http1::kLastChunk);
+  }
+  return http1::Serialize(head, http1::BodyFraming::Length(body.size())) + body;
+}
+
 }  // namespace
 
 StandInUpstream::StandInUpstream(kernel::EventLoop& loop,
@@ -159,6 +189,8 @@
     loop_.Post([crash, request] { crash(request); });  // Closes the connection.
     return;
   }
+  SendLate(connection);
+  latest_[&connection] = {latest_[&connection].back(), request};
   std::string body = ExpectedBody(request, options_.is_engine, options_.events,
                                   options_.version);
   if (options_.is_engine) {
@@ -225,7 +257,7 @@
       break;
   }
   if (options_.is_engine) {
-    if (fault_ == UpstreamFault::kUnframed) {
+    if (IsUnframed(fault_)) {
       connection.StartUnframedResponse(Head(request, 200));
     } else {
       connection.StartResponse(Head(request, 200),
@@ -235,7 +267,14 @@
     return;
   }
   End(connection, false);
-  connection.Reply(Head(request, 200), body);
+  if (IsUnframed(fault_)) {
+    connection.StartUnframedResponse(Head(request, 200));
+  } else {
+    connection.StartResponse(Head(request, 200),
+                             http1::BodyFraming::Length(body.size()));
+  }
+  connection.WriteBody(body);
+  FinishAnswer(connection, request);
   if (fault_ == UpstreamFault::kExtra) {
     connection.WriteRaw(
         http1::Serialize(Head(request, 200), http1::BodyFraming::Length(5)) +
@@ -268,8 +307,9 @@
 void StandInUpstream::SendEvent(http1::ServerConnection& connection) {
   Job& job = jobs_.at(&connection);
   if (job.next_event > options_.events) {
+    const std::string request = job.request;
     End(connection, false);
-    connection.FinishResponse();
+    FinishAnswer(connection, request);
     return;
   }
   connection.WriteBody(Event(job.request, job.next_event, options_.version));
@@ -278,6 +318,68 @@
                           [this, &connection] { SendEvent(connection); });
 }
 
+std::string StandInUpstream::SecondAnswer(const std::string& request) const {
+  if (fault_ == UpstreamFault::kLateNoContent) {
+    std::string text = Frame(fault_, Head(request, 204), {});
+    constexpr std::string_view kLength = "Content-Length: 0\r\n";
+    return text.erase(text.find(kLength), kLength.size());
+  }
+  if (fault_ == UpstreamFault::kLateRefusal ||
+      fault_ == UpstreamFault::kUnframedRefusal) {
+    http1::ResponseHead refusal = Head(request, 503);
+    refusal.headers.emplace_back(kNotRun, "1");
+    refusal.headers.emplace_back("Server-Leaving", "1");
+    refusal.headers.emplace_back("Retry-After", "2");
+    return Frame(fault_, refusal, {});
+  }
+  const std::string body = ExpectedBody(request, options_.is_engine,
+                                        options_.events, options_.version);
+  if (fault_ == UpstreamFault::kUnframedSecondRun) {
+    return options_.is_engine ? body : "";
+  }
+  return Frame(fault_, Head(request, 200), body);
+}
+
+void StandInUpstream::FinishAnswer(http1::ServerConnection& connection,
+                                   const std::string& request) {
+  if (IsLate(fault_)) {
+    connection.FinishResponse();
+    late_[&connection] = {SecondAnswer(request),
+                          loop_.After(kSecondAnswerDelay, [this, &connection] {
+                            // The answer to a request that is being run is sent
+                            // after it.
+                            if (!jobs_.contains(&connection)) {
+                              SendLate(connection);
+                            }
+                          })};
+    return;
+  }
+  std::string second;
+  if (fault_ == UpstreamFault::kUnframedEarlier) {
+    const std::string& earlier = latest_[&connection].front();
+    second = earlier.empty() ? "" : SecondAnswer(earlier);
+  } else if (IsUnframed(fault_) && fault_ != UpstreamFault::kUnframed) {
+    second = SecondAnswer(request);
+  }
+  if (second.empty()) {
+    connection.FinishResponse();
+    return;
+  }
+  endless_[&connection] =
+      loop_.After(kSecondAnswerDelay, [&connection, second] {
+        connection.WriteRaw(second);
+        connection.FinishResponse();
+      });
+}
+
+void StandInUpstream::SendLate(http1::ServerConnection& connection) {
+  const auto late = late_.find(&connection);
+  if (late != late_.end()) {
+    connection.WriteRaw(late->second.text);
+    late_.erase(late);
+  }
+}
+
 void StandInUpstream::End(http1::ServerConnection& connection,
                           bool is_cancelled) {
   const auto job = jobs_.find(&connection);
@@ -318,6 +420,8 @@
 
 void StandInUpstream::OnClosed(http1::ServerConnection& connection) {
   endless_.erase(&connection);
+  late_.erase(&connection);
+  latest_.erase(&connection);
   End(connection, true);
   connections_.Remove(connection);
 }
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -10,6 +10,7 @@
 #ifndef JACKDAWSHUNT_TESTING_PLATFORM_STAND_IN_UPSTREAM_H_
 #define JACKDAWSHUNT_TESTING_PLATFORM_STAND_IN_UPSTREAM_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -41,6 +42,19 @@
   kEndlessHead,       // Header fields.
   kEndlessInterim,    // Interim responses.
   kEndlessDiscarded,  // The body of an answer without a signature.
+  // A second answer to the same request, late: where the next answer on its
+  // connection is expected.
+  kLateLength,     // With a length.
+  kLateChunked,    // In chunks.
+  kLateNoContent,  // 204.
+  kLateRefusal,    // 503: not executed, leaving, Retry-After of two seconds.
+  // An answer without length or chunks that is followed by another one before
+  // the connection closes:
+  kUnframedSecond,   // To the same request.
+  kUnframedEarlier,  // To an earlier request on the connection, if any.
+  kUnframedRefusal,  // To the same request, as kLateRefusal.
+  // An unframed stream that is followed by the events of a second run.
+  kUnframedSecondRun,
   // An answer without length or chunks that is reset on the way: inside an
   // event, or between two; in the middle of the body of a plain service.
   kCutInsideEvent,
@@ -151,6 +165,14 @@
                        const std::string& body) const;
   void Respond(http1::ServerConnection& connection);
   void SendEvent(http1::ServerConnection& connection);
+  // Ends the answer to `request`, followed by a second one if the fault asks
+  // for it.
+  void FinishAnswer(http1::ServerConnection& connection,
+                    const std::string& request);
+  // Returns the second answer to `request` that the fault asks for.
+  std::string SecondAnswer(const std::string& request) const;
+  // Sends the late answer of the connection, if any.
+  void SendLate(http1::ServerConnection& connection);
   // Sends the first half of an answer without length or chunks, then resets the
   // connection.
   void CutUnframed(http1::ServerConnection& connection,
@@ -170,6 +192,16 @@
   std::unordered_map<http1::ServerConnection*, Job> jobs_;
   // Answers that never end.
   std::unordered_map<http1::ServerConnection*, kernel::Timer> endless_;
+  // Second answers that are still to be sent.
+  struct LateAnswer {
+    std::string text;
+    kernel::Timer timer;
+  };
+  std::unordered_map<http1::ServerConnection*, LateAnswer> late_;
+  // The latest two requests that were run on each connection, the newest last.
+  std::unordered_map<http1::ServerConnection*, std::array<std::string, 2>>
+      latest_;
+
   UpstreamFault fault_ = UpstreamFault::kNone;
   std::string deadly_part_;
   CrashFunction crash_for_part_;
