End a body without length or chunks before another response

Only the end of its connection marks the end of such a body. A second response on the connection, to the same request or an earlier one, was forwarded as a part of it, with status 200 and a complete end.

The client connection now looks for response heads in such bodies and loses the connection as malformed where the receiver says that one is no part of the body. Bytes that may begin a head are held back until that is known; what is held and parsed again is bounded. In a stream of events any status line between two events, or a head with a Request-Id inside one, ends the answer; in other bodies only the head of a response to a request that was sent on this connection, since a body may quote a response. The attempt then is lost: a stream is resumed or its caller's connection reset, safe requests are repeated, others end as outcome_unknown.

Ruled out: bodies with a length or chunks are not searched (FramedBodyMayHoldAResponse). Not told apart: surplus bytes without a head in an opaque body, and heads of ids that this connection never sent.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -431,6 +431,19 @@
   }
 }
 
+bool Call::MayContinueWithStatusLine() {
+  // No field of an event begins like this.
+  return body_mode_ != BodyMode::kEvents || splitter_.is_inside_event();
+}
+
+bool Call::IsOtherResponse(const http1::ResponseHead& head) {
+  const std::string id = platform::DecodeAnswer(head).request_id;
+  // Events have no such field. Other bodies may quote a head.
+  return body_mode_ == BodyMode::kEvents
+             ? !id.empty()
+             : connection_->has_sent(routing::HashOf(id));
+}
+
 void Call::OnFirstEvent() {
   has_first_event_ = true;
   if (!request_.origin.has_value()) {
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -86,6 +86,8 @@
   bool MatchesRequest(const http1::ResponseHead& head) override;
   void OnHead(const http1::ResponseHead& head) override;
   void OnBody(std::string_view data) override;
+  bool MayContinueWithStatusLine() override;
+  bool IsOtherResponse(const http1::ResponseHead& head) override;
   void OnEnd() override;
   void OnLost(http1::Loss loss) override;
 
--- a/jackdawshunt/http1/client.cc
+++ b/jackdawshunt/http1/client.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/container/flat_hash_set.h"
+#include "jackdawshunt/http1/internal/embedded_head_scanner.h"
 #include "jackdawshunt/http1/internal/socket_options.h"
 #include "jackdawshunt/http1/internal/socket_stream.h"
 
@@ -46,7 +47,8 @@
 }
 
 struct ClientConnection::Impl final : ResponseSink,
-                                      internal::SocketStream::Owner {
+                                      internal::SocketStream::Owner,
+                                      internal::EmbeddedHeadScanner::Owner {
   Impl(kernel::EventLoop& on_loop,
        const http::Address& to_address,
        ClientConnectionOptions with_options)
@@ -95,7 +97,7 @@
     if (is_orderly && receiver != nullptr) {
       parser.FeedEnd(*this);
       if (parser.state() == ParseState::kComplete) {
-        CompleteMessage(/*has_unread=*/false);
+        CompleteUnframed();
         return;
       }
     }
@@ -112,7 +114,7 @@
         return;  // Cancelled by a callback.
       }
       if (parser.state() == ParseState::kInvalid || has_unknown_framing ||
-          foreign_body_bytes > kMaxForeignBodyBytes) {
+          has_embedded_response || foreign_body_bytes > kMaxForeignBodyBytes) {
         CloseAsLost(Loss::kMalformed);
         return;
       }
@@ -143,11 +145,36 @@
   void OnBody(std::string_view data) override {
     if (!matches_request) {
       foreign_body_bytes += data.size();
+    } else if (parser.is_unframed()) {
+      has_embedded_response = has_embedded_response || !scanner.Feed(data);
     } else if (receiver != nullptr) {
       receiver->OnBody(data);
     }
   }
 
+  // internal::EmbeddedHeadScanner::Owner; the receiver may have cancelled the
+  // request meanwhile.
+  void OnScannedBody(std::string_view data) override {
+    if (receiver != nullptr) {
+      receiver->OnBody(data);
+    }
+  }
+  bool MayContinueWithStatusLine() override {
+    return receiver != nullptr && receiver->MayContinueWithStatusLine();
+  }
+  bool IsOtherResponse(const ResponseHead& head) override {
+    return receiver != nullptr && receiver->IsOtherResponse(head);
+  }
+
+  // Completes a message whose end the end of the connection marked.
+  void CompleteUnframed() {
+    if (matches_request && !scanner.FeedEnd()) {
+      CloseAsLost(Loss::kMalformed);
+    } else if (receiver != nullptr) {
+      CompleteMessage(/*has_unread=*/false);
+    }
+  }
+
   void CompleteMessage(bool has_unread) {
     const bool keeps_open = parser.keep_alive();
     if (!matches_request) {
@@ -185,6 +212,8 @@
   kernel::Timer connect_timer;
   std::string unsent_request;
   ResponseParser parser;
+  internal::EmbeddedHeadScanner scanner{*this};
+  bool has_embedded_response = false;
   ResponseReceiver* receiver = nullptr;
   kernel::Duration keep_alive = kernel::Duration::max();
   kernel::TimePoint idle_since{};
@@ -220,6 +249,7 @@
   self.has_sent_head_request |= is_head_request;
   self.matches_request = false;
   self.parser.Reset(is_head_request);
+  self.scanner.Reset();
   ++self.request_count;
   if (request_key != 0) {
     self.request_keys.insert(request_key);
@@ -254,6 +284,9 @@
 bool ClientConnection::is_busy() const {
   return impl_->receiver != nullptr;
 }
+bool ClientConnection::is_unframed() const {
+  return impl_->parser.is_unframed();
+}
 bool ClientConnection::was_ended_by_close() const {
   return impl_->parser.was_ended_by_close();
 }
--- a/jackdawshunt/http1/client.h
+++ b/jackdawshunt/http1/client.h
@@ -56,6 +56,15 @@
   virtual bool MatchesRequest(const ResponseHead& head) = 0;
   virtual void OnHead(const ResponseHead& head) = 0;
   virtual void OnBody(std::string_view data) = 0;
+  // A body without length or chunks may hold another response, since only the
+  // end of the connection marks its end. It is then reported as malformed, with
+  // the bytes before it as the body, if one of these says so:
+  // Returns whether the body received so far may go on with bytes like a status
+  // line.
+  virtual bool MayContinueWithStatusLine() { return true; }
+  // Returns whether `head`, which was received inside the body, begins another
+  // response.
+  virtual bool IsOtherResponse(const ResponseHead& /*head*/) { return false; }
   virtual void OnEnd() = 0;
   virtual void OnLost(Loss loss) = 0;
 };
@@ -92,8 +101,11 @@
   bool has_sent(uint64_t request_key) const;
   // Returns whether a request was sent and its response is not complete.
   bool is_busy() const;
-  // Returns whether the latest response had neither a length nor chunks, so
-  // that only the end of the connection marked its end.
+  // Returns whether the latest response has neither a length nor chunks, so
+  // that only the end of the connection marks its end.
+  bool is_unframed() const;
+  // Returns whether the end of the connection marked the end of the latest
+  // response.
   bool was_ended_by_close() const;
   // Returns whether it was not established because nothing listens at the
   // address.
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -88,12 +88,16 @@
   bool IsStillWanted() override { return is_wanted; }
   void OnHead(const ResponseHead& head) override { status = head.status; }
   void OnBody(std::string_view data) override { body.append(data); }
+  bool IsOtherResponse(const ResponseHead&) override {
+    return !may_hold_response;
+  }
   void OnEnd() override { has_ended = true; }
   void OnLost(Loss with) override { loss = with; }
   bool is_done() const { return has_ended || loss.has_value(); }
 
   std::string id = "1";
   bool is_wanted = true;
+  bool may_hold_response = true;
   int status = 0;
   std::string body;
   bool has_ended = false;
@@ -241,6 +245,41 @@
   EXPECT_EQ(receiver_.loss, Loss::kMalformed);
 }
 
+// Guards against the loss of framed bodies that quote a response.
+TEST_F(ClientConnectionTest, FramedBodyMayHoldAResponse) {
+  receiver_.may_hold_response = false;
+  const std::string body =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok";
+  Send();
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+  AwaitDone();
+  EXPECT_EQ(receiver_.body, body);
+  receiver_ = {};
+  receiver_.may_hold_response = false;
+  Send();
+  std::string chunk;
+  AppendChunk(body, chunk);
+  server_.Write(
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk +
+      std::string(kLastChunk));
+  AwaitDone();
+  EXPECT_EQ(receiver_.body, body);
+  EXPECT_TRUE(connection_.is_usable());
+}
+
+// Guards against the bytes of another response in a body that only the end of
+// the connection ends.
+TEST_F(ClientConnectionTest, UnframedBodyEndsBeforeAnotherResponse) {
+  receiver_.may_hold_response = false;
+  Send();
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nfirst");
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 6\r\n\r\nsecond");
+  AwaitDone();
+  EXPECT_EQ(receiver_.body, "first");
+  EXPECT_EQ(receiver_.loss, Loss::kMalformed);
+}
+
 // Guards against memory and time for a response to another request that never
 // ends.
 TEST_F(ClientConnectionTest, ForeignResponseWithoutEndIsMalformed) {
--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -16,6 +16,9 @@
 // responses before it, is treated as malformed.
 constexpr size_t kMaxResponseHeadBytes = size_t{64} * 1024;
 constexpr int kMaxInterimResponses = 32;
+// Responses without a body.
+constexpr int kHttpNoContent = 204;
+constexpr int kHttpNotModified = 304;
 
 template <typename Owner>
 Owner& OwnerOf(http_parser* parser) {
@@ -201,6 +204,7 @@
     is_informational = false;
     interim_responses = 0;
     was_ended_by_close = false;
+    is_unframed = false;
   }
 
   int FinishHead() {
@@ -217,6 +221,10 @@
     parser.upgrade = 0;
     if (!is_informational) {
       state = ParseState::kBody;
+      is_unframed = !to_head_request && head.status != kHttpNoContent &&
+                    head.status != kHttpNotModified &&
+                    (parser.flags & F_CHUNKED) == 0 &&
+                    parser.content_length == ULLONG_MAX;
       sink->OnHead(head);
     }
     return to_head_request ? 1 : 0;
@@ -262,6 +270,7 @@
   bool is_informational = false;
   int interim_responses = 0;
   bool was_ended_by_close = false;
+  bool is_unframed = false;
 };
 
 ResponseParser::ResponseParser() : impl_(std::make_unique<Impl>()) {}
@@ -314,6 +323,9 @@
 bool ResponseParser::keep_alive() const {
   return impl_->keep_alive;
 }
+bool ResponseParser::is_unframed() const {
+  return impl_->is_unframed;
+}
 bool ResponseParser::was_ended_by_close() const {
   return impl_->was_ended_by_close;
 }
--- a/jackdawshunt/http1/parser.h
+++ b/jackdawshunt/http1/parser.h
@@ -100,6 +100,9 @@
 
   ParseState state() const;
   bool keep_alive() const;
+  // Returns whether the head is complete and only the end of the connection
+  // marks the end of the body.
+  bool is_unframed() const;
   // Returns whether only FeedEnd() marked the end of the message.
   bool was_ended_by_close() const;
 
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -730,6 +730,41 @@
   }
 }
 
+// Guards against a body that holds another answer: an answer without length or
+// chunks ends with its connection, and a second one comes before that.
+TEST_F(GatewayProcessTest, AnAnswerInsideAnUnframedBodyReachesNobody) {
+  Start();
+  AwaitRepeatBudget();
+  for (const UpstreamFault fault :
+       {UpstreamFault::kUnframedSecond, UpstreamFault::kUnframedRefusal,
+        UpstreamFault::kUnframedEarlier, UpstreamFault::kUnframedCut}) {
+    for (const char* const route : {kHold, kFetch, kGenerate, kRevise}) {
+      // Leaves connections on which another request was answered.
+      SetFault(UpstreamFault::kNone);
+      for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(Call({.route = route})->status(), 200);
+      }
+      SetFault(fault);
+      const CallPtr call = Call({.route = route});
+      EXPECT_EQ(call->body().find("HTTP/1."), std::string::npos)
+          << static_cast<int>(fault) << " " << route;
+      if (call->status() == 200 && call->is_complete()) {
+        EXPECT_EQ(call->body(), StandInUpstream::ExpectedBody(
+                                    call->id(),
+                                    std::string(route) == kGenerate ||
+                                        std::string(route) == kRevise,
+                                    5))
+            << static_cast<int>(fault) << " " << route;
+      }
+      if (std::string(route) == kHold) {
+        EXPECT_EQ(call->status(), 502) << static_cast<int>(fault);
+      }
+    }
+  }
+  EXPECT_EQ(fleet_->GatewayLog(0).find("\"held_back\""), std::string::npos);
+  EXPECT_TRUE(fleet_->RunTwice().empty());
+}
+
 // Guards against an unframed stream that looks complete because its engine's
 // process ended between two events, which closes the connection in order.
 TEST_F(GatewayProcessTest, AnUnframedStreamOfAnEndedEngineIsNotComplete) {
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -27,6 +27,7 @@
          fault == UpstreamFault::kUnframedSecond ||
          fault == UpstreamFault::kUnframedEarlier ||
          fault == UpstreamFault::kUnframedRefusal ||
+         fault == UpstreamFault::kUnframedCut ||
          fault == UpstreamFault::kUnframedSecondRun;
 }
 
@@ -248,6 +249,12 @@
       End(connection, false);
       CutUnframed(connection, request, body);
       return;
+    case UpstreamFault::kUnframedCut:
+      End(connection, false);
+      connection.StartUnframedResponse(Head(request, 200));
+      connection.WriteBody(std::string_view(body).substr(0, body.size() / 2));
+      FinishAnswer(connection, request);
+      return;
     case UpstreamFault::kForeign:
       connection.WriteRaw(http1::Serialize(Head("someone-else", 200),
                                            http1::BodyFraming::Length(5)) +
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -53,6 +53,7 @@
   kUnframedSecond,   // To the same request.
   kUnframedEarlier,  // To an earlier request on the connection, if any.
   kUnframedRefusal,  // To the same request, as kLateRefusal.
+  kUnframedCut,      // To the same request, after half of the first.
   // An unframed stream that is followed by the events of a second run.
   kUnframedSecondRun,
   // An answer without length or chunks that is reset on the way: inside an
