End a stream before an event whose id does not increase

An answer without length or chunks can go on with the events of a second run of the request, which were forwarded: the caller got the stream twice, with status 200 and a complete end. So could a stream that was resumed at an engine that starts again from its first event.

The splitter, which reads the ids already, now returns nothing from such an event on, and the attempt is lost as malformed. Events without a numeric id are forwarded as before.

EventsOfASecondRunReachNobody failed before: the body held events 1 to 5 twice and was complete. It passes now: the caller gets events 1 to 5, and without resumption no complete end. gateway_test passes with ReturnsNoEventWhoseIdDoesNotIncrease.

Not checked: the first event of a stream that a caller resumes, against the caller's Last-Event-Id.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -424,6 +424,11 @@
     } else if (!whole.empty()) {
       StartForwarding(whole);
     }
+    if (splitter_.is_out_of_order()) {
+      connection_->CancelRequest();
+      OnLost(http1::Loss::kMalformed);
+      return;
+    }
   }
   if (!is_reading_paused_ && caller_->buffered_bytes() > kMaxUnreadBytes) {
     is_reading_paused_ = true;
--- a/jackdawshunt/gateway/event_splitter.cc
+++ b/jackdawshunt/gateway/event_splitter.cc
@@ -36,11 +36,18 @@
 std::string_view EventSplitter::Feed(std::string_view data) {
   buffer_.erase(0, returned_bytes_);
   returned_bytes_ = 0;
+  if (is_out_of_order_) {
+    return {};
+  }
   buffer_.append(data);
   size_t end = FindEventEnd(buffer_, returned_bytes_);
   while (end != std::string_view::npos) {
-    ParseEventId(std::string_view(buffer_).substr(returned_bytes_,
-                                                  end - returned_bytes_));
+    if (!ApplyEventId(std::string_view(buffer_).substr(
+            returned_bytes_, end - returned_bytes_))) {
+      is_out_of_order_ = true;
+      buffer_.resize(returned_bytes_);
+      break;
+    }
     ++event_count_;
     has_split_event_ = false;
     returned_bytes_ = end;
@@ -53,8 +60,9 @@
   return std::string_view(buffer_).substr(0, returned_bytes_);
 }
 
-void EventSplitter::ParseEventId(std::string_view event) {
+bool EventSplitter::ApplyEventId(std::string_view event) {
   constexpr std::string_view kField = "id:";
+  const std::optional<uint64_t> previous = last_event_id_;
   size_t start = 0;
   while (start < event.size()) {
     const size_t end = event.find('\n', start);
@@ -68,19 +76,24 @@
       const auto result =
           std::from_chars(line.data(), line.data() + line.size(), id);
       if (result.ec == std::errc()) {
+        if (previous.has_value() && id <= *previous) {
+          return false;
+        }
         last_event_id_ = id;
       }
     }
     if (end == std::string_view::npos) {
-      return;
+      break;
     }
     start = end + 1;
   }
+  return true;
 }
 
 void EventSplitter::DropPartial() {
   buffer_.clear();
   returned_bytes_ = 0;
+  is_out_of_order_ = false;
 }
 
 std::string_view EventSplitter::partial() const {
--- a/jackdawshunt/gateway/event_splitter.h
+++ b/jackdawshunt/gateway/event_splitter.h
@@ -21,7 +21,8 @@
  public:
   // Appends `data` and returns the events that are now complete; the view is
   // valid until the next call. An event larger than kMaxEventBytes is returned
-  // in pieces.
+  // in pieces. Nothing is returned from an event on whose id is not above that
+  // of an earlier one; see is_out_of_order().
   std::string_view Feed(std::string_view data);
 
   // Returns whether the bytes so far end inside an event.
@@ -32,6 +33,10 @@
   // the stream cannot be continued after a whole event.
   bool has_split_event() const { return has_split_event_; }
 
+  // Returns whether an event was not returned because of its id, so that the
+  // bytes are not the stream's.
+  bool is_out_of_order() const { return is_out_of_order_; }
+
   // Drops an incomplete event; call before the bytes of another answer.
   void DropPartial();
   // Returns the bytes of the incomplete event; valid until the next call.
@@ -44,12 +49,15 @@
  private:
   static constexpr size_t kMaxEventBytes = size_t{256} * 1024;
 
-  void ParseEventId(std::string_view event);
+  // Returns whether the event has no numeric id or a higher one than the events
+  // before, and records it.
+  bool ApplyEventId(std::string_view event);
 
   std::string buffer_;
   size_t returned_bytes_ = 0;  // Leading bytes of `buffer_` that the last call
                                // returned.
   bool has_split_event_ = false;
+  bool is_out_of_order_ = false;
   std::optional<uint64_t> last_event_id_;
   uint64_t event_count_ = 0;
 };
--- a/jackdawshunt/gateway/event_splitter_test.cc
+++ b/jackdawshunt/gateway/event_splitter_test.cc
@@ -43,5 +43,24 @@
   EXPECT_TRUE(splitter.is_inside_event());
 }
 
+// Guards against events of a second run, which follow those of the first, or
+// come from an engine that does not resume where it was asked to.
+TEST(EventSplitterTest, ReturnsNoEventWhoseIdDoesNotIncrease) {
+  EventSplitter splitter;
+  EXPECT_EQ(splitter.Feed("id: 1\n\nid: 3\n\nid: 3\n\nid: 4\n\n"),
+            "id: 1\n\nid: 3\n\n");
+  EXPECT_TRUE(splitter.is_out_of_order());
+  EXPECT_EQ(splitter.Feed("id: 5\n\n"), "");
+  EXPECT_EQ(splitter.event_count(), 2u);
+  splitter.DropPartial();
+  EXPECT_FALSE(splitter.is_out_of_order());
+  EXPECT_EQ(splitter.Feed("id: 2\n\n"), "");
+  EXPECT_TRUE(splitter.is_out_of_order());
+  splitter.DropPartial();
+  EXPECT_EQ(splitter.Feed("data: no id\n\nid: 4\n\n"),
+            "data: no id\n\nid: 4\n\n");
+  EXPECT_EQ(splitter.last_event_id(), 4u);
+}
+
 }  // namespace
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -765,6 +765,18 @@
   EXPECT_TRUE(fleet_->RunTwice().empty());
 }
 
+// Guards against events that a caller gets twice: those of a second run follow
+// the stream on its connection.
+TEST_F(GatewayProcessTest, EventsOfASecondRunReachNobody) {
+  Start();
+  SetFault(UpstreamFault::kUnframedSecondRun);
+  for (const char* const route : {kGenerate, kRevise}) {
+    const CallPtr call = Call({.route = route});
+    EXPECT_EQ(call->body(), WholeStream(*call)) << route;
+    EXPECT_FALSE(std::string(route) == kGenerate && call->is_complete());
+  }
+}
+
 // Guards against an unframed stream that looks complete because its engine's
 // process ended between two events, which closes the connection in order.
 TEST_F(GatewayProcessTest, AnUnframedStreamOfAnEndedEngineIsNotComplete) {
