Keep the id and the end of an event that is forwarded in pieces

An event above 256 KiB is forwarded in pieces. Its id, in the first one, was not read, so a stream that broke off later was resumed before that event: the caller got it twice. A rest that began with 'id:' in the middle of a line was read as an id. If a piece ended inside the event's end, the end was not seen: the event after it was merged into it, or the answer counted as broken off.

The ids in whole lines of a piece are now read, the first line of a later piece is not, and a line end at the end of a piece waits for what follows.

KnowsTheIdOfALargeEvent and SeesTheEndOfALargeEventInTwoPieces failed before (last id 1 in place of 2; one event in place of two at three cuts) and pass now, as do the streams' process tests.

--- a/jackdawshunt/gateway/event_splitter.cc
+++ b/jackdawshunt/gateway/event_splitter.cc
@@ -44,8 +44,6 @@
   while (end != std::string_view::npos) {
     if (!ApplyEventId(std::string_view(buffer_).substr(
             returned_bytes_, end - returned_bytes_))) {
-      is_out_of_order_ = true;
-      buffer_.resize(returned_bytes_);
       break;
     }
     ++event_count_;
@@ -54,16 +52,34 @@
     end = FindEventEnd(buffer_, returned_bytes_);
   }
   if (buffer_.size() - returned_bytes_ > kMaxEventBytes) {
-    returned_bytes_ = buffer_.size();
-    has_split_event_ = true;
+    SplitEvent();
+  }
+  if (is_out_of_order_) {
+    buffer_.resize(returned_bytes_);
   }
   return std::string_view(buffer_).substr(0, returned_bytes_);
 }
 
+void EventSplitter::SplitEvent() {
+  std::string_view piece = std::string_view(buffer_).substr(returned_bytes_);
+  // May be the first half of the event's end.
+  for (const std::string_view line_end : {"\n\r", "\n"}) {
+    if (piece.ends_with(line_end)) {
+      piece.remove_suffix(line_end.size());
+      break;
+    }
+  }
+  if (ApplyEventId(piece.substr(0, piece.rfind('\n') + 1))) {
+    returned_bytes_ += piece.size();
+    has_split_event_ = true;
+  }
+}
+
 bool EventSplitter::ApplyEventId(std::string_view event) {
   constexpr std::string_view kField = "id:";
   const std::optional<uint64_t> previous = last_event_id_;
-  size_t start = 0;
+  // After a split, the first line is the rest of one.
+  size_t start = has_split_event_ ? event.find('\n') : 0;
   while (start < event.size()) {
     const size_t end = event.find('\n', start);
     std::string_view line = event.substr(start, end - start);
@@ -77,6 +93,7 @@
           std::from_chars(line.data(), line.data() + line.size(), id);
       if (result.ec == std::errc()) {
         if (previous.has_value() && id <= *previous) {
+          is_out_of_order_ = true;
           return false;
         }
         last_event_id_ = id;
--- a/jackdawshunt/gateway/event_splitter.h
+++ b/jackdawshunt/gateway/event_splitter.h
@@ -49,8 +49,12 @@
  private:
   static constexpr size_t kMaxEventBytes = size_t{256} * 1024;
 
-  // Returns whether the event has no numeric id or a higher one than the events
-  // before, and records it.
+  // Returns a piece of the event at the end of `buffer_` with what the current
+  // call returns.
+  void SplitEvent();
+  // Records the id of the event, or of a piece of one, if it is numeric and
+  // higher than those of earlier events. Sets `is_out_of_order_` and returns
+  // false if it is not higher.
   bool ApplyEventId(std::string_view event);
 
   std::string buffer_;
--- a/jackdawshunt/gateway/event_splitter_test.cc
+++ b/jackdawshunt/gateway/event_splitter_test.cc
@@ -43,6 +43,41 @@
   EXPECT_TRUE(splitter.is_inside_event());
 }
 
+// Guards against an event that a caller gets twice, since its id was in a piece
+// returned before the event was complete, and the stream is resumed before it.
+TEST(EventSplitterTest, KnowsTheIdOfALargeEvent) {
+  EventSplitter splitter;
+  splitter.Feed("id: 1\ndata: a\n\n");
+  splitter.Feed("id: 2\ndata: " + std::string(size_t{300} * 1024, 'x'));
+  // In the middle of a line.
+  splitter.Feed("id: 1\n\n");
+  EXPECT_FALSE(splitter.is_out_of_order());
+  EXPECT_EQ(splitter.last_event_id(), 2u);
+  EXPECT_EQ(
+      splitter.Feed("id: 2\ndata: " + std::string(size_t{300} * 1024, 'x')),
+      "");
+  EXPECT_TRUE(splitter.is_out_of_order());
+}
+
+// Guards against a large event whose end is not seen, because it was cut there.
+TEST(EventSplitterTest, SeesTheEndOfALargeEventInTwoPieces) {
+  for (const std::string end : {"\n\n", "\r\n\r\n"}) {
+    for (size_t cut = 0; cut <= end.size(); ++cut) {
+      const std::string text =
+          "id: 2\ndata: " + std::string(size_t{300} * 1024, 'x') + end +
+          "id: 3\n\n";
+      const size_t at = text.size() - 7 - end.size() + cut;
+      EventSplitter splitter;
+      std::string out(splitter.Feed(text.substr(0, at)));
+      out.append(splitter.Feed(text.substr(at)));
+      EXPECT_EQ(out, text) << cut;
+      EXPECT_EQ(splitter.event_count(), 2u) << cut;
+      EXPECT_EQ(splitter.last_event_id(), 3u) << cut;
+      EXPECT_FALSE(splitter.is_inside_event()) << cut;
+    }
+  }
+}
+
 // Guards against events of a second run, which follow those of the first, or
 // come from an engine that does not resume where it was asked to.
 TEST(EventSplitterTest, ReturnsNoEventWhoseIdDoesNotIncrease) {
