Take an unframed answer as cut off if its upstream was replaced

The end of an answer without length or chunks was trusted if the upstream's address accepted connections, also where another start was listed there: a stream that its engine left in the middle looked complete to the caller. It is now lost if the directory lists another start at the address that is not known to be an earlier one.

An upstream that had announced its end was trusted without that check. This never took effect, since requests are sent only to upstreams that are not draining and the state was read at that time; the exception is removed, as a process that drains may exit inside an answer too. An orderly close does not tell the two apart.

AnUnframedStreamOfAReplacedEngineIsNotComplete failed before (the stream was complete after three events of 200) and passes now. AnUnframedStreamOfAnEndedDrainingEngineIsNotComplete passed before too.

Cost: a whole answer of this kind is lost if its upstream exits right after it, or while the list shows another start at its address. Open: another start that accepts connections before it is listed.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -482,8 +482,7 @@
     return;
   }
   discard_timer_.Cancel();
-  if (connection_->was_ended_by_close() && body_mode_ != BodyMode::kDiscard &&
-      !upstream_.is_draining) {
+  if (connection_->was_ended_by_close() && body_mode_ != BodyMode::kDiscard) {
     // The end of the upstream's process looks the same.
     start_check_ = context_.start_checks.Check(
         upstream_, [this](bool has_ended) { OnUnframedEnd(has_ended); });
@@ -497,7 +496,8 @@
   if (HasCallerLeft()) {
     AbandonAttempt();
     Finish(0, "caller left");
-  } else if (has_upstream_ended) {
+  } else if (has_upstream_ended ||
+             context_.router.directory().IsReplaced(upstream_)) {
     OnLost(http1::Loss::kClosed);
   } else {
     OnAnswerEnded();
--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -1,5 +1,6 @@
 #include "jackdawshunt/routing/directory.h"
 
+#include <algorithm>
 #include <array>
 #include <set>
 #include <utility>
@@ -265,6 +266,17 @@
   return origins.size() == 1 ? *origins.begin() : kUnknownOrigin;
 }
 
+bool Directory::IsReplaced(const Upstream& upstream) const {
+  return std::any_of(
+      entries_.begin(), entries_.end(), [&upstream](const auto& entry) {
+        const Upstream& listed = entry.second.upstream;
+        return listed.address == upstream.address &&
+               listed.start != upstream.start &&
+               (listed.started_unix_ms == 0 ||
+                listed.started_unix_ms >= upstream.started_unix_ms);
+      });
+}
+
 const Upstream* Directory::Find(std::string_view id) const {
   const auto entry = entries_.find(id);
   return entry == entries_.end() ? nullptr : &entry->second.upstream;
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -83,6 +83,9 @@
   uint64_t SoleOrigin(std::string_view service,
                       kernel::Duration window,
                       kernel::TimePoint now) const;
+  // Returns whether another start, not known to be an earlier one, is listed at
+  // the address of `upstream`, so that what listens there may be that one.
+  bool IsReplaced(const Upstream& upstream) const;
   // Returns null when there is no such entry.
   const Upstream* Find(std::string_view id) const;
   size_t size() const { return entries_.size(); }
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -58,6 +58,25 @@
   EXPECT_TRUE(directory.Ready("desk", Now()).empty());
 }
 
+// Guards against trust in an address that an older start has left, or another
+// one has taken over.
+TEST_F(DirectoryTest, KnowsThatAnotherStartTookAnAddressOver) {
+  Directory directory(seconds(2));
+  Upstream current = MakeUpstream("b");
+  current.started_unix_ms = 20;
+  Upstream older = MakeUpstream("a");
+  older.started_unix_ms = 10;
+  Upstream elsewhere = MakeUpstream("c");
+  elsewhere.address.port = 2;
+  directory.Replace({older, current, elsewhere}, Now());
+  EXPECT_FALSE(directory.IsReplaced(*directory.Find("b")));
+  EXPECT_FALSE(directory.IsReplaced(*directory.Find("c")));
+  EXPECT_TRUE(directory.IsReplaced(*directory.Find("a")));
+  // Of another service, without a known start.
+  directory.Put(MakeUpstream("d", "llm"), Now());
+  EXPECT_TRUE(directory.IsReplaced(*directory.Find("b")));
+}
+
 // Guards against the loss of live upstreams: while the store is unavailable,
 // their entries expire.
 TEST_F(DirectoryTest, KeepsExpiredEntryDuringGracePeriodAfterOutage) {
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -790,6 +790,42 @@
   EXPECT_FALSE(call->is_complete());
 }
 
+// Guards against the same where the engine has announced its end.
+TEST_F(GatewayProcessTest,
+       AnUnframedStreamOfAnEndedDrainingEngineIsNotComplete) {
+  Start({.engines = 1, .stream_events = 200});
+  SetFault(UpstreamFault::kUnframed);
+  const CallPtr call = BeginStream(0);
+  fleet_->PutUpstream(0, "draining");
+  fleet_->RunFor(milliseconds(500));
+  fleet_->upstream(0).StopInOrder();
+  EXPECT_TRUE(fleet_->Await([&] { return call->is_done(); }));
+  EXPECT_FALSE(call->is_complete());
+}
+
+// Guards against the same where another engine accepts connections at the
+// address already.
+TEST_F(GatewayProcessTest, AnUnframedStreamOfAReplacedEngineIsNotComplete) {
+  Start({.engines = 1, .stream_events = 200});
+  SetFault(UpstreamFault::kUnframed);
+  const CallPtr call = fleet_->Call(0, {.route = kGenerate});
+  EXPECT_TRUE(fleet_->Await(
+      [&] { return call->body().find("id: 3\n") != std::string::npos; }));
+  fleet_->store().Put("servers", "i-new",
+                      {{"service", "llm"},
+                       {"address", fleet_->upstream_address(0).ToString()},
+                       {"zone", "z"},
+                       {"version", "v1"},
+                       {"slots", 64},
+                       {"state", "ready"},
+                       {"coldRemainingMs", 0},
+                       {"sequence", 1}});
+  fleet_->RunFor(milliseconds(500));
+  fleet_->upstream(0).EndAnswersInOrder();
+  EXPECT_TRUE(fleet_->Await([&] { return call->is_done(); }));
+  EXPECT_FALSE(call->is_complete());
+}
+
 TEST_F(GatewayProcessTest, ListsAgainWhenTheHistoryIsGone) {
   Start();
   fleet_->store().SetFault(StoreFault::kBusy);
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -405,6 +405,10 @@
 
 void StandInUpstream::StopInOrder() {
   listener_.reset();
+  EndAnswersInOrder();
+}
+
+void StandInUpstream::EndAnswersInOrder() {
   std::vector<http1::ServerConnection*> busy;
   for (const auto& [connection, job] : jobs_) {
     busy.push_back(connection);
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -128,6 +128,9 @@
   // Ends as a process does whose answers have neither length nor chunks: their
   // connections are closed in order, as at their ends. Accepts no others.
   void StopInOrder();
+  // Closes these connections in order and goes on accepting others, as where
+  // another process takes the address over at once.
+  void EndAnswersInOrder();
   // Ends all connections and accepts no others; port() must not be called
   // afterwards.
   void Stop();
