Take an unframed answer as cut off unless its upstream accepts

A check of the start that could neither connect nor was refused, as with a machine that is gone, counted as proof that the upstream goes on, so that an answer without length or chunks looked complete.

Only an accepted connection shows that now, also one that is reset at once, as upstreams at their limit of connections do. Ends are still confirmed to the router by refused connections only.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -485,18 +485,19 @@
   if (connection_->was_ended_by_close() && body_mode_ != BodyMode::kDiscard) {
     // The end of the upstream's process looks the same.
     start_check_ = context_.start_checks.Check(
-        upstream_, [this](bool has_ended) { OnUnframedEnd(has_ended); });
+        upstream_,
+        [this](bool may_have_ended) { OnUnframedEnd(may_have_ended); });
     return;
   }
   OnAnswerEnded();
 }
 
-void Call::OnUnframedEnd(bool has_upstream_ended) {
+void Call::OnUnframedEnd(bool may_upstream_have_ended) {
   start_check_.reset();
   if (HasCallerLeft()) {
     AbandonAttempt();
     Finish(0, "caller left");
-  } else if (has_upstream_ended ||
+  } else if (may_upstream_have_ended ||
              context_.router.directory().IsReplaced(upstream_)) {
     OnLost(http1::Loss::kClosed);
   } else {
@@ -574,7 +575,7 @@
   may_have_executed_ = true;
   if (context_.router.NeedsEndCheck(upstream_)) {
     start_check_ = context_.start_checks.Check(
-        upstream_, [this](bool /*has_ended*/) { ContinueAfterLoss(); });
+        upstream_, [this](bool /*may_have_ended*/) { ContinueAfterLoss(); });
   } else {
     ContinueAfterLoss();
   }
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -122,8 +122,8 @@
   // Ends the attempt whose answer is not forwarded, without its rest.
   void StopDiscarding();
   // Goes on after an answer whose end only the end of its connection marked:
-  // as complete, or as lost if the start of the upstream has ended too.
-  void OnUnframedEnd(bool has_upstream_ended);
+  // as complete, or as lost if the start of the upstream may have ended too.
+  void OnUnframedEnd(bool may_upstream_have_ended);
   // Handles an answer that is complete.
   void OnAnswerEnded();
   // Ends the current attempt and releases its connection to the pool.
--- a/jackdawshunt/gateway/start_checks.cc
+++ b/jackdawshunt/gateway/start_checks.cc
@@ -22,10 +22,11 @@
   void Add(const Handle& handle) { waiting_.push_back(handle); }
   const routing::Upstream& upstream() const { return upstream_; }
   bool was_refused() const { return connection_.was_refused(); }
-  void CallWaiting(bool has_ended) {
+  bool was_accepted() const { return connection_.was_accepted(); }
+  void CallWaiting(bool may_have_ended) {
     for (const auto& waiting : std::exchange(waiting_, {})) {
       if (const Handle done = waiting.lock()) {
-        (*done)(has_ended);
+        (*done)(may_have_ended);
       }
     }
   }
@@ -74,7 +75,7 @@
   if (attempt->was_refused()) {
     router_.OnConnectionRefused(attempt->upstream());
   }
-  attempt->CallWaiting(attempt->was_refused());
+  attempt->CallWaiting(!attempt->was_accepted());
 }
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/start_checks.h
+++ b/jackdawshunt/gateway/start_checks.h
@@ -3,7 +3,7 @@
 // Example:
 //   gateway::StartChecks checks(loop, router);
 //   auto handle = checks.Check(
-//       upstream, [](bool has_ended) { ContinueAfterLoss(); });
+//       upstream, [](bool may_have_ended) { ContinueAfterLoss(); });
 //
 // A lost connection alone does not show that the upstream has ended: it may
 // have dropped only this connection. An address at which nothing listens does.
@@ -24,7 +24,7 @@
 class StartChecks {
  public:
   // Cancels the callback when destroyed.
-  using Callback = std::function<void(bool has_ended)>;
+  using Callback = std::function<void(bool may_have_ended)>;
   using Handle = std::shared_ptr<Callback>;
 
   StartChecks(kernel::EventLoop& loop, routing::Router& router);
@@ -34,7 +34,8 @@
 
   // Opens one connection to the upstream, shared by all checks of this start
   // that are requested meanwhile. Tells the router if it is refused, then calls
-  // `done`. Sends nothing on it.
+  // `done`: the start may have ended if the connection was not accepted. Sends
+  // nothing on it.
   Handle Check(const routing::Upstream& upstream, Callback done);
 
   // Returns the number of connections opened so far.
--- a/jackdawshunt/http1/client.cc
+++ b/jackdawshunt/http1/client.cc
@@ -293,6 +293,9 @@
 bool ClientConnection::was_refused() const {
   return impl_->stream.was_refused();
 }
+bool ClientConnection::was_accepted() const {
+  return impl_->stream.was_accepted();
+}
 bool ClientConnection::was_reused() const {
   return impl_->request_count > 1;
 }
--- a/jackdawshunt/http1/client.h
+++ b/jackdawshunt/http1/client.h
@@ -110,6 +110,8 @@
   // Returns whether it was not established because nothing listens at the
   // address.
   bool was_refused() const;
+  // Returns whether the peer accepted it, also if it reset it at once.
+  bool was_accepted() const;
   // Returns whether the latest request was not the first one.
   bool was_reused() const;
   // Returns how long the peer keeps an idle connection open, or max() if the
--- a/jackdawshunt/http1/internal/socket_stream.cc
+++ b/jackdawshunt/http1/internal/socket_stream.cc
@@ -118,6 +118,9 @@
     int error = 0;
     socklen_t length = sizeof(error);
     getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length);
+    // The kernel reports a reset before the connection was established as
+    // refused.
+    was_accepted_ = error == 0 || error == ECONNRESET || error == EPIPE;
     if (error != 0) {
       was_refused_ = error == ECONNREFUSED;
       owner_.OnEnd(End::kReset);
--- a/jackdawshunt/http1/internal/socket_stream.h
+++ b/jackdawshunt/http1/internal/socket_stream.h
@@ -66,6 +66,9 @@
   bool is_open() const { return fd_ >= 0; }
   // Returns whether nothing listened at the address given to Connect().
   bool was_refused() const { return was_refused_; }
+  // Returns whether the peer accepted the connection, also if it reset it
+  // before OnConnected().
+  bool was_accepted() const { return was_accepted_; }
   int fd() const { return fd_; }
   // Returns the number of buffered bytes that were not sent yet.
   size_t unwritten() const { return output_.size() - output_sent_; }
@@ -87,6 +90,7 @@
   size_t output_sent_ = 0;  // Bytes of output_ that were sent.
   bool is_connecting_ = false;
   bool was_refused_ = false;
+  bool was_accepted_ = false;
   bool is_reading_ = false;
   // A write failed. The failed write may have cleared the socket's error, so a
   // later end of input must be reported as a reset, not an orderly close.
