Test that the store's late answers are not taken for later ones

Answers of the store name no request, and RecordSource takes any. No fault was found: a call that times out drops its connection, the next call opens a new one, and a second answer ends a kept connection. The tests passed on the code as it was.

Open: a second answer that arrives after the next call was sent on the same connection is taken for its answer. The store is not known to send any.

--- /dev/null
+++ b/jackdawshunt/platform/record_source_test.cc
@@ -0,0 +1,101 @@
+#include "jackdawshunt/platform/record_source.h"
+
+#include <optional>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gtest/gtest.h"
+#include "jackdawshunt/http1/server.h"
+
+namespace jackdawshunt::platform {
+namespace {
+
+// A store that answers calls when the test says so.
+class RecordSourceTest : public ::testing::Test,
+                         public http1::ServerConnection::Handler {
+ protected:
+  RecordSourceTest() : connections_(loop_, *this) {
+    listener_ = *http1::Listener::Bind(
+        loop_, {"127.0.0.1", 0}, [this](int fd) { connections_.Add(fd); });
+    source_ = std::make_unique<RecordSource>(
+        loop_, http::Address{"127.0.0.1", listener_->port()},
+        RecordKind::kUpstream);
+  }
+
+  void OnRequest(http1::ServerConnection& connection,
+                 const http1::RequestHead& /*head*/,
+                 std::string& /*body*/) override {
+    calls_.push_back(&connection);
+  }
+  void OnRequestError(http1::ServerConnection&, http1::RequestError) override {}
+  void OnDrained(http1::ServerConnection&) override {}
+  // Connections are kept, so that the test may answer on those that have ended.
+  void OnClosed(http1::ServerConnection&) override {}
+
+  void Answer(size_t call, uint64_t revision) {
+    calls_.at(call)->Reply(
+        {.status = 200, .headers = {}},
+        absl::StrCat(R"({"events":[],"storeRevision":)", revision, "}"));
+  }
+  void Watch(uint64_t revision) {
+    result_.reset();
+    source_->Watch({.revision = revision}, std::chrono::milliseconds(0),
+                   [this](absl::StatusOr<RecordList> answer) {
+                     result_ = std::move(answer);
+                   });
+  }
+  void AwaitCalls(size_t count) {
+    ASSERT_TRUE(loop_.RunUntil([&] { return calls_.size() >= count; },
+                               std::chrono::seconds(20)));
+  }
+  void AwaitResult() {
+    ASSERT_TRUE(loop_.RunUntil([&] { return result_.has_value(); },
+                               std::chrono::seconds(20)));
+  }
+
+  kernel::EventLoop loop_;
+  http1::ConnectionSet connections_;
+  std::unique_ptr<http1::Listener> listener_;
+  std::unique_ptr<RecordSource> source_;
+  std::vector<http1::ServerConnection*> calls_;
+  std::optional<absl::StatusOr<RecordList>> result_;
+};
+
+// Guards against a late answer to a call that timed out, taken for the answer
+// to the next one: answers of the store name no request.
+TEST_F(RecordSourceTest, LateAnswerOfATimedOutCallIsNotThatOfTheNext) {
+  Watch(5);
+  AwaitCalls(1);
+  AwaitResult();
+  EXPECT_TRUE(absl::IsDeadlineExceeded(result_->status()));
+  Watch(9);
+  AwaitCalls(2);
+  ASSERT_NE(calls_[0], calls_[1]);
+  Answer(0, 5);
+  loop_.RunUntil([] { return false; }, std::chrono::milliseconds(50));
+  EXPECT_FALSE(result_.has_value());
+  Answer(1, 9);
+  AwaitResult();
+  ASSERT_TRUE(result_->ok());
+  EXPECT_EQ((*result_)->revision.revision, 9u);
+}
+
+// Guards against a second answer to an earlier call on a kept connection.
+TEST_F(RecordSourceTest, SecondAnswerEndsTheConnection) {
+  Watch(5);
+  AwaitCalls(1);
+  Answer(0, 5);
+  AwaitResult();
+  calls_[0]->WriteRaw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+  loop_.RunUntil([] { return false; }, std::chrono::milliseconds(50));
+  Watch(9);
+  AwaitCalls(2);
+  EXPECT_NE(calls_[0], calls_[1]);
+  Answer(1, 9);
+  AwaitResult();
+  ASSERT_TRUE(result_->ok());
+  EXPECT_EQ((*result_)->revision.revision, 9u);
+}
+
+}  // namespace
+}  // namespace jackdawshunt::platform
