--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -289,15 +289,17 @@
       forwarded,
       has_body ? std::optional<uint64_t>(body_.size()) : std::nullopt);
   bytes.append(body_);
-  connection_ = context_.pool.Acquire(upstream_, request_.route->is_repeatable()
-                                                     ? kMaxIdleIfRepeatable
-                                                     : kMaxIdleIfNotRepeatable);
+  connection_ = context_.pool.Acquire(upstream_,
+                                      request_.route->is_repeatable()
+                                          ? kMaxIdleIfRepeatable
+                                          : kMaxIdleIfNotRepeatable,
+                                      request_.hash);
   context_.router.OnSent(request_, decision, sent_at_);
   is_engine_attempt_ = decision.is_engine;
   if (is_engine_attempt_) {
     context_.boards.SendClaim(upstream_, request_);
   }
-  connection_->Send(bytes, head_.method == "HEAD", *this);
+  connection_->Send(bytes, head_.method == "HEAD", *this, request_.hash);
 }
 
 bool Call::HasCallerLeft() const {
@@ -422,6 +424,11 @@
     } else if (!whole.empty()) {
       StartForwarding(whole);
     }
+    if (splitter_.is_out_of_order()) {
+      connection_->CancelRequest();
+      OnLost(http1::Loss::kMalformed);
+      return;
+    }
   }
   if (!is_reading_paused_ && caller_->buffered_bytes() > kMaxUnreadBytes) {
     is_reading_paused_ = true;
@@ -429,6 +436,19 @@
   }
 }
 
+bool Call::MayContinueWithStatusLine() {
+  // No field of an event begins like this.
+  return body_mode_ != BodyMode::kEvents || splitter_.is_inside_event();
+}
+
+bool Call::IsOtherResponse(const http1::ResponseHead& head) {
+  const std::string id = platform::DecodeAnswer(head).request_id;
+  // Events have no such field. Other bodies may quote a head.
+  return body_mode_ == BodyMode::kEvents
+             ? !id.empty()
+             : connection_->has_sent(routing::HashOf(id));
+}
+
 void Call::OnFirstEvent() {
   has_first_event_ = true;
   if (!request_.origin.has_value()) {
@@ -462,22 +482,23 @@
     return;
   }
   discard_timer_.Cancel();
-  if (connection_->was_ended_by_close() && body_mode_ != BodyMode::kDiscard &&
-      !upstream_.is_draining) {
+  if (connection_->was_ended_by_close() && body_mode_ != BodyMode::kDiscard) {
     // The end of the upstream's process looks the same.
     start_check_ = context_.start_checks.Check(
-        upstream_, [this](bool has_ended) { OnUnframedEnd(has_ended); });
+        upstream_,
+        [this](bool may_have_ended) { OnUnframedEnd(may_have_ended); });
     return;
   }
   OnAnswerEnded();
 }
 
-void Call::OnUnframedEnd(bool has_upstream_ended) {
+void Call::OnUnframedEnd(bool may_upstream_have_ended) {
   start_check_.reset();
   if (HasCallerLeft()) {
     AbandonAttempt();
     Finish(0, "caller left");
-  } else if (has_upstream_ended) {
+  } else if (may_upstream_have_ended ||
+             context_.router.directory().IsReplaced(upstream_)) {
     OnLost(http1::Loss::kClosed);
   } else {
     OnAnswerEnded();
@@ -554,7 +575,7 @@
   may_have_executed_ = true;
   if (context_.router.NeedsEndCheck(upstream_)) {
     start_check_ = context_.start_checks.Check(
-        upstream_, [this](bool /*has_ended*/) { ContinueAfterLoss(); });
+        upstream_, [this](bool /*may_have_ended*/) { ContinueAfterLoss(); });
   } else {
     ContinueAfterLoss();
   }
--- a/jackdawshunt/gateway/event_splitter.cc
+++ b/jackdawshunt/gateway/event_splitter.cc
@@ -36,26 +36,50 @@
 std::string_view EventSplitter::Feed(std::string_view data) {
   buffer_.erase(0, returned_bytes_);
   returned_bytes_ = 0;
+  if (is_out_of_order_) {
+    return {};
+  }
   buffer_.append(data);
   size_t end = FindEventEnd(buffer_, returned_bytes_);
   while (end != std::string_view::npos) {
-    ParseEventId(std::string_view(buffer_).substr(returned_bytes_,
-                                                  end - returned_bytes_));
+    if (!ApplyEventId(std::string_view(buffer_).substr(
+            returned_bytes_, end - returned_bytes_))) {
+      break;
+    }
     ++event_count_;
     has_split_event_ = false;
     returned_bytes_ = end;
     end = FindEventEnd(buffer_, returned_bytes_);
   }
   if (buffer_.size() - returned_bytes_ > kMaxEventBytes) {
-    returned_bytes_ = buffer_.size();
-    has_split_event_ = true;
+    SplitEvent();
+  }
+  if (is_out_of_order_) {
+    buffer_.resize(returned_bytes_);
   }
   return std::string_view(buffer_).substr(0, returned_bytes_);
 }
 
-void EventSplitter::ParseEventId(std::string_view event) {
+void EventSplitter::SplitEvent() {
+  std::string_view piece = std::string_view(buffer_).substr(returned_bytes_);
+  // May be the first half of the event's end.
+  for (const std::string_view line_end : {"\n\r", "\n"}) {
+    if (piece.ends_with(line_end)) {
+      piece.remove_suffix(line_end.size());
+      break;
+    }
+  }
+  if (ApplyEventId(piece.substr(0, piece.rfind('\n') + 1))) {
+    returned_bytes_ += piece.size();
+    has_split_event_ = true;
+  }
+}
+
+bool EventSplitter::ApplyEventId(std::string_view event) {
   constexpr std::string_view kField = "id:";
-  size_t start = 0;
+  const std::optional<uint64_t> previous = last_event_id_;
+  // After a split, the first line is the rest of one.
+  size_t start = has_split_event_ ? event.find('\n') : 0;
   while (start < event.size()) {
     const size_t end = event.find('\n', start);
     std::string_view line = event.substr(start, end - start);
@@ -68,19 +92,25 @@
       const auto result =
           std::from_chars(line.data(), line.data() + line.size(), id);
       if (result.ec == std::errc()) {
+        if (previous.has_value() && id <= *previous) {
+          is_out_of_order_ = true;
+          return false;
+        }
         last_event_id_ = id;
       }
     }
     if (end == std::string_view::npos) {
-      return;
+      break;
     }
     start = end + 1;
   }
+  return true;
 }
 
 void EventSplitter::DropPartial() {
   buffer_.clear();
   returned_bytes_ = 0;
+  is_out_of_order_ = false;
 }
 
 std::string_view EventSplitter::partial() const {
--- a/jackdawshunt/http1/client.cc
+++ b/jackdawshunt/http1/client.cc
@@ -5,6 +5,8 @@
 #include <cstring>
 #include <utility>
 
+#include "absl/container/flat_hash_set.h"
+#include "jackdawshunt/http1/internal/embedded_head_scanner.h"
 #include "jackdawshunt/http1/internal/socket_options.h"
 #include "jackdawshunt/http1/internal/socket_stream.h"
 
@@ -17,6 +19,10 @@
 // More bytes of responses to other requests end the connection.
 constexpr size_t kMaxForeignBodyBytes = size_t{256} * 1024;
 
+// After so many requests a connection is not reused, which bounds the memory
+// for their keys.
+constexpr size_t kMaxRequestKeys = 4096;
+
 // Parses "timeout=N" in a Keep-Alive header, N in seconds. Returns max() if it
 // is absent or malformed.
 kernel::Duration ParseKeepAlive(std::string_view value) {
@@ -41,7 +47,8 @@
 }
 
 struct ClientConnection::Impl final : ResponseSink,
-                                      internal::SocketStream::Owner {
+                                      internal::SocketStream::Owner,
+                                      internal::EmbeddedHeadScanner::Owner {
   Impl(kernel::EventLoop& on_loop,
        const http::Address& to_address,
        ClientConnectionOptions with_options)
@@ -90,7 +97,7 @@
     if (is_orderly && receiver != nullptr) {
       parser.FeedEnd(*this);
       if (parser.state() == ParseState::kComplete) {
-        CompleteMessage(/*has_unread=*/false);
+        CompleteUnframed();
         return;
       }
     }
@@ -106,8 +113,8 @@
       if (!stream.is_open()) {
         return;  // Cancelled by a callback.
       }
-      if (parser.state() == ParseState::kInvalid ||
-          foreign_body_bytes > kMaxForeignBodyBytes) {
+      if (parser.state() == ParseState::kInvalid || has_unknown_framing ||
+          has_embedded_response || foreign_body_bytes > kMaxForeignBodyBytes) {
         CloseAsLost(Loss::kMalformed);
         return;
       }
@@ -124,6 +131,7 @@
     matches_request = receiver->MatchesRequest(head);
     if (!matches_request) {
       has_foreign_response = true;
+      has_unknown_framing = has_sent_head_request;
       return;
     }
     const std::string_view keep_alive_header =
@@ -137,11 +145,36 @@
   void OnBody(std::string_view data) override {
     if (!matches_request) {
       foreign_body_bytes += data.size();
+    } else if (parser.is_unframed()) {
+      has_embedded_response = has_embedded_response || !scanner.Feed(data);
     } else if (receiver != nullptr) {
       receiver->OnBody(data);
     }
   }
 
+  // internal::EmbeddedHeadScanner::Owner; the receiver may have cancelled the
+  // request meanwhile.
+  void OnScannedBody(std::string_view data) override {
+    if (receiver != nullptr) {
+      receiver->OnBody(data);
+    }
+  }
+  bool MayContinueWithStatusLine() override {
+    return receiver != nullptr && receiver->MayContinueWithStatusLine();
+  }
+  bool IsOtherResponse(const ResponseHead& head) override {
+    return receiver != nullptr && receiver->IsOtherResponse(head);
+  }
+
+  // Completes a message whose end the end of the connection marked.
+  void CompleteUnframed() {
+    if (matches_request && !scanner.FeedEnd()) {
+      CloseAsLost(Loss::kMalformed);
+    } else if (receiver != nullptr) {
+      CompleteMessage(/*has_unread=*/false);
+    }
+  }
+
   void CompleteMessage(bool has_unread) {
     const bool keeps_open = parser.keep_alive();
     if (!matches_request) {
@@ -152,7 +185,8 @@
       return;
     }
     const bool reusable = keeps_open && !has_foreign_response && !has_unread &&
-                          stream.unwritten() == 0;
+                          stream.unwritten() == 0 &&
+                          request_keys.size() < kMaxRequestKeys;
     ResponseReceiver* const finished_receiver =
         std::exchange(receiver, nullptr);
     if (reusable) {
@@ -178,16 +212,23 @@
   kernel::Timer connect_timer;
   std::string unsent_request;
   ResponseParser parser;
+  internal::EmbeddedHeadScanner scanner{*this};
+  bool has_embedded_response = false;
   ResponseReceiver* receiver = nullptr;
   kernel::Duration keep_alive = kernel::Duration::max();
   kernel::TimePoint idle_since{};
   uint64_t request_count = 0;
+  absl::flat_hash_set<uint64_t> request_keys;
   bool is_connected = false;
   bool is_closed = false;
   // The response being parsed belongs to the current request.
   bool matches_request = false;
   // A response to another request was received.
   bool has_foreign_response = false;
+  bool has_sent_head_request = false;
+  // The end of a response to another request is not known, since the method of
+  // that request is not: a response to HEAD has no body.
+  bool has_unknown_framing = false;
   size_t foreign_body_bytes = 0;  // Of all such responses.
   bool is_head_request = false;
 };
@@ -200,13 +241,19 @@
 
 void ClientConnection::Send(std::string_view request,
                             bool is_head_request,
-                            ResponseReceiver& receiver) {
+                            ResponseReceiver& receiver,
+                            uint64_t request_key) {
   Impl& self = *impl_;
   self.receiver = &receiver;
   self.is_head_request = is_head_request;
+  self.has_sent_head_request |= is_head_request;
   self.matches_request = false;
   self.parser.Reset(is_head_request);
+  self.scanner.Reset();
   ++self.request_count;
+  if (request_key != 0) {
+    self.request_keys.insert(request_key);
+  }
   if (self.is_connected) {
     self.stream.Write(request);
     return;
@@ -231,15 +278,24 @@
 bool ClientConnection::is_usable() const {
   return !impl_->is_closed;
 }
+bool ClientConnection::has_sent(uint64_t request_key) const {
+  return impl_->request_keys.contains(request_key);
+}
 bool ClientConnection::is_busy() const {
   return impl_->receiver != nullptr;
 }
+bool ClientConnection::is_unframed() const {
+  return impl_->parser.is_unframed();
+}
 bool ClientConnection::was_ended_by_close() const {
   return impl_->parser.was_ended_by_close();
 }
 bool ClientConnection::was_refused() const {
   return impl_->stream.was_refused();
 }
+bool ClientConnection::was_accepted() const {
+  return impl_->stream.was_accepted();
+}
 bool ClientConnection::was_reused() const {
   return impl_->request_count > 1;
 }
--- a/jackdawshunt/http1/client.h
+++ b/jackdawshunt/http1/client.h
@@ -12,6 +12,7 @@
 #ifndef JACKDAWSHUNT_HTTP1_CLIENT_H_
 #define JACKDAWSHUNT_HTTP1_CLIENT_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -55,6 +56,15 @@
   virtual bool MatchesRequest(const ResponseHead& head) = 0;
   virtual void OnHead(const ResponseHead& head) = 0;
   virtual void OnBody(std::string_view data) = 0;
+  // A body without length or chunks may hold another response, since only the
+  // end of the connection marks its end. It is then reported as malformed, with
+  // the bytes before it as the body, if one of these says so:
+  // Returns whether the body received so far may go on with bytes like a status
+  // line.
+  virtual bool MayContinueWithStatusLine() { return true; }
+  // Returns whether `head`, which was received inside the body, begins another
+  // response.
+  virtual bool IsOtherResponse(const ResponseHead& /*head*/) { return false; }
   virtual void OnEnd() = 0;
   virtual void OnLost(Loss loss) = 0;
 };
@@ -70,10 +80,12 @@
 
   // Sends the bytes of one request. Requires !is_busy() and is_usable().
   // `receiver` must stay valid until OnEnd(), OnLost() or CancelRequest(). No
-  // callback runs before Send() returns.
+  // callback runs before Send() returns. `request_key` is a hash of the id that
+  // responses name, if they do; see has_sent().
   void Send(std::string_view request,
             bool is_head_request,
-            ResponseReceiver& receiver);
+            ResponseReceiver& receiver,
+            uint64_t request_key = 0);
   // Closes the connection without a callback; it is not usable afterwards.
   void CancelRequest();
 
@@ -84,14 +96,22 @@
   // Returns false once the connection has ended, or can't be reused because the
   // peer sent bytes outside the response.
   bool is_usable() const;
+  // Returns whether a request with this key was sent on the connection, so that
+  // a late response to it would be taken for that to another one.
+  bool has_sent(uint64_t request_key) const;
   // Returns whether a request was sent and its response is not complete.
   bool is_busy() const;
-  // Returns whether the latest response had neither a length nor chunks, so
-  // that only the end of the connection marked its end.
+  // Returns whether the latest response has neither a length nor chunks, so
+  // that only the end of the connection marks its end.
+  bool is_unframed() const;
+  // Returns whether the end of the connection marked the end of the latest
+  // response.
   bool was_ended_by_close() const;
   // Returns whether it was not established because nothing listens at the
   // address.
   bool was_refused() const;
+  // Returns whether the peer accepted it, also if it reset it at once.
+  bool was_accepted() const;
   // Returns whether the latest request was not the first one.
   bool was_reused() const;
   // Returns how long the peer keeps an idle connection open, or max() if the
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -88,12 +88,16 @@
   bool IsStillWanted() override { return is_wanted; }
   void OnHead(const ResponseHead& head) override { status = head.status; }
   void OnBody(std::string_view data) override { body.append(data); }
+  bool IsOtherResponse(const ResponseHead&) override {
+    return !may_hold_response;
+  }
   void OnEnd() override { has_ended = true; }
   void OnLost(Loss with) override { loss = with; }
   bool is_done() const { return has_ended || loss.has_value(); }
 
   std::string id = "1";
   bool is_wanted = true;
+  bool may_hold_response = true;
   int status = 0;
   std::string body;
   bool has_ended = false;
@@ -102,8 +106,10 @@
 
 class ClientConnectionTest : public ::testing::Test {
  protected:
-  void Send() {
-    connection_.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", false, receiver_);
+  void Send(bool is_head_request = false) {
+    connection_.Send(is_head_request ? "HEAD / HTTP/1.1\r\nHost: x\r\n\r\n"
+                                     : "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+                     is_head_request, receiver_);
     server_.AwaitConnections(1);
   }
   void AwaitDone() {
@@ -197,6 +203,83 @@
   EXPECT_EQ(receiver_.loss, Loss::kClosed);
 }
 
+TEST_F(ClientConnectionTest, KnowsTheRequestsThatItHasSent) {
+  connection_.Send("GET / HTTP/1.1\r\n\r\n", false, receiver_, 7);
+  EXPECT_TRUE(connection_.has_sent(7));
+  EXPECT_FALSE(connection_.has_sent(8));
+}
+
+// Guards against a response taken from the body of a late one: a response to
+// another request is framed by the method of that request, and the current one
+// is HEAD.
+TEST_F(ClientConnectionTest, ForeignResponseToHeadRequestIsMalformed) {
+  Send(/*is_head_request=*/true);
+  const std::string body =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\n";
+  server_.Write("HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+  AwaitDone();
+  EXPECT_FALSE(receiver_.has_ended);
+  EXPECT_EQ(receiver_.loss, Loss::kMalformed);
+}
+
+// Guards against a response that loses its beginning to a late one, which
+// answers an earlier HEAD request and has no body despite its length.
+TEST_F(ClientConnectionTest, ForeignResponseAfterHeadRequestIsMalformed) {
+  receiver_.id = "0";
+  Send(/*is_head_request=*/true);
+  const std::string to_head =
+      "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 50\r\n\r\n";
+  server_.Write(to_head);
+  AwaitDone();
+  ASSERT_TRUE(connection_.is_usable());
+  receiver_ = {};
+  Send();
+  // As the body of the late response, these 50 bytes would hide the first of
+  // two responses.
+  server_.Write(to_head +
+                "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nfirst"
+                "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 6\r\n\r\nsecond");
+  AwaitDone();
+  EXPECT_EQ(receiver_.body, "");
+  EXPECT_EQ(receiver_.loss, Loss::kMalformed);
+}
+
+// Guards against the loss of framed bodies that quote a response.
+TEST_F(ClientConnectionTest, FramedBodyMayHoldAResponse) {
+  receiver_.may_hold_response = false;
+  const std::string body =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok";
+  Send();
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+  AwaitDone();
+  EXPECT_EQ(receiver_.body, body);
+  receiver_ = {};
+  receiver_.may_hold_response = false;
+  Send();
+  std::string chunk;
+  AppendChunk(body, chunk);
+  server_.Write(
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk +
+      std::string(kLastChunk));
+  AwaitDone();
+  EXPECT_EQ(receiver_.body, body);
+  EXPECT_TRUE(connection_.is_usable());
+}
+
+// Guards against the bytes of another response in a body that only the end of
+// the connection ends.
+TEST_F(ClientConnectionTest, UnframedBodyEndsBeforeAnotherResponse) {
+  receiver_.may_hold_response = false;
+  Send();
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nfirst");
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 6\r\n\r\nsecond");
+  AwaitDone();
+  EXPECT_EQ(receiver_.body, "first");
+  EXPECT_EQ(receiver_.loss, Loss::kMalformed);
+}
+
 // Guards against memory and time for a response to another request that never
 // ends.
 TEST_F(ClientConnectionTest, ForeignResponseWithoutEndIsMalformed) {
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -695,6 +695,88 @@
   EXPECT_GT(repeated, 0u);
 }
 
+// Guards against second answers, late and in any framing, that reach a caller
+// or change what is known of their upstream.
+TEST_F(GatewayProcessTest, LateSecondAnswersReachNobody) {
+  Start();
+  for (const UpstreamFault fault :
+       {UpstreamFault::kLateLength, UpstreamFault::kLateChunked,
+        UpstreamFault::kLateNoContent, UpstreamFault::kLateRefusal}) {
+    SetFault(fault);
+    for (int i = 0; i < 12; ++i) {
+      for (const char* const route : {kHold, kFetch, kGenerate}) {
+        const CallPtr call = Call({.route = route});
+        EXPECT_EQ(call->status(), 200) << static_cast<int>(fault);
+        EXPECT_EQ(call->body(),
+                  StandInUpstream::ExpectedBody(
+                      call->id(), std::string(route) == kGenerate, 5));
+        EXPECT_EQ(Runs(*call), 1u);
+      }
+    }
+  }
+  EXPECT_EQ(fleet_->GatewayLog(0).find("\"upstream_state\""),
+            std::string::npos);
+}
+
+// Guards against an answer to another request of the same id, which callers
+// choose: it comes late, where the answer to the second one is expected.
+TEST_F(GatewayProcessTest, ALateAnswerToARequestOfTheSameIdReachesNobody) {
+  Start();
+  SetFault(UpstreamFault::kLateNoContent);
+  for (int i = 0; i < 12; ++i) {
+    const CallPtr call = Call({.route = kFetch, .request_id = "chosen"});
+    EXPECT_EQ(call->status(), 200);
+    EXPECT_EQ(call->body(), "result of chosen");
+  }
+}
+
+// Guards against a body that holds another answer: an answer without length or
+// chunks ends with its connection, and a second one comes before that.
+TEST_F(GatewayProcessTest, AnAnswerInsideAnUnframedBodyReachesNobody) {
+  Start();
+  AwaitRepeatBudget();
+  for (const UpstreamFault fault :
+       {UpstreamFault::kUnframedSecond, UpstreamFault::kUnframedRefusal,
+        UpstreamFault::kUnframedEarlier, UpstreamFault::kUnframedCut}) {
+    for (const char* const route : {kHold, kFetch, kGenerate, kRevise}) {
+      // Leaves connections on which another request was answered.
+      SetFault(UpstreamFault::kNone);
+      for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(Call({.route = route})->status(), 200);
+      }
+      SetFault(fault);
+      const CallPtr call = Call({.route = route});
+      EXPECT_EQ(call->body().find("HTTP/1."), std::string::npos)
+          << static_cast<int>(fault) << " " << route;
+      if (call->status() == 200 && call->is_complete()) {
+        EXPECT_EQ(call->body(), StandInUpstream::ExpectedBody(
+                                    call->id(),
+                                    std::string(route) == kGenerate ||
+                                        std::string(route) == kRevise,
+                                    5))
+            << static_cast<int>(fault) << " " << route;
+      }
+      if (std::string(route) == kHold) {
+        EXPECT_EQ(call->status(), 502) << static_cast<int>(fault);
+      }
+    }
+  }
+  EXPECT_EQ(fleet_->GatewayLog(0).find("\"held_back\""), std::string::npos);
+  EXPECT_TRUE(fleet_->RunTwice().empty());
+}
+
+// Guards against events that a caller gets twice: those of a second run follow
+// the stream on its connection.
+TEST_F(GatewayProcessTest, EventsOfASecondRunReachNobody) {
+  Start();
+  SetFault(UpstreamFault::kUnframedSecondRun);
+  for (const char* const route : {kGenerate, kRevise}) {
+    const CallPtr call = Call({.route = route});
+    EXPECT_EQ(call->body(), WholeStream(*call)) << route;
+    EXPECT_FALSE(std::string(route) == kGenerate && call->is_complete());
+  }
+}
+
 // Guards against an unframed stream that looks complete because its engine's
 // process ended between two events, which closes the connection in order.
 TEST_F(GatewayProcessTest, AnUnframedStreamOfAnEndedEngineIsNotComplete) {
@@ -708,6 +790,42 @@
   EXPECT_FALSE(call->is_complete());
 }
 
+// Guards against the same where the engine has announced its end.
+TEST_F(GatewayProcessTest,
+       AnUnframedStreamOfAnEndedDrainingEngineIsNotComplete) {
+  Start({.engines = 1, .stream_events = 200});
+  SetFault(UpstreamFault::kUnframed);
+  const CallPtr call = BeginStream(0);
+  fleet_->PutUpstream(0, "draining");
+  fleet_->RunFor(milliseconds(500));
+  fleet_->upstream(0).StopInOrder();
+  EXPECT_TRUE(fleet_->Await([&] { return call->is_done(); }));
+  EXPECT_FALSE(call->is_complete());
+}
+
+// Guards against the same where another engine accepts connections at the
+// address already.
+TEST_F(GatewayProcessTest, AnUnframedStreamOfAReplacedEngineIsNotComplete) {
+  Start({.engines = 1, .stream_events = 200});
+  SetFault(UpstreamFault::kUnframed);
+  const CallPtr call = fleet_->Call(0, {.route = kGenerate});
+  EXPECT_TRUE(fleet_->Await(
+      [&] { return call->body().find("id: 3\n") != std::string::npos; }));
+  fleet_->store().Put("servers", "i-new",
+                      {{"service", "llm"},
+                       {"address", fleet_->upstream_address(0).ToString()},
+                       {"zone", "z"},
+                       {"version", "v1"},
+                       {"slots", 64},
+                       {"state", "ready"},
+                       {"coldRemainingMs", 0},
+                       {"sequence", 1}});
+  fleet_->RunFor(milliseconds(500));
+  fleet_->upstream(0).EndAnswersInOrder();
+  EXPECT_TRUE(fleet_->Await([&] { return call->is_done(); }));
+  EXPECT_FALSE(call->is_complete());
+}
+
 TEST_F(GatewayProcessTest, ListsAgainWhenTheHistoryIsGone) {
   Start();
   fleet_->store().SetFault(StoreFault::kBusy);
