Log and count answers that may hold bytes of another one

No line told that an answer had neither length nor chunks, that answers to other requests were skipped before it, or that it was ended before bytes that are not its own. attempt_lost and request_done now have 'unframed', 'skipped_answers' and 'cut_before', present only where they apply, and jackdawshunt_gateway_irregular_answers_total{kind} counts them.

IrregularAnswersAreLogged failed before for all four lines and passes now. gateway_process_test (46 tests), gateway_test, http1_test, platform_test and routing_test pass.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -272,6 +272,7 @@
   CountResumption("sent");
   sent_at_ = Now();
   answer_ = {};
+  irregularities_ = {};
   first_event_at_.reset();
   body_mode_ = BodyMode::kDiscard;
   discarded_bytes_ = 0;
@@ -312,11 +313,20 @@
 }
 
 bool Call::MatchesRequest(const http1::ResponseHead& head) {
-  return platform::DecodeAnswer(head).request_id == request_.id;
+  if (platform::DecodeAnswer(head).request_id == request_.id) {
+    return true;
+  }
+  ++irregularities_.skipped_answers;
+  context_.metrics.CountIrregularAnswer("skipped");
+  return false;
 }
 
 void Call::OnHead(const http1::ResponseHead& head) {
   answer_ = platform::DecodeAnswer(head);
+  if (connection_->is_unframed()) {
+    irregularities_.is_unframed = true;
+    context_.metrics.CountIrregularAnswer("unframed");
+  }
   ApplyUpstreamState();
   answer_head_.status = head.status;
   answer_head_.headers = http1::EndToEndHeaders(head.headers);
@@ -425,6 +435,7 @@
       StartForwarding(whole);
     }
     if (splitter_.is_out_of_order()) {
+      CutBefore("event_order");
       connection_->CancelRequest();
       OnLost(http1::Loss::kMalformed);
       return;
@@ -438,15 +449,28 @@
 
 bool Call::MayContinueWithStatusLine() {
   // No field of an event begins like this.
-  return body_mode_ != BodyMode::kEvents || splitter_.is_inside_event();
+  if (body_mode_ != BodyMode::kEvents || splitter_.is_inside_event()) {
+    return true;
+  }
+  CutBefore("other_answer");
+  return false;
 }
 
 bool Call::IsOtherResponse(const http1::ResponseHead& head) {
   const std::string id = platform::DecodeAnswer(head).request_id;
   // Events have no such field. Other bodies may quote a head.
-  return body_mode_ == BodyMode::kEvents
-             ? !id.empty()
-             : connection_->has_sent(routing::HashOf(id));
+  const bool is_other = body_mode_ == BodyMode::kEvents
+                            ? !id.empty()
+                            : connection_->has_sent(routing::HashOf(id));
+  if (is_other) {
+    CutBefore("other_answer");
+  }
+  return is_other;
+}
+
+void Call::CutBefore(std::string_view what) {
+  irregularities_.cut_before = what;
+  context_.metrics.CountIrregularAnswer(what);
 }
 
 void Call::OnFirstEvent() {
@@ -620,6 +644,7 @@
       .Add("status", answer_.status)
       .Add("content", absl::StrCat(absl::Hex(request_.content)))
       .Add("after_ms", ToWholeMs(Now() - sent_at_));
+  AddIrregularities(line);
   if (has_begun) {
     line.Add("since_first_event_ms", ToWholeMs(Now() - *first_event_at_));
   }
@@ -631,6 +656,18 @@
   }
 }
 
+void Call::AddIrregularities(base::LogLine& line) const {
+  if (irregularities_.is_unframed) {
+    line.Add("unframed", true);
+  }
+  if (irregularities_.skipped_answers > 0) {
+    line.Add("skipped_answers", irregularities_.skipped_answers);
+  }
+  if (!irregularities_.cut_before.empty()) {
+    line.Add("cut_before", irregularities_.cut_before);
+  }
+}
+
 void Call::HandleNotExecuted() {
   if (request_.send_count < request_.route->attempts &&
       Now() < request_.deadline) {
@@ -760,14 +797,15 @@
   const kernel::Duration total = Now() - request_.arrived_at;
   context_.metrics.CountAnswer(kind_name(), status, reason);
   context_.metrics.ObserveTotal(kind_name(), total);
-  base::LogLine(base::LogLevel::kInfo, "request_done")
-      .Add("request", request_.id)
+  base::LogLine line(base::LogLevel::kInfo, "request_done");
+  line.Add("request", request_.id)
       .Add("status", status)
       .Add("reason", reason)
       .Add("upstream", upstream_.id)
       .Add("sends", request_.send_count)
       .Add("events", splitter_.event_count())
       .Add("ms", ToWholeMs(total));
+  AddIrregularities(line);
 }
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -100,6 +100,15 @@
     kEvents,   // Forwarded event by event.
   };
 
+  // What may put bytes of another answer into the one of an attempt.
+  struct Irregularities {
+    bool is_unframed = false;  // The answer has neither length nor chunks.
+    int skipped_answers = 0;   // To other requests, before this one.
+    // Why the answer was ended before bytes that are no part of it; empty if it
+    // was not.
+    std::string_view cut_before;
+  };
+
   // Starts the first attempt of a request that resumes a stream, or refuses it
   // if the origin of the stream is not known.
   void OnOriginFound(const OriginAnswer& answer);
@@ -165,6 +174,9 @@
   void Finish(int status, std::string_view reason);
   void LogDecision(const routing::Decision& decision);
   void LogLoss(http1::Loss loss);
+  void AddIrregularities(base::LogLine& line) const;
+  // Records that the answer ends before bytes that are no part of it.
+  void CutBefore(std::string_view what);
   // Applies what the answer's head tells of the upstream itself.
   void ApplyUpstreamState();
   void ApplyUpstreamLimit();
@@ -197,6 +209,7 @@
   kernel::TimePoint sent_at_{};
   std::optional<kernel::TimePoint> first_event_at_;  // Of this attempt.
   platform::UpstreamAnswer answer_;
+  Irregularities irregularities_;
   http1::ResponseHead answer_head_;
   BodyMode body_mode_ = BodyMode::kDiscard;
   std::string collected_;
--- a/jackdawshunt/gateway/metrics.cc
+++ b/jackdawshunt/gateway/metrics.cc
@@ -39,6 +39,11 @@
                            .Help("Answers by which an upstream said that it "
                                  "leaves or wants no requests.")
                            .Register(registry)),
+      irregular_answers_(
+          prometheus::BuildCounter()
+              .Name("jackdawshunt_gateway_irregular_answers_total")
+              .Help("Answers of upstreams that may hold bytes of another one.")
+              .Register(registry)),
       first_byte_{prometheus::BuildHistogram()
                       .Name("jackdawshunt_gateway_first_byte_seconds")
                       .Help("From the request to the first byte of its answer.")
@@ -99,6 +104,10 @@
   upstream_states_.Add({{"state", std::string(state)}}).Increment();
 }
 
+void Metrics::CountIrregularAnswer(std::string_view kind) {
+  irregular_answers_.Add({{"kind", std::string(kind)}}).Increment();
+}
+
 void Metrics::ObserveOriginLookup(kernel::Duration time) {
   origin_lookup_.Observe(ToSeconds(time));
 }
--- a/jackdawshunt/gateway/metrics.h
+++ b/jackdawshunt/gateway/metrics.h
@@ -47,6 +47,10 @@
   // Counts an answer that changed the state of its upstream: "leaving",
   // "held_back", "limited" or "unlimited".
   void CountUpstreamState(std::string_view state);
+  // Counts an answer that may hold bytes of another one: "unframed", with
+  // neither length nor chunks; "skipped", to another request; or ended before
+  // "other_answer" or an event against the "event_order".
+  void CountIrregularAnswer(std::string_view kind);
   // Records the time of a lookup of a stream's origin.
   void ObserveOriginLookup(kernel::Duration time);
   // Records the time from a request to the first byte of its answer.
@@ -72,6 +76,7 @@
   prometheus::Family<prometheus::Counter>& losses_;
   prometheus::Family<prometheus::Counter>& resumptions_;
   prometheus::Family<prometheus::Counter>& upstream_states_;
+  prometheus::Family<prometheus::Counter>& irregular_answers_;
   LatencyMetric first_byte_;
   LatencyMetric total_;
   prometheus::Histogram& origin_lookup_;
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <functional>
+#include <sstream>
 
 #include "gtest/gtest.h"
 #include "jackdawshunt/testing/platform/caller_stream.h"
@@ -777,6 +778,38 @@
   }
 }
 
+// Guards against answers whose end or whose neighbours cannot be told from the
+// log.
+TEST_F(GatewayProcessTest, IrregularAnswersAreLogged) {
+  Start();
+  const auto logs = [&](const CallPtr& call, const std::string& event,
+                        const std::string& field) {
+    return fleet_->Await([&] {
+      std::istringstream lines(fleet_->GatewayLog(0));
+      for (std::string line; std::getline(lines, line);) {
+        if (line.find("\"" + event + "\"") != std::string::npos &&
+            line.find("\"" + call->id() + "\"") != std::string::npos &&
+            line.find(field) != std::string::npos) {
+          return true;
+        }
+      }
+      return false;
+    });
+  };
+  SetFault(UpstreamFault::kForeign);
+  EXPECT_TRUE(
+      logs(Call({.route = kHold}), "request_done", "\"skipped_answers\":1"));
+  SetFault(UpstreamFault::kUnframed);
+  EXPECT_TRUE(
+      logs(Call({.route = kHold}), "request_done", "\"unframed\":true"));
+  SetFault(UpstreamFault::kUnframedSecond);
+  EXPECT_TRUE(logs(Call({.route = kHold}), "attempt_lost",
+                   "\"cut_before\":\"other_answer\""));
+  SetFault(UpstreamFault::kUnframedSecondRun);
+  EXPECT_TRUE(logs(Call({.route = kGenerate}), "attempt_lost",
+                   "\"cut_before\":\"event_order\""));
+}
+
 // Guards against an unframed stream that looks complete because its engine's
 // process ended between two events, which closes the connection in order.
 TEST_F(GatewayProcessTest, AnUnframedStreamOfAnEndedEngineIsNotComplete) {
