Treat an answer that ends inside an event as a lost attempt

Cause: an answer with complete framing that ends inside an event ended its attempt without noting that the request may have run, and went on to resume a stream that may not have begun. With no other engine the caller was told that nothing ran; a stream that may not be repeated was reset before its answer had begun. The loss was not logged. Change: the branch goes through OnLost(kMalformed), as other lost attempts do. A new fault of the stand-in engine, kEndInsideEvent; plain services ignore it. Ruled out: losing the start check. OnLost() asks for it where the router wants it.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -491,8 +491,7 @@
   if (body_mode_ == BodyMode::kEvents && splitter_.is_inside_event()) {
     // An answer that ends in the middle of an event is incomplete, even if its
     // framing is complete.
-    EndAttempt(routing::Outcome::kLost);
-    ResumeStream();
+    OnLost(http1::Loss::kMalformed);
     return;
   }
   const bool is_server_error = answer_.status >= 500;
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -1,6 +1,7 @@
 // The gateway and board roles as real processes against stand-ins of the
 // users' platform.
 #include <csignal>
+#include <sstream>
 
 #include "gtest/gtest.h"
 #include "jackdawshunt/testing/platform/caller_stream.h"
@@ -56,6 +57,23 @@
     }
     return calls;
   }
+  // Returns the line that gateway 0 logs of this event of the request. Fails if
+  // there is none.
+  std::string LoggedLine(std::string_view event, const PlatformCall& call) {
+    const std::string id = "\"request\":\"" + call.id() + "\"";
+    std::string found;
+    EXPECT_TRUE(fleet_->Await([&] {
+      std::istringstream log(fleet_->GatewayLog(0));
+      for (std::string line; found.empty() && std::getline(log, line);) {
+        if (line.find(event) != std::string::npos &&
+            line.find(id) != std::string::npos) {
+          found = line;
+        }
+      }
+      return !found.empty();
+    })) << event;
+    return found;
+  }
   void DrainEngines(const std::vector<size_t>& engines) {
     for (const size_t engine : engines) {
       fleet_->PutUpstream(engine, "draining");
@@ -560,6 +578,21 @@
   EXPECT_GT(repeated, 0u);
 }
 
+// Guards against an answer that tells the caller that nothing ran, or a reset,
+// after an engine ended its answer in order inside the first event.
+TEST_F(GatewayProcessTest, AnAnswerThatEndsInsideItsFirstEventHasRun) {
+  Start({.engines = 1, .stream_events = 1});
+  AwaitRepeatBudget();
+  SetFault(UpstreamFault::kEndInsideEvent);
+  for (const char* const route : {kRevise, kGenerate}) {
+    const CallPtr call = Call({.route = route, .deadline = seconds(2)});
+    EXPECT_EQ(Runs(*call), 1u) << route;
+    EXPECT_TRUE(call->is_complete()) << route;
+    EXPECT_EQ(call->status(), 502) << route;
+    EXPECT_FALSE(LoggedLine("attempt_lost", *call).empty()) << route;
+  }
+}
+
 // Guards against an unframed stream that looks complete because its engine's
 // process ended between two events, which closes the connection in order.
 TEST_F(GatewayProcessTest, AnUnframedStreamOfAnEndedEngineIsNotComplete) {
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -175,6 +175,13 @@
         }
       });
       return;
+    case UpstreamFault::kEndInsideEvent:
+      if (!options_.is_engine) {
+        break;
+      }
+      End(connection, false);
+      connection.Reply(Head(request, 200), std::string_view(body).substr(0, 9));
+      return;
     case UpstreamFault::kGarbage:
       End(connection, false);
       connection.WriteRaw("\x01\x02 no answer\r\n\r\n");
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -36,7 +36,9 @@
   kForeign,   // Sends another request's answer first.
   kUnsealed,  // Leaves its signature out.
   kUnframed,  // Marks the end of the answer by closing.
-  kHoldOff,   // Does not run: 503 with Retry-After of two seconds.
+  // Only of engines: ends the answer in order inside its first event.
+  kEndInsideEvent,
+  kHoldOff,  // Does not run: 503 with Retry-After of two seconds.
   // Runs, then sends until the other side closes:
   kEndlessHead,       // Header fields.
   kEndlessInterim,    // Interim responses.
