Read again on a connection whose last response was paused at its end

Cause: a call pauses reading while its caller is slow, and only clears its own flag when the answer ends. The connection went back to the pool paused: the next request on it ran and its answer was never read, and the end of the idle connection was not noticed. Change: ClientConnection resumes reading when a response is complete and the connection can be reused. Ruled out: resuming in the call. The connection may have no call any more when its caller has read the rest, and every user of the class would have to do it.

--- a/jackdawshunt/http1/client.cc
+++ b/jackdawshunt/http1/client.cc
@@ -157,6 +157,7 @@
         std::exchange(receiver, nullptr);
     if (reusable) {
       idle_since = loop.clock().Now();
+      stream.SetReading(true);  // The receiver may have paused it.
     } else {
       Close();
     }
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -100,6 +100,19 @@
   std::optional<Loss> loss;
 };
 
+// Pauses reading at each part of the body, as for a caller that reads slowly.
+struct PausingReceiver final : ResponseReceiver {
+  explicit PausingReceiver(ClientConnection& on) : connection(on) {}
+  bool MatchesRequest(const ResponseHead&) override { return true; }
+  void OnHead(const ResponseHead&) override {}
+  void OnBody(std::string_view) override { connection.PauseReading(); }
+  void OnEnd() override { has_ended = true; }
+  void OnLost(Loss) override {}
+
+  ClientConnection& connection;
+  bool has_ended = false;
+};
+
 class ClientConnectionTest : public ::testing::Test {
  protected:
   void Send() {
@@ -111,6 +124,16 @@
         loop_.RunUntil([&] { return receiver_.is_done(); }, seconds(20)));
   }
 
+  // Completes a response during which reading was paused.
+  void PauseUntilEnd() {
+    PausingReceiver paused(connection_);
+    connection_.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", false, paused);
+    server_.AwaitConnections(1);
+    server_.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(loop_.RunUntil([&] { return paused.has_ended; }, seconds(20)));
+    ASSERT_TRUE(connection_.is_usable());
+  }
+
   kernel::EventLoop loop_;
   RawServer server_{loop_};
   ClientConnection connection_{loop_, server_.address(), {}};
@@ -129,6 +152,26 @@
   EXPECT_EQ(connection_.keep_alive(), kernel::Duration(seconds(4)));
 }
 
+// Guards against a reused connection whose response is never read because
+// reading was paused when the previous response ended.
+TEST_F(ClientConnectionTest, ReadsAgainAfterAPausedResponse) {
+  PauseUntilEnd();
+  Send();
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  AwaitDone();
+  EXPECT_TRUE(receiver_.has_ended);
+  EXPECT_EQ(receiver_.body, "ok");
+}
+
+// Guards against an idle connection whose end is not noticed for the same
+// reason.
+TEST_F(ClientConnectionTest, NoticesTheEndAfterAPausedResponse) {
+  PauseUntilEnd();
+  server_.Close();
+  EXPECT_TRUE(
+      loop_.RunUntil([&] { return !connection_.is_usable(); }, seconds(20)));
+}
+
 // Guards against a request that reaches an upstream after its caller has left,
 // or after the upstream began to drain, because the connection took long to
 // open.
