Keep the share of an attempt that ran when its repeat is refused

Cause: the tokens of a request count once in its workspace's share. When a first attempt ran and was lost, and a second one was refused as not run, the refusal took back the tokens that the first one had used. Change: a refused attempt takes back the tokens only if it made them count. Measured: ARefusedRepeatKeepsTheShareOfTheAttemptThatRan failed before (share 0 after the refusal) and passes now, with all 90 of routing_test; UnexecutedRequestUsesNoShare still gives the tokens back and counts them again. Ruled out: counting each attempt on its own. The share is meant per request.

--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -586,6 +586,7 @@
   request.tried_upstreams.push_back(upstream.id);
   ++request.send_count;
   request.is_answer_proven = false;
+  request.is_counted_by_attempt = false;
   request.lost_at_start.reset();
   health_.StartTrial(upstream.id, now);
   UpstreamState& state = StateOf(upstream);
@@ -597,6 +598,7 @@
                       request.prompt->max_output_tokens, now);
   if (!request.workspace.empty() && !request.is_counted_in_share) {
     request.is_counted_in_share = true;
+    request.is_counted_by_attempt = true;
     shares_.OnAdmitted(HashOf(request.workspace), ShareTokens(*request.prompt),
                        now);
   }
@@ -632,7 +634,8 @@
   health_.Record(upstream.id, outcome, now);
   RecordParts(request, upstream, outcome, now);
   Release(request, upstream, MayHaveExecuted(outcome), now);
-  if (request.is_counted_in_share && !MayHaveExecuted(outcome)) {
+  if (request.is_counted_by_attempt && !MayHaveExecuted(outcome)) {
+    request.is_counted_by_attempt = false;
     request.is_counted_in_share = false;
     shares_.OnNotExecuted(HashOf(request.workspace),
                           ShareTokens(*request.prompt), now);
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -84,6 +84,8 @@
   uint32_t send_count = 0;                   // Attempts sent.
   // Whether its tokens count as admitted in its workspace's share.
   bool is_counted_in_share = false;
+  // Whether they count because of the last attempt.
+  bool is_counted_by_attempt = false;
   // The origin of its stream, once it has begun; only upstreams of the same
   // origin may continue it.
   std::optional<uint64_t> origin;
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -335,6 +335,25 @@
   EXPECT_LE(again, used);
 }
 
+// Guards against tokens of an attempt that ran and are given back because a
+// later attempt was refused.
+TEST_F(RouterTest, ARefusedRepeatKeepsTheShareOfTheAttemptThatRan) {
+  Router router({}, Now());
+  router.SetDesiredState(MakeEngineState());
+  router.directory().Replace({MakeUpstream("a"), MakeUpstream("b")}, Now());
+  router.shares().OnRequest(HashOf("other"), 100000, Now());  // Not admitted.
+  RoutedRequest request = MakePromptRequest(router, Now());
+  for (const Outcome outcome : {Outcome::kLost, Outcome::kOverloaded}) {
+    router.OnSent(request, router.Choose(request, {}, Now()), Now());
+    clock_.Advance(milliseconds(300));
+    EXPECT_GT(router.shares().ShareUsed(HashOf("lodge"), Now()), 0);
+    router.OnEnded(request, MakeUpstream(request.tried_upstreams.back()),
+                   outcome, Now());
+  }
+  clock_.Advance(milliseconds(300));
+  EXPECT_GT(router.shares().ShareUsed(HashOf("lodge"), Now()), 0);
+}
+
 // Guards against a workspace that starts to flood and takes its share of the
 // whole window within a second, while all others wait.
 TEST_F(FairShareTest, StartOfFloodGetsLittleMoreThanOthersInItsFirstSecond) {
