Deliver a request that was read ahead before the connection closes

Cause: requests that were read ahead are parsed in the turn after the response before them. Between the two the connection counted as idle: CloseWhenIdle() closed it, and the request was neither delivered nor answered. Change: unparsed bytes count as an arriving request, unless the connection closes after its last response, when they are never parsed. Measured: CloseWhenIdleDeliversARequestThatWasReadAhead failed before (nothing arriving, no answer to the second request in 20 s) and passes now, with all 38 of http1_test. NothingArrivesAfterTheLastResponse passes before and after; it guards against waiting for a connection that lingers. Ruled out: parsing at once in Finish(), which may run inside OnRequest().

--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -413,6 +413,32 @@
   EXPECT_EQ(text_.find(kLastChunk), std::string::npos);
 }
 
+// Guards against a request that was read ahead and is neither delivered nor
+// answered because the connection is told to close before it is parsed.
+TEST_F(ServerConnectionTest, CloseWhenIdleDeliversARequestThatWasReadAhead) {
+  handler_.responds = false;
+  Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return !handler_.targets.empty(); }, seconds(20)));
+  handler_.responds = true;
+  connection_->Reply({.status = 200, .headers = {}}, "one");
+  EXPECT_TRUE(connection_->has_arriving_request());
+  connection_->CloseWhenIdle();
+  ASSERT_TRUE(AwaitText("/2"));
+  EXPECT_EQ(handler_.targets, (std::vector<std::string>{"/1", "/2"}));
+}
+
+// Guards against bytes after the last request that count as an arriving request
+// for as long as the closing connection lingers.
+TEST_F(ServerConnectionTest, NothingArrivesAfterTheLastResponse) {
+  handler_.responds = false;
+  Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return !handler_.targets.empty(); }, seconds(20)));
+  connection_->Reply({.status = 200, .headers = {}}, "one", true);
+  EXPECT_FALSE(connection_->has_arriving_request());
+}
+
 TEST_F(ServerConnectionTest, CloseWhenIdleWaitsForResponse) {
   handler_.responds = false;
   Write("GET /last HTTP/1.1\r\n\r\n");
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -339,6 +339,7 @@
   int unread = 0;
   return impl_->stream.is_open() && !impl_->is_busy &&
          (has_partial_request() ||
+          (!impl_->unparsed.empty() && !impl_->closes_after_response) ||
           (ioctl(impl_->stream.fd(), FIONREAD, &unread) == 0 && unread > 0));
 }
 
