Report the first event of each attempt to the board and the router

Cause: the first event was reported once a call. The second engine of a resumed stream was never reported to have begun: its claim stayed waiting, so the board and the gateway's own estimate counted the time since as a wait for requests behind it, up to four seconds, and the board's count of failed connections was not reset. Change: the board, the router and the origin's record take the first event of each attempt; the record is made only where there is none yet. The time to the first byte is still observed once a call. Measured: AResumedStreamDelaysNoRequestBehindIt failed before (wait of 1173 ms by the board's estimate, 1192 ms by the gateway's, instead of 0) and passes now. Ruled out: reporting at the head of the answer, which says nothing of the prefill.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -404,8 +404,6 @@
       context_.router.OnAnswerContinues(request_, *first_event_at_, Now());
     } else if (!whole.empty()) {
       first_event_at_ = Now();
-    }
-    if (!whole.empty() && !has_first_event_) {
       OnFirstEvent();
     }
     if (is_answer_started_) {
@@ -421,7 +419,6 @@
 }
 
 void Call::OnFirstEvent() {
-  has_first_event_ = true;
   if (!request_.origin.has_value()) {
     request_.origin = upstream_.origin;
     if (request_.route->is_resumable) {
@@ -433,7 +430,9 @@
     context_.boards.SendProgress(upstream_, request_,
                                  board::Progress::kFirstEvent);
   }
-  context_.metrics.ObserveFirstByte(kind_name(), Now() - request_.arrived_at);
+  if (!std::exchange(has_first_event_, true)) {
+    context_.metrics.ObserveFirstByte(kind_name(), Now() - request_.arrived_at);
+  }
 }
 
 void Call::OnCallerDrained() {
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -171,7 +171,7 @@
   void AddUpstreamState(base::LogLine& line, std::string_view state);
   // Counts the attempt if it continues a started stream.
   void CountResumption(std::string_view result);
-  // Records the first event of the stream.
+  // Records the first event of the current attempt's answer.
   void OnFirstEvent();
   // Returns whether the caller has disconnected, also if the connection's end
   // was not processed yet.
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -1,6 +1,7 @@
 // The gateway and board roles as real processes against stand-ins of the
 // users' platform.
 #include <csignal>
+#include <cstdlib>
 #include <sstream>
 
 #include "gtest/gtest.h"
@@ -74,6 +75,16 @@
     })) << event;
     return found;
   }
+  // Returns the wait in milliseconds that gateway 0 expected when it placed the
+  // request.
+  int WaitWhenPlaced(const PlatformCall& call) {
+    constexpr std::string_view kWait = "\"wait_ms\":";
+    const std::string line = LoggedLine("request_placed", call);
+    const size_t at = line.find(kWait);
+    return at == std::string::npos
+               ? -1
+               : std::atoi(line.c_str() + at + kWait.size());
+  }
   void DrainEngines(const std::vector<size_t>& engines) {
     for (const size_t engine : engines) {
       fleet_->PutUpstream(engine, "draining");
@@ -191,6 +202,31 @@
   EXPECT_GE(fleet_->runs().at(call->id()).back().from_event, 3u);
 }
 
+// Guards against a resumed stream that counts as not begun at its second
+// engine, so that requests behind it are refused for a wait that does not
+// exist.
+TEST_F(GatewayProcessTest, AResumedStreamDelaysNoRequestBehindIt) {
+  // By the estimate of the engine's board, then by the gateway's own.
+  for (const bool has_boards : {true, false}) {
+    Start({.stream_events = 300});
+    AwaitRepeatBudget();
+    const CallPtr resumed = BeginStream(0);
+    const std::string first = fleet_->runs().at(resumed->id()).front().upstream;
+    const size_t crashed = first == "i-0" ? 0 : 1;
+    fleet_->upstream(crashed).Crash();
+    ASSERT_TRUE(fleet_->Await([&] { return Runs(*resumed) == 2; }));
+    DrainEngines({crashed});
+    fleet_->RunFor(milliseconds(500));
+    if (!has_boards) {
+      fleet_->board(0).Kill();
+      fleet_->board(1).Kill();
+    }
+    const CallPtr behind = fleet_->Call(0, {.route = kGenerate});
+    EXPECT_EQ(WaitWhenPlaced(*behind), 0) << has_boards;
+    EXPECT_FALSE(resumed->is_done());
+  }
+}
+
 // Guards against one answer with events of two software versions.
 TEST_F(GatewayProcessTest, AStreamGoesOnOnlyAtItsSoftwareVersion) {
   Start({.engines = 4, .engine_versions = {"v1", "v2"}, .stream_events = 20});
