--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -425,8 +425,6 @@
       context_.router.OnAnswerContinues(request_, *first_event_at_, Now());
     } else if (!whole.empty()) {
       first_event_at_ = Now();
-    }
-    if (!whole.empty() && !has_first_event_) {
       OnFirstEvent();
     }
     if (is_answer_started_) {
@@ -474,7 +472,6 @@
 }
 
 void Call::OnFirstEvent() {
-  has_first_event_ = true;
   if (!request_.origin.has_value()) {
     request_.origin = upstream_.origin;
     if (request_.route->is_resumable) {
@@ -486,7 +483,9 @@
     context_.boards.SendProgress(upstream_, request_,
                                  board::Progress::kFirstEvent);
   }
-  context_.metrics.ObserveFirstByte(kind_name(), Now() - request_.arrived_at);
+  if (!std::exchange(has_first_event_, true)) {
+    context_.metrics.ObserveFirstByte(kind_name(), Now() - request_.arrived_at);
+  }
 }
 
 void Call::OnCallerDrained() {
@@ -545,8 +544,7 @@
   if (body_mode_ == BodyMode::kEvents && splitter_.is_inside_event()) {
     // An answer that ends in the middle of an event is incomplete, even if its
     // framing is complete.
-    EndAttempt(routing::Outcome::kLost);
-    ResumeStream();
+    OnLost(http1::Loss::kMalformed);
     return;
   }
   const bool is_server_error = answer_.status >= 500;
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -2,6 +2,7 @@
 // users' platform.
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <functional>
 #include <sstream>
 
@@ -59,6 +60,33 @@
     }
     return calls;
   }
+  // Returns the line that gateway 0 logs of this event of the request. Fails if
+  // there is none.
+  std::string LoggedLine(std::string_view event, const PlatformCall& call) {
+    const std::string id = "\"request\":\"" + call.id() + "\"";
+    std::string found;
+    EXPECT_TRUE(fleet_->Await([&] {
+      std::istringstream log(fleet_->GatewayLog(0));
+      for (std::string line; found.empty() && std::getline(log, line);) {
+        if (line.find(event) != std::string::npos &&
+            line.find(id) != std::string::npos) {
+          found = line;
+        }
+      }
+      return !found.empty();
+    })) << event;
+    return found;
+  }
+  // Returns the wait in milliseconds that gateway 0 expected when it placed the
+  // request.
+  int WaitWhenPlaced(const PlatformCall& call) {
+    constexpr std::string_view kWait = "\"wait_ms\":";
+    const std::string line = LoggedLine("request_placed", call);
+    const size_t at = line.find(kWait);
+    return at == std::string::npos
+               ? -1
+               : std::atoi(line.c_str() + at + kWait.size());
+  }
   void DrainEngines(const std::vector<size_t>& engines) {
     for (const size_t engine : engines) {
       fleet_->PutUpstream(engine, "draining");
@@ -265,6 +293,31 @@
   EXPECT_GE(fleet_->runs().at(call->id()).back().from_event, 3u);
 }
 
+// Guards against a resumed stream that counts as not begun at its second
+// engine, so that requests behind it are refused for a wait that does not
+// exist.
+TEST_F(GatewayProcessTest, AResumedStreamDelaysNoRequestBehindIt) {
+  // By the estimate of the engine's board, then by the gateway's own.
+  for (const bool has_boards : {true, false}) {
+    Start({.stream_events = 300});
+    AwaitRepeatBudget();
+    const CallPtr resumed = BeginStream(0);
+    const std::string first = fleet_->runs().at(resumed->id()).front().upstream;
+    const size_t crashed = first == "i-0" ? 0 : 1;
+    fleet_->upstream(crashed).Crash();
+    ASSERT_TRUE(fleet_->Await([&] { return Runs(*resumed) == 2; }));
+    DrainEngines({crashed});
+    fleet_->RunFor(milliseconds(500));
+    if (!has_boards) {
+      fleet_->board(0).Kill();
+      fleet_->board(1).Kill();
+    }
+    const CallPtr behind = fleet_->Call(0, {.route = kGenerate});
+    EXPECT_EQ(WaitWhenPlaced(*behind), 0) << has_boards;
+    EXPECT_FALSE(resumed->is_done());
+  }
+}
+
 // Guards against one answer with events of two software versions.
 TEST_F(GatewayProcessTest, AStreamGoesOnOnlyAtItsSoftwareVersion) {
   Start({.engines = 4, .engine_versions = {"v1", "v2"}, .stream_events = 20});
@@ -680,20 +733,39 @@
 // Guards against a stream that begins with a piece of an event of an earlier
 // attempt, whose engine broke it off inside its first event.
 TEST_F(GatewayProcessTest, ARepeatedStreamHoldsNothingOfTheLostAttempt) {
-  Start({.stream_events = 1});
+  // Several engines break off, as the router soon avoids each that does.
+  Start({.engines = 12, .stream_events = 1});
   AwaitRepeatBudget();
-  fleet_->upstream(0).SetFault(UpstreamFault::kCutInsideEvent);
+  for (size_t engine = 0; engine < 6; ++engine) {
+    fleet_->upstream(engine).SetFault(UpstreamFault::kCutInsideEvent);
+  }
   size_t repeated = 0;
-  for (int i = 0; i < 8; ++i) {
+  for (int i = 0; i < 40; ++i) {
     const CallPtr call =
         Call({.route = kRevise, .shared_part = std::to_string(i)});
-    repeated += Runs(*call) > 1 ? 1 : 0;
     if (call->status() == 200) {
+      EXPECT_TRUE(call->is_complete());
       EXPECT_EQ(call->body(),
                 StandInUpstream::ExpectedBody(call->id(), true, 1));
+      repeated += Runs(*call) > 1 ? 1 : 0;
     }
   }
-  EXPECT_GT(repeated, 0u);
+  EXPECT_GE(repeated, 2u);
+}
+
+// Guards against an answer that tells the caller that nothing ran, or a reset,
+// after an engine ended its answer in order inside the first event.
+TEST_F(GatewayProcessTest, AnAnswerThatEndsInsideItsFirstEventHasRun) {
+  Start({.engines = 1, .stream_events = 1});
+  AwaitRepeatBudget();
+  SetFault(UpstreamFault::kEndInsideEvent);
+  for (const char* const route : {kRevise, kGenerate}) {
+    const CallPtr call = Call({.route = route, .deadline = seconds(2)});
+    EXPECT_EQ(Runs(*call), 1u) << route;
+    EXPECT_TRUE(call->is_complete()) << route;
+    EXPECT_EQ(call->status(), 502) << route;
+    EXPECT_FALSE(LoggedLine("attempt_lost", *call).empty()) << route;
+  }
 }
 
 // Guards against second answers, late and in any framing, that reach a caller
