Let a soak's callers leave only while their own answers last

Cause: a caller that was to leave after its answer had ended, but before the check of the calls, cancelled the request that its kept connection carried by then. Change: the caller stays if its answer has ended, so its answer is checked too.

--- a/jackdawshunt/testing/platform/soak_main.cc
+++ b/jackdawshunt/testing/platform/soak_main.cc
@@ -163,8 +163,8 @@
     calls_.push_back(entry);
     if (Pick(25) == 0) {
       After(milliseconds(Pick(400)), [this, index = calls_.size() - 1] {
-        if (calls_[index].is_checked) {
-          return;  // Its answer has ended.
+        if (calls_[index].call->is_done()) {
+          return;  // Its connection may carry another call.
         }
         calls_[index].has_left = true;
         calls_[index].call->Leave();
