Judge deadly requests and joined answers in the soak

Cause: the soak sent only one content of each plain route, so nothing showed requests that end upstreams, and what followed the last whole event of a stream was not looked at. Change: half of the sound plain requests differ in content, one plain call in eight is one of three deadly requests, with and without a key. At most three sends of each may reach upstreams from 4 s after its third end on; no sound request may be refused as request_quarantined. After the recovery the calls go on until all gateways were in contact for 4 s, since a run is disturbed nearly all the time: without it nothing was judged on the code before the quarantine. Bytes after the last event, and plain answers that were cut, must be a beginning of what the upstream sends. --no-deadly-requests leaves the requests out.

--- a/jackdawshunt/testing/platform/caller_stream.h
+++ b/jackdawshunt/testing/platform/caller_stream.h
@@ -21,7 +21,8 @@
 class CallerStream {
  public:
   // Appends the whole events of an answer. The request that brings the first
-  // event is the one that began the stream.
+  // event is the one that began the stream. What follows them may only be a
+  // piece of the next event of an answer that is not complete.
   void Append(const PlatformCall& call);
 
   // Returns the options of a request that resumes the stream. Requires at least
@@ -32,7 +33,8 @@
   // Software versions of the upstreams that wrote the events.
   const std::set<std::string>& versions() const { return versions_; }
   // Returns what is wrong with the stream: an event that is missing, repeated,
-  // malformed or of another request, or two versions. Empty if nothing is.
+  // malformed or of another request, other bytes, or two versions. Empty if
+  // nothing is.
   std::string Fault() const;
 
  private:
--- a/jackdawshunt/testing/platform/soak_main.cc
+++ b/jackdawshunt/testing/platform/soak_main.cc
@@ -9,10 +9,11 @@
 // history and returns from an older copy; proxies before each gateway, each
 // upstream and the store delay, reset, silence and cut one way; upstreams
 // crash, misbehave, name limits, drain and return; engines are replaced by
-// others of another software version; one part of prompts ends engines; keys
-// are taken away. Callers resume interrupted streams at other gateways. The
-// same seed gives the same faults at the same times. Exits with 1 when a
-// promise was broken and prints the first ones.
+// others of another software version; one part of prompts ends engines, and
+// some requests end the plain upstreams that run them; keys are taken away.
+// Callers resume interrupted streams at other gateways. The same seed gives the
+// same faults at the same times. Exits with 1 when a promise was broken and
+// prints the first ones.
 #include <csignal>
 
 #include <algorithm>
@@ -48,6 +49,8 @@
 // A gateway keeps its time limits once it was undisturbed for so long.
 constexpr kernel::Duration kContact = seconds(4);
 constexpr kernel::Duration kRecovery = seconds(12);
+// Time that is judged after it, with all gateways in contact.
+constexpr kernel::Duration kUndisturbed = seconds(4);
 // Requests that may be lost around planned work.
 constexpr size_t kTolerableLosses = 3;
 constexpr uint32_t kStreamEvents = 60;
@@ -58,6 +61,18 @@
 constexpr char kDeadlyPart[] = "dead";
 // One in so many streams holds the deadly part.
 constexpr size_t kStreamsPerDeadlyPart = 25;
+// Ends of upstreams by one request before all gateways know it, and sends of it
+// that may reach upstreams later.
+constexpr size_t kTolerableRequestEnds = 3;
+constexpr size_t kTolerableLateSends = 3;
+constexpr char kDeadlyMarker[] = "deadly";
+// One in so many plain calls is deadly.
+constexpr size_t kCallsPerDeadlyRequest = 8;
+// Routes of the deadly requests, which differ in content. Each comes an eighth
+// of the run later than the one before.
+constexpr std::array<const char*, 3> kDeadlyRoutes = {kFetch, kOpen, kHold};
+// Contents of sound plain requests on each route.
+constexpr size_t kSoundContents = 50;
 constexpr auto kLimitWindow = seconds(4);
 // Requests with which a caller resumes one stream.
 constexpr int kMaxResumptions = 2;
@@ -70,6 +85,7 @@
   size_t gateways = 3;
   size_t engines = 6;
   size_t plain = 3;
+  bool has_deadly_requests = true;
 };
 
 class Soak {
@@ -77,6 +93,7 @@
   explicit Soak(const SoakOptions& options)
       : options_(options),
         random_(options.seed),
+        content_random_(options.seed),
         fleet_({.gateways = options.gateways,
                 .engines = options.engines,
                 .engine_versions = {kVersions.begin(), kVersions.end()},
@@ -89,10 +106,13 @@
 
   int Run() {
     fleet_.SetDeadlyPart(kDeadlyPart, milliseconds(1500), milliseconds(900));
+    if (options_.has_deadly_requests) {
+      fleet_.SetDeadlyRequest(kDeadlyMarker, milliseconds(800),
+                              milliseconds(500));
+    }
     fleet_.Start();
-    const kernel::TimePoint end =
-        Now() + std::chrono::duration_cast<kernel::Duration>(
-                    std::chrono::duration<double>(options_.seconds));
+    began_ = Now();
+    const kernel::TimePoint end = began_ + RunTime();
     timers_.push_back(fleet_.loop().Every(kCallGap, [this] { StartCall(); }));
     while (Now() < end && violations_.empty()) {
       const auto fault = kFaults.at(Pick(kFaults.size()));
@@ -102,6 +122,9 @@
     }
     Heal();
     CheckRecovery();
+    if (options_.has_deadly_requests) {
+      RunUndisturbed();
+    }
     timers_.clear();
     fleet_.Await([this] {
       return std::all_of(calls_.begin(), calls_.end(), [](const Entry& entry) {
@@ -111,6 +134,7 @@
     CheckCalls();
     CheckRuns();
     CheckDeadlyPart();
+    CheckDeadlyRequests();
     CheckLimits();
     CheckLost();
     return Report();
@@ -135,7 +159,15 @@
   using Fault = void (Soak::*)();
 
   kernel::TimePoint Now() const { return fleet_.now(); }
+  kernel::Duration RunTime() const {
+    return std::chrono::duration_cast<kernel::Duration>(
+        std::chrono::duration<double>(options_.seconds));
+  }
+  static double Seconds(kernel::Duration duration) {
+    return std::chrono::duration<double>(duration).count();
+  }
   size_t Pick(size_t count) { return random_() % count; }
+  size_t PickContent(size_t count) { return content_random_() % count; }
   void Violate(const std::string& what) { violations_.push_back(what); }
   void After(kernel::Duration delay, std::function<void()> callback) {
     timers_.push_back(fleet_.loop().After(delay, std::move(callback)));
@@ -158,6 +190,8 @@
         options.shared_part += absl::StrCat(",", kDeadlyPart);
       }
       entry.stream = std::make_shared<CallerStream>();
+    } else if (options_.has_deadly_requests) {
+      SetContent(options);
     }
     entry.call = fleet_.Call(entry.gateway, options);
     calls_.push_back(entry);
@@ -173,6 +207,26 @@
     }
   }
 
+  // Makes a plain call a deadly request or one of the sound ones.
+  void SetContent(CallOptions& options) {
+    std::string content = absl::StrCat(PickContent(kSoundContents));
+    if (PickContent(kCallsPerDeadlyRequest) == 0) {
+      const size_t begun =
+          std::min(kDeadlyRoutes.size(),
+                   1 + static_cast<size_t>((Now() - began_) / (RunTime() / 8)));
+      options.route = kDeadlyRoutes.at(PickContent(begun));
+      options.api_key = options.route == kOpen ? "" : key_;
+      content = kDeadlyMarker;
+    } else if (PickContent(2) == 0) {
+      return;
+    }
+    if (options.route == kHold) {
+      options.body = content;
+    } else {
+      options.path = absl::StrCat("x?job=", content);
+    }
+  }
+
   // Continues the stream of `interrupted` with a request at any gateway.
   void ResumeStream(const Entry& interrupted) {
     Entry entry;
@@ -440,8 +494,11 @@
   // Requests that were passed on and whose connection ended without an answer,
   // with nothing but planned work as a reason.
   void CheckLost() {
-    for (const auto& end : fleet_.deadly_ends()) {
-      disturbed_upstreams_[end.upstream].push_back({end.at, end.at});
+    for (const auto* const ends :
+         {&fleet_.deadly_ends(), &fleet_.deadly_request_ends()}) {
+      for (const PlatformFleet::DeadlyEnd& end : *ends) {
+        disturbed_upstreams_[end.upstream].push_back({end.at, end.at});
+      }
     }
     std::vector<std::string> lost;
     for (const Entry& entry : calls_) {
@@ -481,7 +538,15 @@
       const kernel::TimePoint limit = entry.sent + kRouteTimeout + kSlack;
       if (!call.is_done()) {
         if (Now() > limit && !WasDisturbed(entry.gateway, entry.sent, Now())) {
-          Violate(absl::StrCat(call.id(), " has no answer in time"));
+          Violate(absl::StrCat(
+              call.id(), " has no answer in time, route ", call.options().route,
+              ", gateway ", entry.gateway, ", sent at ",
+              Seconds(entry.sent - began_), " s, runs ",
+              fleet_.runs().contains(call.id())
+                  ? fleet_.runs().at(call.id()).size()
+                  : 0,
+              ", status ", call.status(), ", kept ",
+              call.options().keeps_connection, ", body ", call.body().size()));
           entry.is_checked = true;
         }
         continue;
@@ -491,9 +556,11 @@
         Violate(absl::StrCat(call.id(), " got another request's answer"));
       }
       CheckStream(entry);
-      if (call.is_complete() && call.status() == 200 &&
-          entry.stream == nullptr &&
-          call.body() != StandInUpstream::ExpectedBody(call.id(), false, 0)) {
+      const std::string body =
+          StandInUpstream::ExpectedBody(call.id(), false, 0);
+      if (call.status() == 200 && entry.stream == nullptr &&
+          (call.is_complete() ? call.body() != body
+                              : !absl::StartsWith(body, call.body()))) {
         Violate(absl::StrCat(call.id(), " got a wrong body: ", call.body()));
       }
     }
@@ -577,6 +644,64 @@
     }
   }
 
+  static bool IsDeadlyRequest(const Entry& entry) {
+    const CallOptions& options = entry.call->options();
+    return absl::EndsWith(options.path, kDeadlyMarker) ||
+           options.body == kDeadlyMarker;
+  }
+
+  // Deadly requests that reach upstreams after all gateways should know them,
+  // and sound requests that are taken for deadly ones.
+  void CheckDeadlyRequests() {
+    std::map<std::string, const Entry*> entries;
+    for (const Entry& entry : calls_) {
+      entries[entry.call->id()] = &entry;
+    }
+    std::map<std::string, std::vector<kernel::TimePoint>> ends;  // By route.
+    for (const auto& end : fleet_.deadly_request_ends()) {
+      ends[entries.at(end.request)->call->options().route].push_back(end.at);
+    }
+    std::map<std::string, std::vector<std::string>> late;
+    for (const Entry& entry : calls_) {
+      const PlatformCall& call = *entry.call;
+      const bool is_refused =
+          call.body().find("request_quarantined") != std::string::npos;
+      if (!IsDeadlyRequest(entry)) {
+        if (is_refused) {
+          Violate(absl::StrCat(
+              call.id(), " was refused, but is sound: ", call.options().route,
+              "/", call.options().path, " ", call.options().body));
+        }
+        continue;
+      }
+      refused_deadly_requests_ += is_refused ? 1 : 0;
+      const std::string& route = call.options().route;
+      const auto runs = fleet_.runs().find(call.id());
+      if (runs == fleet_.runs().end() ||
+          ends[route].size() < kTolerableRequestEnds) {
+        continue;
+      }
+      const kernel::TimePoint known =
+          ends[route][kTolerableRequestEnds - 1] + kContact;
+      for (const UpstreamRun& run : runs->second) {
+        if (run.began <= known) {
+          continue;
+        }
+        ++late_sends_;
+        if (!WasDisturbed(entry.gateway, run.began, run.began)) {
+          late[route].push_back(call.id());
+        }
+      }
+    }
+    for (const auto& [route, ids] : late) {
+      if (ids.size() > kTolerableLateSends) {
+        Violate(absl::StrCat("the deadly request of ", route, " was sent ",
+                             ids.size(), " times after its third end, first ",
+                             ids[0]));
+      }
+    }
+  }
+
   // Arrivals at upstreams that name a limit, from gateways that were not
   // disturbed since well before.
   void CheckLimits() {
@@ -629,7 +754,21 @@
     }
     for (size_t i = 0; i < options_.engines; ++i) {
       fleet_.board(i).Continue();
+      if (!fleet_.board(i).is_running()) {
+        fleet_.StartBoard(i);
+      }
+    }
+  }
+
+  // Goes on with the calls until all gateways were undisturbed for a while.
+  void RunUndisturbed() {
+    kernel::TimePoint in_contact = Now();
+    for (const std::vector<Disturbance>& spans : disturbed_) {
+      for (const Disturbance& span : spans) {
+        in_contact = std::max(in_contact, span.to + kContact);
+      }
     }
+    fleet_.RunFor(in_contact + kUndisturbed - Now());
   }
 
   // All gateways serve again within the recovery time.
@@ -688,6 +827,10 @@
                                 {"continued", continued_},
                                 {"lookups", Lookups()},
                                 {"deadly_ends", fleet_.deadly_ends().size()},
+                                {"deadly_request_ends",
+                                 fleet_.deadly_request_ends().size()},
+                                {"refused_deadly", refused_deadly_requests_},
+                                {"late_sends", late_sends_},
                                 {"limits", limits_.size()},
                                 {"violations", violations_.size()}}
                      .dump()
@@ -713,12 +856,16 @@
 
   const SoakOptions options_;
   std::mt19937_64 random_;
+  std::mt19937_64 content_random_;  // Of plain requests.
   PlatformFleet fleet_;
+  kernel::TimePoint began_{};
   std::vector<kernel::Timer> timers_;  // The first one starts the calls.
   std::vector<Entry> calls_;
   std::vector<Entry> resumed_;  // Not yet in calls_.
   size_t resumptions_ = 0;      // Requests that resumed streams.
   size_t continued_ = 0;        // Resumptions that brought events.
+  size_t refused_deadly_requests_ = 0;
+  size_t late_sends_ = 0;  // Of deadly requests, also by disturbed gateways.
   std::vector<std::vector<Disturbance>> disturbed_;  // By gateway.
   std::map<std::string, std::vector<Disturbance>> disturbed_upstreams_;
   std::string key_ = "key-lodge";
@@ -740,6 +887,9 @@
   app.add_option("--gateways", options.gateways, "Gateways");
   app.add_option("--engines", options.engines, "Engines, with a board each");
   app.add_option("--plain", options.plain, "Plain upstreams");
+  app.add_flag("--deadly-requests,!--no-deadly-requests",
+               options.has_deadly_requests,
+               "Requests that end plain upstreams (default on)");
   CLI11_PARSE(app, argc, argv);
   return jackdawshunt::testing::Soak(options).Run();
 }
