Let a soak not wait for calls whose callers have left

Change: it waits for the other calls, after the time in which a request may still run; the checks are the same.

--- a/jackdawshunt/testing/platform/soak_main.cc
+++ b/jackdawshunt/testing/platform/soak_main.cc
@@ -126,9 +126,11 @@
       RunUndisturbed();
     }
     timers_.clear();
+    // Requests whose callers have left get no answer, but may still run.
+    fleet_.RunFor(kRouteTimeout);
     fleet_.Await([this] {
       return std::all_of(calls_.begin(), calls_.end(), [](const Entry& entry) {
-        return entry.call->is_done();
+        return entry.has_left || entry.call->is_done();
       });
     });
     CheckCalls();
