Build the bearer header of the test members by appending

Cause: at -O3 g++ 12 reports -Warray-bounds in the copy inlined from `"Bearer " + std::string(...)`; under -Werror the tests of a Release build did not compile. Change: append to the prefix instead. Result: testing/member.cc with the flags of `cmake -DCMAKE_BUILD_TYPE=Release` and -Werror fails before and compiles without a warning after. Ruled out: absl::StrCat, since Debian's absl takes no std::string_view.

--- a/jackdawshunt/testing/member.cc
+++ b/jackdawshunt/testing/member.cc
@@ -97,11 +97,12 @@
 }
 
 std::optional<json> ReadStatus(const http::Address& operator_address) {
-  const auto response = Fetch(
-      operator_address,
-      {.path = "/status",
-       .headers = {{"Authorization", "Bearer " + std::string(kOperatorToken)}}},
-      std::chrono::milliseconds(2000));
+  const auto response =
+      Fetch(operator_address,
+            {.path = "/status",
+             .headers = {{"Authorization",
+                          std::string("Bearer ").append(kOperatorToken)}}},
+            std::chrono::milliseconds(2000));
   if (!response.ok() || response->status != 200) {
     return std::nullopt;
   }
