Blame neither of two subjects that explain equally many ends

Cause: with more than one deadly request, a sound one can be beside two ends of different ones by chance. Change: two ends are not enough for a subject if another one explains as many, some of them the same; the next end decides.

--- a/jackdawshunt/routing/beliefs.cc
+++ b/jackdawshunt/routing/beliefs.cc
@@ -95,6 +95,23 @@
   }
 };
 
+bool Overlap(const std::set<const Fact*>& a, const std::set<const Fact*>& b) {
+  return std::any_of(a.begin(), a.end(),
+                     [&b](const Fact* end) { return b.contains(end); });
+}
+
+// Returns whether another subject explains as many ends, some of which are the
+// same. Then one of the two was beside them by chance.
+bool IsDisputed(const Suspect& suspect,
+                const std::map<Subject, Suspect>& suspects) {
+  return std::any_of(
+      suspects.begin(), suspects.end(), [&suspect](const auto& row) {
+        const Suspect& other = row.second;
+        return other.score() == suspect.score() && other.ends != suspect.ends &&
+               Overlap(other.ends, suspect.ends);
+      });
+}
+
 // Returns whether a request with `subjects` has all that is quarantined.
 bool HoldsAll(const std::vector<Subject>& subjects,
               const Quarantine& quarantine) {
@@ -376,6 +393,7 @@
     suspect.ends.insert(suspicion.end);
   }
   std::vector<Quarantine> quarantine;
+  std::set<const Fact*> disputed;
   while (!suspects.empty()) {
     for (auto& [subject, suspect] : suspects) {
       suspect.distinct_ends = CountDistinct(suspect.ends);
@@ -392,6 +410,12 @@
       suspects.erase(worst.subject);
       continue;
     }
+    if (worst.score() == kMinEnds &&
+        (Overlap(worst.ends, disputed) || IsDisputed(worst, suspects))) {
+      disputed.insert(worst.ends.begin(), worst.ends.end());
+      suspects.erase(worst.subject);
+      continue;
+    }
     Quarantine quarantined{
         .ends = worst.ends.size(),
         .time = std::min(
--- a/jackdawshunt/routing/prompt_part_test.cc
+++ b/jackdawshunt/routing/prompt_part_test.cc
@@ -371,6 +371,26 @@
   EXPECT_TRUE(beliefs_.quarantine().empty());
 }
 
+// Guards against blame for a request that was beside two deadly ones by chance,
+// while it explains as many ends as each of them.
+TEST_F(BeliefsTest, SubjectsThatExplainEquallyManyEndsAwaitAnother) {
+  constexpr uint64_t kSound = 5;
+  constexpr uint64_t kOtherDeadlyPart = 0xdeae;
+  const auto end = [this](const std::vector<uint64_t>& parts) {
+    End(parts);
+    clock_.Advance(seconds(1));
+  };
+  end({kDeadlyPart, kSound});
+  end({kDeadlyPart});
+  end({kOtherDeadlyPart, kSound});
+  EXPECT_EQ(beliefs_.FindQuarantine(Parts({kSound}), Now()), nullptr);
+  end({kOtherDeadlyPart});
+  EXPECT_EQ(beliefs_.FindQuarantine(Parts({kSound}), Now()), nullptr);
+  end({kDeadlyPart});
+  EXPECT_NE(beliefs_.FindQuarantine(Parts({kDeadlyPart}), Now()), nullptr);
+  EXPECT_EQ(beliefs_.FindQuarantine(Parts({kSound}), Now()), nullptr);
+}
+
 // Guards against a deadly part that is not found because other upstreams end
 // for other reasons at the same time.
 TEST_F(BeliefsTest, DeadlyPartIsFoundBesideOtherEnds) {
