Ask more ends of a subject the fewer of them it explains

Cause: a subject had to explain half of the ends in its time. Change: two more ends for each halving of the share that it explains. Measured: SeveralDeadlySubjectsAreFoundBesideEachOther failed before (none of four found) and passes, with all 99 of routing_test, PartBesideFewOfManyEndsIsNotQuarantined among them.

--- a/jackdawshunt/routing/beliefs.cc
+++ b/jackdawshunt/routing/beliefs.cc
@@ -29,6 +29,9 @@
 // answers on it are known to have begun before.
 constexpr size_t kMinEnds = 2;
 constexpr size_t kMoreEndsIfSound = 2;
+// How many more if it explains less than half of the ends meanwhile, again if
+// less than a quarter, and so on.
+constexpr size_t kMoreEndsPerHalf = 2;
 // A gateway that has just started does not know which subjects are sound, so
 // it lets the others tell it before it concludes.
 constexpr kernel::Duration kLearningTime = std::chrono::seconds(10);
@@ -73,10 +76,10 @@
     const size_t credit = was_sound ? kMoreEndsIfSound : 0;
     return distinct_ends - std::min(distinct_ends, credit);
   }
-  // Returns whether it explains at least half of the ends in the time of its
-  // own ones. Where many upstreams end, a subject is beside some of them by
-  // chance.
-  bool ExplainsHalfOf(const std::set<const Fact*>& unexplained) const {
+  // Returns whether it explains enough ends. Where many upstreams end, a
+  // subject is beside some of them by chance: the fewer of the ends in the time
+  // of its own ones it explains, the more of them it takes.
+  bool ExplainsEnoughOf(const std::set<const Fact*>& unexplained) const {
     const auto [first, last] = std::minmax_element(
         ends.begin(), ends.end(),
         [](const Fact* a, const Fact* b) { return a->at < b->at; });
@@ -86,7 +89,12 @@
         meanwhile.insert(end);
       }
     }
-    return 2 * distinct_ends >= CountDistinct(meanwhile);
+    const size_t all = CountDistinct(meanwhile);
+    size_t required = kMinEnds;
+    for (size_t share = 2 * distinct_ends; share < all; share *= 2) {
+      required += kMoreEndsPerHalf;
+    }
+    return score() >= required;
   }
   // Orders suspects by how much they are to blame.
   bool operator<(const Suspect& other) const {
@@ -406,7 +414,7 @@
     if (worst.score() < kMinEnds) {
       break;
     }
-    if (!worst.ExplainsHalfOf(unexplained) || !MayConclude(worst.ends, now)) {
+    if (!worst.ExplainsEnoughOf(unexplained) || !MayConclude(worst.ends, now)) {
       suspects.erase(worst.subject);
       continue;
     }
--- a/jackdawshunt/routing/prompt_part_test.cc
+++ b/jackdawshunt/routing/prompt_part_test.cc
@@ -391,6 +391,24 @@
   EXPECT_EQ(beliefs_.FindQuarantine(Parts({kSound}), Now()), nullptr);
 }
 
+// Guards against deadly subjects that are not found because each of them
+// explains only few of the ends.
+TEST_F(BeliefsTest, SeveralDeadlySubjectsAreFoundBesideEachOther) {
+  constexpr uint64_t kCount = 4;
+  for (uint64_t round = 0; round < 6; ++round) {
+    for (uint64_t deadly = 0; deadly < kCount; ++deadly) {
+      End({kDeadlyPart + deadly, 1000 + round * kCount + deadly});
+      clock_.Advance(milliseconds(300));
+    }
+  }
+  for (uint64_t deadly = 0; deadly < kCount; ++deadly) {
+    EXPECT_NE(beliefs_.FindQuarantine(Parts({kDeadlyPart + deadly}), Now()),
+              nullptr)
+        << deadly;
+  }
+  EXPECT_EQ(beliefs_.quarantine().size(), kCount);
+}
+
 // Guards against a deadly part that is not found because other upstreams end
 // for other reasons at the same time.
 TEST_F(BeliefsTest, DeadlyPartIsFoundBesideOtherEnds) {
