Let each attempt of a request use further engines

Cause: a call remembered over all its attempts that it had queried the engines behind the preferred ones. Where a first attempt was placed at one of these and lost, the next one was refused by the preferred, busy engines and the caller got a 502, though others were free; likewise after a refused permit. Change: the mark is reset where an attempt starts. It only keeps one placement from asking twice; router.cc FurtherEnginesToQuery knows nothing of earlier attempts and leaves out the engines that were tried. Measured: EachAttemptMayUseFurtherEngines, on a Call with real sockets and stand-in boards, failed before (502, one engine reached) and passes now, 20 of 20 times. gateway_test: 21 pass; gateway_process_test: 38 pass. Ruled out: queries without end. An attempt asks at most twice, and attempts are bounded by the route, the engines not yet tried and the refused permits.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -114,6 +114,7 @@
 }
 
 void Call::StartAttempt() {
+  has_queried_further_ = false;
   if (const auto refusal = context_.router.RefuseQuarantined(request_, Now())) {
     ApplyDecision(*refusal);
     return;
