Failing test: a full backlog delays the events of open connections

A caller leaves while 200 connections wait in the backlog; the listener accepts all 200 before the loop reads the close.

--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -11,6 +11,7 @@
 #include "event2/bufferevent.h"
 #include "event2/util.h"
 #include "gtest/gtest.h"
+#include "jackdawshunt/http/socket_address.h"
 #include "jackdawshunt/http1/client.h"
 #include "jackdawshunt/http1/server.h"
 
@@ -307,6 +308,50 @@
   std::unique_ptr<ServerConnection> connection_;
 };
 
+// Guards against callers whose leaving is read late: after a restart, hundreds
+// of connections arrive at once, and accepting them all takes a small machine
+// longer than half a second.
+TEST(ListenerTest, ReadsOpenConnectionsBetweenAcceptedOnes) {
+  constexpr size_t kPending = 200;
+  kernel::EventLoop loop;
+  EchoHandler handler;
+  handler.responds = false;
+  std::unique_ptr<ServerConnection> first;
+  std::vector<int> accepted;
+  const auto listener = *Listener::Bind(loop, {"127.0.0.1", 0}, [&](int fd) {
+    if (first == nullptr) {
+      first = std::make_unique<ServerConnection>(
+          loop, fd, ServerConnectionLimits{}, handler);
+    } else {
+      accepted.push_back(fd);
+    }
+  });
+  const auto address = *http::ToSocketAddress({"127.0.0.1", listener->port()});
+  const auto connect_caller = [&] {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    EXPECT_EQ(connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                      sizeof(address)),
+              0);
+    return fd;
+  };
+  const int leaving_caller = connect_caller();
+  ASSERT_TRUE(loop.RunUntil([&] { return first != nullptr; }, seconds(20)));
+  std::vector<int> callers;
+  for (size_t i = 0; i < kPending; ++i) {
+    callers.push_back(connect_caller());
+  }
+  close(leaving_caller);
+  ASSERT_TRUE(loop.RunUntil([&] { return handler.is_closed; }, seconds(20)));
+  EXPECT_LT(accepted.size(), kPending / 2);
+  EXPECT_TRUE(
+      loop.RunUntil([&] { return accepted.size() == kPending; }, seconds(20)));
+  for (const std::vector<int>& fds : {callers, accepted}) {
+    for (const int fd : fds) {
+      close(fd);
+    }
+  }
+}
+
 TEST_F(ServerConnectionTest, AnswersPipelinedRequestsInOrder) {
   Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
   ASSERT_TRUE(AwaitText("/2"));
