Accept at most 32 connections in one turn of the loop

Cause: libevent's listener accepts until the backlog is empty, in one callback.

Change: the listener accepts by its own event, 32 connections a turn.

--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -4,16 +4,18 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <limits>
 #include <optional>
 #include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "event2/listener.h"
+#include "event2/event.h"
 #include "event2/util.h"
 #include "jackdawshunt/base/log.h"
 #include "jackdawshunt/http/socket_address.h"
@@ -30,21 +32,50 @@
 // discard the response.
 constexpr kernel::Duration kLingerTime = std::chrono::seconds(1);
 constexpr int kBacklog = 1024;
+// Connections accepted in one turn of the loop, so that a full backlog does not
+// delay the events of open connections.
+constexpr size_t kMaxAcceptsPerTurn = 32;
 
 }  // namespace
 
 struct Listener::Impl {
-  void OnAccepted(int fd) {
+  ~Impl() {
+    event_free(readable);
+    close(fd);
+  }
+
+  // Accepts up to `max` connections.
+  void Accept(size_t max) {
+    for (size_t i = 0; i < max; ++i) {
+      const int accepted =
+          accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (accepted >= 0) {
+        OnAccepted(accepted);
+        continue;
+      }
+      if (errno == EINTR || errno == ECONNABORTED) {
+        continue;
+      }
+      if (errno != EAGAIN) {
+        base::Log(base::LogLevel::kError, "accept_failed",
+                  {{"error", strerror(errno)}});
+      }
+      return;
+    }
+  }
+
+  void OnAccepted(int accepted) {
     if (!inherits_options.has_value()) {
-      inherits_options = internal::HasCallerSocketOptions(fd);
+      inherits_options = internal::HasCallerSocketOptions(accepted);
     }
     if (!*inherits_options) {
-      internal::SetCallerSocketOptions(fd);
+      internal::SetCallerSocketOptions(accepted);
     }
-    accept(fd);
+    accept(accepted);
   }
 
-  evconnlistener* listener = nullptr;
+  int fd = -1;
+  event* readable = nullptr;
   AcceptCallback accept;
   // Whether accepted sockets have the options of the listening one; unknown
   // before the first connection.
@@ -53,56 +84,52 @@
 
 Listener::Listener(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
-Listener::~Listener() {
-  evconnlistener_free(impl_->listener);
-}
+Listener::~Listener() = default;
 
 absl::StatusOr<std::unique_ptr<Listener>> Listener::Bind(
     kernel::EventLoop& loop,
     const http::Address& address,
     AcceptCallback accept) {
-  auto bound = http::ToSocketAddress(address);
+  const auto bound = http::ToSocketAddress(address);
   if (!bound.has_value()) {
     return absl::UnavailableError(
         absl::StrCat(address.ToString(), " is not an IPv4 address"));
   }
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0 || evutil_make_listen_socket_reuseable(fd) != 0 ||
+      bind(fd, reinterpret_cast<const sockaddr*>(&*bound), sizeof(*bound)) !=
+          0 ||
+      listen(fd, kBacklog) != 0) {
+    const int error = errno;
+    if (fd >= 0) {
+      close(fd);
+    }
+    return absl::UnavailableError(absl::StrCat(
+        "cannot listen at ", address.ToString(), ": ", strerror(error)));
+  }
+  internal::SetCallerSocketOptions(fd);
   auto impl = std::make_unique<Impl>();
+  impl->fd = fd;
   impl->accept = std::move(accept);
-  impl->listener = evconnlistener_new_bind(
-      loop.base(),
-      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* context) {
-        static_cast<Impl*>(context)->OnAccepted(fd);
+  impl->readable = event_new(
+      loop.base(), fd, EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* context) {
+        static_cast<Impl*>(context)->Accept(kMaxAcceptsPerTurn);
       },
-      impl.get(),
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
-      kBacklog, reinterpret_cast<sockaddr*>(&*bound), sizeof(*bound));
-  if (impl->listener == nullptr) {
-    return absl::UnavailableError(absl::StrCat(
-        "cannot listen at ", address.ToString(), ": ", strerror(errno)));
-  }
-  internal::SetCallerSocketOptions(evconnlistener_get_fd(impl->listener));
-  evconnlistener_set_error_cb(impl->listener, [](evconnlistener*, void*) {
-    base::Log(base::LogLevel::kError, "accept_failed",
-              {{"error", strerror(errno)}});
-  });
+      impl.get());
+  event_add(impl->readable, nullptr);
   return std::unique_ptr<Listener>(new Listener(std::move(impl)));
 }
 
 void Listener::AcceptPending() {
-  const int listening = evconnlistener_get_fd(impl_->listener);
-  for (int fd = 0; fd >= 0;) {
-    fd = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd >= 0) {
-      impl_->OnAccepted(fd);
-    }
-  }
+  impl_->Accept(std::numeric_limits<size_t>::max());
 }
 
 uint16_t Listener::port() const {
   sockaddr_in bound{};
   socklen_t length = sizeof(bound);
-  if (getsockname(evconnlistener_get_fd(impl_->listener),
-                  reinterpret_cast<sockaddr*>(&bound), &length) != 0) {
+  if (getsockname(impl_->fd, reinterpret_cast<sockaddr*>(&bound), &length) !=
+      0) {
     return 0;
   }
   return ntohs(bound.sin_port);
