Suspect only what was sent before a start's end

Cause: a request that was sent to a start after its end, and lost by a reset, was suspected of that end. Change: a loss counts towards an end only if its request was sent before the end is known to have come, or before the first loss at that start in the last second.

--- a/jackdawshunt/gateway/fact_sync_test.cc
+++ b/jackdawshunt/gateway/fact_sync_test.cc
@@ -48,7 +48,8 @@
   void EndUnder(size_t gateway, const std::vector<routing::Subject>& subjects) {
     routing::Upstream upstream;
     upstream.id = "start-" + std::to_string(++starts_);
-    gateways_[gateway]->beliefs.OnLostBeforeAnswer(upstream, subjects, Now());
+    gateways_[gateway]->beliefs.OnLostBeforeAnswer(upstream, subjects, Now(),
+                                                   Now());
     gateways_[gateway]->beliefs.OnEnded(upstream.id);
   }
 
--- a/jackdawshunt/routing/beliefs.cc
+++ b/jackdawshunt/routing/beliefs.cc
@@ -14,6 +14,8 @@
 // long: the list drops an upstream that ended after some missed heartbeats.
 constexpr size_t kMaxPendingStarts = 128;
 constexpr kernel::Duration kMaxPendingTime = std::chrono::seconds(15);
+// A loss this long before another one was not the end of the start.
+constexpr kernel::Duration kMaxTimeToEnd = std::chrono::seconds(1);
 // Starts whose times are remembered at once.
 constexpr size_t kMaxTimes = 8192;
 // Time after which the facts that are known suffice, though others were
@@ -216,23 +218,34 @@
 
 void Beliefs::OnLostBeforeAnswer(const Upstream& upstream,
                                  const std::vector<Subject>& subjects,
+                                 kernel::TimePoint sent_at,
                                  kernel::TimePoint now) {
   // The end of an upstream that has announced it is expected.
   if (subjects.empty() || upstream.is_draining) {
     return;
   }
   const uint64_t start = StartOf(upstream);
+  const Fact* const end = facts_.Find(FactKind::kStartEnded, start);
+  if (end != nullptr && sent_at > end->at) {
+    return;
+  }
   if (pending_.size() >= kMaxPendingStarts && !pending_.contains(start)) {
     return;
   }
   const auto [found, is_new] = pending_.try_emplace(start);
   PendingLoss& loss = found->second;
-  if (is_new) {
+  if (!is_new && sent_at > loss.at) {
+    if (now - loss.at < kMaxTimeToEnd) {
+      return;  // The start may have ended before it was sent.
+    }
+    loss = {};
+  }
+  if (loss.suspects.empty()) {
     loss = {.upstream_id = upstream.id, .at = now};
   }
   AddSuspects(subjects, start, loss.suspects);
   // Other requests at this start may have been lost before.
-  if (facts_.Find(FactKind::kStartEnded, start) != nullptr) {
+  if (end != nullptr) {
     AddPendingLoss(start);
   }
 }
--- a/jackdawshunt/routing/beliefs.h
+++ b/jackdawshunt/routing/beliefs.h
@@ -79,10 +79,11 @@
                      kernel::TimePoint at,
                      kernel::TimePoint now);
   // Records that the connection to `upstream` was lost before an answer to a
-  // request with these subjects had begun. Counts only if the start of the
-  // upstream turns out to have ended.
+  // request with these subjects, sent at `sent_at`, had begun. Counts only if
+  // the start of the upstream turns out to have ended, and not before that.
   void OnLostBeforeAnswer(const Upstream& upstream,
                           const std::vector<Subject>& subjects,
+                          kernel::TimePoint sent_at,
                           kernel::TimePoint now);
   // Returns whether a loss was recorded at this start, and it is not known
   // whether the start has ended.
--- a/jackdawshunt/routing/beliefs_benchmark.cc
+++ b/jackdawshunt/routing/beliefs_benchmark.cc
@@ -26,7 +26,7 @@
       parts.push_back({SubjectKind::kPart, ++part});
     }
     const Upstream upstream = MakeStart(static_cast<int>(part));
-    beliefs.OnLostBeforeAnswer(upstream, parts, clock.Now());
+    beliefs.OnLostBeforeAnswer(upstream, parts, clock.Now(), clock.Now());
     beliefs.OnEnded(upstream.id);
     clock.Advance(std::chrono::milliseconds(500));
   }
--- a/jackdawshunt/routing/prompt_part_test.cc
+++ b/jackdawshunt/routing/prompt_part_test.cc
@@ -202,7 +202,7 @@
   // A start of an upstream ends while answers on `parts` have not begun.
   void End(Beliefs& beliefs, const std::vector<uint64_t>& parts) {
     const Upstream upstream = MakeStart(++starts_);
-    beliefs.OnLostBeforeAnswer(upstream, Parts(parts), Now());
+    beliefs.OnLostBeforeAnswer(upstream, Parts(parts), Now(), Now());
     beliefs.OnEnded(upstream.id);
   }
   void End(const std::vector<uint64_t>& parts) { End(beliefs_, parts); }
@@ -227,7 +227,7 @@
 TEST_F(BeliefsTest, EndSeenByAnotherGatewayConfirmsOwnLosses) {
   for (int i = 0; i < 2; ++i) {
     const Upstream upstream = MakeStart(++starts_);
-    beliefs_.OnLostBeforeAnswer(upstream, Parts({kDeadlyPart}), Now());
+    beliefs_.OnLostBeforeAnswer(upstream, Parts({kDeadlyPart}), Now(), Now());
     beliefs_.MergeFacts({{.kind = FactKind::kStartEnded,
                           .subject = StartOf(upstream),
                           .source = 2,
@@ -241,6 +241,30 @@
   EXPECT_EQ(beliefs_.FindQuarantine(Parts({kFirstPart}), Now()), nullptr);
 }
 
+// Guards against blame for requests that were sent to a start that had ended.
+TEST_F(BeliefsTest, RequestsSentAfterTheEndAreNotSuspected) {
+  constexpr uint64_t kLate = 5;
+  for (int i = 0; i < 4; ++i) {
+    const Upstream upstream = MakeStart(++starts_);
+    const kernel::TimePoint sent_at = Now();
+    clock_.Advance(milliseconds(60));
+    beliefs_.OnLostBeforeAnswer(upstream, Parts({kDeadlyPart}), sent_at, Now());
+    clock_.Advance(milliseconds(10));
+    const kernel::TimePoint late = Now();
+    clock_.Advance(milliseconds(5));
+    if (i % 2 == 0) {
+      beliefs_.OnEnded(upstream.id);
+    }
+    beliefs_.OnLostBeforeAnswer(upstream, Parts({kLate}), late, Now());
+    beliefs_.OnEnded(upstream.id);
+    clock_.Advance(seconds(2));
+  }
+  EXPECT_NE(beliefs_.FindQuarantine(Parts({kDeadlyPart}), Now()), nullptr);
+  EXPECT_EQ(beliefs_.FindQuarantine(Parts({kLate}), Now()), nullptr);
+  EXPECT_EQ(beliefs_.FindQuarantine(Parts({kDeadlyPart, kLate}), Now()),
+            beliefs_.FindQuarantine(Parts({kDeadlyPart}), Now()));
+}
+
 // Guards against the quarantine of rare parts when a data centre is lost.
 TEST_F(BeliefsTest, SimultaneousEndsBlameNoPart) {
   for (int i = 0; i < 30; ++i) {
@@ -253,7 +277,7 @@
 // Guards against blame for connections that live upstreams drop.
 TEST_F(BeliefsTest, LossesAtLiveUpstreamsBlameNoPart) {
   for (int i = 0; i < 10; ++i) {
-    beliefs_.OnLostBeforeAnswer(MakeStart(i), Parts({1}), Now());
+    beliefs_.OnLostBeforeAnswer(MakeStart(i), Parts({1}), Now(), Now());
     clock_.Advance(seconds(1));
     beliefs_.DropExpired(Now());
   }
@@ -265,7 +289,7 @@
   for (int i = 0; i < 10; ++i) {
     Upstream upstream = MakeStart(i);
     upstream.is_draining = true;
-    beliefs_.OnLostBeforeAnswer(upstream, Parts({1}), Now());
+    beliefs_.OnLostBeforeAnswer(upstream, Parts({1}), Now(), Now());
     beliefs_.OnEnded(upstream.id);
     clock_.Advance(seconds(1));
   }
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -590,6 +590,7 @@
   const Upstream& upstream = decision.upstream;
   request.tried_upstreams.push_back(upstream.id);
   ++request.send_count;
+  request.sent_at = now;
   request.is_answer_proven = false;
   request.is_counted_by_attempt = false;
   request.lost_at_start.reset();
@@ -672,7 +673,8 @@
     beliefs_.OnAnswerBegan(request.subjects, now, now);
   } else if (outcome == Outcome::kLost) {
     request.lost_at_start = StartOf(upstream);
-    beliefs_.OnLostBeforeAnswer(upstream, request.subjects, now);
+    beliefs_.OnLostBeforeAnswer(upstream, request.subjects, request.sent_at,
+                                now);
   }
 }
 
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -85,6 +85,7 @@
   bool is_trial =
       false;  // Whether the last attempt tries quarantined subjects.
   std::vector<std::string> tried_upstreams;  // Excluded from further attempts.
+  kernel::TimePoint sent_at{};               // The last attempt.
   uint32_t send_count = 0;                   // Attempts sent.
   // Whether its tokens count as admitted in its workspace's share.
   bool is_counted_in_share = false;
