--- a/jackdawshunt/gateway/fact_sync_test.cc
+++ b/jackdawshunt/gateway/fact_sync_test.cc
@@ -36,6 +36,7 @@
 
   static std::vector<routing::Subject> Parts(const std::vector<uint64_t>& ids) {
     std::vector<routing::Subject> subjects;
+    subjects.reserve(ids.size());
     for (const uint64_t id : ids) {
       subjects.push_back({routing::SubjectKind::kPart, id});
     }
--- a/jackdawshunt/routing/fleet_facts.h
+++ b/jackdawshunt/routing/fleet_facts.h
@@ -16,11 +16,11 @@
 #ifndef JACKDAWSHUNT_ROUTING_FLEET_FACTS_H_
 #define JACKDAWSHUNT_ROUTING_FLEET_FACTS_H_
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -39,7 +39,10 @@
   SubjectKind kind = SubjectKind::kPart;
   uint64_t id = 0;
 
-  auto operator<=>(const Subject&) const = default;
+  bool operator==(const Subject&) const = default;
+  bool operator<(const Subject& other) const {
+    return std::tie(kind, id) < std::tie(other.kind, other.id);
+  }
 };
 // Returns the ids of the subjects of this kind.
 std::vector<uint64_t> IdsOf(const std::vector<Subject>& subjects,
--- a/jackdawshunt/routing/prompt_part_test.cc
+++ b/jackdawshunt/routing/prompt_part_test.cc
@@ -182,6 +182,7 @@
 
 std::vector<Subject> Parts(const std::vector<uint64_t>& ids) {
   std::vector<Subject> subjects;
+  subjects.reserve(ids.size());
   for (const uint64_t id : ids) {
     subjects.push_back({SubjectKind::kPart, id});
   }
--- a/jackdawshunt/routing/request_content_test.cc
+++ b/jackdawshunt/routing/request_content_test.cc
@@ -52,7 +52,7 @@
 
 TEST(ContentHashTest, SameContentHasTheSameHash) {
   const std::string body(1 << 20, 'x');
-  const std::string copy = body;
+  const std::string copy(1 << 20, 'x');
   EXPECT_EQ(ContentHash({.method = "POST", .target = "/a/", .body = body}),
             ContentHash({.method = "POST", .target = "/a/", .body = copy}));
 }
