--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -20,8 +20,7 @@
 sed -E 's/-include [^ ]*cmake_pch\.hxx//g; s/-Winvalid-pch//g; s/-fpch-preprocess//g' \
   "$build/compile_commands.json" >"$build/lint/compile_commands.json"
 if ((${#sources[@]} > 0)); then
-  # Largest files first, so that no core waits for a long file at the end. Huge
-  # pages save clang-tidy page faults and TLB misses.
+  # Largest files first, so that no core waits for a long file at the end.
   ls -S -- "${sources[@]}" |
     GLIBC_TUNABLES=glibc.malloc.hugetlb=1 xargs -P "${LINT_JOBS:-$(nproc)}" -n 1 \
       clang-tidy -p "$build/lint" --quiet 2>/tmp/clang-tidy.err.$$ ||
