--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -101,6 +101,8 @@
 void Board::MergeStoreState(const StoreState& store) {
   store_.upstreams_revision =
       std::max(store_.upstreams_revision, store.upstreams_revision);
+  store_.evacuations_revision =
+      std::max(store_.evacuations_revision, store.evacuations_revision);
   if (store.configuration_version > store_.configuration_version) {
     store_.configuration_version = store.configuration_version;
     store_.current_as_of_us = store.current_as_of_us;
@@ -213,17 +215,27 @@
 
 std::optional<Message> Board::On(const PermitQuery& query,
                                  kernel::TimePoint now) {
-  const routing::Fact stated = FromAged(query.limit, now);
-  if (stated.kind != routing::FactKind::kStartLimit || stated.value <= 0) {
-    return std::nullopt;
+  double limit = 0;
+  for (const AgedFact& aged : query.limits) {
+    if (aged.kind == routing::FactKind::kStartLimit &&
+        aged.subject == query.start) {
+      facts_.Merge(FromAged(aged, now), now);
+      limit = aged.value;
+    }
   }
-  facts_.Merge(stated, now);
   // Another gateway may have told a newer limit.
   const routing::Fact* const known =
-      facts_.Find(routing::FactKind::kStartLimit, stated.subject);
-  const double limit =
-      known == nullptr || known->value <= 0 ? stated.value : known->value;
-  const routing::Permit permit = permits_.Take(stated.subject, limit, now);
+      facts_.Find(routing::FactKind::kStartLimit, query.start);
+  limit = known == nullptr || known->value <= 0 ? limit : known->value;
+  const bool is_cold = query.cold_per_second > 0;
+  if (limit <= 0 && !is_cold) {
+    return std::nullopt;
+  }
+  const double rate = !is_cold     ? limit
+                      : limit <= 0 ? query.cold_per_second
+                                   : std::min(limit, query.cold_per_second);
+  const routing::Permit permit =
+      permits_.Take(query.start, {.per_second = rate, .is_cold = is_cold}, now);
   return PermitReply{.nonce = query.nonce,
                      .is_granted = permit.is_granted,
                      .wait = permit.wait};
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -51,6 +51,10 @@
     msgpack_pack_uint64(&packer_, value);
     return *this;
   }
+  FieldWriter& AddNumber(double value) {
+    msgpack_pack_double(&packer_, value);
+    return *this;
+  }
   FieldWriter& AddSigned(int64_t value) {
     msgpack_pack_int64(&packer_, value);
     return *this;
@@ -78,6 +82,8 @@
   FieldWriter& Add(const StoreState& store) {
     return Add(store.upstreams_revision.era)
         .Add(store.upstreams_revision.revision)
+        .Add(store.evacuations_revision.era)
+        .Add(store.evacuations_revision.revision)
         .Add(store.configuration_version)
         .Add(store.current_as_of_us);
   }
@@ -87,7 +93,7 @@
         .Add(fact.subject)
         .Add(fact.source)
         .Add(fact.age);
-    msgpack_pack_double(&packer_, fact.value);
+    AddNumber(fact.value);
     return Add(IdsOf(fact.suspects, routing::SubjectKind::kPart))
         .Add(IdsOf(fact.suspects, routing::SubjectKind::kRequest));
   }
@@ -149,7 +155,7 @@
 }
 
 void Write(const ShareUpdate& update, std::string& out) {
-  FieldWriter(MessageType::kShareUpdate, 8, out)
+  FieldWriter(MessageType::kShareUpdate, 10, out)
       .Add(update.gateway)
       .Add(update.sequence)
       .AddBoolean(update.wants_totals)
@@ -158,7 +164,7 @@
 }
 
 void Write(const ShareTotals& totals, std::string& out) {
-  FieldWriter(MessageType::kShareTotals, 10, out)
+  FieldWriter(MessageType::kShareTotals, 12, out)
       .Add(totals.sequence)
       .Add(uint64_t{totals.gateways})
       .Add(totals.board)
@@ -206,9 +212,11 @@
 }
 
 void Write(const PermitQuery& query, std::string& out) {
-  FieldWriter(MessageType::kPermitQuery, 2, out)
+  FieldWriter(MessageType::kPermitQuery, 4, out)
       .Add(query.nonce)
-      .Add(query.limit);
+      .Add(query.start)
+      .AddNumber(query.cold_per_second)
+      .Add(query.limits);
 }
 
 void Write(const PermitReply& reply, std::string& out) {
@@ -323,6 +331,13 @@
     return field->via.f64;
   }
 
+  // Reads a finite number that is not negative.
+  double ReadRate() {
+    const double rate = ReadNumber();
+    is_valid_ = is_valid_ && std::isfinite(rate) && rate >= 0;
+    return is_valid_ ? rate : 0;
+  }
+
   AgedFact ReadFact() {
     const msgpack_object* field = NextField();
     if (field == nullptr) {
@@ -377,6 +392,8 @@
     StoreState store;
     store.upstreams_revision.era = ReadUnsigned();
     store.upstreams_revision.revision = ReadUnsigned();
+    store.evacuations_revision.era = ReadUnsigned();
+    store.evacuations_revision.revision = ReadUnsigned();
     store.configuration_version = ReadUnsigned();
     store.current_as_of_us = ReadUnsigned();
     return store;
@@ -516,7 +533,9 @@
 Message ReadPermitQuery(FieldReader& reader) {
   PermitQuery query;
   query.nonce = reader.ReadUnsigned();
-  query.limit = reader.ReadFact();
+  query.start = reader.ReadUnsigned();
+  query.cold_per_second = reader.ReadRate();
+  query.limits = reader.ReadFacts();
   return query;
 }
 
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -74,7 +74,8 @@
 // newer than it is.
 struct StoreState {
   routing::StoreRevision upstreams_revision;  // Of their latest change.
-  uint64_t configuration_version = 0;         // Newest known version.
+  routing::StoreRevision evacuations_revision;
+  uint64_t configuration_version = 0;  // Newest known version.
   // Latest time at which configuration_version was known to be the newest one;
   // 0 if unknown.
   uint64_t current_as_of_us = 0;
@@ -137,10 +138,14 @@
   std::vector<AgedFact> facts;
 };
 
-// Request of a gateway to send one request to an upstream with this limit.
+// Request of a gateway to send one request to a start of an upstream.
 struct PermitQuery {
   uint64_t nonce = 0;
-  AgedFact limit;  // Of the kind kStartLimit.
+  uint64_t start = 0;
+  double cold_per_second = 0;  // Rate that it bears while cold; 0 if it is not.
+  // What is known of a limit that it names, of the kind kStartLimit; empty if
+  // nothing is.
+  std::vector<AgedFact> limits;
 };
 
 // Reply of a board to the permit query with the same nonce.
--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -244,7 +244,8 @@
 }
 
 void Call::SendWithPermit(const routing::Decision& decision) {
-  if (!context_.router.LimitOf(decision.upstream, Now()).has_value()) {
+  has_permit_ = false;
+  if (!context_.router.RateOf(decision.upstream, Now()).has_value()) {
     SendAttempt(decision);
     return;
   }
@@ -259,6 +260,7 @@
     Finish(0, "caller left");
   } else if (is_granted && context_.router.IsReady(decision.upstream, Now()) &&
              !context_.router.RefuseQuarantined(request_, Now()).has_value()) {
+    has_permit_ = true;
     SendAttempt(decision);
   } else if (++refused_permits_ < kMaxRefusedPermits) {
     StartAttempt();
@@ -310,6 +312,8 @@
 
 bool Call::IsStillWanted() {
   return !HasCallerLeft() && context_.router.IsReady(upstream_, Now()) &&
+         (has_permit_ ||
+          !context_.router.RateOf(upstream_, Now()).has_value()) &&
          !context_.router.RefuseQuarantined(request_, Now()).has_value();
 }
 
@@ -580,7 +584,7 @@
   }
   LogLoss(loss);
   if (loss == http1::Loss::kNotConnected && connection_->was_refused()) {
-    context_.router.OnConnectionRefused(upstream_);
+    context_.router.OnConnectionRefused(upstream_, Now());
   }
   if (loss == http1::Loss::kNotConnected || loss == http1::Loss::kWithdrawn) {
     EndAttempt(loss == http1::Loss::kNotConnected
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -222,6 +222,7 @@
   StartChecks::Handle start_check_;
   PermitClient::Handle permit_;
   int refused_permits_ = 0;
+  bool has_permit_ = false;  // For the current attempt.
   EventSplitter splitter_;
   bool may_have_executed_ = false;
   bool is_answer_started_ = false;
--- a/jackdawshunt/gateway/fleet_exchange.cc
+++ b/jackdawshunt/gateway/fleet_exchange.cc
@@ -25,9 +25,10 @@
       freshness_(freshness),
       incarnation_(routing::HashOf(base::NewRequestId())) {}
 
-void FleetExchange::Start(
-    std::function<routing::StoreRevision()> upstreams_revision) {
+void FleetExchange::Start(RevisionFunction upstreams_revision,
+                          RevisionFunction evacuations_revision) {
   upstreams_revision_ = std::move(upstreams_revision);
+  evacuations_revision_ = std::move(evacuations_revision);
   boards_.SetTotalsCallback(
       [this](const std::string& ip, const board::ShareTotals& totals) {
         OnTotals(ip, totals);
@@ -43,6 +44,8 @@
   board::StoreState store;
   store.upstreams_revision =
       std::max(upstreams_revision_(), fleet_upstreams_revision_);
+  store.evacuations_revision =
+      std::max(evacuations_revision_(), fleet_evacuations_revision_);
   if (router_.table() == nullptr) {
     return store;
   }
@@ -145,6 +148,8 @@
   clock = {totals.board, totals.board_time_us, boot_clock_.Now()};
   fleet_upstreams_revision_ =
       std::max(fleet_upstreams_revision_, totals.store.upstreams_revision);
+  fleet_evacuations_revision_ =
+      std::max(fleet_evacuations_revision_, totals.store.evacuations_revision);
   fleet_configuration_version_ = std::max(fleet_configuration_version_,
                                           totals.store.configuration_version);
   if (is_same_board && router_.table() != nullptr &&
--- a/jackdawshunt/gateway/fleet_exchange.h
+++ b/jackdawshunt/gateway/fleet_exchange.h
@@ -4,7 +4,8 @@
 //
 // Example:
 //   gateway::FleetExchange exchange(loop, router, boards, freshness);
-//   exchange.Start([&] { return upstreams.changed_revision(); });
+//   exchange.Start([&] { return upstreams.changed_revision(); },
+//                  [&] { return evacuations.changed_revision(); });
 //
 // A gateway whose own connection to the store is slow or broken can still
 // accept API keys, based on the reads that other gateways report, while its
@@ -37,9 +38,12 @@
   FleetExchange(const FleetExchange&) = delete;
   FleetExchange& operator=(const FleetExchange&) = delete;
 
-  // Starts the periodic updates. `upstreams_revision` returns the store's
-  // revision of the latest change of upstreams that this gateway has read.
-  void Start(std::function<routing::StoreRevision()> upstreams_revision);
+  // Starts the periodic updates. The functions return the store's revisions of
+  // the latest change of upstreams, and of evacuations, that this gateway has
+  // read.
+  using RevisionFunction = std::function<routing::StoreRevision()>;
+  void Start(RevisionFunction upstreams_revision,
+             RevisionFunction evacuations_revision);
 
   // Returns the number of gateways, this one included; 0 if unknown.
   uint32_t gateways() const { return gateways_; }
@@ -50,6 +54,10 @@
   routing::StoreRevision fleet_upstreams_revision() const {
     return fleet_upstreams_revision_;
   }
+  // Returns the newest revision of evacuations that any gateway has reported.
+  routing::StoreRevision fleet_evacuations_revision() const {
+    return fleet_evacuations_revision_;
+  }
   // Returns the newest configuration version that any gateway has reported.
   uint64_t fleet_configuration_version() const {
     return fleet_configuration_version_;
@@ -79,7 +87,8 @@
   BoardClient& boards_;
   routing::KeyFreshness& freshness_;
   const kernel::BootClock boot_clock_;
-  std::function<routing::StoreRevision()> upstreams_revision_;
+  RevisionFunction upstreams_revision_;
+  RevisionFunction evacuations_revision_;
   kernel::Timer timer_;
   std::unordered_map<std::string, BoardClock> clocks_;  // By the board's IP.
   const uint64_t incarnation_;
@@ -93,6 +102,7 @@
   uint32_t gateways_ = 0;
   kernel::TimePoint last_reply_at_{};  // Of boot_clock_.
   routing::StoreRevision fleet_upstreams_revision_;
+  routing::StoreRevision fleet_evacuations_revision_;
   uint64_t fleet_configuration_version_ = 0;
 };
 
--- a/jackdawshunt/gateway/fleet_exchange_test.cc
+++ b/jackdawshunt/gateway/fleet_exchange_test.cc
@@ -44,7 +44,8 @@
     engine.address = {kBoardIp, 8080};
     router_.directory().Replace({engine}, loop_.clock().Now());
     exchange_.emplace(loop_, router_, *boards_, freshness_);
-    exchange_->Start([this] { return own_revision_; });
+    exchange_->Start([this] { return own_revision_; },
+                     [this] { return own_evacuations_revision_; });
   }
   bool Await(bool is_current) {
     return loop_.RunUntil(
@@ -55,6 +56,7 @@
   routing::Router router_;
   routing::KeyFreshness freshness_;
   routing::StoreRevision own_revision_{.era = 1, .revision = 7};
+  routing::StoreRevision own_evacuations_revision_;
   routing::StoreRevision fleet_revision_{.era = 1, .revision = 7};
   bool is_board_up_ = true;
   std::unique_ptr<board::DatagramSocket> board_;
--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -110,7 +111,13 @@
                    {.watch_wait = kWatchWait,
                     .change_grouping =
                         settings_.promises.drain / kChangeGroupingDivisor},
-                   UpstreamCallbacks()) {}
+                   UpstreamCallbacks()),
+        evacuations_(loop_,
+                     settings_.store,
+                     platform::RecordKind::kEvacuation,
+                     {.watch_wait = kWatchWait,
+                      .change_grouping = EvacuationGrouping(settings_)},
+                     EvacuationCallbacks()) {}
 
   int Run() {
     base::SetLogContext({{"instance", settings_.instance}});
@@ -137,10 +144,25 @@
         [this](const std::vector<routing::Quarantine>& quarantine) {
           OnQuarantineChanged(quarantine);
         });
+    router_.SetColdObserver([this](const routing::Upstream& upstream,
+                                   routing::ColdSource source,
+                                   kernel::Duration time) {
+      metrics_.CountUpstreamState("cold");
+      base::LogLine(base::LogLevel::kInfo, "upstream_state")
+          .Add("upstream", upstream.id)
+          .Add("started_unix_ms", upstream.started_unix_ms)
+          .Add("state", "cold")
+          .Add("source", routing::ColdSourceName(source))
+          .Add("for_ms", time.count() / 1000);
+    });
     configuration_.Start();
     upstreams_.Start();
+    if (settings_.promises.evacuation.has_value()) {
+      evacuations_.Start();
+    }
     tick_timer_ = loop_.Every(kTickPeriod, [this] { Tick(); });
-    exchange_.Start([this] { return upstreams_.changed_revision(); });
+    exchange_.Start([this] { return upstreams_.changed_revision(); },
+                    [this] { return evacuations_.changed_revision(); });
     origins_.SetListCheck([this] { return exchange_.IsListCurrent(); });
     keep_current_timer_ =
         loop_.Every(kKeepCurrentPeriod, [this] { KeepCurrent(); });
@@ -166,6 +188,9 @@
                            .window = settings.promises.retry_window,
                            .allowance = settings.promises.retry_slack};
     router.share_window = settings.promises.share_window;
+    router.follows_evacuations = settings.promises.evacuation.has_value();
+    router.cold_overage = settings.promises.cold_overage;
+    router.cold_slack = settings.promises.cold_slack;
     return router;
   }
 
@@ -278,8 +303,8 @@
                       all.push_back(*upstream);
                     }
                   }
-                  router_.directory().Replace(all, loop_.clock().Now(),
-                                              is_restored);
+                  router_.ReplaceUpstreams(all, loop_.clock().Now(),
+                                           is_restored);
                   has_upstreams_ = true;
                 },
             .on_change =
@@ -288,7 +313,7 @@
                   for (const platform::Record& record : records) {
                     if (const auto* upstream =
                             std::get_if<routing::Upstream>(&record.value)) {
-                      router_.directory().Put(*upstream, now);
+                      router_.PutUpstream(*upstream, now);
                     } else {
                       router_.directory().Remove(record.name, now);
                     }
@@ -303,6 +328,62 @@
                 }};
   }
 
+  static kernel::Duration EvacuationGrouping(
+      const platform::InstanceSettings& settings) {
+    return settings.promises.evacuation.value_or(kernel::Duration::zero()) /
+           kChangeGroupingDivisor;
+  }
+
+  RecordFollowerCallbacks EvacuationCallbacks() {
+    return {.on_list =
+                [this](const std::vector<platform::Record>& records, bool) {
+                  evacuated_.clear();
+                  ApplyEvacuations(records);
+                },
+            .on_change =
+                [this](const std::vector<platform::Record>& records) {
+                  ApplyEvacuations(records);
+                },
+            .on_current = [](kernel::TimePoint) {},
+            .on_reconnected = [](kernel::Duration) {}};
+  }
+
+  void ApplyEvacuations(const std::vector<platform::Record>& records) {
+    for (const platform::Record& record : records) {
+      if (std::holds_alternative<platform::Evacuation>(record.value)) {
+        evacuated_.insert(record.name);
+      } else {
+        evacuated_.erase(record.name);
+      }
+    }
+    const kernel::TimePoint now = loop_.clock().Now();
+    const auto before = router_.directory().evacuated();
+    if (evacuated_ != before) {
+      evacuations_changed_at_ = now;
+    }
+    router_.SetEvacuated(evacuated_, now);
+    for (const std::string& name : evacuated_) {
+      if (!before.contains(name)) {
+        LogEvacuation(name, true);
+      }
+    }
+    for (const std::string& name : before) {
+      if (!evacuated_.contains(name)) {
+        LogEvacuation(name, false);
+      }
+    }
+  }
+
+  // An entry without upstreams may have a misspelt name.
+  void LogEvacuation(const std::string& data_centre, bool is_evacuated) {
+    const size_t upstreams = router_.directory().CountIn(data_centre);
+    base::Log(upstreams > 0 ? base::LogLevel::kInfo : base::LogLevel::kWarning,
+              is_evacuated ? "evacuation_began" : "evacuation_ended",
+              {{"data_centre", data_centre},
+               {"upstreams", upstreams},
+               {"revision", evacuations_.changed_revision().revision}});
+  }
+
   bool Listen() {
     std::vector<absl::Status> results;
     if (settings_.callers.has_value()) {
@@ -327,7 +408,7 @@
 
   bool IsReady() const {
     return router_.table() != nullptr && has_upstreams_ &&
-           !context_.is_draining &&
+           router_.knows_evacuations() && !context_.is_draining &&
            !overload_.IsWithdrawn(loop_.clock().Now()) &&
            freshness_.MayAccept(kernel::BootClock().Now());
   }
@@ -352,7 +433,8 @@
                       static_cast<double>(pool_.connections_opened()));
     metrics_.SetGauge(
         "store_calls",
-        static_cast<double>(configuration_.calls() + upstreams_.calls()));
+        static_cast<double>(configuration_.calls() + upstreams_.calls() +
+                            evacuations_.calls()));
     metrics_.SetGauge("board_questions",
                       static_cast<double>(boards_.queries_sent()));
     metrics_.SetGauge("board_questions_unanswered",
@@ -376,6 +458,19 @@
     }
     metrics_.SetGauge(
         "facts", static_cast<double>(router_.beliefs().facts().rows().size()));
+    const kernel::TimePoint now = loop_.clock().Now();
+    metrics_.SetGauge("cold_upstreams",
+                      static_cast<double>(router_.beliefs().CountCold(now)));
+    metrics_.SetGauge("evacuated_data_centres",
+                      static_cast<double>(evacuated_.size()));
+    metrics_.SetGauge(
+        "evacuations_age_seconds",
+        evacuations_changed_at_ == kernel::TimePoint{}
+            ? 0
+            : std::chrono::duration<double>(now - evacuations_changed_at_)
+                  .count());
+    metrics_.SetGauge("permits_granted",
+                      static_cast<double>(permits_.granted()));
     metrics_.SetGauge("permits_refused",
                       static_cast<double>(permits_.refused()));
     metrics_.SetGauge("permits_without_board",
@@ -415,6 +510,13 @@
       configuration_.ReadNow();
     }
     ReadAfterRestoration();
+    if (exchange_.fleet_evacuations_revision() <= evacuations_.revision()) {
+      evacuations_behind_since_ = now;
+    } else if (now - evacuations_behind_since_ >
+               kMaxTimeBehind + EvacuationGrouping(settings_)) {
+      evacuations_behind_since_ = now;
+      evacuations_.ReadNow();
+    }
     if (exchange_.fleet_upstreams_revision() <= upstreams_.revision()) {
       behind_since_ = now;
     } else if (now - behind_since_ >
@@ -430,7 +532,8 @@
     const uint64_t newest_era =
         std::max({configuration_.revision().era, upstreams_.revision().era,
                   exchange_.fleet_upstreams_revision().era});
-    for (RecordFollower* const follower : {&configuration_, &upstreams_}) {
+    for (RecordFollower* const follower :
+         {&configuration_, &upstreams_, &evacuations_}) {
       if (follower->revision().era < newest_era) {
         follower->ReadNow();
       }
@@ -493,6 +596,10 @@
   ReadinessServer readiness_;
   RecordFollower configuration_;
   RecordFollower upstreams_;
+  RecordFollower evacuations_;  // Started where data centres are evacuated.
+  std::set<std::string, std::less<>> evacuated_;
+  kernel::TimePoint evacuations_changed_at_{};
+  kernel::TimePoint evacuations_behind_since_{};
   kernel::Timer tick_timer_;
   kernel::Timer log_flush_timer_;
   kernel::Timer stop_accepting_timer_;
--- a/jackdawshunt/gateway/permit_client.cc
+++ b/jackdawshunt/gateway/permit_client.cc
@@ -1,5 +1,6 @@
 #include "jackdawshunt/gateway/permit_client.h"
 
+#include <optional>
 #include <utility>
 
 namespace jackdawshunt::gateway {
@@ -11,7 +12,7 @@
 
 struct PermitClient::Query {
   routing::Upstream upstream;
-  double limit = 0;
+  std::optional<routing::PermitRate> rate;
   Callback done;
   kernel::Timer timer;
 };
@@ -31,18 +32,14 @@
   const kernel::TimePoint now = loop_.clock().Now();
   auto query = std::make_shared<Query>();
   query->upstream = upstream;
-  query->limit = router_.LimitOf(upstream, now).value_or(0);
+  query->rate = router_.RateOf(upstream, now);
   query->done = std::move(done);
   const uint64_t nonce = next_nonce_++;
   queries_.emplace(nonce, query);
-  const routing::Fact* const limit = router_.beliefs().facts().Find(
-      routing::FactKind::kStartLimit, routing::StartOf(upstream));
   const std::string home = router_.PermitHomeOf(upstream, now);
-  const bool has_home = !home.empty() && limit != nullptr;
+  const bool has_home = !home.empty() && query->rate.has_value();
   if (has_home) {
-    boards_.SendTo(home,
-                   board::PermitQuery{.nonce = nonce,
-                                      .limit = board::ToAged(*limit, now)});
+    boards_.SendTo(home, QueryFor(upstream, *query->rate, nonce));
   }
   query->timer =
       loop_.After(has_home ? kReplyTimeout : kernel::Duration::zero(),
@@ -50,6 +47,22 @@
   return query;
 }
 
+board::PermitQuery PermitClient::QueryFor(const routing::Upstream& upstream,
+                                          const routing::PermitRate& rate,
+                                          uint64_t nonce) const {
+  const uint64_t start = routing::StartOf(upstream);
+  board::PermitQuery query{
+      .nonce = nonce,
+      .start = start,
+      .cold_per_second = rate.is_cold ? rate.per_second : 0};
+  const routing::Fact* const limit =
+      router_.beliefs().facts().Find(routing::FactKind::kStartLimit, start);
+  if (limit != nullptr) {
+    query.limits.push_back(board::ToAged(*limit, loop_.clock().Now()));
+  }
+  return query;
+}
+
 void PermitClient::OnReply(const board::PermitReply& reply) {
   Finish(reply.nonce, {.is_granted = reply.is_granted, .wait = reply.wait});
 }
@@ -63,10 +76,10 @@
   ++without_board_;
   // The limit may have ended meanwhile.
   const routing::Permit permit =
-      query->limit == 0
-          ? routing::Permit{.is_granted = true}
-          : fallback_.Take(routing::StartOf(query->upstream), query->limit,
-                           router_.instances(), loop_.clock().Now());
+      query->rate.has_value()
+          ? fallback_.Take(routing::StartOf(query->upstream), *query->rate,
+                           router_.instances(), loop_.clock().Now())
+          : routing::Permit{.is_granted = true};
   Finish(nonce, permit);
 }
 
@@ -81,7 +94,9 @@
     return;
   }
   query->timer.Cancel();
-  if (!permit.is_granted) {
+  if (permit.is_granted) {
+    ++granted_;
+  } else {
     ++refused_;
     router_.beliefs().OnPermitRefused(query->upstream, permit.wait,
                                       loop_.clock().Now());
--- a/jackdawshunt/gateway/permit_client.h
+++ b/jackdawshunt/gateway/permit_client.h
@@ -1,5 +1,5 @@
-// Gets permits for requests to upstreams that name a limit, from the boards
-// that count them.
+// Gets permits for requests to upstreams that name a limit or are cold, from
+// the boards that count them.
 //
 // Example:
 //   gateway::PermitClient permits(loop, router, boards, gateways);
@@ -42,11 +42,15 @@
   // Call every second.
   void DropExpired();
 
+  uint64_t granted() const { return granted_; }
   uint64_t refused() const { return refused_; }
   // Permits that this gateway decided on without a board.
   uint64_t without_board() const { return without_board_; }
 
  private:
+  board::PermitQuery QueryFor(const routing::Upstream& upstream,
+                              const routing::PermitRate& rate,
+                              uint64_t nonce) const;
   void OnReply(const board::PermitReply& reply);
   void OnTimeout(uint64_t nonce);
   void Finish(uint64_t nonce, const routing::Permit& permit);
@@ -57,6 +61,7 @@
   routing::PermitFallback fallback_;
   std::unordered_map<uint64_t, std::weak_ptr<Query>> queries_;  // By nonce.
   uint64_t next_nonce_ = 1;
+  uint64_t granted_ = 0;
   uint64_t refused_ = 0;
   uint64_t without_board_ = 0;
 };
--- a/jackdawshunt/gateway/start_checks.cc
+++ b/jackdawshunt/gateway/start_checks.cc
@@ -73,7 +73,7 @@
   attempts_.erase(found);
   loop_.Post([attempt] {});
   if (attempt->was_refused()) {
-    router_.OnConnectionRefused(attempt->upstream());
+    router_.OnConnectionRefused(attempt->upstream(), loop_.clock().Now());
   }
   attempt->CallWaiting(!attempt->was_accepted());
 }
--- a/jackdawshunt/platform/records.cc
+++ b/jackdawshunt/platform/records.cc
@@ -24,7 +24,8 @@
   std::string_view wire_name;  // In paths of the store's API.
 };
 constexpr std::array kKinds = {KindRow{"desired_state", "config"},
-                               KindRow{"upstream", "servers"}};
+                               KindRow{"upstream", "servers"},
+                               KindRow{"evacuation", "evacuations"}};
 
 const KindRow& RowFor(RecordKind kind) {
   return kKinds.at(static_cast<size_t>(kind));
@@ -85,6 +86,20 @@
     return std::nullopt;
   }
 
+  // Returns nullopt when the field is missing or null.
+  std::optional<double> Number(const char* name) {
+    const json* field = Find(name);
+    if (field == nullptr || field->is_null()) {
+      return std::nullopt;
+    }
+    const double number = field->is_number() ? field->get<double>() : -1;
+    if (!std::isfinite(number) || number < 0 || number >= 1e9) {
+      Fail(name);
+      return std::nullopt;
+    }
+    return number;
+  }
+
   bool Boolean(const char* name) {
     const json* field = Find(name);
     if (field == nullptr || field->is_null()) {
@@ -193,6 +208,9 @@
   service.name = reader.RequiredText("name");
   service.connection_limit =
       static_cast<uint32_t>(reader.Unsigned("connectionLimit").value_or(0));
+  service.cold_time = std::chrono::duration_cast<kernel::Duration>(
+      std::chrono::duration<double>(reader.Number("coldStartS").value_or(0)));
+  service.cold_requests_per_second = reader.Number("coldPerS").value_or(0);
   const json* engine = reader.Find("engine");
   if (engine != nullptr && engine->is_object()) {
     ObjectReader fields(*engine);
@@ -317,6 +335,9 @@
 RecordValue DecodeValue(RecordKind kind,
                         const std::string& name,
                         const json& object) {
+  if (kind == RecordKind::kEvacuation) {
+    return Evacuation{};  // The name says all.
+  }
   const auto specification = object.find("specification");
   if (specification == object.end()) {
     return Absent{};
@@ -455,6 +476,10 @@
   // The time when the process started, not when the record was created.
   upstream.started_unix_ms =
       static_cast<int64_t>(reader.Unsigned("born").value_or(0));
+  if (const auto ms = reader.Number("coldRemainingMs")) {
+    upstream.cold_remaining = std::chrono::duration_cast<kernel::Duration>(
+        std::chrono::duration<double, std::milli>(*ms));
+  }
   if (!reader.status().ok()) {
     return reader.status();
   }
--- a/jackdawshunt/platform/records.h
+++ b/jackdawshunt/platform/records.h
@@ -25,14 +25,17 @@
 
 namespace jackdawshunt::platform {
 
-enum class RecordKind { kDesiredState, kUpstream };
+enum class RecordKind { kDesiredState, kUpstream, kEvacuation };
 // Returns the name used in logs.
 std::string_view RecordKindName(RecordKind kind);
 
 // Value of a record that was removed or is unusable.
 struct Absent {};
+// Value of a record that asks for the evacuation of the data centre of its
+// name.
+struct Evacuation {};
 using RecordValue =
-    std::variant<Absent, routing::DesiredState, routing::Upstream>;
+    std::variant<Absent, routing::DesiredState, routing::Upstream, Evacuation>;
 
 struct Record {
   std::string name;
--- a/jackdawshunt/platform/settings.cc
+++ b/jackdawshunt/platform/settings.cc
@@ -137,6 +137,12 @@
   reader.Milliseconds("bounds.configurationMs", promises.configuration);
   reader.Milliseconds("bounds.revokeMs", promises.revocation);
   reader.Boolean("bounds.strictRevocation", promises.is_revocation_strict);
+  if (!reader.Text("bounds.evacuateMs").empty()) {
+    promises.evacuation.emplace();
+    reader.Milliseconds("bounds.evacuateMs", *promises.evacuation);
+  }
+  reader.Number("bounds.coldOverage", promises.cold_overage);
+  reader.Number("bounds.coldSlack", promises.cold_slack);
   reader.Number("bounds.budgetRatio", promises.retry_ratio);
   reader.Seconds("bounds.budgetWindowS", promises.retry_window);
   reader.Number("bounds.budgetSlack", promises.retry_slack);
--- a/jackdawshunt/platform/settings.h
+++ b/jackdawshunt/platform/settings.h
@@ -36,6 +36,13 @@
   // Every process refuses a revoked API key after this time.
   kernel::Duration revocation = std::chrono::milliseconds(5000);
   bool is_revocation_strict = true;
+  // Nothing is sent to the upstreams of an evacuated data centre after this
+  // time; absent where data centres are not evacuated.
+  std::optional<kernel::Duration> evacuation;
+  // In one second a cold upstream gets at most this factor of the rate that it
+  // bears, and `cold_slack` requests.
+  double cold_overage = 1.0;
+  double cold_slack = 0;
   double retry_ratio = 0.1;
   kernel::Duration retry_window = std::chrono::seconds(10);
   double retry_slack = 0;
--- a/jackdawshunt/routing/beliefs.cc
+++ b/jackdawshunt/routing/beliefs.cc
@@ -48,6 +48,14 @@
 // Time in which the outcome of a trial is expected.
 constexpr kernel::Duration kTrialTime = std::chrono::seconds(1);
 
+kernel::TimePoint EndOfColdTime(const Fact& cold) {
+  return cold.at + std::chrono::duration_cast<kernel::Duration>(
+                       std::chrono::duration<double>(std::min(
+                           cold.value,
+                           std::chrono::duration<double>(Beliefs::kMaxColdTime)
+                               .count())));
+}
+
 // Returns the number of ends that are not simultaneous with an earlier one.
 size_t CountDistinct(const std::set<const Fact*>& facts) {
   std::vector<kernel::TimePoint> ends;
@@ -347,6 +355,60 @@
   return limit->value;
 }
 
+bool Beliefs::OnCold(uint64_t start,
+                     kernel::TimePoint until,
+                     kernel::TimePoint now) {
+  if (until <= now) {
+    return false;
+  }
+  has_start_facts_ = true;
+  const std::chrono::duration<double> time =
+      std::min(until - now, kMaxColdTime);
+  return facts_.Merge({.kind = FactKind::kStartCold,
+                       .subject = start,
+                       .source = source_,
+                       .at = now,
+                       .value = time.count()},
+                      now);
+}
+
+bool Beliefs::SuspectCold(uint64_t start,
+                          kernel::TimePoint until,
+                          kernel::TimePoint now) {
+  const bool was_cold = ColdUntil(start, now) > now;
+  SetLater(suspected_cold_until_, start, std::min(until, now + kMaxColdTime));
+  return !was_cold;
+}
+
+kernel::TimePoint Beliefs::ColdUntil(uint64_t start,
+                                     kernel::TimePoint now) const {
+  kernel::TimePoint until = now;
+  if (has_start_facts_) {
+    if (const Fact* const cold = facts_.Find(FactKind::kStartCold, start)) {
+      until = std::max(until, EndOfColdTime(*cold));
+    }
+  }
+  const auto suspected = suspected_cold_until_.find(start);
+  return suspected == suspected_cold_until_.end()
+             ? until
+             : std::max(until, suspected->second);
+}
+
+size_t Beliefs::CountCold(kernel::TimePoint now) const {
+  std::set<uint64_t> cold;
+  for (const auto& [key, row] : facts_.rows()) {
+    if (key.first == FactKind::kStartCold && EndOfColdTime(row.fact) > now) {
+      cold.insert(key.second);
+    }
+  }
+  for (const auto& [start, until] : suspected_cold_until_) {
+    if (until > now) {
+      cold.insert(start);
+    }
+  }
+  return cold.size();
+}
+
 kernel::TimePoint Beliefs::OpensAt(uint64_t start,
                                    kernel::TimePoint now) const {
   if (has_start_facts_ &&
@@ -380,7 +442,8 @@
         AddPendingLoss(fact.subject);
       }
       has_start_facts_ |= fact.kind == FactKind::kStartLeaving ||
-                          fact.kind == FactKind::kStartLimit;
+                          fact.kind == FactKind::kStartLimit ||
+                          fact.kind == FactKind::kStartCold;
     }
   }
   if (has_changed || was_incomplete) {
@@ -521,7 +584,8 @@
   std::erase_if(trials_, [now](const auto& row) {
     return now - row.second > kTrialTime;
   });
-  for (Times* const times : {&held_back_until_, &no_permit_until_}) {
+  for (Times* const times :
+       {&held_back_until_, &no_permit_until_, &suspected_cold_until_}) {
     std::erase_if(*times, [now](const auto& row) { return now >= row.second; });
   }
   const bool was_interrupted =
--- a/jackdawshunt/routing/beliefs.h
+++ b/jackdawshunt/routing/beliefs.h
@@ -22,8 +22,10 @@
 //
 // Upstreams also say of themselves that they leave, that they want nothing for
 // a while, or that they take only so many requests a second from all gateways.
-// These hold for one start of the upstream. What it says to one gateway alone
-// is not told to others.
+// A start can also be cold: known from its record, or suspected because the
+// upstream could not be reached and may have restarted. These hold for one
+// start of the upstream. What it says to one gateway alone, and a suspicion of
+// one gateway, is not told to others.
 //
 // Not thread-safe.
 #ifndef JACKDAWSHUNT_ROUTING_BELIEFS_H_
@@ -128,6 +130,20 @@
   void OnPermitRefused(const Upstream& upstream,
                        kernel::Duration wait,
                        kernel::TimePoint now);
+  // Records that a start of an upstream stays cold until `until`, at most
+  // kMaxColdTime from now on. Returns whether that is news.
+  bool OnCold(uint64_t start, kernel::TimePoint until, kernel::TimePoint now);
+  // Records the suspicion that the start is cold, or returns cold, until
+  // `until`. Returns whether there was none before.
+  bool SuspectCold(uint64_t start,
+                   kernel::TimePoint until,
+                   kernel::TimePoint now);
+  // Returns the time until which the start counts as cold; `now` or earlier if
+  // it does not.
+  kernel::TimePoint ColdUntil(uint64_t start, kernel::TimePoint now) const;
+  // Returns the number of starts that count as cold.
+  size_t CountCold(kernel::TimePoint now) const;
+  static constexpr kernel::Duration kMaxColdTime = std::chrono::seconds(60);
   // Returns the limit of a start of an upstream, in requests a second; nullopt
   // if none is known.
   std::optional<double> LimitOf(uint64_t start, kernel::TimePoint now) const;
@@ -201,9 +217,10 @@
   std::map<Subject, kernel::TimePoint> trials_;
   Times held_back_until_;
   Times no_permit_until_;
+  Times suspected_cold_until_;
   // Until then, more facts are expected.
   kernel::TimePoint incomplete_until_{};
-  bool has_start_facts_ = false;  // Leaving or limited starts.
+  bool has_start_facts_ = false;  // Leaving, limited or cold starts.
 };
 
 }  // namespace jackdawshunt::routing
--- a/jackdawshunt/routing/deadly_request_test.cc
+++ b/jackdawshunt/routing/deadly_request_test.cc
@@ -102,7 +102,7 @@
       for (RoutedRequest& other : others) {
         router_.OnEnded(other, decision.upstream, Outcome::kLost, Now());
       }
-      router_.OnConnectionRefused(decision.upstream);
+      router_.OnConnectionRefused(decision.upstream, Now());
       router_.directory().Remove(decision.upstream.id, Now());
       Start();
     } while (router_.TrySpendRetry(request, Now()));
--- a/jackdawshunt/routing/desired_state.h
+++ b/jackdawshunt/routing/desired_state.h
@@ -64,6 +64,10 @@
   uint32_t connection_limit =
       0;  // Per upstream, over all callers. 0 means unlimited.
   std::optional<EngineProfile> engine;  // Absent for plain services.
+  // An upstream that has started is cold for `cold_time`, and then bears only
+  // `cold_requests_per_second` from all callers. 0 if it bears its full load.
+  kernel::Duration cold_time{};
+  double cold_requests_per_second = 0;
 };
 
 struct Limits {
--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -124,7 +124,7 @@
     RecordUnlisted(entry.upstream, now);
   }
   entry.upstream = std::move(updated);
-  ready_.clear();
+  lists_.clear();
   ++changes_;
   if (observer_) {
     observer_(entry.upstream, change);
@@ -176,14 +176,15 @@
 void Directory::Erase(std::map<std::string, Entry, std::less<>>::iterator entry,
                       kernel::TimePoint now) {
   std::erase_if(removed_, [now](const auto& row) {
-    return now - row.second > kRemovalMemory;
+    return now - row.second.at > kRemovalMemory;
   });
-  removed_[entry->first] = now;
+  removed_[entry->first] = {
+      .at = now, .started_unix_ms = entry->second.upstream.started_unix_ms};
   RecordUnlisted(entry->second.upstream, now);
   SetExpired(entry->second, false);
   const Upstream removed = std::move(entry->second.upstream);
   entries_.erase(entry);
-  ready_.clear();
+  lists_.clear();
   ++changes_;
   if (observer_) {
     observer_(removed, Change::kRemoved);
@@ -211,23 +212,34 @@
   }
 }
 
-const std::vector<const Upstream*>& Directory::Ready(std::string_view service,
-                                                     kernel::TimePoint now) {
+void Directory::SetEvacuated(std::set<std::string, std::less<>> data_centres) {
+  if (data_centres != evacuated_) {
+    evacuated_ = std::move(data_centres);
+    lists_.clear();
+    ++changes_;
+  }
+}
+
+const Directory::ServiceLists& Directory::ListsOf(std::string_view service,
+                                                  kernel::TimePoint now) {
   RemoveExpired(now);
   if (!stale_entries_.empty()) {
     AddStaleEntries(now);
   }
-  const auto known = ready_.find(service);
-  if (known != ready_.end()) {
+  const auto known = lists_.find(service);
+  if (known != lists_.end()) {
     return known->second;
   }
-  std::vector<const Upstream*>& ready = ready_[std::string(service)];
+  ServiceLists& lists = lists_[std::string(service)];
   for (const auto& [id, entry] : entries_) {
     if (entry.upstream.service == service && !entry.upstream.is_draining) {
-      ready.push_back(&entry.upstream);
+      lists.running.push_back(&entry.upstream);
+      if (!IsEvacuated(entry.upstream.data_centre)) {
+        lists.ready.push_back(&entry.upstream);
+      }
     }
   }
-  return ready;
+  return lists;
 }
 
 std::vector<const Upstream*> Directory::Listed(std::string_view service) const {
@@ -277,6 +289,24 @@
       });
 }
 
+size_t Directory::CountIn(std::string_view data_centre) const {
+  return static_cast<size_t>(std::count_if(
+      entries_.begin(), entries_.end(), [data_centre](const auto& entry) {
+        return entry.second.upstream.data_centre == data_centre;
+      }));
+}
+
+bool Directory::IsKnownStart(const Upstream& upstream) const {
+  const auto entry = entries_.find(upstream.id);
+  if (entry != entries_.end()) {
+    return entry->second.upstream.started_unix_ms == upstream.started_unix_ms &&
+           entry->second.upstream.address == upstream.address;
+  }
+  const auto removed = removed_.find(upstream.id);
+  return removed != removed_.end() &&
+         removed->second.started_unix_ms == upstream.started_unix_ms;
+}
+
 const Upstream* Directory::Find(std::string_view id) const {
   const auto entry = entries_.find(id);
   return entry == entries_.end() ? nullptr : &entry->second.upstream;
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -15,6 +15,9 @@
 // upstream that is gone, or one that drains as ready. What was known of these
 // before stays in force until the upstream writes its entry again.
 //
+// Operators evacuate data centres: nothing is sent to the upstreams there until
+// the evacuation ends, although they go on running.
+//
 // Not thread-safe.
 #ifndef JACKDAWSHUNT_ROUTING_DIRECTORY_H_
 #define JACKDAWSHUNT_ROUTING_DIRECTORY_H_
@@ -22,6 +25,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -72,7 +76,22 @@
   // order of their ids. Valid until the next change of the directory or call of
   // this function.
   const std::vector<const Upstream*>& Ready(std::string_view service,
-                                            kernel::TimePoint now);
+                                            kernel::TimePoint now) {
+    return ListsOf(service, now).ready;
+  }
+  // Returns these and the ones in evacuated data centres.
+  const std::vector<const Upstream*>& Running(std::string_view service,
+                                              kernel::TimePoint now) {
+    return ListsOf(service, now).running;
+  }
+  // Sets the names of the data centres that are evacuated.
+  void SetEvacuated(std::set<std::string, std::less<>> data_centres);
+  const std::set<std::string, std::less<>>& evacuated() const {
+    return evacuated_;
+  }
+  bool IsEvacuated(std::string_view data_centre) const {
+    return !evacuated_.empty() && evacuated_.contains(data_centre);
+  }
   // Returns all upstreams of the service, draining ones included. Valid until
   // the next change of the directory.
   std::vector<const Upstream*> Listed(std::string_view service) const;
@@ -86,6 +105,11 @@
   // Returns whether another start, not known to be an earlier one, is listed at
   // the address of `upstream`, so that what listens there may be that one.
   bool IsReplaced(const Upstream& upstream) const;
+  // Returns whether this start of the upstream is listed, or was until a short
+  // time ago.
+  bool IsKnownStart(const Upstream& upstream) const;
+  // Returns the number of upstreams in the data centre.
+  size_t CountIn(std::string_view data_centre) const;
   // Returns null when there is no such entry.
   const Upstream* Find(std::string_view id) const;
   size_t size() const { return entries_.size(); }
@@ -106,6 +130,13 @@
     kernel::TimePoint added_at{};  // Unless removed before.
   };
 
+  // Upstreams of one service, in the order of their ids.
+  struct ServiceLists {
+    std::vector<const Upstream*> running;  // Not draining.
+    std::vector<const Upstream*> ready;    // Not in evacuated data centres.
+  };
+
+  const ServiceLists& ListsOf(std::string_view service, kernel::TimePoint now);
   void SetExpired(Entry& entry, bool is_expired);
   // Returns whether a listed entry is from before its upstream was draining.
   bool KeepsDraining(const Upstream& listed, bool is_restored);
@@ -119,13 +150,17 @@
 
   const kernel::Duration return_grace_;
   std::map<std::string, Entry, std::less<>> entries_;
-  // Results of Ready() since the last change, by service.
-  std::map<std::string, std::vector<const Upstream*>, std::less<>> ready_;
+  // Results of ListsOf() since the last change, by service.
+  std::map<std::string, ServiceLists, std::less<>> lists_;
+  std::set<std::string, std::less<>> evacuated_;
   size_t expired_entries_ = 0;
   uint64_t changes_ = 0;
   std::map<std::string, StaleEntry, std::less<>> stale_entries_;
-  // Ids of removed entries and the times of their removal.
-  std::map<std::string, kernel::TimePoint, std::less<>> removed_;
+  struct Removal {
+    kernel::TimePoint at{};
+    int64_t started_unix_ms = 0;  // Of the removed entry.
+  };
+  std::map<std::string, Removal, std::less<>> removed_;  // By id.
   // An upstream that has said that it leaves.
   struct Leaving {
     int64_t started_unix_ms = 0;
--- a/jackdawshunt/routing/fleet_facts.cc
+++ b/jackdawshunt/routing/fleet_facts.cc
@@ -60,6 +60,21 @@
   return true;
 }
 
+// Gateways learn of the same cold time at somewhat different moments.
+constexpr std::chrono::duration<double> kMinLongerColdTime =
+    std::chrono::milliseconds(300);
+
+// Keeps the later end of the cold time, since a record of the upstream may be
+// older than another gateway's information.
+bool MergeCold(const Fact& fact, Fact& kept) {
+  const std::chrono::duration<double> later = fact.at - kept.at;
+  if (later.count() + fact.value <= kept.value + kMinLongerColdTime.count()) {
+    return false;
+  }
+  kept = fact;
+  return true;
+}
+
 // An answer that began this long before an end also clears its subjects.
 constexpr kernel::Duration kSoundBeforeEnd = std::chrono::seconds(1);
 // Divisor of the facts of a kind that are dropped at once, so that their choice
@@ -78,6 +93,7 @@
     KindRow{"start_leaving", &MergeOnce, 8192, std::chrono::minutes(10)},
     KindRow{"start_limit", &MergeLimit, 8192, std::chrono::minutes(1)},
     KindRow{"request_sound", &MergeLatest, 512, std::chrono::minutes(10)},
+    KindRow{"start_cold", &MergeCold, 8192, std::chrono::minutes(2)},
 };
 
 const KindRow& RowOf(FactKind kind) {
--- a/jackdawshunt/routing/fleet_facts.h
+++ b/jackdawshunt/routing/fleet_facts.h
@@ -61,8 +61,11 @@
   kStartLimit,
   // An answer to the request `subject` began, and its upstream went on.
   kRequestSound,
+  // The start `subject` of an upstream stays cold for `value` seconds from `at`
+  // on.
+  kStartCold,
 };
-inline constexpr FactKind kLastFactKind = FactKind::kRequestSound;
+inline constexpr FactKind kLastFactKind = FactKind::kStartCold;
 // Returns the kind of the facts that clear subjects of `kind`.
 FactKind SoundFactKind(SubjectKind kind);
 std::string_view FactKindName(FactKind kind);
--- a/jackdawshunt/routing/permits.cc
+++ b/jackdawshunt/routing/permits.cc
@@ -5,8 +5,9 @@
 namespace jackdawshunt::routing {
 namespace {
 
-// Time whose permits may be saved for a burst.
+// Times whose permits may be saved for a burst.
 constexpr double kBurstSeconds = 0.5;
+constexpr double kColdBurstSeconds = PermitCounter::kMaxColdExcess - 1;
 constexpr kernel::Duration kMaxUnusedTime = std::chrono::seconds(120);
 constexpr size_t kMaxCounts = 8192;
 constexpr kernel::Duration kFullWait = std::chrono::seconds(1);
@@ -25,13 +26,15 @@
 }  // namespace
 
 Permit PermitCounter::Take(uint64_t start,
-                           double limit,
+                           const PermitRate& rate,
                            kernel::TimePoint now) {
   if (buckets_.size() >= kMaxCounts && !buckets_.contains(start)) {
     return {.is_granted = false, .wait = kFullWait};
   }
   TokenBucket& bucket = buckets_[start];
-  bucket.SetRate(limit, std::max(1.0, limit * kBurstSeconds), now);
+  const double burst_seconds = rate.is_cold ? kColdBurstSeconds : kBurstSeconds;
+  bucket.SetRate(rate.per_second,
+                 std::max(1.0, rate.per_second * burst_seconds), now);
   if (bucket.TryTake(now)) {
     return {.is_granted = true};
   }
@@ -45,14 +48,16 @@
 }
 
 Permit PermitFallback::Take(uint64_t start,
-                            double limit,
+                            const PermitRate& rate,
                             uint32_t gateways,
                             kernel::TimePoint now) {
   const uint32_t count = gateways == 0 ? kAssumedGateways : gateways;
-  if (count > kToleratedGatewaysPerLimit * limit + kToleratedGateways) {
+  if (rate.is_cold || count > kToleratedGatewaysPerLimit * rate.per_second +
+                                  kToleratedGateways) {
     return {.is_granted = false, .wait = kFullWait};
   }
-  return counter_.Take(start, kFallbackShare * limit / count, now);
+  return counter_.Take(
+      start, {.per_second = kFallbackShare * rate.per_second / count}, now);
 }
 
 }  // namespace jackdawshunt::routing
--- a/jackdawshunt/routing/permits_test.cc
+++ b/jackdawshunt/routing/permits_test.cc
@@ -45,7 +45,7 @@
       *rc::gen::container<std::vector<int>>(500, rc::gen::inRange(0, 120));
   for (const int gap : gaps) {
     clock.Advance(milliseconds(gap));
-    if (counter.Take(7, limit, clock.Now()).is_granted) {
+    if (counter.Take(7, {.per_second = limit}, clock.Now()).is_granted) {
       grants.push_back(clock.Now());
     }
   }
@@ -55,21 +55,21 @@
 TEST(PermitCounterTest, RefusalTellsWhenTheNextPermitIsToBeHad) {
   kernel::ManualClock clock;
   PermitCounter counter;
-  counter.Take(7, 2, clock.Now());
+  counter.Take(7, {.per_second = 2}, clock.Now());
   clock.Advance(seconds(5));
-  EXPECT_TRUE(counter.Take(7, 2, clock.Now()).is_granted);
-  const Permit refused = counter.Take(7, 2, clock.Now());
+  EXPECT_TRUE(counter.Take(7, {.per_second = 2}, clock.Now()).is_granted);
+  const Permit refused = counter.Take(7, {.per_second = 2}, clock.Now());
   EXPECT_FALSE(refused.is_granted);
   EXPECT_LE(refused.wait, milliseconds(501));
   clock.Advance(refused.wait);
-  EXPECT_TRUE(counter.Take(7, 2, clock.Now()).is_granted);
+  EXPECT_TRUE(counter.Take(7, {.per_second = 2}, clock.Now()).is_granted);
 }
 
 TEST(PermitCounterTest, StateIsBounded) {
   kernel::ManualClock clock;
   PermitCounter counter;
   for (uint64_t start = 0; start < 20000; ++start) {
-    counter.Take(start, 1, clock.Now());
+    counter.Take(start, {.per_second = 1}, clock.Now());
   }
   EXPECT_LE(counter.size(), 8192u);
   clock.Advance(seconds(200));
@@ -90,8 +90,9 @@
         // One in three gateways reaches the board.
         for (uint32_t i = 0; i < gateways; ++i) {
           const Permit permit =
-              i % 3 == 0 ? board.Take(7, limit, clock.Now())
-                         : fallbacks[i].Take(7, limit, gateways, clock.Now());
+              i % 3 == 0 ? board.Take(7, {.per_second = limit}, clock.Now())
+                         : fallbacks[i].Take(7, {.per_second = limit}, gateways,
+                                             clock.Now());
           if (permit.is_granted) {
             grants.push_back(clock.Now());
           }
--- a/jackdawshunt/routing/prompt_part_test.cc
+++ b/jackdawshunt/routing/prompt_part_test.cc
@@ -164,7 +164,7 @@
   router_.OnSent(request, decision, Now());
   router_.set_instances(1);
   router_.OnEnded(request, decision.upstream, Outcome::kLost, Now());
-  router_.OnConnectionRefused(decision.upstream);
+  router_.OnConnectionRefused(decision.upstream, Now());
   EXPECT_FALSE(router_.TrySpendRetry(request, Now()));
 }
 
@@ -176,7 +176,7 @@
   router_.OnSent(request, decision, Now());
   router_.set_instances(1);
   router_.OnEnded(request, decision.upstream, Outcome::kLost, Now());
-  router_.OnConnectionRefused(decision.upstream);
+  router_.OnConnectionRefused(decision.upstream, Now());
   EXPECT_TRUE(router_.TrySpendRetry(request, Now()));
 }
 
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -10,6 +10,16 @@
 
 constexpr std::array<std::string_view, 5> kVerdictNames = {
     "send", "refuse", "no_upstream", "quarantined", "request_quarantined"};
+constexpr std::array<std::string_view, 5> kColdSourceNames = {
+    "record", "new_start", "refused", "unanswered", "evacuation"};
+
+// Time from a restart of an upstream until all instances know its record: one
+// or two heartbeats, the delay of the list and that of grouped changes.
+constexpr kernel::Duration kRestartNoticeTime = std::chrono::seconds(4);
+// Part of the rate of a cold plain upstream that one board gives out. Its board
+// is chosen by hashing the list, so that instances with different lists can use
+// two boards at a time.
+constexpr double kSharedHomeFraction = 0.6;
 
 // Prefill rate assumed for an engine until one is observed.
 constexpr double kDefaultPrefillTokensPerMs = 30.0;
@@ -93,6 +103,10 @@
   return kVerdictNames.at(static_cast<size_t>(verdict));
 }
 
+std::string_view ColdSourceName(ColdSource source) {
+  return kColdSourceNames.at(static_cast<size_t>(source));
+}
+
 uint64_t ShareTokens(const Prompt& prompt) {
   return prompt.prompt_tokens + uint64_t{2} * prompt.max_output_tokens;
 }
@@ -102,7 +116,8 @@
       directory_(settings_.return_grace),
       beliefs_(settings_.incarnation, now),
       budget_(settings_.retry_budget, now),
-      shares_(settings_.share_window) {
+      shares_(settings_.share_window),
+      knows_evacuations_(!settings_.follows_evacuations) {
   directory_.SetObserver(
       [this](const Upstream& upstream, Directory::Change change) {
         if (change == Directory::Change::kRemoved) {
@@ -128,10 +143,161 @@
     return false;
   }
   table_ = std::make_shared<const RoutingTable>(std::move(state));
-  shares_.set_tokens_per_second(table_->state().limits.tokens_per_second);
+  ApplyThroughput();
+  for (const Upstream& upstream : std::exchange(unapplied_records_, {})) {
+    ApplyColdRecord(upstream, unapplied_since_);
+  }
   return true;
 }
 
+const Service* Router::ServiceWithColdStarts(const Upstream& upstream) const {
+  const Service* const service =
+      table_ == nullptr ? nullptr : table_->FindService(upstream.service);
+  return service != nullptr && service->cold_requests_per_second > 0 ? service
+                                                                     : nullptr;
+}
+
+void Router::MarkCold(const Upstream& upstream,
+                      ColdSource source,
+                      kernel::Duration time,
+                      kernel::TimePoint now) {
+  if (beliefs_.OnCold(StartOf(upstream), now + time, now) && cold_observer_) {
+    cold_observer_(upstream, source, time);
+  }
+}
+
+void Router::SuspectCold(const Upstream& upstream, kernel::TimePoint now) {
+  const Service* const service = ServiceWithColdStarts(upstream);
+  if (service == nullptr) {
+    return;
+  }
+  const kernel::Duration time = kRestartNoticeTime + service->cold_time;
+  if (beliefs_.SuspectCold(StartOf(upstream), now + time, now) &&
+      cold_observer_) {
+    cold_observer_(upstream, ColdSource::kUnanswered, time);
+  }
+}
+
+void Router::OnConnectionRefused(const Upstream& upstream,
+                                 kernel::TimePoint now) {
+  beliefs_.OnEnded(upstream.id);
+  if (const Service* const service = ServiceWithColdStarts(upstream)) {
+    MarkCold(upstream, ColdSource::kRefused,
+             kRestartNoticeTime + service->cold_time, now);
+  }
+}
+
+void Router::ApplyColdRecord(const Upstream& upstream, kernel::TimePoint now) {
+  const Service* const service = ServiceWithColdStarts(upstream);
+  if (service == nullptr) {
+    return;
+  }
+  const kernel::Duration stated =
+      upstream.cold_remaining.value_or(kernel::Duration::zero());
+  if (stated > kernel::Duration::zero()) {
+    MarkCold(upstream, ColdSource::kRecord, stated, now);
+    return;
+  }
+  // The first list shows starts of any age.
+  const bool may_be_new = has_list_ || !upstream.cold_remaining.has_value();
+  if (may_be_new && !directory_.IsKnownStart(upstream)) {
+    MarkCold(upstream, ColdSource::kNewStart, service->cold_time, now);
+  }
+}
+
+void Router::ReplaceUpstreams(const std::vector<Upstream>& upstreams,
+                              kernel::TimePoint now,
+                              bool is_restored) {
+  if (table_ == nullptr) {
+    // What these entries say is applied once the services are known.
+    unapplied_records_ = upstreams;
+    unapplied_since_ = now;
+  }
+  std::vector<Upstream> list = upstreams;
+  for (Upstream& upstream : list) {
+    ApplyColdRecord(upstream, now);
+    upstream.cold_remaining.reset();
+  }
+  directory_.Replace(list, now, is_restored);
+  has_list_ = true;
+  UpdateUsablePart(now);
+}
+
+void Router::PutUpstream(const Upstream& upstream, kernel::TimePoint now) {
+  if (table_ == nullptr) {
+    unapplied_records_.push_back(upstream);
+  }
+  ApplyColdRecord(upstream, now);
+  Upstream entry = upstream;
+  entry.cold_remaining.reset();
+  directory_.Put(entry, now);
+}
+
+void Router::SetEvacuated(std::set<std::string, std::less<>> data_centres,
+                          kernel::TimePoint now) {
+  knows_evacuations_ = true;
+  const std::set<std::string, std::less<>> before = directory_.evacuated();
+  directory_.SetEvacuated(std::move(data_centres));
+  if (table_ != nullptr) {
+    for (const Service& service : table_->state().services) {
+      for (const Upstream* const upstream : directory_.Listed(service.name)) {
+        if (service.cold_requests_per_second > 0 &&
+            before.contains(upstream->data_centre) &&
+            !directory_.IsEvacuated(upstream->data_centre)) {
+          MarkCold(*upstream, ColdSource::kEvacuation, service.cold_time, now);
+        }
+      }
+    }
+  }
+  UpdateUsablePart(now);
+}
+
+void Router::UpdateUsablePart(kernel::TimePoint now) {
+  if (directory_.evacuated().empty() && usable_part_ == 1.0) {
+    return;
+  }
+  const std::vector<const Upstream*> running = RunningEngines(now);
+  const auto usable = std::count_if(
+      running.begin(), running.end(), [this](const Upstream* engine) {
+        return !directory_.IsEvacuated(engine->data_centre);
+      });
+  usable_part_ = running.empty() ? 1.0
+                                 : static_cast<double>(usable) /
+                                       static_cast<double>(running.size());
+  ApplyThroughput();
+}
+
+void Router::ApplyThroughput() {
+  shares_.set_tokens_per_second(
+      table_ == nullptr
+          ? 0
+          : usable_part_ * table_->state().limits.tokens_per_second);
+}
+
+std::optional<PermitRate> Router::RateOf(const Upstream& upstream,
+                                         kernel::TimePoint now) const {
+  const uint64_t start = StartOf(upstream);
+  std::optional<PermitRate> rate;
+  if (const auto limit = beliefs_.LimitOf(start, now)) {
+    rate = {.per_second = *limit};
+  }
+  if (beliefs_.ColdUntil(start, now) > now) {
+    if (const Service* const service = ServiceWithColdStarts(upstream)) {
+      const double tolerated =
+          settings_.cold_overage * service->cold_requests_per_second +
+          settings_.cold_slack;
+      const double cold =
+          std::min(service->cold_requests_per_second,
+                   tolerated / PermitCounter::kMaxColdExcess) *
+          (service->engine.has_value() ? 1.0 : kSharedHomeFraction);
+      rate = {.per_second =
+                  rate.has_value() ? std::min(rate->per_second, cold) : cold,
+              .is_cold = true};
+    }
+  }
+  return rate;
+}
+
 void Router::Prepare(RoutedRequest& request,
                      std::optional<kernel::Duration> deadline,
                      kernel::TimePoint now) {
@@ -203,7 +369,7 @@
 }
 
 void Router::UpdateOriginHomes(kernel::TimePoint now) {
-  const auto ready = ReadyEngines(now);  // May change the directory.
+  const auto ready = RunningEngines(now);  // May change the directory.
   const std::pair<uint64_t, uint64_t> source = {directory_.changes(),
                                                 table_->version()};
   if (source == homes_source_) {
@@ -258,7 +424,7 @@
     return upstream.address.ip;
   }
   const auto home = HighestWeights(
-      ReadyEngines(now), 1, [start = upstream.start](const Upstream& engine) {
+      RunningEngines(now), 1, [start = upstream.start](const Upstream& engine) {
         return RendezvousWeight(start, engine.address_hash);
       });
   return home.empty() ? std::string() : home.front()->address.ip;
@@ -268,6 +434,7 @@
                       const Upstream& upstream,
                       kernel::TimePoint now) const {
   return !WasTried(request, upstream.id) && !IsWithheld(upstream, now) &&
+         !directory_.IsEvacuated(upstream.data_centre) &&
          (!request.origin.has_value() || (*request.origin != kUnknownOrigin &&
                                           *request.origin == upstream.origin));
 }
@@ -286,6 +453,9 @@
 
 std::vector<const Upstream*> Router::Candidates(const RoutedRequest& request,
                                                 kernel::TimePoint now) {
+  if (!knows_evacuations_) {
+    return {};
+  }
   std::vector<const Upstream*> untried = directory_.Ready(request.service, now);
   std::erase_if(untried, [&](const Upstream* upstream) {
     return !MayServe(request, *upstream, now);
@@ -350,10 +520,13 @@
   if (!IsForEngine(request, candidates)) {
     return {};
   }
-  const auto& ready = directory_.Ready(request.service, now);
+  // The stated throughput is that of all engines that run.
+  const auto& running = directory_.Running(request.service, now);
   const auto withheld = std::count_if(
-      ready.begin(), ready.end(),
-      [&](const Upstream* engine) { return IsWithheld(*engine, now); });
+      running.begin(), running.end(), [&](const Upstream* engine) {
+        return IsWithheld(*engine, now) ||
+               directory_.IsEvacuated(engine->data_centre);
+      });
   request.engine_tokens_per_s =
       EngineTokensPerSecond(candidates.size() + static_cast<size_t>(withheld));
   return PreferredEngines(request, candidates, 0);
@@ -420,6 +593,7 @@
 bool Router::IsReady(const Upstream& upstream, kernel::TimePoint now) const {
   const Upstream* const current = directory_.Find(upstream.id);
   return current != nullptr && !current->is_draining &&
+         !directory_.IsEvacuated(current->data_centre) &&
          current->address == upstream.address &&
          !beliefs_.IsClosed(current->start, now);
 }
@@ -474,11 +648,14 @@
     kernel::TimePoint now) {
   std::vector<const Upstream*> reachable;
   for (const BoardOffer& offer : offers) {
+    const Upstream* const upstream = directory_.Find(offer.upstream);
     if (!offer.is_reachable) {
       health_.AvoidUnreachable(offer.upstream, now);
+      if (upstream != nullptr) {
+        SuspectCold(*upstream, now);
+      }
       continue;
     }
-    const Upstream* const upstream = directory_.Find(offer.upstream);
     if (upstream != nullptr && !upstream->is_draining &&
         MayServe(request, *upstream, now)) {
       reachable.push_back(upstream);
@@ -639,6 +816,9 @@
                      Outcome outcome,
                      kernel::TimePoint now) {
   health_.Record(upstream.id, outcome, now);
+  if (outcome == Outcome::kUnreachable) {
+    SuspectCold(upstream, now);
+  }
   RecordSubjects(request, upstream, outcome, now);
   Release(request, upstream, MayHaveExecuted(outcome), now);
   if (request.is_counted_by_attempt && !MayHaveExecuted(outcome)) {
@@ -684,15 +864,15 @@
   Release(request, upstream, true, now);
 }
 
-std::vector<const Upstream*> Router::ReadyEngines(kernel::TimePoint now) {
+std::vector<const Upstream*> Router::RunningEngines(kernel::TimePoint now) {
   std::vector<const Upstream*> engines;
   if (table_ == nullptr) {
     return engines;
   }
   for (const Service& service : table_->state().services) {
     if (service.engine.has_value()) {
-      const auto& ready = directory_.Ready(service.name, now);
-      engines.insert(engines.end(), ready.begin(), ready.end());
+      const auto& running = directory_.Running(service.name, now);
+      engines.insert(engines.end(), running.begin(), running.end());
     }
   }
   return engines;
@@ -701,10 +881,10 @@
 std::vector<Upstream> Router::EnginesForExchange(size_t count,
                                                  kernel::TimePoint now) {
   std::vector<Upstream> engines;
-  for (const Upstream* upstream :
-       HighestWeights(ReadyEngines(now), count, [](const Upstream& candidate) {
-         return RendezvousWeight(0, candidate.address_hash);
-       })) {
+  for (const Upstream* upstream : HighestWeights(
+           RunningEngines(now), count, [](const Upstream& candidate) {
+             return RendezvousWeight(0, candidate.address_hash);
+           })) {
     engines.push_back(*upstream);
   }
   return engines;
@@ -712,6 +892,7 @@
 
 void Router::Tick(kernel::TimePoint now) {
   beliefs_.DropExpired(now);
+  UpdateUsablePart(now);
   for (auto& [id, state] : upstreams_) {
     if (state.engine != nullptr) {
       state.engine->DropExpired(kMaxRequestAge, now);
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -7,7 +7,7 @@
 // Example:
 //   routing::Router router(settings, now);
 //   router.SetDesiredState(state);
-//   router.directory().Replace(upstreams, now);
+//   router.ReplaceUpstreams(upstreams, now, /*is_restored=*/false);
 //   routing::Decision decision = router.Choose(request, offers, now);
 //   if (decision.verdict == routing::Verdict::kSend) {
 //     Send(decision.upstream);
@@ -19,8 +19,10 @@
 #define JACKDAWSHUNT_ROUTING_ROUTER_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -35,6 +37,7 @@
 #include "jackdawshunt/routing/engine_estimate.h"
 #include "jackdawshunt/routing/fair_share.h"
 #include "jackdawshunt/routing/origin_homes.h"
+#include "jackdawshunt/routing/permits.h"
 #include "jackdawshunt/routing/placement.h"
 #include "jackdawshunt/routing/prompt.h"
 #include "jackdawshunt/routing/retry_budget.h"
@@ -52,10 +55,27 @@
   // Time for which an entry that disappeared during an outage of the list is
   // still used after the list can be read again.
   kernel::Duration return_grace = std::chrono::milliseconds(1500);
+  // Whether operators may evacuate data centres. Nothing is placed before it is
+  // known which ones are evacuated.
+  bool follows_evacuations = false;
+  // In one second a cold upstream may get at most this factor of the rate that
+  // it bears, and `cold_slack` requests.
+  double cold_overage = 1.0;
+  double cold_slack = 0;
   AdmissionPolicy admission;
   PlacementWeights placement;
 };
 
+// Why an upstream counts as cold.
+enum class ColdSource {
+  kRecord,      // Its record says so.
+  kNewStart,    // Its start is new, and its record does not say.
+  kRefused,     // Nothing listened at its address; it may return cold.
+  kUnanswered,  // A connection to it was not answered; it may have restarted.
+  kEvacuation,  // The evacuation of its data centre has ended.
+};
+std::string_view ColdSourceName(ColdSource source);
+
 // A caller's request to continue a stream that an earlier request began.
 struct Resumption {
   std::string first_request;  // Its id; empty if the caller does not name it.
@@ -146,6 +166,27 @@
     upstream_observer_ = std::move(observer);
   }
 
+  // Applies the platform's list of upstreams as a whole, or a change of one
+  // entry. What an entry says of a cold start goes to the beliefs.
+  void ReplaceUpstreams(const std::vector<Upstream>& upstreams,
+                        kernel::TimePoint now,
+                        bool is_restored);
+  void PutUpstream(const Upstream& upstream, kernel::TimePoint now);
+  // Sets the names of the evacuated data centres. Upstreams in data centres
+  // that are no longer evacuated count as cold: they may have restarted, or
+  // lost what they had in memory, since they were last used.
+  void SetEvacuated(std::set<std::string, std::less<>> data_centres,
+                    kernel::TimePoint now);
+  // Returns whether it is known which data centres are evacuated.
+  bool knows_evacuations() const { return knows_evacuations_; }
+  // Sets the function that is called when an upstream comes to count as cold
+  // for `time`.
+  using ColdObserver = std::function<
+      void(const Upstream& upstream, ColdSource source, kernel::Duration time)>;
+  void SetColdObserver(ColdObserver observer) {
+    cold_observer_ = std::move(observer);
+  }
+
   // Fills in the fields of `request` that follow from its route, and counts it
   // in the retry budget and its workspace's share.
   void Prepare(RoutedRequest& request,
@@ -203,9 +244,7 @@
     return beliefs_.AwaitsEndOf(upstream);
   }
   // Records that nothing listens at the address of the upstream.
-  void OnConnectionRefused(const Upstream& upstream) {
-    beliefs_.OnEnded(upstream.id);
-  }
+  void OnConnectionRefused(const Upstream& upstream, kernel::TimePoint now);
   // Returns whether `upstream` may still be sent new requests.
   bool IsReady(const Upstream& upstream, kernel::TimePoint now) const;
   // Records that an answer of `upstream` says that it leaves. Returns false if
@@ -214,12 +253,10 @@
     beliefs_.OnLeaving(upstream, now);
     return directory_.MarkLeaving(upstream, now);
   }
-  // Returns the limit of the upstream if each request to it needs a permit; see
-  // PermitCounter.
-  std::optional<double> LimitOf(const Upstream& upstream,
-                                kernel::TimePoint now) const {
-    return beliefs_.LimitOf(StartOf(upstream), now);
-  }
+  // Returns the rate of the upstream if each request to it needs a permit,
+  // because it names a limit or is cold; see PermitCounter.
+  std::optional<PermitRate> RateOf(const Upstream& upstream,
+                                   kernel::TimePoint now) const;
   // Returns the IP of the engine whose board counts the permits of `upstream`;
   // empty if there is none.
   std::string PermitHomeOf(const Upstream& upstream, kernel::TimePoint now);
@@ -285,10 +322,25 @@
   };
 
   UpstreamState& StateOf(const Upstream& upstream);
+  // Returns the service of the upstream if its starts can be cold; else null.
+  const Service* ServiceWithColdStarts(const Upstream& upstream) const;
+  // Records what an entry of the list says of its start.
+  void ApplyColdRecord(const Upstream& upstream, kernel::TimePoint now);
+  void MarkCold(const Upstream& upstream,
+                ColdSource source,
+                kernel::Duration time,
+                kernel::TimePoint now);
+  // Records that the upstream may have restarted since it was last reached.
+  void SuspectCold(const Upstream& upstream, kernel::TimePoint now);
+  // Updates the part of the engines that is not evacuated.
+  void UpdateUsablePart(kernel::TimePoint now);
+  // Tells the shares which throughput these engines have.
+  void ApplyThroughput();
   // Rebuilds the rings of homes if the engines have changed.
   void UpdateOriginHomes(kernel::TimePoint now);
-  // Returns the engines of all services that may be sent new requests.
-  std::vector<const Upstream*> ReadyEngines(kernel::TimePoint now);
+  // Returns the engines of all services that are not draining. Their boards are
+  // also used in evacuated data centres.
+  std::vector<const Upstream*> RunningEngines(kernel::TimePoint now);
   // Returns the throughput that one of `engines` engines can sustain, from the
   // fleet's stated throughput; 0 if none is stated.
   double EngineTokensPerSecond(size_t engines) const;
@@ -360,6 +412,14 @@
   std::shared_ptr<const RoutingTable> table_;
   Directory directory_;
   Directory::Observer upstream_observer_;
+  ColdObserver cold_observer_;
+  bool has_list_ = false;  // Of upstreams.
+  // Entries of the list that arrived before the first desired state, and when
+  // the first of them did.
+  std::vector<Upstream> unapplied_records_;
+  kernel::TimePoint unapplied_since_{};
+  double usable_part_ = 1.0;
+  bool knows_evacuations_ = false;
   UpstreamHealth health_;
   Beliefs beliefs_;
   RetryBudget budget_;
--- a/jackdawshunt/routing/upstream.h
+++ b/jackdawshunt/routing/upstream.h
@@ -3,6 +3,7 @@
 #define JACKDAWSHUNT_ROUTING_UPSTREAM_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "jackdawshunt/http/http.h"
@@ -27,6 +28,9 @@
   // Unix time of its start in milliseconds; a new value means that it restarted
   // and lost its state. 0 when not stated.
   int64_t started_unix_ms = 0;
+  // Time that it stays cold, as of its record. Absent when not stated, and in
+  // the Directory: Router keeps it among its beliefs.
+  std::optional<kernel::Duration> cold_remaining;
 
   bool operator==(const Upstream&) const = default;
 };
