--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -312,6 +312,56 @@
   EXPECT_EQ(std::get<OriginReply>(*reply).origin, 7u);
 }
 
+TEST(MessagesTest, PermitQueryKeepsItsFields) {
+  const auto decoded = Decode(
+      Encode(PermitQuery{.nonce = 4,
+                         .start = 5,
+                         .cold_per_second = 9.1,
+                         .limits = {{.kind = routing::FactKind::kStartLimit,
+                                     .subject = 5,
+                                     .value = 3}}}));
+  ASSERT_TRUE(decoded.ok());
+  const auto& query = std::get<PermitQuery>(*decoded);
+  EXPECT_EQ(query.nonce, 4u);
+  EXPECT_EQ(query.start, 5u);
+  EXPECT_EQ(query.cold_per_second, 9.1);
+  EXPECT_EQ(query.limits.at(0).value, 3);
+}
+
+// Guards against gateways that each use a share of their own at a cold engine.
+TEST(BoardPermitTest, CountsRequestsToAColdEngineForAllGateways) {
+  Board board(1);
+  kernel::TimePoint now(seconds(100));
+  int granted = 0;
+  for (int i = 0; i < 1000; ++i) {
+    now += milliseconds(2);
+    const auto reply =
+        board.Handle(PermitQuery{.start = 5, .cold_per_second = 9.1}, now);
+    granted += std::get<PermitReply>(*reply).is_granted ? 1 : 0;
+  }
+  EXPECT_GE(granted, 18);
+  EXPECT_LE(granted, 21);
+}
+
+// The lower of the two holds.
+TEST(BoardPermitTest, LimitHoldsForAColdEngineToo) {
+  Board board(1);
+  kernel::TimePoint now(seconds(100));
+  int granted = 0;
+  for (int i = 0; i < 1000; ++i) {
+    now += milliseconds(2);
+    const auto reply = board.Handle(
+        PermitQuery{.start = 5,
+                    .cold_per_second = 9.1,
+                    .limits = {{.kind = routing::FactKind::kStartLimit,
+                                .subject = 5,
+                                .value = 3}}},
+        now);
+    granted += std::get<PermitReply>(*reply).is_granted ? 1 : 0;
+  }
+  EXPECT_LE(granted, 8);
+}
+
 // Guards against replies that pile up at an instance whose iterations of the
 // loop are long, until all of them are read too late.
 TEST(DatagramSocketTest, ReadsAllWaitingDatagramsInOneIteration) {
--- a/jackdawshunt/platform/records_test.cc
+++ b/jackdawshunt/platform/records_test.cc
@@ -40,6 +40,53 @@
   EXPECT_FALSE(upstream->is_draining);
 }
 
+// Guards against trust in a record that does not say whether its upstream is
+// cold, and against one whose value cannot be read.
+TEST(RecordsTest, DecodesColdTimeOfUpstream) {
+  const auto decode = [](const std::string& value) {
+    std::string record = kServer;
+    const std::string field = R"("coldRemainingMs":0,)";
+    record.replace(record.find(field), field.size(),
+                   value.empty() ? "" : R"("coldRemainingMs":)" + value + ",");
+    return DecodeUpstream("i-1", nlohmann::json::parse(record));
+  };
+  EXPECT_EQ(decode("0")->cold_remaining, kernel::Duration::zero());
+  EXPECT_EQ(decode("2400")->cold_remaining, std::chrono::milliseconds(2400));
+  EXPECT_EQ(decode("")->cold_remaining, std::nullopt);
+  EXPECT_FALSE(decode(R"("soon")").ok());
+  EXPECT_FALSE(decode("-1").ok());
+}
+
+TEST(RecordsTest, DecodesRateOfColdUpstreams) {
+  const auto state = DecodeDesiredState(nlohmann::json::parse(
+      R"({"version":1,"routes":[],"services":[)"
+      R"({"name":"a","coldStartS":3.5,"coldPerS":9.1},{"name":"b"}]})"));
+  ASSERT_TRUE(state.ok());
+  EXPECT_EQ(state->services[0].cold_time, std::chrono::milliseconds(3500));
+  EXPECT_EQ(state->services[0].cold_requests_per_second, 9.1);
+  EXPECT_EQ(state->services[1].cold_requests_per_second, 0);
+}
+
+// Guards against an evacuation that is ignored because its object is empty or
+// from another writer.
+TEST(RecordsTest, NameOfAnEvacuationSuffices) {
+  const auto list =
+      DecodeList(RecordKind::kEvacuation,
+                 ListOf(Item("zone-a", "{}") + "," + Item("zone-b", "7") +
+                        R"(,{"metadata":{"name":"zone-c"}})"));
+  ASSERT_TRUE(list.ok());
+  ASSERT_EQ(list->records.size(), 3u);
+  for (const Record& record : list->records) {
+    EXPECT_TRUE(std::holds_alternative<Evacuation>(record.value));
+  }
+  const auto watch = DecodeWatch(
+      RecordKind::kEvacuation,
+      R"({"events":[{"removed":true,"object":{"metadata":{"name":"zone-a"}}}],)"
+      R"("storeRevision":531})");
+  ASSERT_TRUE(watch.ok());
+  EXPECT_TRUE(std::holds_alternative<Absent>(watch->records.at(0).value));
+}
+
 TEST(RecordsTest, UpstreamWithoutSoftwareVersionIsUsable) {
   std::string no_version = kServer;
   no_version.replace(no_version.find(R"("version":"v1",)"), 15, "");
--- a/jackdawshunt/platform/wire_test.cc
+++ b/jackdawshunt/platform/wire_test.cc
@@ -171,6 +171,21 @@
   EXPECT_EQ(settings->last_internal_port, 7415);
 }
 
+// Guards against evacuations that are followed where nobody promises them.
+TEST(SettingsTest, EvacuationIsAbsentUnlessPromised) {
+  EXPECT_FALSE(
+      ParseSettings(kSettings, "file")->promises.evacuation.has_value());
+  const auto settings = ParseSettings(
+      absl::StrCat(kSettings,
+                   "bounds.evacuateMs=5000\nbounds.coldOverage=1.5\n"
+                   "bounds.coldSlack=5\n"),
+      "file");
+  EXPECT_EQ(settings->promises.evacuation,
+            kernel::Duration(std::chrono::seconds(5)));
+  EXPECT_EQ(settings->promises.cold_overage, 1.5);
+  EXPECT_EQ(settings->promises.cold_slack, 5);
+}
+
 TEST(SettingsTest, ErrorNamesFileFieldAndAllowedValues) {
   const auto settings = ParseSettings(
       absl::StrCat(kSettings, "bounds.graceS=soon\n"), "the/file");
