Use only the latest start at an address

Cause: after a data centre lost power its engines came back under other ids at their addresses, and the records of the earlier starts stayed for seconds. Half of the requests went to starts that had ended and were answered 421, and each query for the other start reset the board's estimate, so that engines with 18 waiting requests were offered as idle for 7 s. Change: Directory leaves out starts that are earlier than another one at their address, and starts whose address answered for another one; boards reject queries and claims of an earlier start than the one that they know.

--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -36,9 +36,14 @@
   return std::visit([&](const auto& typed) { return On(typed, now); }, message);
 }
 
-void Board::EnsureEngine(const EngineIdentity& engine) {
+bool Board::EnsureEngine(const EngineIdentity& engine) {
+  if (engine.started_unix_ms != 0 &&
+      engine.started_unix_ms < engine_started_unix_ms_) {
+    return false;
+  }
   if (engine_ == nullptr || engine_incarnation_ != engine.incarnation) {
     engine_incarnation_ = engine.incarnation;
+    engine_started_unix_ms_ = engine.started_unix_ms;
     consecutive_unreachable_ = 0;
     engine_ = std::make_unique<routing::EngineEstimate>(
         routing::EngineProfile{.slots = 0, .cache_tokens = engine.cache_tokens},
@@ -46,6 +51,7 @@
   }
   engine_->set_sustained_tokens_per_ms(
       static_cast<double>(engine.sustained_tokens_per_s) / 1000.0);
+  return true;
 }
 
 bool Board::MayTryEngine(kernel::TimePoint now) {
@@ -63,7 +69,9 @@
   if (query.part_keys.size() != query.part_tokens.size()) {
     return std::nullopt;
   }
-  EnsureEngine(query.engine);
+  if (!EnsureEngine(query.engine)) {
+    return Offer{.nonce = query.nonce, .is_reachable = false};
+  }
   return Offer{.nonce = query.nonce,
                .cost = engine_->Estimate(query.part_keys,
                                          ToPromptParts(query.part_tokens), now),
@@ -71,8 +79,8 @@
 }
 
 std::optional<Message> Board::On(const Claim& claim, kernel::TimePoint now) {
-  if (claim.part_keys.size() == claim.part_tokens.size()) {
-    EnsureEngine(claim.engine);
+  if (claim.part_keys.size() == claim.part_tokens.size() &&
+      EnsureEngine(claim.engine)) {
     engine_->Claim(ClaimKey(claim.request), claim.part_keys,
                    ToPromptParts(claim.part_tokens), claim.output_tokens, now);
   }
--- a/jackdawshunt/board/board.h
+++ b/jackdawshunt/board/board.h
@@ -79,8 +79,9 @@
   std::optional<Message> On(const PermitQuery& query, kernel::TimePoint now);
   std::optional<Message> On(const PermitReply& reply, kernel::TimePoint now);
   // Starts a new estimate if `engine` is another incarnation than that of the
-  // current estimate, and updates the sustained throughput.
-  void EnsureEngine(const EngineIdentity& engine);
+  // current estimate, and updates the sustained throughput. Returns false and
+  // changes nothing if it is an earlier one.
+  bool EnsureEngine(const EngineIdentity& engine);
   // Returns whether the querying gateway may try the engine: always while the
   // engine is reachable, else one gateway for each trial period.
   bool MayTryEngine(kernel::TimePoint now);
@@ -92,6 +93,7 @@
   StoreState store_;
   std::unique_ptr<routing::EngineEstimate> engine_;
   uint64_t engine_incarnation_ = 0;
+  int64_t engine_started_unix_ms_ = 0;
   uint32_t consecutive_unreachable_ = 0;  // Since the last first event.
   kernel::TimePoint next_trial_{};
   std::unordered_map<uint64_t, Gateway> gateways_;
--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -312,6 +312,22 @@
   EXPECT_EQ(std::get<OriginReply>(*reply).origin, 7u);
 }
 
+// Guards against an estimate that is lost with each query, while some gateways
+// still ask for an earlier start of the engine.
+TEST(BoardStartTest, QueriesForAnEarlierStartKeepTheEstimate) {
+  Board board(1);
+  const kernel::TimePoint now(seconds(100));
+  const EngineIdentity earlier{.incarnation = 5, .started_unix_ms = 10};
+  const EngineIdentity latest{.incarnation = 6, .started_unix_ms = 20};
+  board.Handle(Query{.engine = earlier}, now);
+  board.Handle(Claim{.request = 1, .engine = latest}, now);
+  ASSERT_EQ(board.engine()->running(), 1u);
+  const auto reply = board.Handle(Query{.nonce = 3, .engine = earlier}, now);
+  EXPECT_FALSE(std::get<Offer>(*reply).is_reachable);
+  board.Handle(Claim{.request = 2, .engine = earlier}, now);
+  EXPECT_EQ(board.engine()->running(), 1u);
+}
+
 TEST(MessagesTest, PermitQueryKeepsItsFields) {
   const auto decoded = Decode(
       Encode(PermitQuery{.nonce = 4,
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -76,6 +76,7 @@
   }
   FieldWriter& Add(const EngineIdentity& engine) {
     return Add(engine.incarnation)
+        .AddSigned(engine.started_unix_ms)
         .Add(engine.cache_tokens)
         .Add(engine.sustained_tokens_per_s);
   }
@@ -120,7 +121,7 @@
 };
 
 void Write(const Query& query, std::string& out) {
-  FieldWriter(MessageType::kQuery, 6, out)
+  FieldWriter(MessageType::kQuery, 7, out)
       .Add(query.nonce)
       .Add(query.engine)
       .Add(query.part_keys)
@@ -140,7 +141,7 @@
 }
 
 void Write(const Claim& claim, std::string& out) {
-  FieldWriter(MessageType::kClaim, 7, out)
+  FieldWriter(MessageType::kClaim, 8, out)
       .Add(claim.request)
       .Add(claim.engine)
       .Add(claim.part_keys)
@@ -383,6 +384,7 @@
   EngineIdentity ReadEngine() {
     EngineIdentity engine;
     engine.incarnation = ReadUnsigned();
+    engine.started_unix_ms = ReadSigned();
     engine.cache_tokens = ReadUnsigned();
     engine.sustained_tokens_per_s = ReadUnsigned();
     return engine;
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -30,6 +30,9 @@
 // its estimate of the engine.
 struct EngineIdentity {
   uint64_t incarnation = 0;  // Hash of the upstream's id and start time.
+  // The start time; 0 if not stated. Gateways learn of a new start at different
+  // times, and the latest one listens at the engine's address.
+  int64_t started_unix_ms = 0;
   uint64_t cache_tokens = 0;
   uint64_t sustained_tokens_per_s = 0;
 };
--- a/jackdawshunt/gateway/board_client.cc
+++ b/jackdawshunt/gateway/board_client.cc
@@ -64,6 +64,7 @@
     const routing::RoutedRequest& request) const {
   board::EngineIdentity identity;
   identity.incarnation = routing::StartOf(engine);
+  identity.started_unix_ms = engine.started_unix_ms;
   const routing::Service* service = request.table->FindService(engine.service);
   if (service != nullptr && service->engine.has_value()) {
     identity.cache_tokens = service->engine->cache_tokens;
--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -125,6 +125,7 @@
   }
   entry.upstream = std::move(updated);
   lists_.clear();
+  has_superseded_ = false;
   ++changes_;
   if (observer_) {
     observer_(entry.upstream, change);
@@ -185,6 +186,7 @@
   const Upstream removed = std::move(entry->second.upstream);
   entries_.erase(entry);
   lists_.clear();
+  has_superseded_ = false;
   ++changes_;
   if (observer_) {
     observer_(removed, Change::kRemoved);
@@ -212,6 +214,49 @@
   }
 }
 
+void Directory::MarkAbsent(const Upstream& upstream, kernel::TimePoint now) {
+  std::erase_if(absent_, [now](const auto& row) {
+    return now - row.second > kUnlistedMemory;
+  });
+  const Upstream* const listed = Find(upstream.id);
+  if (listed == nullptr || listed->start != StartOf(upstream)) {
+    return;
+  }
+  absent_[listed->start] = now;
+  lists_.clear();
+  has_superseded_ = false;
+}
+
+void Directory::UpdateSuperseded() {
+  if (has_superseded_) {
+    return;
+  }
+  has_superseded_ = true;
+  superseded_.clear();
+  std::unordered_map<std::string, int64_t> latest;  // Starts, by address.
+  for (const auto& [id, entry] : entries_) {
+    if (absent_.contains(entry.upstream.start)) {
+      superseded_.insert(entry.upstream.start);
+    } else {
+      int64_t& started = latest[entry.upstream.address.ToString()];
+      started = std::max(started, entry.upstream.started_unix_ms);
+    }
+  }
+  for (const auto& [id, entry] : entries_) {
+    const Upstream& upstream = entry.upstream;
+    if (upstream.started_unix_ms != 0 &&
+        upstream.started_unix_ms < latest[upstream.address.ToString()]) {
+      superseded_.insert(upstream.start);
+    }
+  }
+}
+
+bool Directory::IsSuperseded(const Upstream& upstream) {
+  UpdateSuperseded();
+  return superseded_.contains(upstream.start == 0 ? StartOf(upstream)
+                                                  : upstream.start);
+}
+
 void Directory::SetEvacuated(std::set<std::string, std::less<>> data_centres) {
   if (data_centres != evacuated_) {
     evacuated_ = std::move(data_centres);
@@ -230,9 +275,11 @@
   if (known != lists_.end()) {
     return known->second;
   }
+  UpdateSuperseded();
   ServiceLists& lists = lists_[std::string(service)];
   for (const auto& [id, entry] : entries_) {
-    if (entry.upstream.service == service && !entry.upstream.is_draining) {
+    if (entry.upstream.service == service && !entry.upstream.is_draining &&
+        !superseded_.contains(entry.upstream.start)) {
       lists.running.push_back(&entry.upstream);
       if (!IsEvacuated(entry.upstream.data_centre)) {
         lists.ready.push_back(&entry.upstream);
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -15,6 +15,10 @@
 // upstream that is gone, or one that drains as ready. What was known of these
 // before stays in force until the upstream writes its entry again.
 //
+// An upstream that ended without notice stays listed for a while, also after
+// another start listens at its address. Only the latest start at an address is
+// ready, and one whose address answered for another start is not.
+//
 // Operators evacuate data centres: nothing is sent to the upstreams there until
 // the evacuation ends, although they go on running.
 //
@@ -28,6 +32,8 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "jackdawshunt/kernel/clock.h"
@@ -84,6 +90,11 @@
                                               kernel::TimePoint now) {
     return ListsOf(service, now).running;
   }
+  // Records that another start answered at the address of this one, so that
+  // this start is not there.
+  void MarkAbsent(const Upstream& upstream, kernel::TimePoint now);
+  // Returns whether this start is known not to listen at its address any more.
+  bool IsSuperseded(const Upstream& upstream);
   // Sets the names of the data centres that are evacuated.
   void SetEvacuated(std::set<std::string, std::less<>> data_centres);
   const std::set<std::string, std::less<>>& evacuated() const {
@@ -136,6 +147,8 @@
     std::vector<const Upstream*> ready;    // Not in evacuated data centres.
   };
 
+  // Updates superseded_ after a change.
+  void UpdateSuperseded();
   const ServiceLists& ListsOf(std::string_view service, kernel::TimePoint now);
   void SetExpired(Entry& entry, bool is_expired);
   // Returns whether a listed entry is from before its upstream was draining.
@@ -152,6 +165,11 @@
   std::map<std::string, Entry, std::less<>> entries_;
   // Results of ListsOf() since the last change, by service.
   std::map<std::string, ServiceLists, std::less<>> lists_;
+  // Listed starts that are not ready, because of a later start at their address
+  // or an answer of another one; valid if has_superseded_.
+  std::unordered_set<uint64_t> superseded_;
+  bool has_superseded_ = false;
+  std::unordered_map<uint64_t, kernel::TimePoint> absent_;  // By start.
   std::set<std::string, std::less<>> evacuated_;
   size_t expired_entries_ = 0;
   uint64_t changes_ = 0;
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -590,10 +590,11 @@
   return refusal;
 }
 
-bool Router::IsReady(const Upstream& upstream, kernel::TimePoint now) const {
+bool Router::IsReady(const Upstream& upstream, kernel::TimePoint now) {
   const Upstream* const current = directory_.Find(upstream.id);
   return current != nullptr && !current->is_draining &&
          !directory_.IsEvacuated(current->data_centre) &&
+         !directory_.IsSuperseded(*current) &&
          current->address == upstream.address &&
          !beliefs_.IsClosed(current->start, now);
 }
@@ -818,6 +819,8 @@
   health_.Record(upstream.id, outcome, now);
   if (outcome == Outcome::kUnreachable) {
     SuspectCold(upstream, now);
+  } else if (outcome == Outcome::kWrongInstance) {
+    directory_.MarkAbsent(upstream, now);
   }
   RecordSubjects(request, upstream, outcome, now);
   Release(request, upstream, MayHaveExecuted(outcome), now);
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -246,7 +246,7 @@
   // Records that nothing listens at the address of the upstream.
   void OnConnectionRefused(const Upstream& upstream, kernel::TimePoint now);
   // Returns whether `upstream` may still be sent new requests.
-  bool IsReady(const Upstream& upstream, kernel::TimePoint now) const;
+  bool IsReady(const Upstream& upstream, kernel::TimePoint now);
   // Records that an answer of `upstream` says that it leaves. Returns false if
   // that is known.
   bool OnLeaving(const Upstream& upstream, kernel::TimePoint now) {
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -77,6 +77,54 @@
   EXPECT_TRUE(directory.IsReplaced(*directory.Find("b")));
 }
 
+// Guards against a fleet that places requests on starts that have ended, and
+// resets the estimate of the engine each time, after a data centre lost power:
+// the records of the earlier starts stay for some seconds.
+TEST_F(DirectoryTest, OnlyTheLatestStartAtAnAddressIsReady) {
+  Directory directory(seconds(2));
+  Upstream earlier = MakeUpstream("a");
+  earlier.started_unix_ms = 10;
+  Upstream latest = MakeUpstream("b");
+  latest.started_unix_ms = 20;
+  directory.Replace({earlier}, Now());
+  EXPECT_EQ(directory.Ready("desk", Now()).size(), 1u);
+  directory.Put(latest, Now());
+  ASSERT_EQ(directory.Ready("desk", Now()).size(), 1u);
+  EXPECT_EQ(directory.Ready("desk", Now())[0]->id, "b");
+  EXPECT_TRUE(directory.IsSuperseded(earlier));
+  // The latest start has gone, and its record was wrong.
+  directory.Remove("b", Now());
+  EXPECT_EQ(directory.Ready("desk", Now()).size(), 1u);
+}
+
+// Guards against requests that are sent again and again to an address where
+// another start answers.
+TEST_F(DirectoryTest, StartWhoseAddressAnswersForAnotherIsNotReady) {
+  Directory directory(seconds(2));
+  Upstream upstream = MakeUpstream("a");
+  upstream.started_unix_ms = 10;
+  directory.Replace({upstream, MakeUpstream("b")}, Now());
+  directory.MarkAbsent(upstream, Now());
+  ASSERT_EQ(directory.Ready("desk", Now()).size(), 1u);
+  EXPECT_EQ(directory.Ready("desk", Now())[0]->id, "b");
+  upstream.started_unix_ms = 30;  // It has started again under its id.
+  directory.Put(upstream, Now());
+  EXPECT_EQ(directory.Ready("desk", Now()).size(), 2u);
+}
+
+// Guards against a record from another writer that hides a live upstream.
+TEST_F(DirectoryTest, LaterStartThatIsNotThereHidesNoOther) {
+  Directory directory(seconds(2));
+  Upstream live = MakeUpstream("a");
+  live.started_unix_ms = 10;
+  Upstream other = MakeUpstream("b");
+  other.started_unix_ms = 20;
+  directory.Replace({live, other}, Now());
+  directory.MarkAbsent(other, Now());
+  ASSERT_EQ(directory.Ready("desk", Now()).size(), 1u);
+  EXPECT_EQ(directory.Ready("desk", Now())[0]->id, "a");
+}
+
 // Guards against the loss of live upstreams: while the store is unavailable,
 // their entries expire.
 TEST_F(DirectoryTest, KeepsExpiredEntryDuringGracePeriodAfterOutage) {
