Let one follower at a time ask a store that does not answer

Change: routing/store_probe.h, shared by the followers of a process; the longest delay is a quarter of the time in which a machine counts as in contact again. No reading in addition to a watch while that is retried.

--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -39,6 +39,7 @@
 // Changes are grouped for this part of the time in which they must be in
 // effect.
 constexpr int kChangeGroupingDivisor = 4;
+constexpr int kRetriesPerContact = 4;
 // A gateway reads the configuration from the store when the reads reported by
 // the others are older than a random age from kMinReadAge to kMaxReadAge, which
 // is fixed per gateway. Few gateways are near the minimum, so that few read at
@@ -103,20 +104,26 @@
                        platform::RecordKind::kDesiredState,
                        {.watch_wait = kWatchWait,
                         .change_grouping = settings_.promises.configuration /
-                                           kChangeGroupingDivisor},
+                                           kChangeGroupingDivisor,
+                        .max_retry_delay = MaxRetryDelay(settings_)},
+                       store_probe_,
                        ConfigurationCallbacks()),
         upstreams_(loop_,
                    settings_.store,
                    platform::RecordKind::kUpstream,
                    {.watch_wait = kWatchWait,
                     .change_grouping =
-                        settings_.promises.drain / kChangeGroupingDivisor},
+                        settings_.promises.drain / kChangeGroupingDivisor,
+                    .max_retry_delay = MaxRetryDelay(settings_)},
+                   store_probe_,
                    UpstreamCallbacks()),
         evacuations_(loop_,
                      settings_.store,
                      platform::RecordKind::kEvacuation,
                      {.watch_wait = kWatchWait,
-                      .change_grouping = EvacuationGrouping(settings_)},
+                      .change_grouping = EvacuationGrouping(settings_),
+                      .max_retry_delay = MaxRetryDelay(settings_)},
+                     store_probe_,
                      EvacuationCallbacks()) {}
 
   int Run() {
@@ -328,6 +335,12 @@
                 }};
   }
 
+  // Guarantees hold again once a machine has been in contact for some time, so
+  // the store is asked several times in it.
+  static kernel::Duration MaxRetryDelay(
+      const platform::InstanceSettings& settings) {
+    return settings.promises.contact / kRetriesPerContact;
+  }
   static kernel::Duration EvacuationGrouping(
       const platform::InstanceSettings& settings) {
     return settings.promises.evacuation.value_or(kernel::Duration::zero()) /
@@ -594,6 +607,7 @@
   HttpFrontend http_frontend_;
   FleetExchange exchange_;
   ReadinessServer readiness_;
+  routing::StoreProbe store_probe_;
   RecordFollower configuration_;
   RecordFollower upstreams_;
   RecordFollower evacuations_;  // Started where data centres are evacuated.
--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -8,11 +8,9 @@
 namespace jackdawshunt::gateway {
 namespace {
 
-// Delay before the second retry and its upper limit; the first retry is
-// immediate.
+// Delay before the second retry; the first one is immediate.
 constexpr kernel::Duration kMinRetryDelay = std::chrono::milliseconds(50);
-constexpr kernel::Duration kMaxRetryDelay = std::chrono::milliseconds(400);
-constexpr uint32_t kMaxDoublings = 3;
+constexpr uint32_t kMaxDoublings = 5;
 constexpr std::chrono::milliseconds kNoWait{1};
 
 }  // namespace
@@ -21,10 +19,12 @@
                                const http::Address& store,
                                platform::RecordKind kind,
                                RecordFollowerTimes times,
+                               routing::StoreProbe& probe,
                                RecordFollowerCallbacks callbacks)
     : loop_(loop),
       kind_(kind),
       times_(times),
+      probe_(probe),
       callbacks_(std::move(callbacks)),
       source_(loop, store, kind),
       immediate_source_(loop, store, kind) {}
@@ -56,6 +56,7 @@
     OnFailure(answer.status());
     return;
   }
+  probe_.OnAnswer();
   const kernel::TimePoint now = loop_.clock().Now();
   if (consecutive_failures_ > 0) {
     base::Log(base::LogLevel::kInfo, "store_regained",
@@ -118,7 +119,7 @@
 }
 
 void RecordFollower::ReadNow() {
-  if (!cursor_.has_list() || is_reading_now_) {
+  if (!cursor_.has_list() || is_reading_now_ || consecutive_failures_ > 0) {
     return;
   }
   is_reading_now_ = true;
@@ -178,16 +179,27 @@
   if (absl::IsOutOfRange(status) || absl::IsInvalidArgument(status)) {
     cursor_.RequireList();
   }
-  const bool needs_list = !cursor_.has_list();
-  const kernel::Duration delay =
+  const bool is_answered =
+      !absl::IsUnavailable(status) && !absl::IsDeadlineExceeded(status);
+  if (is_answered) {
+    probe_.OnAnswer();
+  }
+  RetryAfter(
       consecutive_failures_ == 1
           ? kernel::Duration::zero()
-          : std::min(kMaxRetryDelay,
+          : std::min(times_.max_retry_delay,
                      kMinRetryDelay * (1 << std::min(consecutive_failures_ - 2,
-                                                     kMaxDoublings)));
-  retry_timer_ = loop_.After(delay, [this, needs_list] {
+                                                     kMaxDoublings))),
+      is_answered);
+}
+
+void RecordFollower::RetryAfter(kernel::Duration delay, bool is_answered) {
+  retry_timer_ = loop_.After(delay, [this, delay, is_answered] {
     retry_timer_.Cancel();
-    if (needs_list) {
+    if (!is_answered && delay > kernel::Duration::zero() &&
+        !probe_.MayCall(delay, loop_.clock().Now())) {
+      RetryAfter(std::max(delay, kMinRetryDelay), is_answered);
+    } else if (!cursor_.has_list()) {
       List();
     } else {
       // Without a wait, the store shows at once whether it is available and
--- a/jackdawshunt/gateway/record_follower.h
+++ b/jackdawshunt/gateway/record_follower.h
@@ -7,9 +7,9 @@
 //   follower.Start();
 //
 // After a failure the follower retries at once, then at growing intervals,
-// always over a new connection. If the store no longer has the history since
-// the last revision, or was restored from an older copy, the follower lists
-// again. Not thread-safe.
+// always over a new connection and in turn with the other followers. If the
+// store no longer has the history since the last revision, or was restored from
+// an older copy, the follower lists again. Not thread-safe.
 #ifndef JACKDAWSHUNT_GATEWAY_RECORD_FOLLOWER_H_
 #define JACKDAWSHUNT_GATEWAY_RECORD_FOLLOWER_H_
 
@@ -20,6 +20,7 @@
 #include "jackdawshunt/kernel/boot_clock.h"
 #include "jackdawshunt/kernel/event_loop.h"
 #include "jackdawshunt/platform/record_source.h"
+#include "jackdawshunt/routing/store_probe.h"
 
 namespace jackdawshunt::gateway {
 
@@ -45,14 +46,18 @@
   // watch that returns is a call of every instance; the time must be short
   // compared with the one in which a change has to be in effect.
   kernel::Duration change_grouping = std::chrono::milliseconds(400);
+  // Longest time between two retries.
+  kernel::Duration max_retry_delay = std::chrono::milliseconds(400);
 };
 
 class RecordFollower {
  public:
+  // `probe` is shared by all followers of the store and must outlive them.
   RecordFollower(kernel::EventLoop& loop,
                  const http::Address& store,
                  platform::RecordKind kind,
                  RecordFollowerTimes times,
+                 routing::StoreProbe& probe,
                  RecordFollowerCallbacks callbacks);
   RecordFollower(const RecordFollower&) = delete;
   RecordFollower& operator=(const RecordFollower&) = delete;
@@ -61,7 +66,7 @@
   void Start();
   // Requests the pending changes for an immediate reply, in addition to the
   // watch; use when the watch may have failed. Does nothing before the first
-  // list or while an earlier such request is pending.
+  // list, while an earlier such request is pending or while calls are retried.
   void ReadNow();
 
   // Returns whether a list was received and the last list or watch succeeded.
@@ -88,10 +93,13 @@
   routing::AnswerUse ApplyRecords(bool is_list,
                                   const platform::RecordList& list);
   void OnFailure(const absl::Status& status);
+  // Retries in `delay`, or later if the store does not answer other followers.
+  void RetryAfter(kernel::Duration delay, bool is_answered);
 
   kernel::EventLoop& loop_;
   const platform::RecordKind kind_;
   const RecordFollowerTimes times_;
+  routing::StoreProbe& probe_;
   const RecordFollowerCallbacks callbacks_;
   kernel::BootClock boot_clock_;
   platform::RecordSource source_;            // Lists and watches.
