Count what an engine reports of its load in a board's offers

After gateways and their board were killed, the board took the engine for idle while it still held 10 to 18 waiting and 20 running requests of gateways that no longer existed, and claims of killed gateways delayed others until they expired.

The board reads the report of the engine on its machine every 100 ms over one connection, once a query has told that the upstream is an engine. Requests that wait for prefill beyond the claims count in the offered wait, with the mean prefill time of recent claims. At a full engine the wait is at least the queue divided by the rate at which requests end. Claims that the engine has not held for 300 ms no longer delay others. Queries and claims carry the number of slots as a last field, which earlier versions ignore.

Ruled out: matching claims by id, as the queue is reported as a number only.

--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -51,6 +51,9 @@
   }
   engine_->set_sustained_tokens_per_ms(
       static_cast<double>(engine.sustained_tokens_per_s) / 1000.0);
+  if (engine.slots > 0) {
+    engine_->set_slots(engine.slots);
+  }
   return true;
 }
 
@@ -254,6 +257,13 @@
   return std::nullopt;
 }
 
+void Board::OnReport(const routing::EngineReport& report,
+                     kernel::TimePoint now) {
+  if (engine_ != nullptr) {
+    engine_->OnReport(report, now);
+  }
+}
+
 void Board::DropExpired(kernel::TimePoint now) {
   permits_.DropExpired(now);
   facts_.DropExpired(now);
--- a/jackdawshunt/board/board.h
+++ b/jackdawshunt/board/board.h
@@ -41,6 +41,8 @@
   // is none, such as to a Claim, to a duplicate ShareUpdate, or to a Query
   // whose lists differ in length.
   std::optional<Message> Handle(const Message& message, kernel::TimePoint now);
+  // Merges the engine's own report; ignored until there is an estimate.
+  void OnReport(const routing::EngineReport& report, kernel::TimePoint now);
   // Drops expired claims, gateways and origins; call every second.
   void DropExpired(kernel::TimePoint now);
 
--- a/jackdawshunt/board/board_role.cc
+++ b/jackdawshunt/board/board_role.cc
@@ -8,6 +8,7 @@
 #include "jackdawshunt/base/log.h"
 #include "jackdawshunt/board/board.h"
 #include "jackdawshunt/board/datagram_socket.h"
+#include "jackdawshunt/board/engine_monitor.h"
 #include "jackdawshunt/kernel/boot_clock.h"
 #include "jackdawshunt/kernel/registry.h"
 #include "jackdawshunt/kernel/role.h"
@@ -19,6 +20,8 @@
 constexpr int kExitUnavailable = 1;
 constexpr int kExitWrongSettings = 2;
 constexpr kernel::Duration kExpiryPeriod = std::chrono::seconds(1);
+// Fewer are usual, since claims and reports arrive at different times.
+constexpr size_t kLoggedUnclaimed = 4;
 
 class BoardProcess {
  public:
@@ -46,15 +49,24 @@
                                 : ""}});
     expiry_timer_ = loop_.Every(kExpiryPeriod,
                                 [this] { board_.DropExpired(clock_.Now()); });
+    if (settings_.local_upstream.has_value()) {
+      monitor_ = std::make_unique<EngineMonitor>(
+          loop_, *settings_.local_upstream,
+          [this](const routing::EngineReport& report) { OnReport(report); });
+    }
     loop_.OnSignal(SIGTERM, [this] { loop_.Stop(); });
     loop_.OnSignal(SIGINT, [this] { loop_.Stop(); });
     loop_.OnSignal(SIGHUP, [] {});  // No setting can change at run time.
     loop_.Run();
-    base::Log(base::LogLevel::kInfo, "stopped",
-              {{"datagrams_dropped", socket_->dropped()},
-               {"datagrams_unreadable", unreadable_},
-               {"stream_origins", board_.origins().size()},
-               {"stream_origins_rejected", board_.origins().rejected()}});
+    base::Log(
+        base::LogLevel::kInfo, "stopped",
+        {{"datagrams_dropped", socket_->dropped()},
+         {"datagrams_unreadable", unreadable_},
+         {"engine_reports", monitor_ == nullptr ? 0 : monitor_->reports()},
+         {"engine_report_failures",
+          monitor_ == nullptr ? 0 : monitor_->failures()},
+         {"stream_origins", board_.origins().size()},
+         {"stream_origins_rejected", board_.origins().rejected()}});
     return 0;
   }
 
@@ -68,6 +80,27 @@
     if (const auto reply = board_.Handle(*message, clock_.Now())) {
       socket_->Send(from, Encode(*reply));
     }
+    // Only engines have reports. Queries tell that the upstream is one.
+    if (monitor_ != nullptr && board_.engine() != nullptr) {
+      monitor_->Start();
+    }
+  }
+
+  void OnReport(const routing::EngineReport& report) {
+    board_.OnReport(report, clock_.Now());
+    if (board_.engine() == nullptr) {
+      return;
+    }
+    const size_t unclaimed = board_.engine()->unclaimed();
+    const bool has_unclaimed = unclaimed >= kLoggedUnclaimed;
+    if (has_unclaimed && !has_unclaimed_) {
+      base::Log(base::LogLevel::kInfo, "engine_has_unclaimed_requests",
+                {{"unclaimed", unclaimed},
+                 {"waiting", report.waiting},
+                 {"running", report.running},
+                 {"claimed", board_.engine()->running()}});
+    }
+    has_unclaimed_ = has_unclaimed;
   }
 
   const platform::InstanceSettings settings_;
@@ -75,6 +108,9 @@
   const kernel::BootClock clock_;
   Board board_{routing::HashOf(base::NewRequestId())};
   std::unique_ptr<DatagramSocket> socket_;
+  // Null where the machine has no upstream.
+  std::unique_ptr<EngineMonitor> monitor_;
+  bool has_unclaimed_ = false;
   kernel::Timer expiry_timer_;
   uint64_t unreadable_ = 0;
 };
--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -95,6 +95,47 @@
   EXPECT_TRUE(std::get<Offer>(*board_.Handle(restarted, Now())).is_reachable);
 }
 
+// Guards against a restarted board that offers an engine as idle which still
+// works on requests of gateways that no longer exist.
+TEST_F(BoardTest, OfferIncludesRequestsThatOnlyTheEngineReports) {
+  const Query query{.nonce = 9,
+                    .engine = {.incarnation = 1, .cache_tokens = 444000},
+                    .part_keys = {5},
+                    .part_tokens = {9000}};
+  const auto wait = [&] {
+    return std::get<Offer>(*board_.Handle(query, Now())).cost.wait;
+  };
+  board_.OnReport({.waiting = 18, .running = 20}, Now());  // No engine yet.
+  EXPECT_EQ(wait().count(), 0);
+  board_.OnReport({.waiting = 18, .running = 20, .next_prompt_tokens = 9000},
+                  Now());
+  EXPECT_GT(wait(), seconds(2));
+  Query restarted = query;
+  restarted.engine.incarnation = 2;
+  EXPECT_EQ(std::get<Offer>(*board_.Handle(restarted, Now())).cost.wait.count(),
+            0);
+}
+
+// Guards against a board that is updated before the gateways and rejects all
+// their queries, whose last field it does not get.
+TEST(MessagesTest, QueryWithoutSlotsIsRead) {
+  Query query{.nonce = 1,
+              .engine = {.slots = 48},
+              .part_keys = {1},
+              .part_tokens = {3}};
+  std::string bytes = Encode(query);
+  const auto whole = Decode(bytes);
+  ASSERT_TRUE(whole.ok());
+  EXPECT_EQ(std::get<Query>(*whole).engine.slots, 48u);
+  // The last field is a number of one byte, and the first byte holds the count.
+  bytes.pop_back();
+  --bytes[0];
+  const auto earlier = Decode(bytes);
+  ASSERT_TRUE(earlier.ok());
+  EXPECT_EQ(std::get<Query>(*earlier).engine.slots, 0u);
+  EXPECT_EQ(std::get<Query>(*earlier).part_tokens, query.part_tokens);
+}
+
 // Guards against the loss of a stream's software version with the gateway that
 // began it.
 TEST_F(BoardTest, AnswersOriginOfStreamUntilItCannotBeResumed) {
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -121,11 +121,12 @@
 };
 
 void Write(const Query& query, std::string& out) {
-  FieldWriter(MessageType::kQuery, 7, out)
+  FieldWriter(MessageType::kQuery, 8, out)
       .Add(query.nonce)
       .Add(query.engine)
       .Add(query.part_keys)
-      .Add(query.part_tokens);
+      .Add(query.part_tokens)
+      .Add(query.engine.slots);
 }
 
 void Write(const Offer& offer, std::string& out) {
@@ -141,12 +142,13 @@
 }
 
 void Write(const Claim& claim, std::string& out) {
-  FieldWriter(MessageType::kClaim, 8, out)
+  FieldWriter(MessageType::kClaim, 9, out)
       .Add(claim.request)
       .Add(claim.engine)
       .Add(claim.part_keys)
       .Add(claim.part_tokens)
-      .Add(uint64_t{claim.output_tokens});
+      .Add(uint64_t{claim.output_tokens})
+      .Add(claim.engine.slots);
 }
 
 void Write(const ProgressReport& report, std::string& out) {
@@ -401,6 +403,12 @@
     return store;
   }
 
+  // Returns whether there is another field; senders of earlier versions leave
+  // out fields that were added at the end.
+  bool HasMore() const {
+    return message_.type == MSGPACK_OBJECT_ARRAY &&
+           position_ < message_.via.array.size;
+  }
   bool is_valid() const { return is_valid_; }
 
  private:
@@ -434,6 +442,7 @@
   query.engine = reader.ReadEngine();
   query.part_keys = reader.ReadNumbers<uint64_t>();
   query.part_tokens = reader.ReadNumbers<uint32_t>();
+  query.engine.slots = reader.HasMore() ? reader.ReadUnsigned() : 0;
   return query;
 }
 
@@ -457,6 +466,7 @@
   claim.part_keys = reader.ReadNumbers<uint64_t>();
   claim.part_tokens = reader.ReadNumbers<uint32_t>();
   claim.output_tokens = static_cast<uint32_t>(reader.ReadUnsigned());
+  claim.engine.slots = reader.HasMore() ? reader.ReadUnsigned() : 0;
   return claim;
 }
 
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -35,6 +35,9 @@
   int64_t started_unix_ms = 0;
   uint64_t cache_tokens = 0;
   uint64_t sustained_tokens_per_s = 0;
+  // Requests that it runs at once; 0 if not stated. Sent after the other fields
+  // of a message, as gateways of earlier versions do not send it.
+  uint64_t slots = 0;
 };
 
 // Query from a gateway for the cost of a prompt at the board's engine.
--- a/jackdawshunt/gateway/board_client.cc
+++ b/jackdawshunt/gateway/board_client.cc
@@ -68,6 +68,7 @@
   const routing::Service* service = request.table->FindService(engine.service);
   if (service != nullptr && service->engine.has_value()) {
     identity.cache_tokens = service->engine->cache_tokens;
+    identity.slots = service->engine->slots;
     identity.sustained_tokens_per_s =
         static_cast<uint64_t>(request.engine_tokens_per_s);
   }
--- /dev/null
+++ b/jackdawshunt/platform/engine_report.cc
@@ -0,0 +1,90 @@
+#include "jackdawshunt/platform/engine_report.h"
+
+#include <optional>
+
+#include "absl/strings/str_cat.h"
+#include "jackdawshunt/http1/message.h"
+#include "jackdawshunt/routing/prompt.h"
+#include "nlohmann/json.hpp"
+
+namespace jackdawshunt::platform {
+namespace {
+
+constexpr char kReportPath[] = "/jackdawshunt/report";
+// Longer lists are rejected. An engine runs tens of requests at once.
+constexpr size_t kMaxRuns = 4096;
+
+// Reads one row of `runs`: [id, tokens in memory, events made, priority]. The
+// priority is not used.
+absl::StatusOr<routing::EngineRun> DecodeRun(const nlohmann::json& row) {
+  const bool is_valid = row.is_array() && row.size() >= 3 &&
+                        (row[0].is_string() || row[0].is_number_unsigned()) &&
+                        row[1].is_number_unsigned() &&
+                        row[2].is_number_unsigned();
+  if (!is_valid) {
+    return absl::InvalidArgumentError(
+        "field runs has an entry that is not [id, tokens, events, ...]");
+  }
+  return routing::EngineRun{
+      .request = row[0].is_string()
+                     ? routing::HashOf(row[0].get_ref<const std::string&>())
+                     : row[0].get<uint64_t>(),
+      .tokens = row[1].get<uint64_t>(),
+      .events = row[2].get<uint32_t>()};
+}
+
+}  // namespace
+
+std::string EngineReportRequest(const http::Address& address) {
+  http1::RequestHead head;
+  head.target = kReportPath;
+  head.headers = {{"Host", address.ToString()}};
+  return http1::Serialize(head, std::nullopt);
+}
+
+absl::StatusOr<routing::EngineReport> DecodeEngineReport(
+    std::string_view body) {
+  const auto parsed = nlohmann::json::parse(body, nullptr, false);
+  if (!parsed.is_object()) {
+    return absl::InvalidArgumentError("the report is not a JSON object");
+  }
+  absl::Status status;
+  const auto read = [&](const char* name, bool is_required) -> uint64_t {
+    const auto field = parsed.find(name);
+    if (field != parsed.end() && field->is_number_unsigned()) {
+      return field->get<uint64_t>();
+    }
+    if (is_required && status.ok()) {
+      status = absl::InvalidArgumentError(
+          absl::StrCat("field ", name, " is missing or has another type"));
+    }
+    return 0;
+  };
+  routing::EngineReport report;
+  report.waiting = static_cast<uint32_t>(read("queueDepth", true));
+  report.running = static_cast<uint32_t>(read("activeRequests", true));
+  report.unevictable_tokens = read("kvUsed", true);
+  report.cache_tokens = read("kvTotal", true);
+  report.next_prompt_tokens = static_cast<uint32_t>(read("next", false));
+  if (!status.ok()) {
+    return status;
+  }
+  const auto runs = parsed.find("runs");
+  if (runs == parsed.end()) {
+    return report;
+  }
+  if (!runs->is_array() || runs->size() > kMaxRuns) {
+    return absl::InvalidArgumentError(
+        "field runs is not a list of at most 4096 entries");
+  }
+  for (const auto& row : *runs) {
+    const auto run = DecodeRun(row);
+    if (!run.ok()) {
+      return run.status();
+    }
+    report.runs.push_back(*run);
+  }
+  return report;
+}
+
+}  // namespace jackdawshunt::platform
--- a/jackdawshunt/routing/engine_estimate.cc
+++ b/jackdawshunt/routing/engine_estimate.cc
@@ -32,6 +32,19 @@
 // Longer idle times are reported as this.
 constexpr kernel::Duration kMaxIdleTime = std::chrono::seconds(10);
 
+// Reports are read every 100 ms. An older one says nothing of the present.
+constexpr kernel::Duration kReportValidity = std::chrono::milliseconds(500);
+// A claim may arrive before its request reaches the engine.
+constexpr kernel::Duration kSettleTime = std::chrono::milliseconds(100);
+// The first event of a claim may be reported this much later than it was made.
+constexpr kernel::Duration kUnheldAfter = std::chrono::milliseconds(300);
+// Weight of one claim in the mean of uncached tokens.
+constexpr double kMeanTokensWeight = 0.05;
+// Weight of the time between two reports in the rate of releases.
+constexpr double kReleaseWeight = 0.2;
+// Bounds the wait for a slot while no request ends.
+constexpr double kMinReleasesPerSecond = 1.0;
+
 double ToMs(kernel::Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -88,9 +101,125 @@
     cost.wait +=
         std::max(now - oldest.expected_prefill_end, kernel::Duration::zero());
   }
+  if (HasFreshReport(now)) {
+    const kernel::Duration unclaimed =
+        std::max(reported_.unclaimed_time - (now - reported_.at),
+                 kernel::Duration::zero());
+    cost.wait = std::max(cost.wait + unclaimed, TimeToSlot(now));
+    if (reported_.unclaimed > 0 || reported_.is_full) {
+      cost.idle_time = kernel::Duration::zero();
+    }
+  }
   return cost;
 }
 
+bool EngineEstimate::HasFreshReport(kernel::TimePoint now) const {
+  return now - reported_.at <= kReportValidity;
+}
+
+bool EngineEstimate::IsFull(const EngineReport& report) const {
+  const bool has_memory =
+      report.cache_tokens == 0 || report.next_prompt_tokens == 0 ||
+      report.unevictable_tokens + report.next_prompt_tokens <=
+          report.cache_tokens;
+  const bool has_slot = slots_ == 0 || report.running < slots_;
+  return report.waiting > 0 && (!has_memory || !has_slot);
+}
+
+kernel::Duration EngineEstimate::TimeToSlot(kernel::TimePoint now) const {
+  if (!reported_.is_full || releases_per_s_ <= 0) {
+    return kernel::Duration::zero();
+  }
+  const auto releases =
+      static_cast<double>(reported_.waiting + claims_since_report_ + 1);
+  const kernel::Duration time = FromMs(
+      1000 * releases / std::max(releases_per_s_, kMinReleasesPerSecond));
+  return std::max(time - (now - reported_.at), kernel::Duration::zero());
+}
+
+void EngineEstimate::ObserveReleases(const Reported& current) {
+  const kernel::Duration time = current.at - reported_.at;
+  if (!reported_.is_full || time <= kernel::Duration::zero() ||
+      time > kReportValidity) {
+    return;
+  }
+  const auto ended = static_cast<double>(std::count_if(
+      reported_.runs.begin(), reported_.runs.end(), [&](uint64_t request) {
+        return !std::binary_search(current.runs.begin(), current.runs.end(),
+                                   request);
+      }));
+  const double rate = 1000 * ended / ToMs(time);
+  releases_per_s_ +=
+      releases_per_s_ <= 0 ? rate : kReleaseWeight * (rate - releases_per_s_);
+}
+
+void EngineEstimate::OnReport(const EngineReport& report,
+                              kernel::TimePoint now) {
+  Reported current{
+      .at = now, .waiting = report.waiting, .is_full = IsFull(report)};
+  size_t held = report.waiting;  // Without a first event.
+  for (const EngineRun& run : report.runs) {
+    held += run.events == 0 ? 1 : 0;
+    current.runs.push_back(run.request);
+  }
+  std::sort(current.runs.begin(), current.runs.end());
+  ObserveReleases(current);
+  ReleaseUnheld(held, now);
+  if (held > waiting_.size()) {
+    current.unclaimed = held - waiting_.size();
+    const double tokens = mean_uncached_tokens_ > 0
+                              ? mean_uncached_tokens_
+                              : static_cast<double>(report.next_prompt_tokens);
+    current.unclaimed_time =
+        PrefillTime(static_cast<uint64_t>(tokens)) *
+        static_cast<kernel::Duration::rep>(current.unclaimed);
+    last_unclaimed_at_ = now;
+  }
+  reported_ = std::move(current);
+  claims_since_report_ = 0;
+}
+
+void EngineEstimate::ReleaseUnheld(size_t held, kernel::TimePoint now) {
+  const auto settled = static_cast<size_t>(std::count_if(
+      waiting_.begin(), waiting_.end(), [&](const std::string& request) {
+        return claims_.at(request).claimed_at + kSettleTime <= now;
+      }));
+  const size_t unheld = settled > held ? settled - held : 0;
+  if (unheld == 0 || unheld_ == 0) {
+    unheld_ = unheld;
+    unheld_since_ = now;
+    return;
+  }
+  unheld_ = std::min(unheld_, unheld);
+  if (now - unheld_since_ < kUnheldAfter) {
+    return;
+  }
+  // Prefill is in order, so those that the engine does not hold are the oldest.
+  for (; unheld_ > 0; --unheld_) {
+    RunningClaim& claim = claims_.at(waiting_.front());
+    claim.has_started = true;
+    const kernel::Duration saved =
+        std::clamp(claim.expected_prefill_end - now, kernel::Duration::zero(),
+                   PrefillTime(claim.uncached_tokens));
+    waiting_.pop_front();
+    MoveUp(waiting_.begin(), saved, now);
+  }
+  if (waiting_.empty()) {
+    busy_until_ = std::min(busy_until_, now);
+  }
+}
+
+void EngineEstimate::MoveUp(std::list<std::string>::iterator first,
+                            kernel::Duration saved,
+                            kernel::TimePoint now) {
+  busy_until_ = std::max(now, busy_until_ - saved);
+  for (auto other = first; other != waiting_.end(); ++other) {
+    RunningClaim& later = claims_.at(*other);
+    later.expected_prefill_end =
+        std::max(now, later.expected_prefill_end - saved);
+  }
+}
+
 void EngineEstimate::Claim(std::string_view request,
                            const std::vector<uint64_t>& keys,
                            const std::vector<PromptPart>& parts,
@@ -126,6 +255,12 @@
     ++part.users;
   }
   output_tokens_ += output_tokens;
+  ++claims_since_report_;
+  const auto uncached_tokens = static_cast<double>(cost.uncached_tokens);
+  mean_uncached_tokens_ +=
+      mean_uncached_tokens_ <= 0
+          ? uncached_tokens
+          : kMeanTokensWeight * (uncached_tokens - mean_uncached_tokens_);
   claims_.emplace(request, std::move(claim));
   Evict();
 }
@@ -169,7 +304,9 @@
 
 void EngineEstimate::ObservePrefill(const RunningClaim& claim,
                                     kernel::TimePoint now) {
-  if (claim.uncached_tokens < kMinObservedTokens) {
+  // A claim that waited for requests of others shows no rate.
+  if (claim.uncached_tokens < kMinObservedTokens ||
+      claim.claimed_at <= last_unclaimed_at_ + kReportValidity) {
     return;
   }
   const kernel::TimePoint began = std::max(claim.claimed_at, last_first_event_);
@@ -197,13 +334,7 @@
     // The prompts behind it move up by its prefill time.
     const kernel::Duration saved = PrefillTime(claim.uncached_tokens);
     paced_until_ -= PaceTime(claim.uncached_tokens, claim.output_tokens);
-    busy_until_ = std::max(now, busy_until_ - saved);
-    for (auto other = std::next(claim.waiting_position);
-         other != waiting_.end(); ++other) {
-      RunningClaim& later = claims_.at(*other);
-      later.expected_prefill_end =
-          std::max(now, later.expected_prefill_end - saved);
-    }
+    MoveUp(std::next(claim.waiting_position), saved, now);
     waiting_.erase(claim.waiting_position);
   }
   const bool was_prefilled = was_executed || claim.has_started;
@@ -253,6 +384,11 @@
   busy_until_ = {};
   paced_until_ = {};
   last_first_event_ = {};
+  reported_ = {};
+  last_unclaimed_at_ = {};
+  claims_since_report_ = 0;
+  releases_per_s_ = 0;
+  unheld_ = 0;
 }
 
 void EngineEstimate::DropExpired(kernel::Duration age, kernel::TimePoint now) {
--- a/jackdawshunt/routing/engine_estimate.h
+++ b/jackdawshunt/routing/engine_estimate.h
@@ -14,6 +14,11 @@
 // exceed it. Otherwise prompts would be prefilled in time, but long streams
 // would be cut off at their deadline.
 //
+// Where the engine's own report is available, OnReport() adds the requests that
+// no one here has claimed. After a restart of the gateways and of the board the
+// engine still works on requests of gateways that no longer exist. Without them
+// it looks idle, and gets more than it can start in time.
+//
 // Example:
 //   routing::EngineEstimate engine(profile, /*prefill_tokens_per_ms=*/32);
 //   auto cost = engine.Estimate(keys, parts, now);
@@ -35,6 +40,7 @@
 
 #include "jackdawshunt/kernel/clock.h"
 #include "jackdawshunt/routing/desired_state.h"
+#include "jackdawshunt/routing/engine_report.h"
 #include "jackdawshunt/routing/prompt.h"
 
 namespace jackdawshunt::routing {
@@ -81,6 +87,11 @@
              bool was_executed,
              kernel::TimePoint now);
 
+  // Merges a report that the engine made now. Requests in the report beyond the
+  // claims count in the offered wait. Claims that the engine does not hold any
+  // more no longer delay others.
+  void OnReport(const EngineReport& report, kernel::TimePoint now);
+
   // Forgets all claims and cached parts, for an engine that restarted.
   void Clear();
   // Sets the throughput that the engine can sustain, where an uncached prompt
@@ -90,6 +101,9 @@
     sustained_tokens_per_ms_ = tokens;
   }
 
+  // Sets the number of requests that the engine runs at once; 0 if unknown.
+  void set_slots(uint64_t slots) { slots_ = slots; }
+
   // Drops claims older than `age`, and claims whose first event is overdue by
   // more than 4 s. Their requests are assumed to have ended without a report.
   void DropExpired(kernel::Duration age, kernel::TimePoint now);
@@ -98,6 +112,9 @@
   size_t running() const { return claims_.size(); }
   size_t waiting() const { return waiting_.size(); }
   uint64_t cached_tokens() const { return cached_tokens_; }
+  // Returns the requests of the last report that wait for prefill and that no
+  // one has claimed.
+  size_t unclaimed() const { return reported_.unclaimed; }
 
  private:
   struct Part {
@@ -118,6 +135,32 @@
     std::list<std::string>::iterator waiting_position;
   };
 
+  // What the last report says beyond the claims.
+  struct Reported {
+    kernel::TimePoint at{};
+    size_t unclaimed = 0;  // Wait for prefill.
+    kernel::Duration unclaimed_time{};
+    size_t waiting = 0;    // In the engine's queue.
+    bool is_full = false;  // The next one in the queue waits for a release.
+    std::vector<uint64_t> runs;  // Sorted.
+  };
+
+  bool HasFreshReport(kernel::TimePoint now) const;
+  // Returns whether the first request in the queue of `report` waits until a
+  // running one ends.
+  bool IsFull(const EngineReport& report) const;
+  // Returns the time until a request that is sent now gets a slot.
+  kernel::Duration TimeToSlot(kernel::TimePoint now) const;
+  // Updates the rate at which running requests end.
+  void ObserveReleases(const Reported& current);
+  // Removes the oldest claims from those that wait if the engine has had fewer
+  // than they are for some time.
+  void ReleaseUnheld(size_t held, kernel::TimePoint now);
+  // Lowers the expected times of the claims from `first` on by `saved`, but not
+  // below `now`.
+  void MoveUp(std::list<std::string>::iterator first,
+              kernel::Duration saved,
+              kernel::TimePoint now);
   kernel::Duration PaceTime(uint64_t uncached_tokens,
                             uint32_t output_tokens) const;
   kernel::Duration PrefillTime(uint64_t tokens) const;
@@ -138,6 +181,16 @@
   kernel::TimePoint busy_until_{};
   kernel::TimePoint paced_until_{};
   kernel::TimePoint last_first_event_{};
+
+  uint64_t slots_ = 0;
+  Reported reported_;
+  kernel::TimePoint last_unclaimed_at_{};
+  size_t claims_since_report_ = 0;
+  double mean_uncached_tokens_ = 0;  // Of recent claims; 0 without any.
+  double releases_per_s_ = 0;        // While the engine is full; 0 if unknown.
+  // Lowest number of claims that the engine did not hold, and since when.
+  size_t unheld_ = 0;
+  kernel::TimePoint unheld_since_{};
 };
 
 }  // namespace jackdawshunt::routing
