--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -80,6 +80,13 @@
         .Add(engine.cache_tokens)
         .Add(engine.sustained_tokens_per_s);
   }
+  FieldWriter& Add(const routing::Speed& speed) {
+    return AddNumber(speed.prefill_tokens_per_ms).AddNumber(speed.event_ms);
+  }
+  // Adds what earlier versions do not send, after all other fields.
+  FieldWriter& AddLastFields(const EngineIdentity& engine) {
+    return Add(engine.slots).Add(engine.prior);
+  }
   FieldWriter& Add(const StoreState& store) {
     return Add(store.upstreams_revision.era)
         .Add(store.upstreams_revision.revision)
@@ -121,16 +128,16 @@
 };
 
 void Write(const Query& query, std::string& out) {
-  FieldWriter(MessageType::kQuery, 8, out)
+  FieldWriter(MessageType::kQuery, 10, out)
       .Add(query.nonce)
       .Add(query.engine)
       .Add(query.part_keys)
       .Add(query.part_tokens)
-      .Add(query.engine.slots);
+      .AddLastFields(query.engine);
 }
 
 void Write(const Offer& offer, std::string& out) {
-  FieldWriter(MessageType::kOffer, 8, out)
+  FieldWriter(MessageType::kOffer, 10, out)
       .Add(offer.nonce)
       .Add(offer.cost.wait)
       .Add(offer.cost.ahead_of_pace)
@@ -138,17 +145,18 @@
       .Add(offer.cost.idle_time)
       .Add(offer.cost.uncached_tokens)
       .Add(offer.cost.uncached_shared_tokens)
-      .AddBoolean(offer.is_reachable);
+      .AddBoolean(offer.is_reachable)
+      .Add(offer.speed);
 }
 
 void Write(const Claim& claim, std::string& out) {
-  FieldWriter(MessageType::kClaim, 9, out)
+  FieldWriter(MessageType::kClaim, 11, out)
       .Add(claim.request)
       .Add(claim.engine)
       .Add(claim.part_keys)
       .Add(claim.part_tokens)
       .Add(uint64_t{claim.output_tokens})
-      .Add(claim.engine.slots);
+      .AddLastFields(claim.engine);
 }
 
 void Write(const ProgressReport& report, std::string& out) {
@@ -392,6 +400,21 @@
     return engine;
   }
 
+  // Reads a speed among the last fields; unknown if the sender left it out.
+  routing::Speed ReadLastSpeed() {
+    routing::Speed speed;
+    if (HasMore()) {
+      speed.prefill_tokens_per_ms = ReadRate();
+      speed.event_ms = ReadRate();
+    }
+    return speed;
+  }
+
+  void ReadLastFields(EngineIdentity& engine) {
+    engine.slots = HasMore() ? ReadUnsigned() : 0;
+    engine.prior = ReadLastSpeed();
+  }
+
   StoreState ReadStoreState() {
     StoreState store;
     store.upstreams_revision.era = ReadUnsigned();
@@ -442,7 +465,7 @@
   query.engine = reader.ReadEngine();
   query.part_keys = reader.ReadNumbers<uint64_t>();
   query.part_tokens = reader.ReadNumbers<uint32_t>();
-  query.engine.slots = reader.HasMore() ? reader.ReadUnsigned() : 0;
+  reader.ReadLastFields(query.engine);
   return query;
 }
 
@@ -456,6 +479,7 @@
   offer.cost.uncached_tokens = reader.ReadUnsigned();
   offer.cost.uncached_shared_tokens = reader.ReadUnsigned();
   offer.is_reachable = reader.ReadBoolean();
+  offer.speed = reader.ReadLastSpeed();
   return offer;
 }
 
@@ -466,7 +490,7 @@
   claim.part_keys = reader.ReadNumbers<uint64_t>();
   claim.part_tokens = reader.ReadNumbers<uint32_t>();
   claim.output_tokens = static_cast<uint32_t>(reader.ReadUnsigned());
-  claim.engine.slots = reader.HasMore() ? reader.ReadUnsigned() : 0;
+  reader.ReadLastFields(claim.engine);
   return claim;
 }
 
--- a/jackdawshunt/gateway/board_client.cc
+++ b/jackdawshunt/gateway/board_client.cc
@@ -71,6 +71,9 @@
     identity.slots = service->engine->slots;
     identity.sustained_tokens_per_s =
         static_cast<uint64_t>(request.engine_tokens_per_s);
+    if (request.speeds != nullptr) {
+      identity.prior = request.speeds->PriorOf(engine);
+    }
   }
   return identity;
 }
@@ -193,8 +196,8 @@
     return;
   }
   pending->has_replied[index] = true;
-  pending->offers.push_back(
-      {pending->engines[index], offer->cost, offer->is_reachable});
+  pending->offers.push_back({pending->engines[index], offer->cost,
+                             offer->is_reachable, offer->speed});
   if (pending->offers.size() >= pending->awaited_replies) {
     FinishQuery(pending->first_nonce);
   }
