--- a/jackdawshunt/gateway/board_client.cc
+++ b/jackdawshunt/gateway/board_client.cc
@@ -68,8 +68,12 @@
   const routing::Service* service = request.table->FindService(engine.service);
   if (service != nullptr && service->engine.has_value()) {
     identity.cache_tokens = service->engine->cache_tokens;
+    identity.slots = service->engine->slots;
     identity.sustained_tokens_per_s =
-        static_cast<uint64_t>(request.engine_tokens_per_s);
+        static_cast<uint64_t>(request.EngineTokensPerSecond(engine));
+    if (request.speeds != nullptr) {
+      identity.prior = request.speeds->PriorOf(engine);
+    }
   }
   return identity;
 }
@@ -192,8 +196,8 @@
     return;
   }
   pending->has_replied[index] = true;
-  pending->offers.push_back(
-      {pending->engines[index], offer->cost, offer->is_reachable});
+  pending->offers.push_back({pending->engines[index], offer->cost,
+                             offer->is_reachable, offer->speed});
   if (pending->offers.size() >= pending->awaited_replies) {
     FinishQuery(pending->first_nonce);
   }
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -114,10 +114,10 @@
 Router::Router(RouterSettings settings, kernel::TimePoint now)
     : settings_(std::move(settings)),
       directory_(settings_.return_grace),
+      knows_evacuations_(!settings_.follows_evacuations),
       beliefs_(settings_.incarnation, now),
       budget_(settings_.retry_budget, now),
-      shares_(settings_.share_window),
-      knows_evacuations_(!settings_.follows_evacuations) {
+      shares_(settings_.share_window) {
   directory_.SetObserver(
       [this](const Upstream& upstream, Directory::Change change) {
         if (change == Directory::Change::kRemoved) {
@@ -487,7 +487,9 @@
   EngineCandidate row;
   row.upstream_hash = upstream.hash;
   EngineEstimate& engine = *StateOf(upstream).engine;
-  engine.set_sustained_tokens_per_ms(request.engine_tokens_per_s / 1000.0);
+  engine.set_sustained_tokens_per_ms(request.EngineTokensPerSecond(upstream) /
+                                     1000.0);
+  engine.set_prior(speeds_->PriorOf(upstream));
   row.cost = engine.Estimate(request.part_keys, request.prompt->parts, now);
   // Other instances may have sent requests to it.
   row.cost.idle_time = kernel::Duration::zero();
@@ -527,6 +529,7 @@
         return IsWithheld(*engine, now) ||
                directory_.IsEvacuated(engine->data_centre);
       });
+  request.speeds = speeds_;
   request.engine_tokens_per_s =
       EngineTokensPerSecond(candidates.size() + static_cast<size_t>(withheld));
   return PreferredEngines(request, candidates, 0);
@@ -691,6 +694,7 @@
       UpstreamState& state = StateOf(*upstream);
       state.last_offer = offer->cost;
       state.last_offer_at = now;
+      speeds_->Observe(*upstream, offer->speed, now);
     }
     rows.push_back(row);
   }
@@ -741,7 +745,8 @@
          .in_flight = StateOf(*upstream).in_flight,
          .slots = upstream->slots,
          .is_same_data_centre = upstream->data_centre == settings_.data_centre,
-         .is_avoided = health_.IsAvoided(upstream->id, now)});
+         .is_avoided = health_.IsAvoided(upstream->id, now),
+         .expected_time = answer_times_.Expected(upstream->start, now)});
   }
   Decision decision;
   decision.verdict = Verdict::kSend;
@@ -822,6 +827,9 @@
   } else if (outcome == Outcome::kWrongInstance) {
     directory_.MarkAbsent(upstream, now);
   }
+  if (outcome == Outcome::kSuccess && !request.prompt.has_value()) {
+    answer_times_.Record(upstream.start, now - request.sent_at, now);
+  }
   RecordSubjects(request, upstream, outcome, now);
   Release(request, upstream, MayHaveExecuted(outcome), now);
   if (request.is_counted_by_attempt && !MayHaveExecuted(outcome)) {
@@ -895,6 +903,8 @@
 
 void Router::Tick(kernel::TimePoint now) {
   beliefs_.DropExpired(now);
+  speeds_->Update(now);
+  answer_times_.DropExpired(now);
   UpdateUsablePart(now);
   for (auto& [id, state] : upstreams_) {
     if (state.engine != nullptr) {
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -31,6 +31,7 @@
 
 #include "jackdawshunt/kernel/clock.h"
 #include "jackdawshunt/routing/admission.h"
+#include "jackdawshunt/routing/answer_times.h"
 #include "jackdawshunt/routing/beliefs.h"
 #include "jackdawshunt/routing/desired_state.h"
 #include "jackdawshunt/routing/directory.h"
@@ -41,6 +42,7 @@
 #include "jackdawshunt/routing/placement.h"
 #include "jackdawshunt/routing/prompt.h"
 #include "jackdawshunt/routing/retry_budget.h"
+#include "jackdawshunt/routing/speed_table.h"
 #include "jackdawshunt/routing/stream_origins.h"
 #include "jackdawshunt/routing/upstream_health.h"
 
@@ -92,7 +94,10 @@
   std::string workspace;  // Empty on public routes.
   std::optional<Prompt> prompt;
   std::vector<uint64_t> part_keys;
-  double engine_tokens_per_s = 0;  // Sustained by one engine; 0 if unknown.
+  // Sustained by one engine in the mean; 0 if unknown.
+  double engine_tokens_per_s = 0;
+  // Speeds of the engines; null until EnginesToQuery().
+  std::shared_ptr<const SpeedTable> speeds;
   kernel::TimePoint arrived_at{};
   kernel::TimePoint deadline{};  // The caller does not wait longer.
   // The caller does not resume the stream later than this.
@@ -118,6 +123,13 @@
   bool is_answer_proven = false;
   // Start at which the last attempt was lost before that.
   std::optional<uint64_t> lost_at_start;
+
+  // Returns the throughput that `engine` sustains; 0 if unknown.
+  double EngineTokensPerSecond(const Upstream& engine) const {
+    return speeds == nullptr
+               ? engine_tokens_per_s
+               : engine_tokens_per_s * speeds->PaceFactor(engine.start);
+  }
 };
 
 enum class Verdict {
@@ -136,6 +148,7 @@
   EngineCost cost;
   // False if other instances cannot connect to the engine.
   bool is_reachable = true;
+  Speed speed;  // Observed by the board; zeros if unknown.
 };
 
 struct Decision {
@@ -427,6 +440,8 @@
   std::unordered_map<std::string, UpstreamState> upstreams_;
   // Longest deadline that callers stated, by route; first attempts state it.
   std::unordered_map<std::string, kernel::Duration> longest_deadline_;
+  std::shared_ptr<SpeedTable> speeds_ = std::make_shared<SpeedTable>();
+  AnswerTimes answer_times_;  // Of plain upstreams.
   uint32_t instances_ = 0;
   // Changes of the directory and version of the table that the rings are of.
   std::pair<uint64_t, uint64_t> homes_source_;
