Let stand-ins be cold and data centres be evacuated

Cause: no stand-in could be cold or start again under its old id, and the fleet of the process tests had one data centre, so that nothing showed cold starts and evacuations with real processes. Change: StandInUpstream ends as by a crash when it is sent more than its rate x 1.5 + 5 requests in a second while it is cold; 421 answers do not count. PlatformFleet starts upstreams again under their old ids with a later `born`, turns engines cold, writes `coldRemainingMs` every 1.2 s while they are, spreads gateways and upstreams over data centres, and puts and deletes evacuations. Configuration and settings name cold starts and the bound of evacuations only where the options ask for it. While an upstream is down for a restart its proxy is down too: a proxy accepts connections and closes them, but at the address of an engine that is down they are refused. Ruled out: a heartbeat of all upstreams. It would write back entries after the store was restored from a copy, which the soak does at its own times.

--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -23,6 +23,13 @@
 constexpr char kEngineService[] = "llm";
 constexpr char kPlainService[] = "desk";
 
+// Unix time at which a fleet begins, in ms.
+constexpr int64_t kBeginUnixMs = 1790000000000;
+// Period in which upstreams write their entries while they are cold.
+constexpr kernel::Duration kEntryPeriod = std::chrono::milliseconds(1200);
+// Time from the end of an overloaded cold engine until it starts again.
+constexpr kernel::Duration kColdEndDownTime = std::chrono::milliseconds(1500);
+
 std::string NetworkOfThisProcess() {
   // Tests that run at the same time do not share IPs.
   return absl::StrCat("127.", 16 + getpid() % 200);
@@ -132,6 +139,8 @@
                     ? options_
                           .engine_versions[i % options_.engine_versions.size()]
                     : "v1",
+            .data_centre = DataCentreOfUpstream(i),
+            .born_unix_ms = kBeginUnixMs,
             .is_engine = is_engine,
             .events = options_.stream_events,
             .work = options_.work},
@@ -143,6 +152,10 @@
     PutUpstream(i);
   }
   PutConfiguration({"key-lodge"});
+  began_ = now();
+  if (options_.cold_starts.has_value()) {
+    entry_timer_ = loop_.Every(kEntryPeriod, [this] { RefreshColdEntries(); });
+  }
   gateways_.resize(options_.gateways);
   boards_.resize(options_.engines);
 }
@@ -182,26 +195,58 @@
   return {GatewayIp(index), callers_port_};
 }
 
+std::string PlatformFleet::DataCentreName(size_t index) const {
+  return options_.data_centres == 1 ? "z" : absl::StrCat("z", index);
+}
+
+std::string PlatformFleet::DataCentreOfUpstream(size_t index) const {
+  // Neighbours are in different ones, also after a whole round, so that each
+  // data centre gets several software versions.
+  const size_t count = options_.data_centres;
+  return DataCentreName((index + index / count) % count);
+}
+
+int64_t PlatformFleet::UnixMilliseconds() const {
+  return kBeginUnixMs + Milliseconds(now() - began_);
+}
+
 void PlatformFleet::PutUpstream(size_t index, std::string_view state) {
+  const StandInUpstreamOptions& options = upstreams_[index]->options();
+  states_[options.id] = std::string(state);
   if (!IsUpstreamUp(index)) {
     return;
   }
-  const StandInUpstreamOptions& options = upstreams_[index]->options();
+  const kernel::Duration cold = upstreams_[index]->cold_remaining();
+  if (cold > kernel::Duration::zero()) {
+    stated_cold_.insert(options.id);
+  } else {
+    stated_cold_.erase(options.id);
+  }
   store_->Put("servers", options.id,
               {{"service", options.service},
                {"address",
                 Through(ProxiedHop::kUpstream, index, upstream_address(index))
                     .ToString()},
-               {"zone", "z"},
+               {"zone", options.data_centre},
                {"version", options.version},
                {"slots", 64},
                {"state", state},
-               {"coldRemainingMs", 0},
+               {"coldRemainingMs", Milliseconds(cold)},
                {"sequence", 1},
-               {"born", 1790000000000}});
+               {"born", options.born_unix_ms}});
+}
+
+void PlatformFleet::RefreshColdEntries() {
+  for (size_t i = 0; i < upstreams_.size(); ++i) {
+    const std::string& id = upstreams_[i]->options().id;
+    if (stated_cold_.contains(id)) {
+      PutUpstream(i, states_.at(id));
+    }
+  }
 }
 
 void PlatformFleet::DeleteUpstream(size_t index) {
+  stated_cold_.erase(upstreams_[index]->options().id);
   store_->Delete("servers", upstreams_[index]->options().id);
 }
 
@@ -217,12 +262,88 @@
 void PlatformFleet::StartSuccessor(size_t index,
                                    const http::Address& address,
                                    StandInUpstreamOptions options) {
+  options.id = absl::StrCat("i-", index, "-", 1 + replaced_upstreams_.size());
+  StartInPlace(index, address, std::move(options));
+  PutUpstream(index);
+}
+
+void PlatformFleet::StartInPlace(size_t index,
+                                 const http::Address& address,
+                                 StandInUpstreamOptions options) {
   replaced_upstreams_.push_back(std::move(upstreams_[index]));
-  options.id = absl::StrCat("i-", index, "-", replaced_upstreams_.size());
+  const bool is_cold = options.is_engine && options_.cold_starts.has_value();
+  if (is_cold) {
+    options.born_unix_ms = UnixMilliseconds();
+  }
   upstreams_[index] = std::make_unique<StandInUpstream>(
       loop_, address, std::move(options), runs_);
   Arm(index);
-  PutUpstream(index);
+  if (is_cold) {
+    SetCold(index, options_.cold_starts->time, /*is_start=*/true);
+  }
+}
+
+void PlatformFleet::SetCold(size_t index,
+                            kernel::Duration time,
+                            bool is_start) {
+  StandInUpstream& upstream = *upstreams_[index];
+  cold_spans_.push_back({&upstream, now(), now() + time, is_start});
+  upstream.SetCold(
+      options_.cold_starts->per_second, time, [this, index, &upstream] {
+        if (&upstream == upstreams_[index].get() && IsUpstreamUp(index)) {
+          cold_ends_.push_back({upstream.options().id, "", now()});
+          RestartUpstream(index, kColdEndDownTime);
+        }
+      });
+}
+
+void PlatformFleet::TurnCold(size_t index, kernel::Duration time) {
+  if (IsUpstreamUp(index)) {
+    SetCold(index, time, /*is_start=*/false);
+    PutUpstream(index, states_.at(upstreams_[index]->options().id));
+  }
+}
+
+void PlatformFleet::RestartUpstream(size_t index, kernel::Duration down_for) {
+  if (!IsUpstreamUp(index)) {
+    return;
+  }
+  const http::Address address = upstream_address(index);
+  upstreams_[index]->Stop();
+  const auto proxy = proxies_.find({ProxiedHop::kUpstream, index});
+  if (proxy != proxies_.end()) {
+    proxy->second.process->Kill();  // A proxy would accept connections.
+  }
+  down_[index] = loop_.After(down_for, [this, index, address] {
+    down_.erase(index);
+    StandInUpstreamOptions options = upstreams_[index]->options();
+    options.born_unix_ms = UnixMilliseconds();
+    StartInPlace(index, address, std::move(options));
+    const auto proxy = proxies_.find({ProxiedHop::kUpstream, index});
+    if (proxy != proxies_.end()) {
+      StartProxy(ProxiedHop::kUpstream, index, proxy->second.ip, address,
+                 proxy->second.port);
+    }
+    PutUpstream(index, states_.at(upstreams_[index]->options().id));
+  });
+}
+
+std::vector<const StandInUpstream*> PlatformFleet::AllUpstreams() const {
+  std::vector<const StandInUpstream*> all;
+  for (const auto* const upstreams : {&replaced_upstreams_, &upstreams_}) {
+    for (const auto& upstream : *upstreams) {
+      all.push_back(upstream.get());
+    }
+  }
+  return all;
+}
+
+void PlatformFleet::Evacuate(const std::string& data_centre) {
+  store_->Put("evacuations", data_centre, json::object());
+}
+
+void PlatformFleet::TakeBack(const std::string& data_centre) {
+  store_->Delete("evacuations", data_centre);
 }
 
 void PlatformFleet::EndUpstream(size_t index,
@@ -307,37 +428,53 @@
                 {"public", is_public},
                 {"resumable", is_resumable}};
   };
-  store_->Put("config", "main",
-              {{"version", ++version_},
-               {"routes",
-                {route(kGenerate, "streaming", kEngineService, 1, false, false),
-                 route(kRevise, "streaming", kEngineService, 2, false, true),
-                 route(kHold, "unsafe", kPlainService, 1, false, false),
-                 route(kFetch, "safe", kPlainService, 2, false, false),
-                 route(kOpen, "safe", kPlainService, 2, true, false)}},
-               {"services",
-                {{{"name", kEngineService},
-                  {"connectionLimit", 100},
-                  {"engine", {{"slots", 64}, {"kvTokens", 500000}}}},
-                 {{"name", kPlainService}, {"connectionLimit", 100}}}},
-               {"limits",
-                {{"headerBytes", 16384},
-                 {"bodyBytes", 1048576},
-                 {"headerTimeoutMs", 3000},
-                 {"idleTimeoutMs", 15000},
-                 {"tokensPerS", 1000000}}},
-               {"tenants",
-                {{{"name", "lodge"}, {"apiKeys", lodge_keys}},
-                 {{"name", "school"}, {"apiKeys", {"key-school"}}}}}});
+  json engine_service = {{"name", kEngineService},
+                         {"connectionLimit", 100},
+                         {"engine", {{"slots", 64}, {"kvTokens", 500000}}}};
+  if (options_.cold_starts.has_value()) {
+    engine_service["coldStartS"] =
+        static_cast<double>(Milliseconds(options_.cold_starts->time)) / 1000;
+    engine_service["coldPerS"] = options_.cold_starts->per_second;
+  }
+  store_->Put(
+      "config", "main",
+      {{"version", ++version_},
+       {"routes",
+        {route(kGenerate, "streaming", kEngineService, 1, false, false),
+         route(kRevise, "streaming", kEngineService, 2, false, true),
+         route(kHold, "unsafe", kPlainService, 1, false, false),
+         route(kFetch, "safe", kPlainService, 2, false, false),
+         route(kOpen, "safe", kPlainService, 2, true, false)}},
+       {"services",
+        {engine_service, {{"name", kPlainService}, {"connectionLimit", 100}}}},
+       {"limits",
+        {{"headerBytes", 16384},
+         {"bodyBytes", 1048576},
+         {"headerTimeoutMs", 3000},
+         {"idleTimeoutMs", 15000},
+         {"tokensPerS", 1000000}}},
+       {"tenants",
+        {{{"name", "lodge"}, {"apiKeys", lodge_keys}},
+         {{"name", "school"}, {"apiKeys", {"key-school"}}}}}});
 }
 
 std::string PlatformFleet::WriteSettings(const std::string& name,
                                          const std::string& ip,
-                                         const std::string& more) {
+                                         const std::string& data_centre,
+                                         std::string more) {
+  if (options_.cold_starts.has_value()) {
+    absl::StrAppend(&more, "bounds.coldOverage=", kColdOverage,
+                    "\nbounds.coldSlack=", kColdSlack, "\n");
+  }
+  if (options_.evacuation.has_value()) {
+    absl::StrAppend(
+        &more, "bounds.evacuateMs=", Milliseconds(*options_.evacuation), "\n");
+  }
   std::string path = absl::StrCat(folder_.path(), "/", name, ".conf");
   std::ofstream(path) << absl::StrCat(
-      "node=", name, "\nip=", ip, "\nzone=z\ninternalPorts=", internal_port_,
-      ",", internal_port_, "\nplatform.address=",
+      "node=", name, "\nip=", ip, "\nzone=", data_centre,
+      "\ninternalPorts=", internal_port_, ",", internal_port_,
+      "\nplatform.address=",
       Through(ProxiedHop::kStore, 0, store_->address()).ToString(),
       "\nbounds.revokeMs=", Milliseconds(options_.revocation),
       "\nbounds.strictRevocation=true\nbounds.graceS=8\n"
@@ -351,7 +488,7 @@
 void PlatformFleet::StartGateway(size_t index) {
   const std::string name = absl::StrCat("gateway-", index);
   const std::string path = WriteSettings(
-      name, GatewayIp(index),
+      name, GatewayIp(index), DataCentreName(index % options_.data_centres),
       absl::StrCat("listen.front=", GatewayIp(index), ":", callers_port_,
                    "\nlisten.ready=", GatewayIp(index), ":", readiness_port_,
                    "\n"));
@@ -365,7 +502,7 @@
 void PlatformFleet::StartBoard(size_t index) {
   const std::string name = absl::StrCat("board-", index);
   const std::string path = WriteSettings(
-      name, UpstreamIp(index),
+      name, UpstreamIp(index), DataCentreOfUpstream(index),
       absl::StrCat("app=", upstream_address(index).ToString(), "\n"));
   boards_[index] =
       *Process::Start({.command = {MainBinary(), "board", "--settings", path},
@@ -449,14 +586,17 @@
 void PlatformFleet::StartProxy(ProxiedHop hop,
                                size_t index,
                                const std::string& ip,
-                               const http::Address& target) {
+                               const http::Address& target,
+                               uint16_t port) {
   const std::string name =
       absl::StrCat("proxy-", static_cast<int>(hop), "-", index);
-  proxies_[{hop, index}] = {
-      ip, *Process::Start({.command = {StandInsBinary(), "proxy", "--target",
-                                       target.ToString(), "--ip", ip},
-                           .folder = folder_.path(),
-                           .name = name})};
+  auto process = *Process::Start(
+      {.command = {StandInsBinary(), "proxy", "--target", target.ToString(),
+                   "--ip", ip, "--port", absl::StrCat(port)},
+       .folder = folder_.path(),
+       .name = name});
+  const uint16_t bound = process->Port("port");
+  proxies_[{hop, index}] = {ip, bound, std::move(process)};
 }
 
 http::Address PlatformFleet::Through(ProxiedHop hop,
@@ -465,8 +605,7 @@
   const auto proxy = proxies_.find({hop, index});
   return proxy == proxies_.end()
              ? target
-             : http::Address{proxy->second.ip,
-                             proxy->second.process->Port("port")};
+             : http::Address{proxy->second.ip, proxy->second.port};
 }
 
 bool PlatformFleet::Await(const std::function<bool()>& done) {
@@ -482,6 +621,9 @@
                              size_t index,
                              const std::string& faults) {
   const ProxyProcess& proxy = proxies_.at({hop, index});
+  if (!proxy.process->is_running()) {
+    return;
+  }
   const auto answer =
       Fetch({"127.0.0.1", proxy.process->Port("admin_port")},
             {.method = "POST", .path = "/admin/faults", .body = faults});
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,6 +30,12 @@
 
 namespace jackdawshunt::testing {
 
+// How engines are cold after a start.
+struct ColdStarts {
+  double per_second = 0;    // Requests that one takes meanwhile.
+  kernel::Duration time{};  // From the start on.
+};
+
 struct PlatformFleetOptions {
   size_t gateways = 1;
   size_t engines = 2;
@@ -42,6 +49,13 @@
   // Puts a proxy that injects faults on each hop of ProxiedHop.
   bool has_proxies = false;
   uint32_t file_descriptors = 4100;  // Of each process.
+  // Gateways and upstreams are spread over so many, named by DataCentreName().
+  size_t data_centres = 1;
+  // Of engines that start while the fleet runs. Absent: none is ever cold, and
+  // neither configuration nor settings name cold starts.
+  std::optional<ColdStarts> cold_starts;
+  // Bound within which an evacuation holds. Absent: the settings name none.
+  std::optional<kernel::Duration> evacuation;
 };
 
 // Where a proxy can stand.
@@ -138,7 +152,8 @@
   // Writes the configuration with the keys of the workspaces "lodge" and
   // "school"; a new version each time.
   void PutConfiguration(const std::vector<std::string>& lodge_keys);
-  // Writes the entry of an upstream, unless it is down.
+  // Writes the entry of an upstream; once it starts again if it is down for a
+  // restart, not at all if it is down otherwise.
   void PutUpstream(size_t index, std::string_view state = "ready");
   void DeleteUpstream(size_t index);
   // Replaces an upstream by a new one with another id and this software
@@ -150,6 +165,29 @@
   void EndUpstream(size_t index,
                    kernel::Duration down_for,
                    kernel::Duration listed_for);
+  // Ends an upstream without notice, for `down_for`. It starts again under its
+  // old id, later born, and an engine is cold then where the options ask for
+  // it. Its entry stays; nothing listens at its address meanwhile.
+  void RestartUpstream(size_t index, kernel::Duration down_for);
+  // Makes an engine cold for `time` from now on, without another start, and
+  // writes its entry. Requires cold starts in the options.
+  void TurnCold(size_t index, kernel::Duration time);
+  // One time in which an engine was cold.
+  struct ColdSpan {
+    const StandInUpstream* upstream = nullptr;
+    kernel::TimePoint from{};
+    kernel::TimePoint to{};  // Or until it has ended before.
+    bool is_start = false;   // Cold from its start on.
+  };
+  const std::vector<ColdSpan>& cold_spans() const { return cold_spans_; }
+
+  // Writes and removes the store's object that asks for an evacuation. The
+  // store has acknowledged it when the function returns.
+  void Evacuate(const std::string& data_centre);
+  void TakeBack(const std::string& data_centre);
+  std::string DataCentreName(size_t index) const;
+  std::string DataCentreOfUpstream(size_t index) const;
+
   // Makes engines end as above when they begin an answer to a prompt that holds
   // this part; empty for none.
   void SetDeadlyPart(const std::string& part,
@@ -165,6 +203,9 @@
     std::string request;
     kernel::TimePoint at{};
   };
+  // Ends of cold engines that were sent too much so far; of no one request.
+  // Each starts again as in RestartUpstream().
+  const std::vector<DeadlyEnd>& cold_ends() const { return cold_ends_; }
   // Ends of engines by the deadly part so far.
   const std::vector<DeadlyEnd>& deadly_ends() const { return deadly_ends_; }
   // Ends of upstreams by deadly requests so far.
@@ -175,7 +216,7 @@
   bool IsUpstreamUp(size_t index) const { return !down_.contains(index); }
 
   // Sets faults of a proxy, as JSON. `index` is that of the gateway or
-  // upstream.
+  // upstream. Does nothing for an upstream that is down for a restart.
   void SetProxy(ProxiedHop hop, size_t index, const std::string& faults);
 
   kernel::EventLoop& loop() { return loop_; }
@@ -185,6 +226,8 @@
   // The engines come first, then the plain upstreams.
   StandInUpstream& upstream(size_t index) { return *upstreams_[index]; }
   size_t upstreams() const { return upstreams_.size(); }
+  // Returns also those that were replaced or started again.
+  std::vector<const StandInUpstream*> AllUpstreams() const;
   Process& gateway(size_t index) { return *gateways_[index]; }
   Process& board(size_t index) { return *boards_[index]; }
   http::Address gateway_address(size_t index) const;
@@ -201,7 +244,8 @@
   std::string UpstreamIp(size_t index) const;
   std::string WriteSettings(const std::string& name,
                             const std::string& ip,
-                            const std::string& more);
+                            const std::string& data_centre,
+                            std::string more);
   // Returns different ports that the kernel gives out.
   static std::array<uint16_t, 3> FreePorts();
   // Returns a function that records an end in `ends` and ends the upstream that
@@ -210,6 +254,15 @@
                                               kernel::Duration down_for,
                                               kernel::Duration listed_for,
                                               std::vector<DeadlyEnd>& ends);
+  // Starts an upstream in the place of one that has ended, cold where the
+  // options ask for it.
+  void StartInPlace(size_t index,
+                    const http::Address& address,
+                    StandInUpstreamOptions options);
+  void SetCold(size_t index, kernel::Duration time, bool is_start);
+  // Writes the entries of upstreams that are cold or were when last written.
+  void RefreshColdEntries();
+  int64_t UnixMilliseconds() const;
   // Sets what is deadly for the upstream that is now at `index`.
   void Arm(size_t index);
   // Starts an upstream with another id in the place of one that has ended.
@@ -220,7 +273,8 @@
   void StartProxy(ProxiedHop hop,
                   size_t index,
                   const std::string& ip,
-                  const http::Address& target);
+                  const http::Address& target,
+                  uint16_t port = 0);
   // The address to connect to: the proxy's where there is one.
   http::Address Through(ProxiedHop hop,
                         size_t index,
@@ -235,6 +289,7 @@
   std::unique_ptr<StandInStore> store_;
   struct ProxyProcess {
     std::string ip;
+    uint16_t port = 0;
     std::unique_ptr<Process> process;
   };
   std::map<std::pair<ProxiedHop, size_t>, ProxyProcess> proxies_;
@@ -245,6 +300,12 @@
   std::vector<std::unique_ptr<StandInUpstream>> replaced_upstreams_;
   std::map<size_t, kernel::Timer> down_;         // Until they start again.
   std::map<std::string, kernel::Timer> listed_;  // Ended ones, by id.
+  std::map<std::string, std::string> states_;    // In entries, by id.
+  std::set<std::string> stated_cold_;            // Ids, in the latest entries.
+  std::vector<ColdSpan> cold_spans_;
+  std::vector<DeadlyEnd> cold_ends_;
+  kernel::TimePoint began_{};
+  kernel::Timer entry_timer_;
   std::vector<DeadlyEnd> deadly_ends_;
   std::vector<DeadlyEnd> deadly_request_ends_;
   // Set the deadly part of an engine and the deadly request of an upstream.
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -52,6 +52,17 @@
 
 }  // namespace
 
+size_t MostInASecond(const std::vector<kernel::TimePoint>& times) {
+  size_t most = 0;
+  for (size_t first = 0, last = 0; last < times.size(); ++last) {
+    while (times[last] - times[first] >= std::chrono::seconds(1)) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
 StandInUpstream::StandInUpstream(kernel::EventLoop& loop,
                                  const http::Address& address,
                                  StandInUpstreamOptions options,
@@ -115,6 +126,32 @@
   crash_for_request_ = std::move(crash);
 }
 
+void StandInUpstream::SetCold(double per_second,
+                              kernel::Duration time,
+                              std::function<void()> crash) {
+  cold_per_second_ = per_second;
+  cold_since_ = loop_.clock().Now();
+  cold_until_ = cold_since_ + time;
+  crash_cold_ = std::move(crash);
+}
+
+kernel::Duration StandInUpstream::cold_remaining() const {
+  return std::max(kernel::Duration::zero(), cold_until_ - loop_.clock().Now());
+}
+
+bool StandInUpstream::IsOverloadedCold() const {
+  if (cold_remaining() == kernel::Duration::zero()) {
+    return false;
+  }
+  const kernel::TimePoint from =
+      std::max(cold_since_, loop_.clock().Now() - std::chrono::seconds(1));
+  const auto count =
+      std::count_if(arrival_log_.begin(), arrival_log_.end(),
+                    [&](const Arrival& arrival) { return arrival.at > from; });
+  return static_cast<double>(count) >
+         cold_per_second_ * kColdOverage + kColdSlack;
+}
+
 bool StandInUpstream::IsDeadlyRequest(const http1::RequestHead& head,
                                       const std::string& body) const {
   return !deadly_marker_.empty() &&
@@ -144,6 +181,9 @@
     return;
   }
   arrival_log_.push_back({request, loop_.clock().Now()});
+  if (IsOverloadedCold() && crash_cold_) {
+    loop_.Post(std::exchange(crash_cold_, nullptr));
+  }
   if (fault_ == UpstreamFault::kShed || fault_ == UpstreamFault::kHoldOff) {
     http1::ResponseHead shed = Head(request, 503);
     if (fault_ == UpstreamFault::kHoldOff) {
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -6,6 +6,9 @@
 //                                   {.id = "i-1", .service = "llm"}, runs);
 //   engine.SetFault(testing::UpstreamFault::kErrors);
 //
+// It can be cold: it then takes only some requests a second, and ends when it
+// is sent well more.
+//
 // Not thread-safe.
 #ifndef JACKDAWSHUNT_TESTING_PLATFORM_STAND_IN_UPSTREAM_H_
 #define JACKDAWSHUNT_TESTING_PLATFORM_STAND_IN_UPSTREAM_H_
@@ -80,6 +83,14 @@
   bool was_cancelled = false;
 };
 
+// Requests that a cold upstream may be sent in any second, as a factor of the
+// rate that it takes and a number on top. One more ends it.
+inline constexpr double kColdOverage = 1.5;
+inline constexpr double kColdSlack = 5;
+
+// Returns the most times in any second; `times` are in order.
+size_t MostInASecond(const std::vector<kernel::TimePoint>& times);
+
 // Runs by request id, over all upstreams.
 using RunLog = std::map<std::string, std::vector<UpstreamRun>>;
 
@@ -87,6 +98,8 @@
   std::string id;
   std::string service;
   std::string version = "v1";  // Of its software; written into each event.
+  std::string data_centre = "z";
+  int64_t born_unix_ms = 0;  // When it started, as its record says.
   bool is_engine = true;
   uint32_t events = 5;  // Of one stream.
   kernel::Duration event_gap = std::chrono::milliseconds(10);
@@ -114,6 +127,15 @@
   // Calls `crash` when it begins an answer to a request whose target or body
   // holds this marker. An empty marker means that there is none.
   void SetDeadlyRequest(std::string marker, CrashFunction crash);
+  // Makes it cold for `time` from now on. It calls `crash` in a later turn of
+  // the loop once it has been sent more than `per_second` x kColdOverage +
+  // kColdSlack requests in one second of that time. Requests for another start
+  // or upstream, which it answers with 421, do not count.
+  void SetCold(double per_second,
+               kernel::Duration time,
+               std::function<void()> crash);
+  // Returns how much longer it stays cold; zero if it is not.
+  kernel::Duration cold_remaining() const;
   // Names this limit of requests a second in all answers; none if absent.
   void SetLimit(std::optional<double> per_second) { limit_ = per_second; }
   // Requests that arrived, run or not.
@@ -167,6 +189,8 @@
 
   // Returns whether the prompt of the request holds the deadly part.
   bool HoldsDeadlyPart(const http1::RequestHead& head) const;
+  // Returns whether the latest arrival is one too many for a cold upstream.
+  bool IsOverloadedCold() const;
   bool IsDeadlyRequest(const http1::RequestHead& head,
                        const std::string& body) const;
   void Respond(http1::ServerConnection& connection);
@@ -215,6 +239,10 @@
   CrashFunction crash_for_request_;
   bool is_leaving_ = false;
   std::optional<double> limit_;
+  double cold_per_second_ = 0;
+  kernel::TimePoint cold_since_{};
+  kernel::TimePoint cold_until_{};
+  std::function<void()> crash_cold_;  // Null once called.
   std::vector<Arrival> arrival_log_;
 };
 
