Let the soak turn engines cold, evacuate data centres and kill together

Change: new faults, every 0.3 to 1.2 s: an engine turns cold; two to six engines are down for 1 to 2.5 s and return cold at their old ids; a data centre is evacuated and taken back, once or twice, or two at once; about half of all gateways and boards are killed at the same moment. After a store's return from a copy the operator writes the evacuations again. One data centre stays evacuated until all gateways were undisturbed.

--- a/jackdawshunt/testing/platform/soak_main.cc
+++ b/jackdawshunt/testing/platform/soak_main.cc
@@ -11,6 +11,9 @@
 // crash, misbehave, name limits, drain and return; engines are replaced by
 // others of another software version; one part of prompts ends engines, and
 // some requests end the plain upstreams that run them; keys are taken away.
+// Engines return cold at their old ids, several together, or turn cold; data
+// centres are evacuated and taken back; gateways and boards are killed at the
+// same time. These faults have a random sequence of their own.
 // Callers resume interrupted streams at other gateways. The same seed gives the
 // same faults at the same times. Exits with 1 when a promise was broken and
 // prints the first ones.
@@ -22,6 +25,7 @@
 #include <iostream>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -34,6 +38,11 @@
 #include "jackdawshunt/testing/http_helper.h"
 #include "jackdawshunt/testing/platform/caller_stream.h"
 #include "jackdawshunt/testing/platform/platform_fleet.h"
+#include "jackdawshunt/testing/platform/soak_call.h"
+#include "jackdawshunt/testing/platform/soak_cold_check.h"
+#include "jackdawshunt/testing/platform/soak_deadly_check.h"
+#include "jackdawshunt/testing/platform/soak_disturbances.h"
+#include "jackdawshunt/testing/platform/soak_evacuation_check.h"
 
 namespace jackdawshunt::testing {
 namespace {
@@ -46,26 +55,14 @@
 // Time over which answers may be late on a busy machine.
 constexpr kernel::Duration kSlack = milliseconds(1500);
 constexpr kernel::Duration kRevocation = milliseconds(3000);
-// A gateway keeps its time limits once it was undisturbed for so long.
-constexpr kernel::Duration kContact = seconds(4);
 constexpr kernel::Duration kRecovery = seconds(12);
 // Time that is judged after it, with all gateways in contact.
 constexpr kernel::Duration kUndisturbed = seconds(4);
 // Requests that may be lost around planned work.
 constexpr size_t kTolerableLosses = 3;
 constexpr uint32_t kStreamEvents = 60;
-// Engines that a part of prompts may end before all gateways know, and requests
-// with it that may reach engines later.
-constexpr size_t kTolerableEnds = 5;
-constexpr size_t kTolerableDeadlyRuns = 3;
-constexpr char kDeadlyPart[] = "dead";
 // One in so many streams holds the deadly part.
 constexpr size_t kStreamsPerDeadlyPart = 25;
-// Ends of upstreams by one request before all gateways know it, and sends of it
-// that may reach upstreams later.
-constexpr size_t kTolerableRequestEnds = 3;
-constexpr size_t kTolerableLateSends = 3;
-constexpr char kDeadlyMarker[] = "deadly";
 // One in so many plain calls is deadly.
 constexpr size_t kCallsPerDeadlyRequest = 8;
 // Routes of the deadly requests, which differ in content. Each comes an eighth
@@ -76,6 +73,12 @@
 constexpr auto kLimitWindow = seconds(4);
 // Requests with which a caller resumes one stream.
 constexpr int kMaxResumptions = 2;
+constexpr ColdStarts kColdStarts = {.per_second = 2, .time = seconds(3)};
+// Time for which an engine turns cold; longer than kContact, after which it is
+// judged.
+constexpr kernel::Duration kTurnedColdTime = seconds(9);
+constexpr kernel::Duration kEvacuationBound = seconds(3);
+constexpr size_t kDataCentres = 3;
 // Software versions of engines.
 constexpr std::array<const char*, 3> kVersions = {"v2", "v10", "v1.1"};
 
@@ -85,7 +88,10 @@
   size_t gateways = 3;
   size_t engines = 6;
   size_t plain = 3;
+  bool has_deadly_parts = true;
   bool has_deadly_requests = true;
+  bool has_cold_starts = true;
+  bool has_evacuations = true;
 };
 
 class Soak {
@@ -94,6 +100,7 @@
       : options_(options),
         random_(options.seed),
         content_random_(options.seed),
+        further_random_(options.seed),
         fleet_({.gateways = options.gateways,
                 .engines = options.engines,
                 .engine_versions = {kVersions.begin(), kVersions.end()},
@@ -101,7 +108,14 @@
                 .revocation = kRevocation,
                 .route_timeout = kRouteTimeout,
                 .stream_events = kStreamEvents,
-                .has_proxies = true}),
+                .has_proxies = true,
+                .data_centres = options.has_evacuations ? kDataCentres : 1,
+                .cold_starts = options.has_cold_starts
+                                   ? std::optional(kColdStarts)
+                                   : std::nullopt,
+                .evacuation = options.has_evacuations
+                                  ? std::optional(kEvacuationBound)
+                                  : std::nullopt}),
         disturbed_(options.gateways) {}
 
   int Run() {
@@ -114,6 +128,7 @@
     began_ = Now();
     const kernel::TimePoint end = began_ + RunTime();
     timers_.push_back(fleet_.loop().Every(kCallGap, [this] { StartCall(); }));
+    ScheduleFurtherFault();
     while (Now() < end && violations_.empty()) {
       const auto fault = kFaults.at(Pick(kFaults.size()));
       (this->*fault)();
@@ -122,42 +137,30 @@
     }
     Heal();
     CheckRecovery();
-    if (options_.has_deadly_requests) {
+    if (options_.has_deadly_requests || options_.has_evacuations) {
       RunUndisturbed();
     }
+    const kernel::TimePoint calls_ended = Now();
     timers_.clear();
     // Requests whose callers have left get no answer, but may still run.
     fleet_.RunFor(kRouteTimeout);
     fleet_.Await([this] {
-      return std::all_of(calls_.begin(), calls_.end(), [](const Entry& entry) {
-        return entry.has_left || entry.call->is_done();
-      });
+      return std::all_of(calls_.begin(), calls_.end(),
+                         [](const SoakCall& entry) {
+                           return entry.has_left || entry.call->is_done();
+                         });
     });
     CheckCalls();
     CheckRuns();
-    CheckDeadlyPart();
-    CheckDeadlyRequests();
+    CheckDeadly();
     CheckLimits();
+    CheckColdStarts();
+    CheckEvacuations(calls_ended);
     CheckLost();
     return Report();
   }
 
  private:
-  struct Entry {
-    std::shared_ptr<PlatformCall> call;
-    size_t gateway = 0;
-    kernel::TimePoint sent{};
-    bool has_left = false;
-    bool is_checked = false;
-    // What its caller has of its stream; null for plain requests.
-    std::shared_ptr<CallerStream> stream;
-    int resumptions = 0;  // Requests that resumed the stream, with this one.
-  };
-  struct Disturbance {
-    kernel::TimePoint from{};
-    kernel::TimePoint to{};
-    bool is_planned = false;  // Part of the ordinary running of the system.
-  };
   using Fault = void (Soak::*)();
 
   kernel::TimePoint Now() const { return fleet_.now(); }
@@ -170,6 +173,7 @@
   }
   size_t Pick(size_t count) { return random_() % count; }
   size_t PickContent(size_t count) { return content_random_() % count; }
+  size_t PickFurther(size_t count) { return further_random_() % count; }
   void Violate(const std::string& what) { violations_.push_back(what); }
   void After(kernel::Duration delay, std::function<void()> callback) {
     timers_.push_back(fleet_.loop().After(delay, std::move(callback)));
@@ -178,7 +182,7 @@
   void StartCall() {
     constexpr std::array<const char*, 6> kRoutes = {kGenerate, kRevise, kRevise,
                                                     kHold,     kFetch,  kOpen};
-    Entry entry;
+    SoakCall entry;
     entry.gateway = Pick(options_.gateways);
     entry.sent = Now();
     CallOptions options;
@@ -188,7 +192,9 @@
     options.keeps_connection = Pick(4) != 0;
     if (options.route == kGenerate || options.route == kRevise) {
       options.shared_part = absl::StrCat(Pick(6));
-      if (Pick(kStreamsPerDeadlyPart) == 0) {
+      // Drawn in any case, so that both settings draw the same sequence.
+      const bool is_deadly = Pick(kStreamsPerDeadlyPart) == 0;
+      if (is_deadly && options_.has_deadly_parts) {
         options.shared_part += absl::StrCat(",", kDeadlyPart);
       }
       entry.stream = std::make_shared<CallerStream>();
@@ -230,8 +236,8 @@
   }
 
   // Continues the stream of `interrupted` with a request at any gateway.
-  void ResumeStream(const Entry& interrupted) {
-    Entry entry;
+  void ResumeStream(const SoakCall& interrupted) {
+    SoakCall entry;
     entry.gateway = Pick(options_.gateways);
     entry.sent = Now();
     entry.stream = interrupted.stream;
@@ -244,7 +250,7 @@
 
   // Checks the stream of a request that has ended or whose caller has left, and
   // resumes it if it is interrupted.
-  void CheckStream(Entry& entry) {
+  void CheckStream(SoakCall& entry) {
     if (entry.stream == nullptr) {
       return;
     }
@@ -312,11 +318,12 @@
   void KillBoard() {
     const size_t i = Pick(options_.engines);
     fleet_.board(i).Kill();
-    After(milliseconds(Pick(2000)), [this, i] {
-      if (!fleet_.board(i).is_running()) {
-        fleet_.StartBoard(i);
-      }
-    });
+    After(milliseconds(Pick(2000)), [this, i] { RestartBoard(i); });
+  }
+  void RestartBoard(size_t i) {
+    if (!fleet_.board(i).is_running()) {
+      fleet_.StartBoard(i);
+    }
   }
   void PauseBoard() {
     const size_t i = Pick(options_.engines);
@@ -380,6 +387,10 @@
     fleet_.store().RestoreCopy(milliseconds(Pick(4000)));
     After(milliseconds(Pick(2000)),
           [this] { fleet_.PutConfiguration({key_}); });
+    if (options_.has_evacuations) {
+      evacuations_.OnStoreRestored(Now());
+      After(milliseconds(PickFurther(2000)), [this] { RepeatEvacuations(); });
+    }
     for (size_t i = 0; i < fleet_.upstreams(); ++i) {
       After(milliseconds(Pick(2000)), [this, i] {
         const std::string& id = fleet_.upstream(i).options().id;
@@ -442,6 +453,98 @@
       upstream->SetLimit(std::nullopt);
     });
   }
+  void TurnEngineCold() {
+    if (options_.has_cold_starts) {
+      fleet_.TurnCold(PickFurther(options_.engines), kTurnedColdTime);
+    }
+  }
+  void ReturnEnginesCold() {
+    if (!options_.has_cold_starts) {
+      return;
+    }
+    const auto time = milliseconds(1000 + PickFurther(1500));
+    const size_t count = 2 + PickFurther(options_.engines - 1);
+    const size_t first = PickFurther(options_.engines);
+    for (size_t n = 0; n < count; ++n) {
+      const size_t i = (first + n) % options_.engines;
+      DisturbUpstream(i, {});
+      fleet_.RestartUpstream(i, time);
+    }
+  }
+  void EvacuateDataCentre() {
+    if (options_.has_evacuations) {
+      Evacuate(PickFurther(kDataCentres), 1 + PickFurther(2));
+    }
+  }
+  void EvacuateTwoDataCentres() {
+    if (options_.has_evacuations) {
+      const size_t i = PickFurther(kDataCentres);
+      Evacuate(i, 1);
+      Evacuate((i + 1) % kDataCentres, 1);
+    }
+  }
+  // Evacuates a data centre and takes it back, `times` times. One of them is
+  // never evacuated while the others are.
+  void Evacuate(size_t i, size_t times) {
+    const std::string data_centre = fleet_.DataCentreName(i);
+    size_t evacuated = 0;
+    for (size_t k = 0; k < kDataCentres; ++k) {
+      evacuated += evacuations_.IsEvacuated(fleet_.DataCentreName(k)) ? 1 : 0;
+    }
+    if (times == 0 || evacuated + 1 >= kDataCentres ||
+        evacuations_.IsEvacuated(data_centre)) {
+      return;
+    }
+    fleet_.Evacuate(data_centre);
+    evacuations_.OnEvacuated(data_centre, Now());
+    After(milliseconds(2000 + PickFurther(6000)), [this, i, times] {
+      TakeBack(fleet_.DataCentreName(i));
+      After(milliseconds(PickFurther(1000)),
+            [this, i, times] { Evacuate(i, times - 1); });
+    });
+  }
+  void TakeBack(const std::string& data_centre) {
+    evacuations_.OnTakenBack(data_centre, Now());
+    fleet_.TakeBack(data_centre);
+  }
+  // The operator's writes after a restoration of the store.
+  void RepeatEvacuations() {
+    for (size_t i = 0; i < kDataCentres; ++i) {
+      const std::string data_centre = fleet_.DataCentreName(i);
+      if (evacuations_.IsEvacuated(data_centre)) {
+        fleet_.Evacuate(data_centre);
+      } else {
+        fleet_.TakeBack(data_centre);
+      }
+    }
+  }
+  // Kills about half of all gateways and boards at the same moment.
+  void KillTogether() {
+    for (size_t i = 0; i < options_.gateways; ++i) {
+      if (PickFurther(2) == 0) {
+        Disturb(i, seconds(2));
+        fleet_.gateway(i).Kill();
+        After(milliseconds(100 + PickFurther(1500)),
+              [this, i] { RestartGateway(i); });
+      }
+    }
+    for (size_t i = 0; i < options_.engines; ++i) {
+      if (PickFurther(2) == 0) {
+        fleet_.board(i).Kill();
+        After(milliseconds(PickFurther(2000)), [this, i] { RestartBoard(i); });
+      }
+    }
+  }
+  void ScheduleFurtherFault() {
+    if (!options_.has_cold_starts && !options_.has_evacuations) {
+      return;
+    }
+    After(milliseconds(300 + PickFurther(900)), [this] {
+      const auto fault = kFurtherFaults.at(PickFurther(kFurtherFaults.size()));
+      (this->*fault)();
+      ScheduleFurtherFault();
+    });
+  }
   void Disturb(size_t gateway, kernel::Duration time, bool is_planned = false) {
     disturbed_[gateway].push_back({Now(), Now() + time, is_planned});
   }
@@ -475,35 +578,31 @@
       &Soak::ReplaceEngine,
       &Soak::DrainUpstream,
       &Soak::LimitUpstream};
+  static constexpr std::array<Fault, 5> kFurtherFaults = {
+      &Soak::TurnEngineCold, &Soak::ReturnEnginesCold,
+      &Soak::EvacuateDataCentre, &Soak::EvacuateTwoDataCentres,
+      &Soak::KillTogether};
 
   // --- Checks.
-  static bool WasDisturbed(const std::vector<Disturbance>& spans,
-                           kernel::TimePoint from,
-                           kernel::TimePoint to,
-                           bool counts_planned = true) {
-    return std::any_of(spans.begin(), spans.end(), [&](const auto& span) {
-      return span.from <= to && span.to + kContact >= from &&
-             (counts_planned || !span.is_planned);
-    });
-  }
   // Whether the gateway was disturbed in the span or shortly before it.
   bool WasDisturbed(size_t gateway,
                     kernel::TimePoint from,
                     kernel::TimePoint to) const {
-    return WasDisturbed(disturbed_[gateway], from, to);
+    return testing::WasDisturbed(disturbed_[gateway], from, to);
   }
 
   // Requests that were passed on and whose connection ended without an answer,
   // with nothing but planned work as a reason.
   void CheckLost() {
     for (const auto* const ends :
-         {&fleet_.deadly_ends(), &fleet_.deadly_request_ends()}) {
+         {&fleet_.deadly_ends(), &fleet_.deadly_request_ends(),
+          &fleet_.cold_ends()}) {
       for (const PlatformFleet::DeadlyEnd& end : *ends) {
         disturbed_upstreams_[end.upstream].push_back({end.at, end.at});
       }
     }
     std::vector<std::string> lost;
-    for (const Entry& entry : calls_) {
+    for (const SoakCall& entry : calls_) {
       const PlatformCall& call = *entry.call;
       const auto runs = fleet_.runs().find(call.id());
       if (!call.loss().has_value() || entry.has_left ||
@@ -512,12 +611,13 @@
       }
       const kernel::TimePoint ended = entry.sent + call.total();
       const bool is_excused =
-          WasDisturbed(disturbed_[entry.gateway], entry.sent, ended,
-                       /*counts_planned=*/false) ||
+          testing::WasDisturbed(disturbed_[entry.gateway], entry.sent, ended,
+                                /*counts_planned=*/false) ||
           std::any_of(runs->second.begin(), runs->second.end(),
                       [&](const UpstreamRun& run) {
-                        return WasDisturbed(disturbed_upstreams_[run.upstream],
-                                            entry.sent, ended);
+                        return testing::WasDisturbed(
+                            disturbed_upstreams_[run.upstream], entry.sent,
+                            ended);
                       });
       if (!is_excused) {
         lost.push_back(call.id());
@@ -532,7 +632,7 @@
     // Requests that resume streams are checked like others.
     std::move(resumed_.begin(), resumed_.end(), std::back_inserter(calls_));
     resumed_.clear();
-    for (Entry& entry : calls_) {
+    for (SoakCall& entry : calls_) {
       if (entry.is_checked || entry.has_left) {
         continue;
       }
@@ -573,7 +673,7 @@
     for (const std::string& id : fleet_.RunTwice()) {
       Violate(absl::StrCat(id, " ran twice"));
     }
-    for (const Entry& entry : calls_) {
+    for (const SoakCall& entry : calls_) {
       const PlatformCall& call = *entry.call;
       const auto runs = fleet_.runs().find(call.id());
       if (runs == fleet_.runs().end()) {
@@ -594,7 +694,7 @@
     }
   }
 
-  void CheckDrain(const Entry& entry, const UpstreamRun& run) {
+  void CheckDrain(const SoakCall& entry, const UpstreamRun& run) {
     for (const auto& [id, from, to] : drained_) {
       const kernel::TimePoint bound = from + seconds(2) + kSlack;
       if (run.upstream == id && run.began > bound && run.began < to &&
@@ -605,112 +705,69 @@
     }
   }
 
-  static bool IsDeadly(const Entry& entry) {
-    return absl::EndsWith(entry.call->options().shared_part,
-                          absl::StrCat(",", kDeadlyPart));
-  }
-
-  // Requests with the deadly part that reach engines after all gateways should
-  // know, and sound requests that are taken for deadly ones.
-  void CheckDeadlyPart() {
-    const auto& ends = fleet_.deadly_ends();
-    const kernel::TimePoint known =
-        ends.size() < kTolerableEnds ? kernel::TimePoint::max()
-                                     : ends[kTolerableEnds - 1].at + kContact;
-    std::vector<std::string> late;
-    for (const Entry& entry : calls_) {
-      const PlatformCall& call = *entry.call;
-      if (!IsDeadly(entry)) {
-        if (call.body().find("prompt_quarantined") != std::string::npos) {
-          Violate(absl::StrCat(call.id(), " was refused for its sound parts ",
-                               call.options().shared_part));
-        }
-        continue;
-      }
-      const auto runs = fleet_.runs().find(call.id());
-      if (runs == fleet_.runs().end()) {
-        continue;
-      }
-      for (const UpstreamRun& run : runs->second) {
-        if (run.began > known &&
-            !WasDisturbed(entry.gateway, run.began, run.began)) {
-          late.push_back(call.id());
-        }
-      }
-    }
-    if (late.size() > kTolerableDeadlyRuns) {
-      Violate(absl::StrCat(late.size(),
-                           " requests with the deadly part ran "
-                           "after ",
-                           ends.size(), " ends, first ", late[0]));
+  void CheckDeadly() {
+    DeadlyCheck check(calls_, fleet_, disturbed_);
+    check.CheckParts();
+    check.CheckRequests();
+    for (const std::string& broken : check.violations()) {
+      Violate(broken);
     }
+    refused_deadly_requests_ = check.refused_requests();
+    late_sends_ = check.late_sends();
   }
 
-  static bool IsDeadlyRequest(const Entry& entry) {
-    const CallOptions& options = entry.call->options();
-    return absl::EndsWith(options.path, kDeadlyMarker) ||
-           options.body == kDeadlyMarker;
+  std::map<std::string, size_t> GatewaysOfRequests() const {
+    std::map<std::string, size_t> gateways;
+    for (const SoakCall& entry : calls_) {
+      gateways[entry.call->id()] = entry.gateway;
+    }
+    return gateways;
   }
 
-  // Deadly requests that reach upstreams after all gateways should know them,
-  // and sound requests that are taken for deadly ones.
-  void CheckDeadlyRequests() {
-    std::map<std::string, const Entry*> entries;
-    for (const Entry& entry : calls_) {
-      entries[entry.call->id()] = &entry;
+  // Arrivals at cold engines, in any second.
+  void CheckColdStarts() {
+    const std::map<std::string, size_t> gateways = GatewaysOfRequests();
+    for (const PlatformFleet::ColdSpan& span : fleet_.cold_spans()) {
+      std::vector<kernel::TimePoint> times;
+      for (const auto& arrival :
+           JudgedColdArrivals(span, gateways, disturbed_)) {
+        times.push_back(arrival.at);
+      }
+      most_cold_ = std::max(most_cold_, MostInASecond(times));
+      cold_arrivals_ += times.size();
     }
-    std::map<std::string, std::vector<kernel::TimePoint>> ends;  // By route.
-    for (const auto& end : fleet_.deadly_request_ends()) {
-      ends[entries.at(end.request)->call->options().route].push_back(end.at);
+    for (const std::string& broken :
+         ColdViolations(fleet_.cold_spans(), kColdStarts.per_second, gateways,
+                        disturbed_)) {
+      Violate(broken);
     }
-    std::map<std::string, std::vector<std::string>> late;
-    for (const Entry& entry : calls_) {
-      const PlatformCall& call = *entry.call;
-      const bool is_refused =
-          call.body().find("request_quarantined") != std::string::npos;
-      if (!IsDeadlyRequest(entry)) {
-        if (is_refused) {
+  }
+
+  // Arrivals at upstreams of evacuated data centres.
+  void CheckEvacuations(kernel::TimePoint calls_ended) {
+    const std::map<std::string, size_t> gateways = GatewaysOfRequests();
+    for (const StandInUpstream* const upstream : fleet_.AllUpstreams()) {
+      for (const auto& [request, at] : upstream->arrival_log()) {
+        const auto gateway = gateways.find(request);
+        if (gateway != gateways.end() &&
+            evacuations_.IsForbidden(upstream->options().data_centre,
+                                     disturbed_[gateway->second], at)) {
           Violate(absl::StrCat(
-              call.id(), " was refused, but is sound: ", call.options().route,
-              "/", call.options().path, " ", call.options().body));
-        }
-        continue;
-      }
-      refused_deadly_requests_ += is_refused ? 1 : 0;
-      const std::string& route = call.options().route;
-      const auto runs = fleet_.runs().find(call.id());
-      if (runs == fleet_.runs().end() ||
-          ends[route].size() < kTolerableRequestEnds) {
-        continue;
-      }
-      const kernel::TimePoint known =
-          ends[route][kTolerableRequestEnds - 1] + kContact;
-      for (const UpstreamRun& run : runs->second) {
-        if (run.began <= known) {
-          continue;
-        }
-        ++late_sends_;
-        if (!WasDisturbed(entry.gateway, run.began, run.began)) {
-          late[route].push_back(call.id());
+              request, " reached ", upstream->options().id,
+              " in the evacuated ", upstream->options().data_centre, " at ",
+              Seconds(at - began_), " s, gateway ", gateway->second));
         }
       }
     }
-    for (const auto& [route, ids] : late) {
-      if (ids.size() > kTolerableLateSends) {
-        Violate(absl::StrCat("the deadly request of ", route, " was sent ",
-                             ids.size(), " times after its third end, first ",
-                             ids[0]));
-      }
+    for (const std::vector<Disturbance>& disturbances : disturbed_) {
+      evacuation_judged_ += evacuations_.JudgedTime(disturbances, calls_ended);
     }
   }
 
   // Arrivals at upstreams that name a limit, from gateways that were not
   // disturbed since well before.
   void CheckLimits() {
-    std::map<std::string, size_t> gateways;
-    for (const Entry& entry : calls_) {
-      gateways[entry.call->id()] = entry.gateway;
-    }
+    const std::map<std::string, size_t> gateways = GatewaysOfRequests();
     for (const Limited& limit : limits_) {
       std::vector<kernel::TimePoint> times;
       for (const auto& arrival : limit.upstream->arrival_log()) {
@@ -738,6 +795,14 @@
   }
 
   void Heal() {
+    if (options_.has_evacuations) {
+      // One data centre stays evacuated until all gateways are judged.
+      for (size_t i = 1; i < kDataCentres; ++i) {
+        TakeBack(fleet_.DataCentreName(i));
+      }
+      RepeatEvacuations();
+      Evacuate(0, 1);
+    }
     timers_.erase(timers_.begin() + 1, timers_.end());
     fleet_.store().SetFault(StoreFault::kNone);
     // The operator's write after a restoration of the store, if it was due.
@@ -771,6 +836,9 @@
       }
     }
     fleet_.RunFor(in_contact + kUndisturbed - Now());
+    if (options_.has_evacuations) {
+      TakeBack(fleet_.DataCentreName(0));
+    }
   }
 
   // All gateways serve again within the recovery time.
@@ -819,7 +887,7 @@
 
   int Report() {
     const auto served =
-        std::count_if(calls_.begin(), calls_.end(), [](const Entry& entry) {
+        std::count_if(calls_.begin(), calls_.end(), [](const SoakCall& entry) {
           return entry.call->is_complete() && entry.call->status() == 200;
         });
     std::cout << nlohmann::json{{"seed", options_.seed},
@@ -834,6 +902,13 @@
                                 {"refused_deadly", refused_deadly_requests_},
                                 {"late_sends", late_sends_},
                                 {"limits", limits_.size()},
+                                {"cold", fleet_.cold_spans().size()},
+                                {"cold_arrivals", cold_arrivals_},
+                                {"most_cold", most_cold_},
+                                {"cold_ends", fleet_.cold_ends().size()},
+                                {"evacuations", evacuations_.evacuations()},
+                                {"evacuation_judged_s",
+                                 Seconds(evacuation_judged_)},
                                 {"violations", violations_.size()}}
                      .dump()
               << "\n";
@@ -859,13 +934,14 @@
   const SoakOptions options_;
   std::mt19937_64 random_;
   std::mt19937_64 content_random_;  // Of plain requests.
+  std::mt19937_64 further_random_;  // Of cold starts, evacuations and kills.
   PlatformFleet fleet_;
   kernel::TimePoint began_{};
   std::vector<kernel::Timer> timers_;  // The first one starts the calls.
-  std::vector<Entry> calls_;
-  std::vector<Entry> resumed_;  // Not yet in calls_.
-  size_t resumptions_ = 0;      // Requests that resumed streams.
-  size_t continued_ = 0;        // Resumptions that brought events.
+  std::vector<SoakCall> calls_;
+  std::vector<SoakCall> resumed_;  // Not yet in calls_.
+  size_t resumptions_ = 0;         // Requests that resumed streams.
+  size_t continued_ = 0;           // Resumptions that brought events.
   size_t refused_deadly_requests_ = 0;
   size_t late_sends_ = 0;  // Of deadly requests, also by disturbed gateways.
   std::vector<std::vector<Disturbance>> disturbed_;  // By gateway.
@@ -875,6 +951,10 @@
   std::map<std::string, kernel::TimePoint> draining_;
   std::vector<Drained> drained_;
   std::vector<Limited> limits_;
+  size_t cold_arrivals_ = 0;  // That were judged.
+  size_t most_cold_ = 0;      // Of these, in a second at one engine.
+  EvacuationCheck evacuations_{kEvacuationBound};
+  kernel::Duration evacuation_judged_{};  // Over gateways.
   std::vector<std::string> violations_;
 };
 
@@ -889,9 +969,15 @@
   app.add_option("--gateways", options.gateways, "Gateways");
   app.add_option("--engines", options.engines, "Engines, with a board each");
   app.add_option("--plain", options.plain, "Plain upstreams");
+  app.add_flag("--deadly-parts,!--no-deadly-parts", options.has_deadly_parts,
+               "Parts of prompts that end engines (default on)");
   app.add_flag("--deadly-requests,!--no-deadly-requests",
                options.has_deadly_requests,
                "Requests that end plain upstreams (default on)");
+  app.add_flag("--cold-starts,!--no-cold-starts", options.has_cold_starts,
+               "Engines that turn or return cold (default on)");
+  app.add_flag("--evacuations,!--no-evacuations", options.has_evacuations,
+               "Evacuated data centres (default on)");
   CLI11_PARSE(app, argc, argv);
   return jackdawshunt::testing::Soak(options).Run();
 }
