Tell refused callers when their workspace's share has room

Cause: Retry-After followed the engines' wait only. A caller that was refused because of its workspace's share returned after 100 to 150 ms, when the share was as used up as before. Requests of workspaces far below their share were refused while flooding workspaces filled queues up to the accepted wait.

--- a/jackdawshunt/routing/competing_workspaces_test.cc
+++ b/jackdawshunt/routing/competing_workspaces_test.cc
@@ -648,6 +648,26 @@
   }
 }
 
+// Guards against shares that refuse requests in a small, calm deployment, where
+// a workspace sends a few requests per second and one of them may exceed its
+// share of a second.
+TEST_F(CompetingWorkspacesTest, SharesRefuseNothingMoreInCalmSmallDeployment) {
+  for (const double stated_part : {0.0, 1.0}) {
+    Load load{.gateways = 4,
+              .engines = 9,
+              .workspaces = 12,
+              .usual_load = 0.85,
+              .length = seconds(30),
+              .stated_part = stated_part};
+    const double with = MeanRefusedPart(load);
+    load.uses_shares = false;
+    const double without = MeanRefusedPart(load);
+    std::printf("stated part %.1f: refused %.3f, without shares %.3f\n",
+                stated_part, with, without);
+    EXPECT_LE(with, without);
+  }
+}
+
 // Guards against the loss of the workspaces' protection when the stated
 // throughput is that of more engines than run.
 TEST_F(CompetingWorkspacesTest, OverstatedThroughputKeepsShares) {
@@ -689,5 +709,34 @@
   EXPECT_LT(shares.ReportPeriod(4, now) * 2, calm_period);
 }
 
+// Guards against refused callers that return at once or together, while their
+// workspace is as far beyond its share as before.
+TEST_F(CompetingWorkspacesTest, RefusedCallerReturnsWhenItsShareHasRoom) {
+  AdmissionInput input{.objective = seconds(1),
+                       .remaining_objective = seconds(1),
+                       .time_to_deadline = seconds(6),
+                       .share_used = 2,
+                       .fleet_has_spare_capacity = false};
+  kernel::Duration shortest = kernel::Duration::max();
+  kernel::Duration longest{};
+  for (uint64_t n = 0; n < 100; ++n) {
+    input.request_hash = HashOf(absl::StrCat(n));
+    const AdmissionDecision decision = DecideAdmission(input, {});
+    ASSERT_FALSE(decision.is_admitted);
+    shortest = std::min(shortest, decision.retry_after);
+    longest = std::max(longest, decision.retry_after);
+  }
+  // Half of the last second's tokens are within the share.
+  EXPECT_GE(shortest, milliseconds(500));
+  EXPECT_GE(longest - shortest, milliseconds(200));
+  // The objective can still be met.
+  input.remaining_objective = milliseconds(400);
+  EXPECT_LE(DecideAdmission(input, {}).retry_after, milliseconds(300));
+  // The caller obeys at most a third of the time that it has left.
+  input.remaining_objective = seconds(1);
+  input.time_to_deadline = milliseconds(900);
+  EXPECT_EQ(DecideAdmission(input, {}).retry_after, milliseconds(300));
+}
+
 }  // namespace
 }  // namespace jackdawshunt::routing
