Prefer workspaces that have got nothing over those near their share

Cause: a workspace without admitted tokens had a used share of 0, which means that no limit applies. Its first request was treated as those near their share: it waited less and did not reach the next engines.

Change: the used share of such a workspace is slightly above 0 while a limit applies.

WorkspaceThatHasGotNothingIsBelowItsShare fails without the change (tried).

--- a/jackdawshunt/routing/competing_workspaces_test.cc
+++ b/jackdawshunt/routing/competing_workspaces_test.cc
@@ -709,6 +709,19 @@
   EXPECT_LT(shares.ReportPeriod(4, now) * 2, calm_period);
 }
 
+// Guards against a workspace that has got nothing yet and is treated as if no
+// limit applied: it must be preferred to those near their share.
+TEST_F(CompetingWorkspacesTest, WorkspaceThatHasGotNothingIsBelowItsShare) {
+  const kernel::TimePoint now{seconds(1000)};
+  FairShare shares(seconds(4));
+  shares.OnRequest(1, 9000, now);
+  shares.OnAdmitted(1, 3000, now);
+  shares.OnRequest(2, 1000, now);
+  EXPECT_GT(shares.ShareUsed(1, now), 1);
+  EXPECT_GT(shares.ShareUsed(2, now), 0);
+  EXPECT_GT(ShareFactor(shares.ShareUsed(2, now)), ShareFactor(0));
+}
+
 // Guards against refused callers that return at once or together, while their
 // workspace is as far beyond its share as before.
 TEST_F(CompetingWorkspacesTest, RefusedCallerReturnsWhenItsShareHasRoom) {
--- a/jackdawshunt/routing/fair_share.cc
+++ b/jackdawshunt/routing/fair_share.cc
@@ -23,7 +23,7 @@
 // factor of the admitted tokens can be served, so that they grow in the first
 // case and remain close to what engines serve in the second.
 constexpr double kCapacityGrowth = 1.1;
-// Used share of a workspace that lacked its share before; 0 would mean that no
+// Used share of a workspace that has got nothing; 0 would mean that no
 // limit applies.
 constexpr double kMinShareUsed = 1e-6;
 // Time step after which the fair limit is computed again.
@@ -284,9 +284,6 @@
   }
   const double recent = RecentlyUsed(found->second);
   const double balance = found->second.balance;
-  if (recent <= 0 && balance == 0) {
-    return 0;
-  }
   return std::max(recent + kRepaidPart * balance, kMinShareUsed);
 }
 
