--- a/jackdawshunt/gateway/gateway_role.cc
+++ b/jackdawshunt/gateway/gateway_role.cc
@@ -484,8 +484,6 @@
                   .count());
     metrics_.SetGauge("permits_granted",
                       static_cast<double>(permits_.granted()));
-    metrics_.SetGauge("share_limit_tokens_per_s",
-                      router_.shares().LimitPerSecond(loop_.clock().Now()));
     metrics_.SetGauge("permits_refused",
                       static_cast<double>(permits_.refused()));
     metrics_.SetGauge("permits_without_board",
--- a/jackdawshunt/routing/admission.cc
+++ b/jackdawshunt/routing/admission.cc
@@ -16,7 +16,7 @@
   double below;  // Upper bound of the used share, exclusive.
   double factor;
 };
-constexpr std::array kShareSteps = {ShareStep{0.5, 2.0},  ShareStep{0.85, 1.4},
+constexpr std::array kShareSteps = {ShareStep{0.5, 1.7},  ShareStep{0.85, 1.4},
                                     ShareStep{1.0, 1.0},  ShareStep{1.1, 0.5},
                                     ShareStep{1.2, 0.25}, ShareStep{1.3, 0.1}};
 constexpr double kFarBeyondShareFactor = 0;
@@ -25,27 +25,11 @@
 constexpr kernel::Duration kMaxRequiredIdleTime =
     std::chrono::milliseconds(400);
 
-// The used share covers the tokens that were admitted in this time.
-constexpr kernel::Duration kSharePeriod = std::chrono::seconds(1);
-// Part of the remaining latency objective that a refused caller waits for its
-// workspace's share; the rest is for its prompt.
-constexpr double kObjectiveFractionForShare = 0.5;
-
 kernel::Duration Scale(kernel::Duration duration, double factor) {
   return kernel::Duration(
       static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
 }
 
-// Returns the time until the share of the workspace has room, if its admissions
-// were spread evenly and none follow, limited so that the objective can be met.
-kernel::Duration TimeUntilShareHasRoom(const AdmissionInput& input) {
-  if (input.share_used <= 1) {
-    return kernel::Duration::zero();
-  }
-  return std::min(Scale(kSharePeriod, 1 - 1 / input.share_used),
-                  Scale(input.remaining_objective, kObjectiveFractionForShare));
-}
-
 }  // namespace
 
 double ShareFactor(double share_used) {
@@ -86,10 +70,9 @@
   if (excess <= kernel::Duration::zero() && has_share_or_spare_capacity) {
     return {};
   }
-  return {
-      .is_admitted = false,
-      .retry_after = RetryDelay(std::max(excess, TimeUntilShareHasRoom(input)),
-                                input.time_to_deadline, input.request_hash)};
+  return {.is_admitted = false,
+          .retry_after =
+              RetryDelay(excess, input.time_to_deadline, input.request_hash)};
 }
 
 kernel::Duration RetryDelay(kernel::Duration excess,
--- a/jackdawshunt/routing/admission.h
+++ b/jackdawshunt/routing/admission.h
@@ -60,7 +60,7 @@
   kernel::Duration retry_after{};  // Set only for a refusal.
 };
 
-// Returns the factor applied to the accepted wait: up to 2 for a workspace
+// Returns the factor applied to the accepted wait: up to 1.7 for a workspace
 // well below its fair share, 1 near its share or when `share_used` is 0, and
 // less beyond it, down to 0 far beyond it. At 0 a request is admitted only if
 // the engine has been idle for RequiredIdleTime() and the fleet has spare
@@ -79,8 +79,7 @@
                                   const AdmissionPolicy& policy);
 
 // Returns the delay after which a refused caller should retry. This is
-// `excess`, by which the wait is too long or the time until the workspace's
-// share has room, limited to 100 ms to 2 s and
+// `excess`, by which the wait is too long, limited to 100 ms to 2 s and
 // lengthened by 0 to 50 % depending on `request_hash`, so that retries do not
 // arrive together. The result is at most a third of `time_to_deadline` and not
 // negative.
--- a/jackdawshunt/routing/fair_share.cc
+++ b/jackdawshunt/routing/fair_share.cc
@@ -8,24 +8,15 @@
 
 // Fraction of all admitted tokens. While workspaces within their share lack no
 // more than this together, and none of them more than kNegligibleShareLack of
-// its share, no workspace is limited. In a deployment that serves some 30
-// requests per second, one large prompt is a fraction of 0.05 of a second.
-constexpr double kNegligibleShortfall = 0.06;
+// its share, no workspace is limited.
+constexpr double kNegligibleShortfall = 0.03;
 constexpr double kNegligibleShareLack = 0.25;
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();
-// Slices of about the last second, for the default window.
-constexpr size_t kRecentSlices = 4;
-// Part of the excess or lack of the earlier window that is made up for in the
-// last second.
-constexpr double kRepaidPart = 0.4;
-// Less than the stated throughput may be admitted because requests beyond
-// shares were refused, or because engines are lost. The limits assume that this
-// factor of the admitted tokens can be served, so that they grow in the first
-// case and remain close to what engines serve in the second.
-constexpr double kCapacityGrowth = 1.1;
-// Used share of a workspace that has got nothing; 0 would mean that no
-// limit applies.
-constexpr double kMinShareUsed = 1e-6;
+// Slices of about the last second.
+constexpr size_t kShortSlices = 4;
+// A workspace may exceed its share of the last second a little, since a few
+// large requests do that.
+constexpr double kShortWindowWeight = 0.85;
 // Time step after which the fair limit is computed again.
 constexpr kernel::Duration kLimitAge = std::chrono::milliseconds(50);
 // A count is known at all instances after two periods: one until it is reported
@@ -56,9 +47,6 @@
   }
   const int64_t first =
       std::max(current_slice_ + 1, slice - static_cast<int64_t>(kSlices) + 1);
-  for (int64_t s = first; s <= slice; ++s) {
-    limits_.at(static_cast<size_t>(s) % kSlices) = 0;
-  }
   for (auto row = workspaces_.begin(); row != workspaces_.end();) {
     bool is_idle = true;
     for (int64_t s = first; s <= slice; ++s) {
@@ -123,11 +111,9 @@
                                          kernel::TimePoint now) {
   Advance(now);
   UpdateLimits(now);
-  const double recent_capacity =
-      tokens_per_second_ *
-      std::chrono::duration<double>(slice_ * kRecentSlices).count();
-  const bool is_short = recent_capacity > 0 &&
-                        recent_requested_ > kShortageFraction * recent_capacity;
+  const double window_capacity = WindowCapacity();
+  const bool is_short = window_capacity > 0 &&
+                        total_requested_ > kShortageFraction * window_capacity;
   return std::max(is_short ? kShortageReportPeriod : kReportPeriod,
                   instances * kReportPeriodPerInstance);
 }
@@ -144,12 +130,12 @@
 }
 
 FairShare::Sums FairShare::SumsOf(const Workspace& workspace,
-                                  size_t age,
                                   size_t slices) const {
   Sums sums;
-  for (size_t n = age; n < age + slices; ++n) {
+  for (size_t age = 0; age < slices; ++age) {
     const size_t i =
-        static_cast<size_t>(current_slice_ - static_cast<int64_t>(n)) % kSlices;
+        static_cast<size_t>(current_slice_ - static_cast<int64_t>(age)) %
+        kSlices;
     const ShareCount& own = workspace.own.at(i);
     const ShareCount& peers = workspace.peers.at(i);
     sums.requested += static_cast<double>(own.requested + peers.requested);
@@ -158,23 +144,16 @@
   return sums;
 }
 
-double FairShare::FairLimit(std::vector<Sums> rows, double stated) {
+double FairShare::FairLimit(std::vector<Sums>& rows) {
   std::sort(rows.begin(), rows.end(), [](const Sums& a, const Sums& b) {
     return a.requested < b.requested;
   });
-  double requested = 0;
-  double admitted = 0;
+  double total_admitted = 0;
   for (const Sums& row : rows) {
-    requested += row.requested;
-    admitted += row.admitted;
-  }
-  const double capacity =
-      std::max(admitted, std::min(stated, kCapacityGrowth * admitted));
-  if (requested <= capacity) {
-    return kNoLimit;
+    total_admitted += row.admitted;
   }
   double limit = kNoLimit;
-  double remaining = capacity;
+  double remaining = total_admitted;
   for (size_t i = 0; i < rows.size(); ++i) {
     const double equal_part = remaining / static_cast<double>(rows.size() - i);
     if (rows[i].requested > equal_part) {
@@ -183,9 +162,6 @@
     }
     remaining -= rows[i].requested;
   }
-  if (capacity > admitted) {
-    return limit;
-  }
   double shortfall = 0;
   double largest_lack = 0;
   for (const Sums& row : rows) {
@@ -194,7 +170,7 @@
     shortfall += lack;
     largest_lack = std::max(largest_lack, lack);
   }
-  if (shortfall <= kNegligibleShortfall * admitted &&
+  if (shortfall <= kNegligibleShortfall * total_admitted &&
       largest_lack <= kNegligibleShareLack * limit) {
     return kNoLimit;
   }
@@ -207,94 +183,35 @@
     return;
   }
   limit_step_ = step;
+  std::vector<Sums> window;
+  std::vector<Sums> last_second;
   total_requested_ = 0;
   total_admitted_ = 0;
-  recent_requested_ = 0;
-  std::vector<Sums> rows;
-  rows.reserve(workspaces_.size());
-  for (auto& [hash, workspace] : workspaces_) {
-    const Sums window = SumsOf(workspace, 0, kSlices);
-    total_requested_ += window.requested;
-    total_admitted_ += window.admitted;
-    rows.push_back(SumsOf(workspace, 0, kRecentSlices));
-    recent_requested_ += rows.back().requested;
-    workspace.balance = BalanceOf(workspace);
-  }
-  const kernel::Duration covered =
-      now.time_since_epoch() -
-      slice_ * (current_slice_ + 1 - static_cast<int64_t>(kRecentSlices));
-  LimitAt(0) = FairLimit(
-      std::move(rows),
-      tokens_per_second_ * std::chrono::duration<double>(covered).count());
-}
-
-double& FairShare::LimitAt(size_t age) {
-  return limits_.at(
-      static_cast<size_t>(current_slice_ - static_cast<int64_t>(age)) %
-      kSlices);
-}
-
-double FairShare::BalanceOf(const Workspace& workspace) {
-  double balance = 0;
-  for (size_t begin = kRecentSlices; begin < kSlices; begin += kRecentSlices) {
-    Sums sums;
-    double share = 0;
-    double slices = 0;
-    for (size_t age = begin; age < begin + kRecentSlices; ++age) {
-      const double limit = LimitAt(age);
-      if (limit > 0 && limit != kNoLimit) {
-        const Sums slice = SumsOf(workspace, age, 1);
-        sums.requested += slice.requested;
-        sums.admitted += slice.admitted;
-        share += limit / kRecentSlices;
-        slices += 1;
-      }
-    }
-    if (slices > 0) {
-      balance += (sums.admitted - std::min(sums.requested, share)) / share *
-                 (slices / kRecentSlices);
-    }
-  }
-  return balance;
-}
-
-double FairShare::RecentlyUsed(const Workspace& workspace) {
-  const double current = LimitAt(0);
-  double used = 0;
-  for (size_t age = 0; age < kRecentSlices; ++age) {
-    const double admitted = SumsOf(workspace, age, 1).admitted;
-    const double limit = LimitAt(age);
-    if (limit == kNoLimit) {
-      // What was admitted while all got their share took nothing from others.
-      used += std::min(admitted / current, 1.0 / kRecentSlices);
-    } else {
-      used += admitted / (limit > 0 ? limit : current);
-    }
+  for (const auto& [hash, workspace] : workspaces_) {
+    window.push_back(SumsOf(workspace, kSlices));
+    last_second.push_back(SumsOf(workspace, kShortSlices));
+    total_requested_ += window.back().requested;
+    total_admitted_ += window.back().admitted;
   }
-  return used;
+  window_limit_ = FairLimit(window);
+  short_limit_ = FairLimit(last_second);
 }
 
 double FairShare::ShareUsed(uint64_t workspace_hash, kernel::TimePoint now) {
   Advance(now);
   UpdateLimits(now);
   const auto found = workspaces_.find(workspace_hash);
-  const double limit = LimitAt(0);
-  if (found == workspaces_.end() || limit <= 0 || limit == kNoLimit) {
+  if (found == workspaces_.end()) {
     return 0;
   }
-  const double recent = RecentlyUsed(found->second);
-  const double balance = found->second.balance;
-  return std::max(recent + kRepaidPart * balance, kMinShareUsed);
-}
-
-double FairShare::LimitPerSecond(kernel::TimePoint now) {
-  Advance(now);
-  UpdateLimits(now);
-  const double limit = LimitAt(0);
-  return limit == kNoLimit
-             ? 0
-             : limit / std::chrono::duration<double>(slice_ * kRecentSlices)
-                           .count();
+  const auto used = [&](size_t slices, double limit) {
+    if (limit <= 0 || limit == kNoLimit) {
+      return 0.0;
+    }
+    return std::max(SumsOf(found->second, slices).admitted, 0.0) / limit;
+  };
+  return std::max(used(kSlices, window_limit_),
+                  kShortWindowWeight * used(kShortSlices, short_limit_));
 }
 
 int64_t FairShare::Admitted(uint64_t workspace_hash, kernel::TimePoint now) {
@@ -302,7 +219,7 @@
   const auto found = workspaces_.find(workspace_hash);
   return found == workspaces_.end()
              ? 0
-             : static_cast<int64_t>(SumsOf(found->second, 0, kSlices).admitted);
+             : static_cast<int64_t>(SumsOf(found->second, kSlices).admitted);
 }
 
 double FairShare::WindowCapacity() const {
--- a/jackdawshunt/routing/fair_share.h
+++ b/jackdawshunt/routing/fair_share.h
@@ -3,20 +3,13 @@
 //
 // Each instance counts the requested and the admitted tokens per workspace and
 // time slice, and merges the reports of its peers, which arrive more often
-// while engines are short. Progressive filling divides the tokens of the last
-// second: small workspaces get all that they request, the others equal parts,
-// the limit. A workspace's tokens in each slice are compared with the limit of
-// that slice. What it got beyond its share, or lacked, in the rest of the
-// window is made up for. What it got while all got their share counts no more
-// than its share, so that use of capacity that nobody else wanted costs it
-// nothing later.
-//
-// The capacity of engines depends on how much of the prompts is cached and on
-// which engines run, so the tokens that are divided are those admitted, or up
-// to a tenth more while less than the stated throughput was admitted. Limits
-// that follow the admitted tokens alone would remain low when the load was low
-// before. This protects the other workspaces when some send many times their
-// usual load.
+// while engines are short: a workspace that sends many times its usual load
+// takes its share of the whole window within a second. For the same reason
+// shares also apply, less strictly, to the last second alone. Progressive
+// filling divides all tokens admitted in the window: small workspaces get all
+// that they request, the others equal parts. The capacity of engines depends on
+// how much of the prompts is cached, so no fixed capacity is assumed. This
+// protects the other workspaces when one sends many times its usual load.
 //
 // Example:
 //   routing::FairShare shares(std::chrono::seconds(4));
@@ -89,14 +82,11 @@
   // Adds a peer's report to the current slice.
   void Merge(const std::vector<ShareReport>& report, kernel::TimePoint now);
 
-  // Returns the admitted tokens of the workspace in the last second divided by
-  // its fair share, corrected by what it got in excess or lacked in the rest of
-  // the window; above 1 it exceeds its share. Returns 0 while no limit applies,
-  // because every workspace gets its share.
+  // Returns the admitted tokens of the workspace divided by its fair share of
+  // the window; above 1 it exceeds its share. If it has used more of its share
+  // of the last second, slightly reduced, returns that. Returns 0 while no
+  // limit applies, because every workspace gets its share.
   double ShareUsed(uint64_t workspace_hash, kernel::TimePoint now);
-  // Returns the tokens that a workspace may get in a second at present; 0 while
-  // no limit applies.
-  double LimitPerSecond(kernel::TimePoint now);
   // Returns the tokens of the workspace that all instances are known to have
   // admitted in the window.
   int64_t Admitted(uint64_t workspace_hash, kernel::TimePoint now);
@@ -105,9 +95,6 @@
   struct Workspace {
     std::array<ShareCount, kSlices> own{};
     std::array<ShareCount, kSlices> peers{};
-    // Seconds of its share that it got in excess in the window before the last
-    // second; negative if it lacked some.
-    double balance = 0;
   };
 
   // Tokens of one workspace in the latest slices.
@@ -116,27 +103,18 @@
     double admitted = 0;
   };
 
-  // Returns the sums of `slices` slices, the latest of which is `age` slices
-  // old.
-  Sums SumsOf(const Workspace& workspace, size_t age, size_t slices) const;
+  Sums SumsOf(const Workspace& workspace, size_t slices) const;
   int64_t SliceIndex(kernel::TimePoint now) const;
   // Adds to the counts of this instance in the current slice.
   void Count(uint64_t workspace_hash, ShareCount count, kernel::TimePoint now);
   // Clears the slices that began since the last call and removes idle
   // workspaces.
   void Advance(kernel::TimePoint now);
-  // Returns the limit of the slice that is `age` slices old.
-  double& LimitAt(size_t age);
-  // Returns the seconds of its share that the workspace got in the last second.
-  double RecentlyUsed(const Workspace& workspace);
-  // Returns the balance of a workspace, see there.
-  double BalanceOf(const Workspace& workspace);
   // Updates the limits and totals if they are too old.
   void UpdateLimits(kernel::TimePoint now);
   // Returns the max-min fair limit of a workspace's tokens, by progressive
-  // filling; infinity while every workspace gets its share. `stated` are the
-  // tokens that the engines can serve in the time of `rows`, 0 if not stated.
-  static double FairLimit(std::vector<Sums> rows, double stated);
+  // filling; infinity while every workspace gets its share. Sorts `rows`.
+  static double FairLimit(std::vector<Sums>& rows);
   // Returns the tokens that the engines can serve in the window; 0 if the
   // operator states no throughput.
   double WindowCapacity() const;
@@ -148,9 +126,8 @@
   double tokens_per_second_ = 0;
   double total_requested_ = 0;
   double total_admitted_ = 0;
-  double recent_requested_ = 0;  // In the last second.
-  // Limits of the second that ended in the slice: kNoLimit, or 0 if unknown.
-  std::array<double, kSlices> limits_{};
+  double window_limit_ = 0;
+  double short_limit_ = 0;
   int64_t limit_step_ = -1;  // Time step for which the limits were computed.
 };
 
