--- a/jackdawshunt/routing/placement.cc
+++ b/jackdawshunt/routing/placement.cc
@@ -82,8 +82,7 @@
       continue;
     }
     const uint64_t weight =
-        RendezvousWeight(affinity_key, candidates[i].upstream_hash,
-                         candidates[i].placement_weight);
+        RendezvousWeight(affinity_key, candidates[i].upstream_hash);
     if (!has_best || weight > best_weight) {
       best = i;
       best_weight = weight;
--- a/jackdawshunt/routing/placement.h
+++ b/jackdawshunt/routing/placement.h
@@ -34,8 +34,6 @@
   bool is_same_data_centre = false;
   // Extra time charged for recent failures.
   kernel::Duration penalty{};
-  // Part of the prompts that prefer it by hashing, relative to the others.
-  double placement_weight = 1;
 };
 
 struct PlacementWeights {
--- a/jackdawshunt/routing/prompt.cc
+++ b/jackdawshunt/routing/prompt.cc
@@ -1,8 +1,6 @@
 #include "jackdawshunt/routing/prompt.h"
 
-#include <algorithm>
 #include <array>
-#include <cmath>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
@@ -40,18 +38,6 @@
   return XXH64(input.data(), sizeof(input), 0);
 }
 
-uint64_t RendezvousWeight(uint64_t key, uint64_t upstream_hash, double share) {
-  const uint64_t weight = RendezvousWeight(key, upstream_hash);
-  if (share == 1) {
-    return weight;
-  }
-  // Below 2^64, also after rounding.
-  constexpr double kLargest = 18446744073709549568.0;
-  const double fraction = static_cast<double>(weight) / kLargest;
-  return static_cast<uint64_t>(
-      std::min(std::pow(fraction, 1 / share) * kLargest, kLargest));
-}
-
 uint64_t HashOf(std::string_view text) {
   return XXH64(text.data(), text.size(), 0);
 }
--- a/jackdawshunt/routing/prompt.h
+++ b/jackdawshunt/routing/prompt.h
@@ -45,9 +45,6 @@
 // weight is preferred. Adding or removing an upstream moves only the keys of
 // that upstream.
 uint64_t RendezvousWeight(uint64_t key, uint64_t upstream_hash);
-// Returns the weight of an upstream that has the highest one of a part of all
-// keys in proportion to `share`; as above if it is 1.
-uint64_t RendezvousWeight(uint64_t key, uint64_t upstream_hash, double share);
 
 // Returns a 64-bit hash of `text` that is the same in all instances.
 uint64_t HashOf(std::string_view text);
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -493,7 +493,6 @@
   row.cost = engine.Estimate(request.part_keys, request.prompt->parts, now);
   // Other instances may have sent requests to it.
   row.cost.idle_time = kernel::Duration::zero();
-  row.placement_weight = speeds_->PlacementWeight(upstream.start);
   row.is_same_data_centre = upstream.data_centre == settings_.data_centre;
   const double failures = health_.FailureShare(upstream.id);
   if (failures > kTolerableFailureShare) {
@@ -539,15 +538,12 @@
 std::vector<Upstream> Router::PreferredEngines(
     const RoutedRequest& request,
     const std::vector<const Upstream*>& candidates,
-    size_t first) const {
-  const bool is_equal = speeds_->has_equal_weights();
-  const std::vector<const Upstream*> preferred = HighestWeights(
-      candidates, first + kQueriedEngines,
-      [this, is_equal, key = AffinityKey(request)](const Upstream& candidate) {
-        return RendezvousWeight(
-            key, candidate.hash,
-            is_equal ? 1 : speeds_->PlacementWeight(candidate.start));
-      });
+    size_t first) {
+  const std::vector<const Upstream*> preferred =
+      HighestWeights(candidates, first + kQueriedEngines,
+                     [key = AffinityKey(request)](const Upstream& candidate) {
+                       return RendezvousWeight(key, candidate.hash);
+                     });
   std::vector<Upstream> engines;
   for (size_t i = first; i < preferred.size(); ++i) {
     engines.push_back(*preferred[i]);
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -359,10 +359,10 @@
   double EngineTokensPerSecond(size_t engines) const;
   // Returns kQueriedEngines of `candidates`, after the `first` most preferred
   // ones for the prompt's shared prefix.
-  std::vector<Upstream> PreferredEngines(
+  static std::vector<Upstream> PreferredEngines(
       const RoutedRequest& request,
       const std::vector<const Upstream*>& candidates,
-      size_t first) const;
+      size_t first);
   // Returns whether `upstream` has not been tried, wants requests and, if the
   // request's stream has begun, may continue it.
   bool MayServe(const RoutedRequest& request,
--- a/jackdawshunt/routing/speed_table.cc
+++ b/jackdawshunt/routing/speed_table.cc
@@ -20,18 +20,6 @@
 // Smaller differences are taken for those of the measurement.
 constexpr double kAlike = 0.1;
 
-// Steps of placement weights, as powers of two, and the difference from which a
-// weight changes. Wider than half a step, so that it does not change back.
-constexpr double kWeightStep = 0.5;
-constexpr double kWeightChange = 0.35;
-
-double NextWeight(double weight, double pace_factor) {
-  const double wanted = std::log2(pace_factor);
-  return std::abs(wanted - std::log2(weight)) < kWeightChange
-             ? weight
-             : std::exp2(std::round(wanted / kWeightStep) * kWeightStep);
-}
-
 void AddToMean(double value, double& mean) {
   if (value > 0) {
     mean += mean <= 0 ? value : kOriginWeight * (value - mean);
@@ -95,13 +83,9 @@
     sum.count += 1;
   }
   // The bounds must not change the sum over all engines.
-  has_equal_weights_ = true;
   for (auto& [id, start] : starts_) {
     const Sum& sum = factors[start.service];
     start.pace_factor *= sum.count / sum.value;
-    start.placement_weight =
-        NextWeight(start.placement_weight, start.pace_factor);
-    has_equal_weights_ = has_equal_weights_ && start.placement_weight == 1;
   }
 }
 
@@ -114,11 +98,6 @@
   return origin == origins_.end() ? Speed{} : origin->second;
 }
 
-double SpeedTable::PlacementWeight(uint64_t start) const {
-  const auto found = starts_.find(start);
-  return found == starts_.end() ? 1 : found->second.placement_weight;
-}
-
 double SpeedTable::PaceFactor(uint64_t start) const {
   const auto found = starts_.find(start);
   return found == starts_.end() ? 1 : found->second.pace_factor;
--- a/jackdawshunt/routing/speed_table.h
+++ b/jackdawshunt/routing/speed_table.h
@@ -42,13 +42,6 @@
   // Returns the engine's part of the throughput of its service, as a factor on
   // the mean of all. 1 while its speed is unknown or about the mean.
   double PaceFactor(uint64_t start) const;
-  // Returns the weight of the engine among those that prompts prefer by
-  // hashing, so that faster engines get more of the shared prefixes. Follows
-  // PaceFactor() in few large steps, since a prefix that moves has to be read
-  // again, and gateways must agree.
-  double PlacementWeight(uint64_t start) const;
-  // Returns whether PlacementWeight() is 1 for all starts.
-  bool has_equal_weights() const { return has_equal_weights_; }
 
   size_t size() const { return starts_.size(); }
 
@@ -58,10 +51,8 @@
     Speed speed;
     kernel::TimePoint at{};
     double pace_factor = 1;
-    double placement_weight = 1;
   };
 
-  bool has_equal_weights_ = true;
   std::unordered_map<uint64_t, Start> starts_;
   std::unordered_map<uint64_t, Speed> origins_;  // See Upstream::origin.
 };
