--- a/jackdawshunt/routing/placement.cc
+++ b/jackdawshunt/routing/placement.cc
@@ -1,7 +1,5 @@
 #include "jackdawshunt/routing/placement.h"
 
-#include <algorithm>
-#include <limits>
 #include <tuple>
 
 #include "jackdawshunt/routing/prompt.h"
@@ -9,10 +7,6 @@
 namespace jackdawshunt::routing {
 namespace {
 
-// Expected times of plain upstreams within this factor of the least count as
-// equal. In a slow period they are 2.5 times as long.
-constexpr double kSlowFactor = 1.5;
-
 double Score(const EngineCandidate& candidate,
              const PlacementWeights& weights) {
   const double uncached = static_cast<double>(candidate.cost.uncached_tokens);
@@ -33,32 +27,6 @@
          static_cast<double>(candidate.penalty.count());
 }
 
-// Returns the least of the known expected times, in microseconds; 0 if none is
-// known.
-double LeastExpectedTime(const std::vector<PlainCandidate>& candidates) {
-  kernel::Duration least{};
-  for (const PlainCandidate& candidate : candidates) {
-    if (candidate.expected_time > kernel::Duration::zero() &&
-        (least == kernel::Duration::zero() ||
-         candidate.expected_time < least)) {
-      least = candidate.expected_time;
-    }
-  }
-  return static_cast<double>(least.count());
-}
-
-// Returns the expected time in microseconds, where each round of requests
-// beyond the slots adds the time of one.
-double TimeWithQueue(const PlainCandidate& candidate, double unknown_time) {
-  const double time = candidate.expected_time > kernel::Duration::zero()
-                          ? static_cast<double>(candidate.expected_time.count())
-                          : unknown_time;
-  const double slots = std::max<uint32_t>(candidate.slots, 1);
-  const double beyond_slots =
-      static_cast<double>(candidate.in_flight) + 1 - slots;
-  return time * (1 + std::max(beyond_slots, 0.0) / slots);
-}
-
 }  // namespace
 
 size_t PickEngine(const std::vector<EngineCandidate>& candidates,
@@ -94,21 +62,11 @@
 
 size_t PickPlain(const std::vector<PlainCandidate>& candidates,
                  uint64_t request_hash) {
-  const double unknown_time = LeastExpectedTime(candidates);
-  double least_time = std::numeric_limits<double>::max();
-  for (const PlainCandidate& candidate : candidates) {
-    if (!candidate.is_avoided) {
-      least_time = std::min(least_time, TimeWithQueue(candidate, unknown_time));
-    }
-  }
-  const auto rank = [&](const PlainCandidate& candidate) {
-    const bool is_slow =
-        TimeWithQueue(candidate, unknown_time) / kSlowFactor > least_time;
+  const auto rank = [request_hash](const PlainCandidate& candidate) {
     const bool is_full = candidate.in_flight >= candidate.slots;
     return std::make_tuple(
-        candidate.is_avoided, is_slow, is_full,
-        is_full ? candidate.in_flight : 0, candidate.in_flight,
-        !candidate.is_same_data_centre,
+        candidate.is_avoided, is_full, is_full ? candidate.in_flight : 0,
+        candidate.in_flight, !candidate.is_same_data_centre,
         RendezvousWeight(request_hash, candidate.upstream_hash));
   };
   size_t best = 0;
--- a/jackdawshunt/routing/placement.h
+++ b/jackdawshunt/routing/placement.h
@@ -11,11 +11,10 @@
 // that all instances prefer the same engine without communication when many
 // prompts share few long prefixes.
 //
-// PickPlain() prefers upstreams that are not avoided, then those whose expected
-// time is not well above the least, then those with a free slot, then the
-// fewest requests in flight, then the own data centre. Remaining ties are
-// broken by the request's hash, so that instances do not all choose the same
-// upstream.
+// PickPlain() prefers upstreams that are not avoided, then those with a free
+// slot, then the fewest requests in flight, then the own data centre. Remaining
+// ties are broken by the request's hash, so that instances do not all choose
+// the same upstream.
 #ifndef JACKDAWSHUNT_ROUTING_PLACEMENT_H_
 #define JACKDAWSHUNT_ROUTING_PLACEMENT_H_
 
@@ -57,8 +56,6 @@
   uint32_t slots = 1;
   bool is_same_data_centre = false;
   bool is_avoided = false;  // See UpstreamHealth::IsAvoided().
-  // Of an answer; 0 if unknown. See AnswerTimes.
-  kernel::Duration expected_time{};
 };
 
 // Returns the index of the best candidate. Requires a non-empty list.
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -745,8 +745,7 @@
          .in_flight = StateOf(*upstream).in_flight,
          .slots = upstream->slots,
          .is_same_data_centre = upstream->data_centre == settings_.data_centre,
-         .is_avoided = health_.IsAvoided(upstream->id, now),
-         .expected_time = answer_times_.Expected(upstream->start, now)});
+         .is_avoided = health_.IsAvoided(upstream->id, now)});
   }
   Decision decision;
   decision.verdict = Verdict::kSend;
@@ -827,9 +826,6 @@
   } else if (outcome == Outcome::kWrongInstance) {
     directory_.MarkAbsent(upstream, now);
   }
-  if (outcome == Outcome::kSuccess && !request.prompt.has_value()) {
-    answer_times_.Record(upstream.start, now - request.sent_at, now);
-  }
   RecordSubjects(request, upstream, outcome, now);
   Release(request, upstream, MayHaveExecuted(outcome), now);
   if (request.is_counted_by_attempt && !MayHaveExecuted(outcome)) {
@@ -904,7 +900,6 @@
 void Router::Tick(kernel::TimePoint now) {
   beliefs_.DropExpired(now);
   speeds_->Update(now);
-  answer_times_.DropExpired(now);
   UpdateUsablePart(now);
   for (auto& [id, state] : upstreams_) {
     if (state.engine != nullptr) {
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -31,7 +31,6 @@
 
 #include "jackdawshunt/kernel/clock.h"
 #include "jackdawshunt/routing/admission.h"
-#include "jackdawshunt/routing/answer_times.h"
 #include "jackdawshunt/routing/beliefs.h"
 #include "jackdawshunt/routing/desired_state.h"
 #include "jackdawshunt/routing/directory.h"
@@ -441,7 +440,6 @@
   // Longest deadline that callers stated, by route; first attempts state it.
   std::unordered_map<std::string, kernel::Duration> longest_deadline_;
   std::shared_ptr<SpeedTable> speeds_ = std::make_shared<SpeedTable>();
-  AnswerTimes answer_times_;  // Of plain upstreams.
   uint32_t instances_ = 0;
   // Changes of the directory and version of the table that the rings are of.
   std::pair<uint64_t, uint64_t> homes_source_;
