--- a/jackdawshunt/gateway/board_client.cc
+++ b/jackdawshunt/gateway/board_client.cc
@@ -70,7 +70,7 @@
     identity.cache_tokens = service->engine->cache_tokens;
     identity.slots = service->engine->slots;
     identity.sustained_tokens_per_s =
-        static_cast<uint64_t>(request.EngineTokensPerSecond(engine));
+        static_cast<uint64_t>(request.engine_tokens_per_s);
     if (request.speeds != nullptr) {
       identity.prior = request.speeds->PriorOf(engine);
     }
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -487,8 +487,7 @@
   EngineCandidate row;
   row.upstream_hash = upstream.hash;
   EngineEstimate& engine = *StateOf(upstream).engine;
-  engine.set_sustained_tokens_per_ms(request.EngineTokensPerSecond(upstream) /
-                                     1000.0);
+  engine.set_sustained_tokens_per_ms(request.engine_tokens_per_s / 1000.0);
   engine.set_prior(speeds_->PriorOf(upstream));
   row.cost = engine.Estimate(request.part_keys, request.prompt->parts, now);
   // Other instances may have sent requests to it.
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -93,8 +93,7 @@
   std::string workspace;  // Empty on public routes.
   std::optional<Prompt> prompt;
   std::vector<uint64_t> part_keys;
-  // Sustained by one engine in the mean; 0 if unknown.
-  double engine_tokens_per_s = 0;
+  double engine_tokens_per_s = 0;  // Sustained by one engine; 0 if unknown.
   // Speeds of the engines; null until EnginesToQuery().
   std::shared_ptr<const SpeedTable> speeds;
   kernel::TimePoint arrived_at{};
@@ -122,13 +121,6 @@
   bool is_answer_proven = false;
   // Start at which the last attempt was lost before that.
   std::optional<uint64_t> lost_at_start;
-
-  // Returns the throughput that `engine` sustains; 0 if unknown.
-  double EngineTokensPerSecond(const Upstream& engine) const {
-    return speeds == nullptr
-               ? engine_tokens_per_s
-               : engine_tokens_per_s * speeds->PaceFactor(engine.start);
-  }
 };
 
 enum class Verdict {
