--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -51,7 +51,6 @@
   }
   engine_->set_sustained_tokens_per_ms(
       static_cast<double>(engine.sustained_tokens_per_s) / 1000.0);
-  engine_->set_prior(engine.prior);
   if (engine.slots > 0) {
     engine_->set_slots(engine.slots);
   }
@@ -79,8 +78,7 @@
   return Offer{.nonce = query.nonce,
                .cost = engine_->Estimate(query.part_keys,
                                          ToPromptParts(query.part_tokens), now),
-               .is_reachable = MayTryEngine(now),
-               .speed = engine_->speed().Observed()};
+               .is_reachable = MayTryEngine(now)};
 }
 
 std::optional<Message> Board::On(const Claim& claim, kernel::TimePoint now) {
--- a/jackdawshunt/board/board_role.cc
+++ b/jackdawshunt/board/board_role.cc
@@ -1,5 +1,4 @@
 // The board role: runs beside an engine and replies to gateways' datagrams.
-#include <cmath>
 #include <csignal>
 #include <memory>
 #include <string>
@@ -23,8 +22,6 @@
 constexpr kernel::Duration kExpiryPeriod = std::chrono::seconds(1);
 // Fewer are usual, since claims and reports arrive at different times.
 constexpr size_t kLoggedUnclaimed = 4;
-// Part by which the prefill rate must change to be logged again.
-constexpr double kLoggedRateChange = 0.25;
 
 class BoardProcess {
  public:
@@ -104,26 +101,6 @@
                  {"claimed", board_.engine()->running()}});
     }
     has_unclaimed_ = has_unclaimed;
-    LogSpeed(board_.engine()->speed());
-  }
-
-  void LogSpeed(const routing::UpstreamSpeed& speed) {
-    const double slowdown = speed.Slowdown(clock_.Now());
-    const bool is_slow = slowdown > 1;
-    if (is_slow && !is_slow_) {
-      base::Log(base::LogLevel::kInfo, "engine_slow",
-                {{"slowdown", slowdown},
-                 {"prefill_tokens_per_ms", speed.prefill_tokens_per_ms()}});
-    }
-    is_slow_ = is_slow;
-    const routing::Speed observed = speed.Observed();
-    const double rate = observed.prefill_tokens_per_ms;
-    if (std::abs(rate - logged_rate_) > kLoggedRateChange * logged_rate_) {
-      logged_rate_ = rate;
-      base::Log(
-          base::LogLevel::kInfo, "engine_speed",
-          {{"prefill_tokens_per_ms", rate}, {"event_ms", observed.event_ms}});
-    }
   }
 
   const platform::InstanceSettings settings_;
@@ -134,8 +111,6 @@
   // Null where the machine has no upstream.
   std::unique_ptr<EngineMonitor> monitor_;
   bool has_unclaimed_ = false;
-  bool is_slow_ = false;
-  double logged_rate_ = 0;  // Prompt tokens per ms.
   kernel::Timer expiry_timer_;
   uint64_t unreadable_ = 0;
 };
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -80,13 +80,6 @@
         .Add(engine.cache_tokens)
         .Add(engine.sustained_tokens_per_s);
   }
-  FieldWriter& Add(const routing::Speed& speed) {
-    return AddNumber(speed.prefill_tokens_per_ms).AddNumber(speed.event_ms);
-  }
-  // Adds what earlier versions do not send, after all other fields.
-  FieldWriter& AddLastFields(const EngineIdentity& engine) {
-    return Add(engine.slots).Add(engine.prior);
-  }
   FieldWriter& Add(const StoreState& store) {
     return Add(store.upstreams_revision.era)
         .Add(store.upstreams_revision.revision)
@@ -128,16 +121,16 @@
 };
 
 void Write(const Query& query, std::string& out) {
-  FieldWriter(MessageType::kQuery, 10, out)
+  FieldWriter(MessageType::kQuery, 8, out)
       .Add(query.nonce)
       .Add(query.engine)
       .Add(query.part_keys)
       .Add(query.part_tokens)
-      .AddLastFields(query.engine);
+      .Add(query.engine.slots);
 }
 
 void Write(const Offer& offer, std::string& out) {
-  FieldWriter(MessageType::kOffer, 10, out)
+  FieldWriter(MessageType::kOffer, 8, out)
       .Add(offer.nonce)
       .Add(offer.cost.wait)
       .Add(offer.cost.ahead_of_pace)
@@ -145,18 +138,17 @@
       .Add(offer.cost.idle_time)
       .Add(offer.cost.uncached_tokens)
       .Add(offer.cost.uncached_shared_tokens)
-      .AddBoolean(offer.is_reachable)
-      .Add(offer.speed);
+      .AddBoolean(offer.is_reachable);
 }
 
 void Write(const Claim& claim, std::string& out) {
-  FieldWriter(MessageType::kClaim, 11, out)
+  FieldWriter(MessageType::kClaim, 9, out)
       .Add(claim.request)
       .Add(claim.engine)
       .Add(claim.part_keys)
       .Add(claim.part_tokens)
       .Add(uint64_t{claim.output_tokens})
-      .AddLastFields(claim.engine);
+      .Add(claim.engine.slots);
 }
 
 void Write(const ProgressReport& report, std::string& out) {
@@ -400,21 +392,6 @@
     return engine;
   }
 
-  // Reads a speed among the last fields; unknown if the sender left it out.
-  routing::Speed ReadLastSpeed() {
-    routing::Speed speed;
-    if (HasMore()) {
-      speed.prefill_tokens_per_ms = ReadRate();
-      speed.event_ms = ReadRate();
-    }
-    return speed;
-  }
-
-  void ReadLastFields(EngineIdentity& engine) {
-    engine.slots = HasMore() ? ReadUnsigned() : 0;
-    engine.prior = ReadLastSpeed();
-  }
-
   StoreState ReadStoreState() {
     StoreState store;
     store.upstreams_revision.era = ReadUnsigned();
@@ -465,7 +442,7 @@
   query.engine = reader.ReadEngine();
   query.part_keys = reader.ReadNumbers<uint64_t>();
   query.part_tokens = reader.ReadNumbers<uint32_t>();
-  reader.ReadLastFields(query.engine);
+  query.engine.slots = reader.HasMore() ? reader.ReadUnsigned() : 0;
   return query;
 }
 
@@ -479,7 +456,6 @@
   offer.cost.uncached_tokens = reader.ReadUnsigned();
   offer.cost.uncached_shared_tokens = reader.ReadUnsigned();
   offer.is_reachable = reader.ReadBoolean();
-  offer.speed = reader.ReadLastSpeed();
   return offer;
 }
 
@@ -490,7 +466,7 @@
   claim.part_keys = reader.ReadNumbers<uint64_t>();
   claim.part_tokens = reader.ReadNumbers<uint32_t>();
   claim.output_tokens = static_cast<uint32_t>(reader.ReadUnsigned());
-  reader.ReadLastFields(claim.engine);
+  claim.engine.slots = reader.HasMore() ? reader.ReadUnsigned() : 0;
   return claim;
 }
 
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -38,9 +38,6 @@
   // Requests that it runs at once; 0 if not stated. Sent after the other fields
   // of a message, as gateways of earlier versions do not send it.
   uint64_t slots = 0;
-  // What the gateway knows of the speed of this start, or of others of the same
-  // service and software version. Sent like `slots`.
-  routing::Speed prior;
 };
 
 // Query from a gateway for the cost of a prompt at the board's engine.
@@ -57,8 +54,6 @@
   routing::EngineCost cost;
   // False while gateways cannot connect to the engine.
   bool is_reachable = true;
-  // What was observed of the engine; see UpstreamSpeed::Observed().
-  routing::Speed speed;
 };
 
 // Report of a gateway that it sent a request to the board's engine.
--- a/jackdawshunt/gateway/board_client.cc
+++ b/jackdawshunt/gateway/board_client.cc
@@ -71,9 +71,6 @@
     identity.slots = service->engine->slots;
     identity.sustained_tokens_per_s =
         static_cast<uint64_t>(request.engine_tokens_per_s);
-    if (request.speeds != nullptr) {
-      identity.prior = request.speeds->PriorOf(engine);
-    }
   }
   return identity;
 }
@@ -196,8 +193,8 @@
     return;
   }
   pending->has_replied[index] = true;
-  pending->offers.push_back({pending->engines[index], offer->cost,
-                             offer->is_reachable, offer->speed});
+  pending->offers.push_back(
+      {pending->engines[index], offer->cost, offer->is_reachable});
   if (pending->offers.size() >= pending->awaited_replies) {
     FinishQuery(pending->first_nonce);
   }
--- a/jackdawshunt/routing/engine_estimate.cc
+++ b/jackdawshunt/routing/engine_estimate.cc
@@ -8,9 +8,14 @@
 
 // Fixed time per prompt, independent of its tokens: setup and one batch step.
 constexpr kernel::Duration kPromptOverhead = std::chrono::milliseconds(15);
+// Weight of one observation in the estimated prefill rate.
+constexpr double kObservationWeight = 0.08;
 // The prefill rate is not updated from prompts with fewer uncached tokens,
 // whose time depends little on the rate.
 constexpr uint64_t kMinObservedTokens = 1500;
+// Each observed rate is limited to these factors of the initial rate.
+constexpr double kMinRateFactor = 0.1;
+constexpr double kMaxRateFactor = 3.0;
 // Fraction of the engine's cache that cached parts and running requests fill
 // before the least recently used parts count as evicted.
 constexpr double kUsableCacheFraction = 0.9;
@@ -53,11 +58,13 @@
 
 EngineEstimate::EngineEstimate(EngineProfile profile,
                                double prefill_tokens_per_ms)
-    : profile_(profile), speed_(prefill_tokens_per_ms) {}
+    : profile_(profile),
+      initial_prefill_tokens_per_ms_(prefill_tokens_per_ms),
+      prefill_tokens_per_ms_(prefill_tokens_per_ms) {}
 
 kernel::Duration EngineEstimate::PrefillTime(uint64_t tokens) const {
   return kPromptOverhead +
-         FromMs(static_cast<double>(tokens) / speed_.prefill_tokens_per_ms());
+         FromMs(static_cast<double>(tokens) / prefill_tokens_per_ms_);
 }
 
 kernel::Duration EngineEstimate::PaceTime(uint64_t uncached_tokens,
@@ -103,7 +110,6 @@
       cost.idle_time = kernel::Duration::zero();
     }
   }
-  cost.wait += speed_.SlowDelay(cost.wait + cost.prefill_time, now);
   return cost;
 }
 
@@ -157,7 +163,6 @@
     current.runs.push_back(run.request);
   }
   std::sort(current.runs.begin(), current.runs.end());
-  speed_.OnReport(report, now);
   ObserveReleases(current);
   ReleaseUnheld(held, now);
   if (held > waiting_.size()) {
@@ -309,7 +314,12 @@
   if (ms <= 1.0) {
     return;
   }
-  speed_.OnPrefill(claim.uncached_tokens, ms, now);
+  const double observed =
+      std::clamp(static_cast<double>(claim.uncached_tokens) / ms,
+                 initial_prefill_tokens_per_ms_ * kMinRateFactor,
+                 initial_prefill_tokens_per_ms_ * kMaxRateFactor);
+  prefill_tokens_per_ms_ +=
+      kObservationWeight * (observed - prefill_tokens_per_ms_);
 }
 
 void EngineEstimate::OnEnd(std::string_view request,
--- a/jackdawshunt/routing/engine_estimate.h
+++ b/jackdawshunt/routing/engine_estimate.h
@@ -42,7 +42,6 @@
 #include "jackdawshunt/routing/desired_state.h"
 #include "jackdawshunt/routing/engine_report.h"
 #include "jackdawshunt/routing/prompt.h"
-#include "jackdawshunt/routing/upstream_speed.h"
 
 namespace jackdawshunt::routing {
 
@@ -102,8 +101,6 @@
     sustained_tokens_per_ms_ = tokens;
   }
 
-  // Sets the speed that others have seen; see UpstreamSpeed.
-  void set_prior(const Speed& prior) { speed_.set_prior(prior); }
   // Sets the number of requests that the engine runs at once; 0 if unknown.
   void set_slots(uint64_t slots) { slots_ = slots; }
 
@@ -111,10 +108,7 @@
   // more than 4 s. Their requests are assumed to have ended without a report.
   void DropExpired(kernel::Duration age, kernel::TimePoint now);
 
-  double prefill_tokens_per_ms() const {
-    return speed_.prefill_tokens_per_ms();
-  }
-  const UpstreamSpeed& speed() const { return speed_; }
+  double prefill_tokens_per_ms() const { return prefill_tokens_per_ms_; }
   size_t running() const { return claims_.size(); }
   size_t waiting() const { return waiting_.size(); }
   uint64_t cached_tokens() const { return cached_tokens_; }
@@ -174,7 +168,8 @@
   void Evict();
 
   const EngineProfile profile_;
-  UpstreamSpeed speed_;
+  const double initial_prefill_tokens_per_ms_;
+  double prefill_tokens_per_ms_;
   double sustained_tokens_per_ms_ = 0;
   std::unordered_map<std::string, RunningClaim> claims_;
   // Claims without a first event, oldest first.
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -488,7 +488,6 @@
   row.upstream_hash = upstream.hash;
   EngineEstimate& engine = *StateOf(upstream).engine;
   engine.set_sustained_tokens_per_ms(request.engine_tokens_per_s / 1000.0);
-  engine.set_prior(speeds_->PriorOf(upstream));
   row.cost = engine.Estimate(request.part_keys, request.prompt->parts, now);
   // Other instances may have sent requests to it.
   row.cost.idle_time = kernel::Duration::zero();
@@ -528,7 +527,6 @@
         return IsWithheld(*engine, now) ||
                directory_.IsEvacuated(engine->data_centre);
       });
-  request.speeds = speeds_;
   request.engine_tokens_per_s =
       EngineTokensPerSecond(candidates.size() + static_cast<size_t>(withheld));
   return PreferredEngines(request, candidates, 0);
@@ -693,7 +691,6 @@
       UpstreamState& state = StateOf(*upstream);
       state.last_offer = offer->cost;
       state.last_offer_at = now;
-      speeds_->Observe(*upstream, offer->speed, now);
     }
     rows.push_back(row);
   }
@@ -898,7 +895,6 @@
 
 void Router::Tick(kernel::TimePoint now) {
   beliefs_.DropExpired(now);
-  speeds_->Update(now);
   UpdateUsablePart(now);
   for (auto& [id, state] : upstreams_) {
     if (state.engine != nullptr) {
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -41,7 +41,6 @@
 #include "jackdawshunt/routing/placement.h"
 #include "jackdawshunt/routing/prompt.h"
 #include "jackdawshunt/routing/retry_budget.h"
-#include "jackdawshunt/routing/speed_table.h"
 #include "jackdawshunt/routing/stream_origins.h"
 #include "jackdawshunt/routing/upstream_health.h"
 
@@ -94,8 +93,6 @@
   std::optional<Prompt> prompt;
   std::vector<uint64_t> part_keys;
   double engine_tokens_per_s = 0;  // Sustained by one engine; 0 if unknown.
-  // Speeds of the engines; null until EnginesToQuery().
-  std::shared_ptr<const SpeedTable> speeds;
   kernel::TimePoint arrived_at{};
   kernel::TimePoint deadline{};  // The caller does not wait longer.
   // The caller does not resume the stream later than this.
@@ -139,7 +136,6 @@
   EngineCost cost;
   // False if other instances cannot connect to the engine.
   bool is_reachable = true;
-  Speed speed;  // Observed by the board; zeros if unknown.
 };
 
 struct Decision {
@@ -431,7 +427,6 @@
   std::unordered_map<std::string, UpstreamState> upstreams_;
   // Longest deadline that callers stated, by route; first attempts state it.
   std::unordered_map<std::string, kernel::Duration> longest_deadline_;
-  std::shared_ptr<SpeedTable> speeds_ = std::make_shared<SpeedTable>();
   uint32_t instances_ = 0;
   // Changes of the directory and version of the table that the rings are of.
   std::pair<uint64_t, uint64_t> homes_source_;
