Test that no bytes of a lost attempt reach the caller

What a lost attempt had received must not be in the response that follows. The test cuts the first response at each byte of its events, or of a collected body, with events that follow from a seed, and compares what the caller gets.

The engines of the test name a software version now, since streams are continued only at the same one; retries need a counted request, so one is prepared first.

--- a/jackdawshunt/gateway/call_test.cc
+++ b/jackdawshunt/gateway/call_test.cc
@@ -5,11 +5,15 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "event2/util.h"
 #include "gtest/gtest.h"
 #include "jackdawshunt/board/datagram_socket.h"
@@ -25,26 +29,41 @@
     "POST /revise/x HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: "
     "2\r\n\r\n{}";
 
+// A response that an engine gives.
+struct EngineResponse {
+  int status = 200;
+  std::vector<std::string> events;  // Without those the caller has, by id.
+  // Bytes of the body that are sent before the connection ends, if it is cut.
+  std::optional<size_t> cut;
+};
+
 // Engines that end the connection of the first request that they get, all
-// together, and answer the others.
+// together, and answer the others; or that give the responses that are set.
 class EngineHandler final : public http1::ServerConnection::Handler {
  public:
-  explicit EngineHandler(kernel::EventLoop& loop) : connections_(loop, *this) {}
+  explicit EngineHandler(kernel::EventLoop& loop)
+      : loop_(loop), connections_(loop, *this) {}
   void Add(int fd) { connections_.Add(fd); }
   size_t arrivals() const { return arrivals_; }
+  void SetResponses(std::vector<EngineResponse> responses) {
+    responses_ = std::move(responses);
+  }
 
   void OnRequest(http1::ServerConnection& connection,
                  const http1::RequestHead& head,
                  std::string&) override {
-    if (++arrivals_ == 1) {
+    ++arrivals_;
+    const std::string id(http::FindHeader(head.headers, "Request-Id"));
+    const http1::ResponseHead response_head{
+        .status = 200,
+        .headers = {{"Request-Id", id}, {"Response-Seal", "seal"}}};
+    if (arrivals_ <= responses_.size()) {
+      Send(connection, head, response_head, responses_[arrivals_ - 1]);
+    } else if (arrivals_ == 1) {
       connection.Abort();
-      return;
+    } else {
+      connection.Reply(response_head, "id: 1\ndata: x\n\n");
     }
-    const std::string id(http::FindHeader(head.headers, "Request-Id"));
-    connection.Reply(
-        {.status = 200,
-         .headers = {{"Request-Id", id}, {"Response-Seal", "seal"}}},
-        "id: 1\ndata: x\n\n");
   }
   void OnRequestError(http1::ServerConnection&, http1::RequestError) override {}
   void OnDrained(http1::ServerConnection&) override {}
@@ -53,10 +72,62 @@
   }
 
  private:
+  void Send(http1::ServerConnection& connection,
+            const http1::RequestHead& request,
+            http1::ResponseHead head,
+            const EngineResponse& response) {
+    head.status = response.status;
+    const std::string last_id(
+        http::FindHeader(request.headers, "Last-Event-ID"));
+    size_t first = 0;
+    EXPECT_TRUE(last_id.empty() || absl::SimpleAtoi(last_id, &first));
+    std::string body;
+    for (size_t i = first; i < response.events.size(); ++i) {
+      body.append(response.events[i]);
+    }
+    if (response.cut.has_value()) {
+      ASSERT_LT(*response.cut, body.size());
+      connection.StartResponse(head, http1::BodyFraming::Length(body.size()),
+                               false, body.substr(0, *response.cut));
+      // After the gateway has read what was sent.
+      abort_timer_ = loop_.After(milliseconds(1), [this, &connection] {
+        if (connections_.Contains(connection)) {
+          connection.Abort();
+        }
+      });
+    } else {
+      connection.Reply(head, body);
+    }
+  }
+
+  kernel::EventLoop& loop_;
   http1::ConnectionSet connections_;
+  kernel::Timer abort_timer_;
+  std::vector<EngineResponse> responses_;
   size_t arrivals_ = 0;
 };
 
+// The response that the caller gets.
+class CallerResponse final : public http1::ResponseSink {
+ public:
+  void OnHead(const http1::ResponseHead& head) override {
+    status_ = head.status;
+  }
+  void OnBody(std::string_view data) override { body_.append(data); }
+  void Feed(std::string_view bytes) { parser_.Feed(bytes, *this); }
+
+  int status() const { return status_; }
+  const std::string& body() const { return body_; }
+  bool is_complete() const {
+    return parser_.state() == http1::ParseState::kComplete;
+  }
+
+ private:
+  http1::ResponseParser parser_;
+  int status_ = 0;
+  std::string body_;
+};
+
 // One call with engines and their boards.
 class CallTest : public ::testing::Test,
                  public http1::ServerConnection::Handler {
@@ -86,6 +157,7 @@
       routing::Upstream engine;
       engine.id = absl::StrCat("i-", i);
       engine.service = "llm";
+      engine.software_version = "v1";
       engine.address.ip = absl::StrCat("127.0.4.", i + 1);
       boards_.push_back(*board::DatagramSocket::Bind(
           loop_, {engine.address.ip, port},
@@ -167,6 +239,22 @@
         seconds(20)));
     return text.substr(0, text.find("\r\n"));
   }
+  // Returns the response to the request, as far as it arrives.
+  const CallerResponse& WholeAnswer() {
+    EXPECT_EQ(write(caller_, kRequest, sizeof(kRequest) - 1),
+              static_cast<ssize_t>(sizeof(kRequest) - 1));
+    EXPECT_TRUE(loop_.RunUntil(
+        [&] {
+          std::array<char, 4096> buffer;
+          const ssize_t count = read(caller_, buffer.data(), buffer.size());
+          if (count > 0) {
+            response_.Feed({buffer.data(), static_cast<size_t>(count)});
+          }
+          return response_.is_complete() || count == 0;
+        },
+        seconds(20)));
+    return response_;
+  }
   void OnBoardMessage(size_t engine,
                       const http::Address& from,
                       const board::Message& message) {
@@ -207,6 +295,7 @@
   routing::OverloadGauge overload_;
   std::unique_ptr<CallContext> context_;
   int caller_ = -1;
+  CallerResponse response_;
   std::unique_ptr<http1::ServerConnection> connection_;
   std::unique_ptr<Call> call_;
 };
@@ -224,5 +313,60 @@
   EXPECT_EQ(engines_.arrivals(), 2u);
 }
 
+// Three events whose data and line ends follow from `seed`.
+std::vector<std::string> MakeEvents(size_t seed) {
+  std::minstd_rand random(static_cast<unsigned>(seed + 1));
+  std::vector<std::string> events;
+  for (int id = 1; id <= 3; ++id) {
+    const std::string data(random() % 9, static_cast<char>('a' + random() % 9));
+    const std::string line_end = random() % 2 == 0 ? "\n" : "\r\n";
+    events.push_back(
+        absl::StrCat("id: ", id, line_end, "data: ", data, line_end, line_end));
+  }
+  return events;
+}
+
+// The parameter is the seed of the events and the byte at which the first
+// response is cut.
+class CutResponseTest : public CallTest,
+                        public ::testing::WithParamInterface<size_t> {
+ protected:
+  CutResponseTest() {
+    MakeRequest();  // Adds to the retry budget.
+  }
+};
+
+// Guards against bytes of a lost attempt's last, incomplete event in the
+// response that goes on at another upstream, and against events given twice.
+TEST_P(CutResponseTest, NextAttemptContinuesAfterTheLastWholeEvent) {
+  const std::vector<std::string> events = MakeEvents(GetParam());
+  const std::string whole = absl::StrJoin(events, "");
+  engines_.SetResponses({{.events = events, .cut = GetParam() % whole.size()},
+                         {.events = events}});
+  const CallerResponse& response = WholeAnswer();
+  EXPECT_TRUE(response.is_complete());
+  EXPECT_EQ(response.status(), 200);
+  EXPECT_EQ(response.body(), whole);
+  EXPECT_EQ(engines_.arrivals(), 2u);
+}
+
+// Guards against bytes of a lost attempt's collected body in the next one's.
+TEST_P(CutResponseTest, CollectedBodyIsTheLastAttemptsOnly) {
+  const std::vector<std::string> lost = MakeEvents(GetParam());
+  engines_.SetResponses({{.status = 404,
+                          .events = lost,
+                          .cut = GetParam() % absl::StrJoin(lost, "").size()},
+                         {.status = 404, .events = {"not found"}}});
+  const CallerResponse& response = WholeAnswer();
+  EXPECT_TRUE(response.is_complete());
+  EXPECT_EQ(response.status(), 404);
+  EXPECT_EQ(response.body(), "not found");
+  EXPECT_EQ(engines_.arrivals(), 2u);
+}
+
+INSTANTIATE_TEST_SUITE_P(EachByte,
+                         CutResponseTest,
+                         ::testing::Range<size_t>(0, 60));
+
 }  // namespace
 }  // namespace jackdawshunt::gateway
