Compute values of log lines only if the line is written

Texts such as the ids of a prompt's parts were built for lines that are dropped by level or rate. LogLine::Add() takes a function now, which is not called for a dropped line; base_test calls it for one line of each kind and counts. It does not compile without the overload.

--- a/jackdawshunt/base/log_buffer_test.cc
+++ b/jackdawshunt/base/log_buffer_test.cc
@@ -104,5 +104,18 @@
   EXPECT_EQ(parsed["flag"], true);
 }
 
+// Guards against the cost of values that no written line holds.
+TEST(LogLineTest, ValueOfDroppedLineIsNotComputed) {
+  int computed = 0;
+  const auto compute = [&computed] {
+    ++computed;
+    return std::string("x");
+  };
+  LogLine(LogLevel::kDebug, "dropped").Add("parts", compute);
+  EXPECT_EQ(computed, 0);
+  LogLine(LogLevel::kInfo, "written").Add("parts", compute);
+  EXPECT_EQ(computed, 1);
+}
+
 }  // namespace
 }  // namespace jackdawshunt::base
--- a/jackdawshunt/base/log_line.h
+++ b/jackdawshunt/base/log_line.h
@@ -4,10 +4,12 @@
 // Example:
 //   base::LogLine(base::LogLevel::kInfo, "request_done")
 //       .Add("request", id)
-//       .Add("status", 200);
+//       .Add("status", 200)
+//       .Add("parts", [&] { return PartsText(request); });
 //
-// The line is written when the object is destroyed. Separate objects may be
-// used by separate threads.
+// The last value is computed only if the line is written. The line is written
+// when the object is destroyed. Separate objects may be used by separate
+// threads.
 #ifndef JACKDAWSHUNT_BASE_LOG_LINE_H_
 #define JACKDAWSHUNT_BASE_LOG_LINE_H_
 
@@ -53,6 +55,14 @@
     }
     return *this;
   }
+  // Adds what `value` returns; it is not called if the line is dropped.
+  template <std::invocable F>
+  LogLine& Add(std::string_view name, F value) {
+    if (is_logged_) {
+      Add(name, value());
+    }
+    return *this;
+  }
 
  private:
   const LogLevel level_;
