--- a/jackdawshunt/routing/deadly_request_test.cc
+++ b/jackdawshunt/routing/deadly_request_test.cc
@@ -1,10 +1,10 @@
 // Tests of what the gateways believe of whole requests that end the upstreams
 // that run them.
-#include <string>
+#include <utility>
 #include <vector>
 
 #include "gtest/gtest.h"
-#include "jackdawshunt/routing/router.h"
+#include "jackdawshunt/routing/testing/ending_upstreams.h"
 
 namespace jackdawshunt::routing {
 namespace {
@@ -17,49 +17,29 @@
 constexpr int kAllowedEnds = 3;
 constexpr int kAllowedLateSends = 3;
 
-// One gateway's router before four plain upstreams that restart when they end.
-class EndedPlainUpstreamsTest : public ::testing::Test {
+std::vector<Route> PlainRoutes() {
+  Route route;
+  route.name = "status";
+  route.host = "h.example";
+  route.path_prefix = "/safe/";
+  route.kind = RouteKind::kSafe;
+  route.attempts = 2;
+  route.timeout = seconds(8);
+  route.latency_objective = seconds(1);
+  route.services = {{"jobs", 1}};
+  return {route};
+}
+
+// Four plain upstreams that restart when they end.
+class EndedPlainUpstreamsTest : public testing::EndingUpstreams {
  protected:
   EndedPlainUpstreamsTest()
-      : router_({.retry_budget = {.ratio = 0.2,
-                                  .window = seconds(10),
-                                  .allowance = 50}},
-                Now()) {
-    DesiredState state;
-    state.version = 1;
-    Route route;
-    route.name = "status";
-    route.host = "h.example";
-    route.path_prefix = "/safe/";
-    route.kind = RouteKind::kSafe;
-    route.attempts = 2;
-    route.timeout = seconds(8);
-    route.latency_objective = seconds(1);
-    route.services = {{"jobs", 1}};
-    state.routes.push_back(route);
-    state.services.push_back({.name = "jobs"});
-    router_.SetDesiredState(std::move(state));
+      : EndingUpstreams(PlainRoutes(), {.name = "jobs"}, 4) {
     router_.set_instances(1);
-    for (int i = 0; i < 4; ++i) {
-      Start();
-    }
-  }
-
-  kernel::TimePoint Now() const { return clock_.Now(); }
-
-  void Start() {
-    Upstream upstream;
-    upstream.id = "start-" + std::to_string(++starts_);
-    upstream.service = "jobs";
-    upstream.address = {"127.0.0.1", 1};
-    router_.directory().Put(upstream, Now());
   }
 
   RoutedRequest MakeRequest(uint64_t content) {
-    RoutedRequest request;
-    request.id = std::to_string(++requests_);
-    request.table = router_.table();
-    request.route = request.table->Match("h.example", "/safe/x");
+    RoutedRequest request = NewRequest("/safe/x");
     request.content = content;
     router_.Prepare(request, seconds(8), Now());
     return request;
@@ -68,11 +48,10 @@
   // Returns whether the request was sent, and served.
   bool Serve(uint64_t content) {
     RoutedRequest request = MakeRequest(content);
-    const Decision decision = router_.Choose(request, {}, Now());
+    const Decision decision = Send(request);
     if (decision.verdict != Verdict::kSend) {
       return false;
     }
-    router_.OnSent(request, decision, Now());
     clock_.Advance(milliseconds(20));
     router_.OnEnded(request, decision.upstream, Outcome::kSuccess, Now());
     return true;
@@ -86,33 +65,21 @@
     RoutedRequest request = MakeRequest(content);
     int sent = 0;
     do {
-      const Decision decision = router_.Choose(request, {}, Now());
+      const Decision decision = Send(request);
       if (decision.verdict != Verdict::kSend) {
         return sent;
       }
-      router_.OnSent(request, decision, Now());
       ++sent;
       std::vector<RoutedRequest> others;
+      others.reserve(beside.size());
       for (const uint64_t other : beside) {
         others.push_back(MakeRequest(other));
-        router_.OnSent(others.back(), decision, Now());
       }
-      clock_.Advance(milliseconds(60));
-      router_.OnEnded(request, decision.upstream, Outcome::kLost, Now());
-      for (RoutedRequest& other : others) {
-        router_.OnEnded(other, decision.upstream, Outcome::kLost, Now());
-      }
-      router_.OnConnectionRefused(decision.upstream, Now());
-      router_.directory().Remove(decision.upstream.id, Now());
-      Start();
+      EndUpstream(decision, request, std::move(others), milliseconds(60),
+                  /*is_refused=*/true);
     } while (router_.TrySpendRetry(request, Now()));
     return sent;
   }
-
-  kernel::ManualClock clock_;
-  Router router_;
-  int starts_ = 0;
-  uint64_t requests_ = 0;
 };
 
 // Guards against a request that ends one upstream after the other because it
--- a/jackdawshunt/routing/prompt_part_test.cc
+++ b/jackdawshunt/routing/prompt_part_test.cc
@@ -3,11 +3,12 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gtest/gtest.h"
 #include "jackdawshunt/routing/beliefs.h"
-#include "jackdawshunt/routing/router.h"
+#include "jackdawshunt/routing/testing/ending_upstreams.h"
 #include "rapidcheck.h"
 #include "rapidcheck/gtest.h"
 
@@ -20,58 +21,36 @@
 constexpr uint64_t kFirstPart = 0xf1;
 constexpr uint64_t kDeadlyPart = 0xdead;
 
-// One gateway's router before nine engines that restart when they end.
-class EndedEnginesTest : public ::testing::Test {
+std::vector<Route> EngineRoutes() {
+  Route route;
+  route.name = "chapter";
+  route.host = "h.example";
+  route.path_prefix = "/a/";
+  route.kind = RouteKind::kStream;
+  route.timeout = seconds(8);
+  route.latency_objective = seconds(1);
+  route.services = {{"llm", 1}};
+  Route resumable = route;
+  resumable.path_prefix = "/resumable/";
+  resumable.is_resumable = true;
+  resumable.attempts = 2;
+  return {route, resumable};
+}
+
+// Nine engines that restart when they end.
+class EndedEnginesTest : public testing::EndingUpstreams {
  protected:
   EndedEnginesTest()
-      : router_({.retry_budget = {.ratio = 0.2,
-                                  .window = seconds(10),
-                                  .allowance = 50}},
-                Now()) {
-    DesiredState state;
-    state.version = 1;
-    Route route;
-    route.name = "chapter";
-    route.host = "h.example";
-    route.path_prefix = "/a/";
-    route.kind = RouteKind::kStream;
-    route.timeout = seconds(8);
-    route.latency_objective = seconds(1);
-    route.services = {{"llm", 1}};
-    state.routes.push_back(route);
-    route.path_prefix = "/resumable/";
-    route.is_resumable = true;
-    route.attempts = 2;
-    state.routes.push_back(route);
-    Service service;
-    service.name = "llm";
-    service.engine = EngineProfile{.slots = 64, .cache_tokens = 500000};
-    state.services.push_back(service);
-    router_.SetDesiredState(std::move(state));
-    for (int i = 0; i < 9; ++i) {
-      StartEngine();
-    }
-  }
-
-  kernel::TimePoint Now() const { return clock_.Now(); }
-
-  void StartEngine() {
-    Upstream engine;
-    engine.id = "start-" + std::to_string(++starts_);
-    engine.service = "llm";
-    engine.address = {"127.0.0.1", 1};
-    engine.started_unix_ms = starts_;
-    router_.directory().Put(engine, Now());
-  }
+      : EndingUpstreams(
+            EngineRoutes(),
+            {.name = "llm",
+             .engine = EngineProfile{.slots = 64, .cache_tokens = 500000}},
+            9) {}
 
   // The last part is the request's own.
   RoutedRequest MakeRequest(const std::vector<uint64_t>& shared_parts,
                             bool is_resumable = false) {
-    RoutedRequest request;
-    request.id = std::to_string(++requests_);
-    request.table = router_.table();
-    request.route = request.table->Match("h.example",
-                                         is_resumable ? "/resumable/" : "/a/x");
+    RoutedRequest request = NewRequest(is_resumable ? "/resumable/" : "/a/x");
     Prompt prompt;
     for (const uint64_t id : shared_parts) {
       prompt.parts.push_back({id, 400});
@@ -89,11 +68,10 @@
   // it was sent.
   bool Serve(const std::vector<uint64_t>& shared_parts) {
     RoutedRequest request = MakeRequest(shared_parts);
-    const Decision decision = router_.Choose(request, {}, Now());
+    const Decision decision = Send(request);
     if (decision.verdict != Verdict::kSend) {
       return false;
     }
-    router_.OnSent(request, decision, Now());
     clock_.Advance(milliseconds(50));
     router_.OnFirstEvent(request, decision.upstream, Now());
     clock_.Advance(milliseconds(400));
@@ -107,30 +85,19 @@
       const std::vector<uint64_t>& shared_parts,
       const std::vector<std::vector<uint64_t>>& beside = {}) {
     RoutedRequest request = MakeRequest(shared_parts);
-    const Decision decision = router_.Choose(request, {}, Now());
+    const Decision decision = Send(request);
     if (decision.verdict != Verdict::kSend) {
       return false;
     }
-    router_.OnSent(request, decision, Now());
     std::vector<RoutedRequest> others;
+    others.reserve(beside.size());
     for (const auto& parts : beside) {
       others.push_back(MakeRequest(parts));
-      router_.OnSent(others.back(), decision, Now());
-    }
-    clock_.Advance(milliseconds(300));
-    router_.OnEnded(request, decision.upstream, Outcome::kLost, Now());
-    for (RoutedRequest& other : others) {
-      router_.OnEnded(other, decision.upstream, Outcome::kLost, Now());
     }
-    router_.directory().Remove(decision.upstream.id, Now());
-    StartEngine();
+    EndUpstream(decision, request, std::move(others), milliseconds(300),
+                /*is_refused=*/false);
     return true;
   }
-
-  kernel::ManualClock clock_;
-  Router router_;
-  int64_t starts_ = 0;
-  uint64_t requests_ = 0;
 };
 
 // Guards against a part that ends one engine after the other because its
