--- a/jackdawshunt/gateway/event_splitter.cc
+++ b/jackdawshunt/gateway/event_splitter.cc
@@ -107,12 +107,6 @@
   return true;
 }
 
-void EventSplitter::DropPartial() {
-  buffer_.clear();
-  returned_bytes_ = 0;
-  is_out_of_order_ = false;
-}
-
 std::string_view EventSplitter::partial() const {
   return std::string_view(buffer_).substr(returned_bytes_);
 }
--- a/jackdawshunt/gateway/event_splitter.h
+++ b/jackdawshunt/gateway/event_splitter.h
@@ -1,7 +1,7 @@
 // Splits a text/event-stream into complete events.
 //
 // Example:
-//   gateway::EventSplitter splitter;
+//   gateway::EventSplitter splitter(/*last_event_id=*/std::nullopt);
 //   std::string_view complete = splitter.Feed(bytes);  // Ends after an event.
 //   std::optional<uint64_t> id = splitter.last_event_id();
 //
@@ -19,6 +19,10 @@
 
 class EventSplitter {
  public:
+  // Splits a stream that continues after the event `last_event_id`, if any.
+  explicit EventSplitter(std::optional<uint64_t> last_event_id = std::nullopt)
+      : last_event_id_(last_event_id) {}
+
   // Appends `data` and returns the events that are now complete; the view is
   // valid until the next call. An event larger than kMaxEventBytes is returned
   // in pieces. Nothing is returned from an event on whose id is not above that
@@ -37,11 +41,10 @@
   // bytes are not the stream's.
   bool is_out_of_order() const { return is_out_of_order_; }
 
-  // Drops an incomplete event; call before the bytes of another answer.
-  void DropPartial();
   // Returns the bytes of the incomplete event; valid until the next call.
   std::string_view partial() const;
-  // Returns the id of the last event returned that has a numeric one.
+  // Returns the id of the last event returned that has a numeric one, or else
+  // that of the constructor.
   std::optional<uint64_t> last_event_id() const { return last_event_id_; }
   // Returns the number of complete events returned so far.
   uint64_t event_count() const { return event_count_; }
--- a/jackdawshunt/gateway/event_splitter_test.cc
+++ b/jackdawshunt/gateway/event_splitter_test.cc
@@ -19,14 +19,14 @@
   }
 }
 
-TEST(EventSplitterTest, DroppedPartialEventIsNotReturned) {
+// Guards against the incomplete event of a lost response in the next one's.
+TEST(EventSplitterTest, PartialEventOfEarlierResponseIsNotReturned) {
   EventSplitter splitter;
   EXPECT_EQ(splitter.Feed("id: 7\ndata: a\n\nid: 8\nda"), "id: 7\ndata: a\n\n");
   EXPECT_EQ(splitter.partial(), "id: 8\nda");
-  splitter.DropPartial();
-  EXPECT_EQ(splitter.Feed("id: 8\r\ndata: b\r\n\r\n"),
-            "id: 8\r\ndata: b\r\n\r\n");
-  EXPECT_EQ(splitter.last_event_id(), 8u);
+  EventSplitter next(splitter.last_event_id());
+  EXPECT_EQ(next.Feed("id: 8\r\ndata: b\r\n\r\n"), "id: 8\r\ndata: b\r\n\r\n");
+  EXPECT_EQ(next.last_event_id(), 8u);
 }
 
 // Guards against a stream that was cut in an event too large to be kept, and
@@ -87,14 +87,13 @@
   EXPECT_TRUE(splitter.is_out_of_order());
   EXPECT_EQ(splitter.Feed("id: 5\n\n"), "");
   EXPECT_EQ(splitter.event_count(), 2u);
-  splitter.DropPartial();
-  EXPECT_FALSE(splitter.is_out_of_order());
-  EXPECT_EQ(splitter.Feed("id: 2\n\n"), "");
-  EXPECT_TRUE(splitter.is_out_of_order());
-  splitter.DropPartial();
-  EXPECT_EQ(splitter.Feed("data: no id\n\nid: 4\n\n"),
-            "data: no id\n\nid: 4\n\n");
-  EXPECT_EQ(splitter.last_event_id(), 4u);
+  EventSplitter second(splitter.last_event_id());
+  EXPECT_FALSE(second.is_out_of_order());
+  EXPECT_EQ(second.Feed("id: 2\n\n"), "");
+  EXPECT_TRUE(second.is_out_of_order());
+  EventSplitter third(second.last_event_id());
+  EXPECT_EQ(third.Feed("data: no id\n\nid: 4\n\n"), "data: no id\n\nid: 4\n\n");
+  EXPECT_EQ(third.last_event_id(), 4u);
 }
 
 }  // namespace
