Split gateway_role.cc by what it starts, follows and reports

GatewayProcess is declared in gateway_process.h; its members are in gateway_process.cc (start and stop), gateway_follow.cc (records of the store) and gateway_report.cc (log lines and metrics), all moved as they were. Two functions are new, of existing code: ObserveRouter() from Run(), SetGauges() from Tick().

--- /dev/null
+++ b/jackdawshunt/gateway/gateway_process.cc
@@ -0,0 +1,234 @@
+#include "jackdawshunt/gateway/gateway_process.h"
+
+#include <sys/stat.h>
+
+#include <csignal>
+#include <utility>
+
+#include "jackdawshunt/base/id.h"
+#include "jackdawshunt/base/log.h"
+
+namespace jackdawshunt::gateway {
+namespace {
+
+constexpr int kExitUnavailable = 1;
+
+// A watch that no longer delivers is detected by comparison with the other
+// gateways.
+constexpr std::chrono::milliseconds kWatchWait{25000};
+constexpr kernel::Duration kKeepCurrentPeriod = std::chrono::milliseconds(100);
+
+// Each request writes about two lines. Lines beyond this rate are counted but
+// not written.
+constexpr uint64_t kLogLinesPerSecond = 400;
+// A killed process loses at most this much of its log.
+constexpr kernel::Duration kLogFlushPeriod = std::chrono::milliseconds(200);
+constexpr kernel::Duration kLagCheckPeriod = std::chrono::milliseconds(25);
+constexpr kernel::Duration kTickPeriod = std::chrono::seconds(1);
+// The balancer removes an instance after two failed checks, one a second.
+constexpr kernel::Duration kAcceptWhileDraining =
+    std::chrono::milliseconds(2700);
+// Requests still running are aborted this long before the end of the
+// termination grace period.
+constexpr kernel::Duration kExitMargin = std::chrono::milliseconds(400);
+constexpr kernel::Duration kExitPollPeriod = std::chrono::milliseconds(50);
+// File descriptors reserved for upstreams, the store and files; the others may
+// be used for callers.
+constexpr uint32_t kReservedDescriptors = 1000;
+
+}  // namespace
+
+GatewayProcess::GatewayProcess(platform::InstanceSettings settings,
+                               std::string settings_path)
+    : settings_(std::move(settings)),
+      settings_path_(std::move(settings_path)),
+      router_(MakeRouterSettings(settings_), loop_.clock().Now()),
+      freshness_({.max_revocation_delay = settings_.promises.revocation,
+                  .is_strict = settings_.promises.is_revocation_strict}),
+      operator_server_(loop_, ""),
+      metrics_(operator_server_.registry()),
+      pool_(loop_),
+      boards_(loop_, settings_.ip, settings_.first_internal_port),
+      origins_(loop_, router_, boards_),
+      start_checks_(loop_, router_),
+      permits_(loop_, router_, boards_),
+      context_{loop_,         router_,  pool_,    boards_,  origins_,
+               start_checks_, permits_, metrics_, overload_},
+      http_frontend_(context_, freshness_, MaxConnections(settings_)),
+      exchange_(loop_, router_, boards_, freshness_),
+      readiness_(loop_, [this] { return IsReady(); }),
+      configuration_(loop_,
+                     settings_.store,
+                     platform::RecordKind::kDesiredState,
+                     {.watch_wait = kWatchWait,
+                      .change_grouping = settings_.promises.configuration /
+                                         kChangeGroupingDivisor},
+                     ConfigurationCallbacks()),
+      upstreams_(loop_,
+                 settings_.store,
+                 platform::RecordKind::kUpstream,
+                 {.watch_wait = kWatchWait,
+                  .change_grouping =
+                      settings_.promises.drain / kChangeGroupingDivisor},
+                 UpstreamCallbacks()),
+      evacuations_(loop_,
+                   settings_.store,
+                   platform::RecordKind::kEvacuation,
+                   {.watch_wait = kWatchWait,
+                    .change_grouping = EvacuationGrouping(settings_)},
+                   EvacuationCallbacks()) {}
+
+int GatewayProcess::Run() {
+  base::SetLogContext({{"instance", settings_.instance}});
+  base::BufferLog(kLogLinesPerSecond);
+  log_flush_timer_ = loop_.Every(kLogFlushPeriod, [] { base::FlushLog(); });
+  base::Log(base::LogLevel::kInfo, "started",
+            {{"role", "gateway"},
+             {"data_centre", settings_.data_centre},
+             {"settings", settings_path_}});
+  if (!Listen()) {
+    base::FlushLog();
+    return kExitUnavailable;
+  }
+  ObserveRouter();
+  configuration_.Start();
+  upstreams_.Start();
+  if (settings_.promises.evacuation.has_value()) {
+    evacuations_.Start();
+  }
+  tick_timer_ = loop_.Every(kTickPeriod, [this] { Tick(); });
+  exchange_.Start([this] { return upstreams_.changed_revision(); },
+                  [this] { return evacuations_.changed_revision(); });
+  origins_.SetListCheck([this] { return exchange_.IsListCurrent(); });
+  keep_current_timer_ =
+      loop_.Every(kKeepCurrentPeriod, [this] { KeepCurrent(); });
+  last_lag_check_ = loop_.clock().Now();
+  lag_timer_ = loop_.Every(kLagCheckPeriod, [this] { MeasureLag(); });
+  loop_.OnSignal(SIGTERM, [this] { Drain(); });
+  loop_.OnSignal(SIGINT, [this] { Drain(); });
+  loop_.OnSignal(SIGHUP, [this] { ReloadSettings("signal"); });
+  loop_.Run();
+  base::Log(base::LogLevel::kInfo, "stopped",
+            {{"busy_calls", http_frontend_.busy_calls()}});
+  base::FlushLog();
+  return 0;
+}
+
+routing::RouterSettings GatewayProcess::MakeRouterSettings(
+    const platform::InstanceSettings& settings) {
+  routing::RouterSettings router;
+  router.data_centre = settings.data_centre;
+  router.incarnation = routing::HashOf(base::NewRequestId());
+  router.retry_budget = {.ratio = settings.promises.retry_ratio,
+                         .window = settings.promises.retry_window,
+                         .allowance = settings.promises.retry_slack};
+  router.share_window = settings.promises.share_window;
+  router.follows_evacuations = settings.promises.evacuation.has_value();
+  router.cold_overage = settings.promises.cold_overage;
+  router.cold_slack = settings.promises.cold_slack;
+  return router;
+}
+
+size_t GatewayProcess::MaxConnections(
+    const platform::InstanceSettings& settings) {
+  return settings.file_descriptors > 2 * kReservedDescriptors
+             ? settings.file_descriptors - kReservedDescriptors
+             : settings.file_descriptors / 2;
+}
+
+bool GatewayProcess::Listen() {
+  std::vector<absl::Status> results;
+  if (settings_.callers.has_value()) {
+    results.push_back(http_frontend_.Listen(*settings_.callers));
+  }
+  if (settings_.readiness.has_value()) {
+    results.push_back(readiness_.Listen(*settings_.readiness));
+  }
+  results.push_back(boards_.Open());
+  results.push_back(
+      operator_server_.Listen({settings_.ip, settings_.last_internal_port})
+          .status());
+  for (const absl::Status& status : results) {
+    if (!status.ok()) {
+      base::Log(base::LogLevel::kError, "listen_failed",
+                {{"error", std::string(status.message())}});
+      return false;
+    }
+  }
+  return true;
+}
+
+bool GatewayProcess::IsReady() const {
+  return router_.table() != nullptr && has_upstreams_ &&
+         router_.knows_evacuations() && !context_.is_draining &&
+         !overload_.IsWithdrawn(loop_.clock().Now()) &&
+         freshness_.MayAccept(kernel::BootClock().Now());
+}
+
+void GatewayProcess::Tick() {
+  router_.Tick(loop_.clock().Now());
+  pool_.CloseIdleConnections();
+  boards_.DropAbandonedQueries();
+  origins_.DropExpired();
+  permits_.DropExpired();
+  struct stat info {};
+  if (stat(settings_path_.c_str(), &info) == 0 &&
+      info.st_mtime != settings_mtime_) {
+    if (settings_mtime_ != 0) {
+      ReloadSettings("changed");
+    }
+    settings_mtime_ = info.st_mtime;
+  }
+  SetGauges();
+}
+
+void GatewayProcess::MeasureLag() {
+  const kernel::TimePoint now = loop_.clock().Now();
+  const bool was_withdrawn = overload_.IsWithdrawn(now);
+  overload_.OnLag(now - last_lag_check_ - kLagCheckPeriod, now);
+  last_lag_check_ = now;
+  context_.closes_connections =
+      context_.is_draining || overload_.IsWithdrawn(now);
+  if (!was_withdrawn && overload_.IsWithdrawn(now)) {
+    base::Log(base::LogLevel::kWarning, "withdrawn",
+              {{"lag_ms", overload_.lag().count() / 1000},
+               {"busy_calls", http_frontend_.busy_calls()},
+               {"open_connections", http_frontend_.open_connections()}});
+  }
+}
+
+void GatewayProcess::ReloadSettings(std::string_view trigger) {
+  auto settings = platform::LoadSettings(settings_path_);
+  base::Log(
+      settings.ok() ? base::LogLevel::kInfo : base::LogLevel::kWarning,
+      "settings_reloaded",
+      {{"why", trigger}, {"error", std::string(settings.status().message())}});
+  if (settings.ok()) {
+    settings_.seeds = settings->seeds;
+  }
+}
+
+void GatewayProcess::Drain() {
+  if (context_.is_draining) {
+    return;
+  }
+  base::Log(base::LogLevel::kInfo, "draining",
+            {{"busy_calls", http_frontend_.busy_calls()},
+             {"open_connections", http_frontend_.open_connections()}});
+  http_frontend_.StartDraining();
+  stop_accepting_timer_ =
+      loop_.After(kAcceptWhileDraining, [this] { StopAccepting(); });
+  exit_timer_ = loop_.After(settings_.promises.termination_grace - kExitMargin,
+                            [this] { loop_.Stop(); });
+}
+
+void GatewayProcess::StopAccepting() {
+  http_frontend_.StopAccepting();
+  exit_poll_timer_ = loop_.Every(kExitPollPeriod, [this] {
+    if (!http_frontend_.has_open_requests()) {
+      loop_.Stop();
+    }
+  });
+}
+
+}  // namespace jackdawshunt::gateway
