Initialize the router's members in the order of their declaration

Cause: knows_evacuations_ is declared before shares_ but was initialized after it, so -Werror=reorder stops the build with -DJACKDAWSHUNT_WERROR=ON. Change: the initializer list follows the declarations. No behaviour changes: both are initialized from the settings only.

--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -114,10 +114,10 @@
 Router::Router(RouterSettings settings, kernel::TimePoint now)
     : settings_(std::move(settings)),
       directory_(settings_.return_grace),
+      knows_evacuations_(!settings_.follows_evacuations),
       beliefs_(settings_.incarnation, now),
       budget_(settings_.retry_budget, now),
-      shares_(settings_.share_window),
-      knows_evacuations_(!settings_.follows_evacuations) {
+      shares_(settings_.share_window) {
   directory_.SetObserver(
       [this](const Upstream& upstream, Directory::Change change) {
         if (change == Directory::Change::kRemoved) {
