Model slots, slow periods and pauses of engines

Cause: the model of engines cannot show what the prefill of one prompt costs the streams beside it, or that an engine with all slots used admits nothing.

--- a/jackdawshunt/routing/testing/engine_model.cc
+++ b/jackdawshunt/routing/testing/engine_model.cc
@@ -61,13 +61,19 @@
   }
 }
 
+bool EngineModel::MayPrefill() const {
+  return !waiting_.empty() &&
+         (settings_.slots == 0 || running_.size() < settings_.slots);
+}
+
 std::vector<std::string> EngineModel::AdvanceTo(kernel::TimePoint now) {
   std::vector<std::string> started;
   while (clock_ < now && (!waiting_.empty() || !running_.empty())) {
     // One step: a token for each running stream and at most one chunk of
     // prefill.
     double ms = settings_.step_ms;
-    if (!waiting_.empty()) {
+    const bool may_prefill = MayPrefill();
+    if (may_prefill) {
       Work& work = waiting_.front();
       if (!work.is_counted) {
         CountUncached(work);
@@ -77,18 +83,21 @@
       work.uncached_tokens -= chunk;
       ms += static_cast<double>(chunk) / settings_.prefill_tokens_per_ms;
     }
-    clock_ += FromMs(ms);
+    const kernel::Duration step = FromMs(ms * slowdown_);
+    clock_ += step;
     for (auto work = running_.begin(); work != running_.end();) {
+      work->longest_pause = std::max(work->longest_pause, step);
       work->tokens_to_generate -= work->tokens_to_generate > 0 ? 1 : 0;
       const bool is_late = clock_ > work->deadline;
       if (work->tokens_to_generate == 0 || is_late) {
-        results_.push_back({work->request, work->first_event, !is_late});
+        results_.push_back(
+            {work->request, work->first_event, !is_late, work->longest_pause});
         work = running_.erase(work);
       } else {
         ++work;
       }
     }
-    if (!waiting_.empty() && waiting_.front().uncached_tokens == 0) {
+    if (may_prefill && waiting_.front().uncached_tokens == 0) {
       Work work = std::move(waiting_.front());
       waiting_.pop_front();
       CacheParts(work);
--- a/jackdawshunt/routing/testing/engine_model.h
+++ b/jackdawshunt/routing/testing/engine_model.h
@@ -1,6 +1,7 @@
 // A small model of an engine for tests. Prefills prompts in chunks in the order
 // of arrival, gives each running stream one token per step, which includes at
-// most one chunk, and keeps prompt parts in a cache of limited size.
+// most one chunk, and keeps prompt parts in a cache of limited size. A stream
+// pauses while a chunk is prefilled. A prompt waits while all slots are taken.
 //
 // Example:
 //   routing::testing::EngineModel engine({});
@@ -29,14 +30,16 @@
   double step_ms = 3;
   uint32_t chunk_tokens = 4096;
   uint64_t cache_tokens = 500000;
+  uint32_t slots = 0;  // Requests that run at once; 0 means unlimited.
 };
 
 class EngineModel {
  public:
   struct Result {
     std::string request;
-    kernel::Duration first_event{};  // Time after the submission.
-    bool is_complete = false;        // Before its deadline.
+    kernel::Duration first_event{};    // Time after the submission.
+    bool is_complete = false;          // Before its deadline.
+    kernel::Duration longest_pause{};  // Between two of its events.
   };
 
   explicit EngineModel(EngineModelSettings settings) : settings_(settings) {}
@@ -49,6 +52,9 @@
   // Runs steps up to `now`; returns the requests whose first event occurred.
   std::vector<std::string> AdvanceTo(kernel::TimePoint now);
 
+  // Makes all later steps take `factor` times as long; 1 is the usual speed.
+  void set_slowdown(double factor) { slowdown_ = factor; }
+
   const std::vector<Result>& results() const { return results_; }
   uint64_t shared_tokens_prefilled() const { return shared_tokens_prefilled_; }
 
@@ -63,12 +69,16 @@
     bool is_counted = false;  // uncached_tokens is set.
     uint32_t tokens_to_generate = 0;
     kernel::Duration first_event{};
+    kernel::Duration longest_pause{};
   };
 
   void CountUncached(Work& work);
   void CacheParts(const Work& work);
+  // Returns whether the oldest waiting prompt has a slot.
+  bool MayPrefill() const;
 
   const EngineModelSettings settings_;
+  double slowdown_ = 1;
   kernel::TimePoint clock_{};
   std::deque<Work> waiting_;
   std::list<Work> running_;
