Decode the longest gap of a route

Cause: the desired state's targetGapMs limits the time between two events of a stream, and the fleet does not know it. Change: Route::longest_gap, zero where it is absent. An invalid value makes the route unusable, like those of its other fields. Result: RecordsTest.DecodesLongestGapOfRoutes fails with another field name in the decoder.

--- a/jackdawshunt/platform/records.cc
+++ b/jackdawshunt/platform/records.cc
@@ -190,6 +190,7 @@
   route.timeout = Milliseconds(reader.RequiredUnsigned("timeoutMs"));
   route.latency_objective =
       Milliseconds(reader.Unsigned("targetLatencyMs").value_or(0));
+  route.longest_gap = Milliseconds(reader.Unsigned("targetGapMs").value_or(0));
   route.priority = static_cast<int>(reader.Unsigned("priority").value_or(0));
   route.attempts = static_cast<uint32_t>(
       std::max<uint64_t>(1, reader.Unsigned("attempts").value_or(1)));
--- a/jackdawshunt/platform/records_test.cc
+++ b/jackdawshunt/platform/records_test.cc
@@ -67,6 +67,28 @@
   EXPECT_EQ(state->services[1].cold_requests_per_second, 0);
 }
 
+// Guards against a limit on the pauses of streams that is ignored, and against
+// one where none is stated.
+TEST(RecordsTest, DecodesLongestGapOfRoutes) {
+  const auto decode = [](const std::string& field) {
+    return DecodeDesiredState(nlohmann::json::parse(
+        R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/a/",)"
+        R"("kind":"streaming","timeoutMs":8000,"service":"s")" +
+        field + "}]}"));
+  };
+  const auto stated = decode(R"(,"targetGapMs":400)");
+  ASSERT_TRUE(stated.ok());
+  ASSERT_EQ(stated->routes.size(), 1u);
+  EXPECT_EQ(stated->routes[0].longest_gap, std::chrono::milliseconds(400));
+  const auto absent = decode("");
+  ASSERT_TRUE(absent.ok());
+  ASSERT_EQ(absent->routes.size(), 1u);
+  EXPECT_EQ(absent->routes[0].longest_gap, kernel::Duration::zero());
+  const auto negative = decode(R"(,"targetGapMs":-1)");
+  ASSERT_TRUE(negative.ok());
+  EXPECT_TRUE(negative->routes.empty());
+}
+
 // Guards against an evacuation that is ignored because its object is empty or
 // from another writer.
 TEST(RecordsTest, NameOfAnEvacuationSuffices) {
--- a/jackdawshunt/routing/desired_state.h
+++ b/jackdawshunt/routing/desired_state.h
@@ -39,7 +39,9 @@
   RouteKind kind = RouteKind::kUnsafe;
   kernel::Duration timeout{};            // Until the answer ends.
   kernel::Duration latency_objective{};  // Until the answer or first event.
-  int priority = 0;                      // 0 is the most urgent.
+  // Longest time between two events of a stream; zero if it is not limited.
+  kernel::Duration longest_gap{};
+  int priority = 0;  // 0 is the most urgent.
   std::vector<WeightedService> services;
   uint32_t attempts = 1;   // Upstreams that one request may be sent to.
   bool is_public = false;  // No API key is required.
