Tell the requests at an engine in a board's offer

Cause: a gateway that places a prompt does not know how many streams it delays there. Change: EngineCost::running_requests, the last field of an offer. Earlier gateways ignore it; an offer without it counts as 0. Result: BoardTest.OfferTellsRunningRequests, which also decodes the offer of an earlier board, fails when the field is not filled. Ruled out: a message of its own, which would cost a datagram per query.

--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -36,6 +36,31 @@
   Board board_{42};
 };
 
+// Guards against offers that do not tell how many streams a prompt delays, and
+// against those of earlier versions, which end before that field.
+TEST_F(BoardTest, OfferTellsRunningRequests) {
+  const EngineIdentity engine{.incarnation = 1, .cache_tokens = 100000};
+  board_.Handle(Claim{.request = 1,
+                      .engine = engine,
+                      .part_keys = {5},
+                      .part_tokens = {9000}},
+                Now());
+  const Query query{
+      .nonce = 9, .engine = engine, .part_keys = {6}, .part_tokens = {1000}};
+  std::string bytes = Encode(*board_.Handle(query, Now()));
+  const auto offer = Decode(bytes);
+  ASSERT_TRUE(offer.ok());
+  EXPECT_EQ(std::get<Offer>(*offer).cost.running_requests, 1u);
+  // A MessagePack array of up to 15 fields states their number in the lower
+  // half of its first byte.
+  bytes.front() = static_cast<char>(bytes.front() - 1);
+  bytes.pop_back();
+  const auto earlier = Decode(bytes);
+  ASSERT_TRUE(earlier.ok());
+  EXPECT_EQ(std::get<Offer>(*earlier).nonce, 9u);
+  EXPECT_EQ(std::get<Offer>(*earlier).cost.running_requests, 0u);
+}
+
 TEST_F(BoardTest, OfferIncludesClaimsOfAllGateways) {
   const EngineIdentity engine{.incarnation = 1,
                               .cache_tokens = 100000,
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -129,7 +129,7 @@
 }
 
 void Write(const Offer& offer, std::string& out) {
-  FieldWriter(MessageType::kOffer, 8, out)
+  FieldWriter(MessageType::kOffer, 9, out)
       .Add(offer.nonce)
       .Add(offer.cost.wait)
       .Add(offer.cost.ahead_of_pace)
@@ -137,7 +137,8 @@
       .Add(offer.cost.idle_time)
       .Add(offer.cost.uncached_tokens)
       .Add(offer.cost.uncached_shared_tokens)
-      .AddBoolean(offer.is_reachable);
+      .AddBoolean(offer.is_reachable)
+      .Add(uint64_t{offer.cost.running_requests});
 }
 
 void Write(const Claim& claim, std::string& out) {
@@ -402,6 +403,10 @@
   }
 
   bool is_valid() const { return is_valid_; }
+  bool has_more() const {
+    return message_.type == MSGPACK_OBJECT_ARRAY &&
+           position_ < message_.via.array.size;
+  }
 
  private:
   const msgpack_object* NextField() {
@@ -447,6 +452,11 @@
   offer.cost.uncached_tokens = reader.ReadUnsigned();
   offer.cost.uncached_shared_tokens = reader.ReadUnsigned();
   offer.is_reachable = reader.ReadBoolean();
+  // Absent in the offers of earlier versions.
+  if (reader.has_more()) {
+    offer.cost.running_requests = static_cast<uint32_t>(std::min<uint64_t>(
+        reader.ReadUnsigned(), std::numeric_limits<uint32_t>::max()));
+  }
   return offer;
 }
 
--- a/jackdawshunt/routing/engine_estimate.cc
+++ b/jackdawshunt/routing/engine_estimate.cc
@@ -77,6 +77,7 @@
       }
     }
   }
+  cost.running_requests = static_cast<uint32_t>(claims_.size());
   cost.prefill_time = PrefillTime(cost.uncached_tokens);
   cost.wait = std::max(busy_until_ - now, kernel::Duration::zero());
   cost.ahead_of_pace = std::max(paced_until_ - now, kernel::Duration::zero());
--- a/jackdawshunt/routing/engine_estimate.h
+++ b/jackdawshunt/routing/engine_estimate.h
@@ -48,6 +48,7 @@
   kernel::Duration idle_time{};
   uint64_t uncached_tokens = 0;
   uint64_t uncached_shared_tokens = 0;  // Excludes the last part.
+  uint32_t running_requests = 0;        // At the engine, waiting ones included.
 
   // Returns the wait when prefill is paced to the sustained throughput.
   kernel::Duration paced_wait() const { return std::max(wait, ahead_of_pace); }
