Count the delay of running streams in placement

Cause: short streams with long outputs end after their deadline where an engine prefills long prompts most of the time, although their first events are in time. Change: with RouterSettings::prefill_interference, off by default, the cost of an engine includes the delay of the streams there, and an admitted prompt without a shared prefix that would wait more than 100 ms is compared with three further engines. Ruled out: bounds on queued prefill, engines preferred by kind, holding long prompts, stricter pacing, longer accepted waits; figures in docs/design/long-prompts.md.

--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -529,15 +529,16 @@
       });
   request.engine_tokens_per_s =
       EngineTokensPerSecond(candidates.size() + static_cast<size_t>(withheld));
-  return PreferredEngines(request, candidates, 0);
+  return PreferredEngines(request, candidates, 0, kQueriedEngines);
 }
 
 std::vector<Upstream> Router::PreferredEngines(
     const RoutedRequest& request,
     const std::vector<const Upstream*>& candidates,
-    size_t first) {
+    size_t first,
+    size_t count) {
   const std::vector<const Upstream*> preferred =
-      HighestWeights(candidates, first + kQueriedEngines,
+      HighestWeights(candidates, first + count,
                      [key = AffinityKey(request)](const Upstream& candidate) {
                        return RendezvousWeight(key, candidate.hash);
                      });
@@ -550,13 +551,30 @@
 
 std::vector<Upstream> Router::FurtherEnginesToQuery(
     const RoutedRequest& request,
-    const Decision& refusal,
+    const Decision& decision,
     kernel::TimePoint now) {
-  if (refusal.verdict != Verdict::kRefuse || refusal.share_used <= 0 ||
-      refusal.share_used >= kMaxShareForFurtherEngines) {
+  if (decision.verdict == Verdict::kSend && decision.is_engine &&
+      request.part_keys.size() < 2 &&
+      ShouldCompareFurther(decision.cost, settings_.prefill_interference)) {
+    const std::vector<const Upstream*> candidates = Candidates(request, now);
+    return candidates.size() > kQueriedEngines
+               ? PreferredEngines(request, candidates, 0, 2 * kQueriedEngines)
+               : std::vector<Upstream>();
+  }
+  if (decision.verdict != Verdict::kRefuse || decision.share_used <= 0 ||
+      decision.share_used >= kMaxShareForFurtherEngines) {
     return {};
   }
-  return PreferredEngines(request, Candidates(request, now), kQueriedEngines);
+  return PreferredEngines(request, Candidates(request, now), kQueriedEngines,
+                          kQueriedEngines);
+}
+
+uint32_t Router::EngineSlots(const Upstream& upstream) const {
+  const Service* const service =
+      table_ == nullptr ? nullptr : table_->FindService(upstream.service);
+  return service != nullptr && service->engine.has_value()
+             ? service->engine->slots
+             : 0;
 }
 
 std::optional<Decision> Router::RefuseWithoutQuery(
@@ -683,6 +701,7 @@
                               kernel::TimePoint now) {
   std::vector<EngineCandidate> rows;
   rows.reserve(candidates.size());
+  std::vector<kernel::Duration> delays;  // Empty if the feature is disabled.
   for (const Upstream* upstream : candidates) {
     EngineCandidate row = ToCandidate(request, *upstream, now);
     const BoardOffer* offer = FindOffer(offers, *upstream);
@@ -692,6 +711,11 @@
       state.last_offer = offer->cost;
       state.last_offer_at = now;
     }
+    if (settings_.prefill_interference.is_enabled) {
+      delays.push_back(DelayOfRunning(row.cost, EngineSlots(*upstream),
+                                      settings_.prefill_interference));
+      row.penalty += delays.back();
+    }
     rows.push_back(row);
   }
   const size_t best =
@@ -700,6 +724,9 @@
   if (decision.verdict == Verdict::kSend) {
     decision.upstream = *candidates[best];
   }
+  if (!delays.empty()) {
+    decision.delay_of_running = delays[best];
+  }
   return decision;
 }
 
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -39,6 +39,7 @@
 #include "jackdawshunt/routing/origin_homes.h"
 #include "jackdawshunt/routing/permits.h"
 #include "jackdawshunt/routing/placement.h"
+#include "jackdawshunt/routing/prefill_interference.h"
 #include "jackdawshunt/routing/prompt.h"
 #include "jackdawshunt/routing/retry_budget.h"
 #include "jackdawshunt/routing/stream_origins.h"
@@ -64,6 +65,7 @@
   double cold_slack = 0;
   AdmissionPolicy admission;
   PlacementWeights placement;
+  PrefillInterferenceSettings prefill_interference;
 };
 
 // Why an upstream counts as cold.
@@ -146,6 +148,8 @@
   size_t offers = 0;       // Boards that replied; if 0, only own estimates.
   size_t unreachable = 0;  // Offers with is_reachable false.
   double share_used = 0;   // See FairShare::ShareUsed().
+  // Counted for the chosen engine's streams; see DelayOfRunning().
+  kernel::Duration delay_of_running{};
   // See FairShare::FleetHasSpareCapacity().
   bool fleet_has_spare_capacity = true;
   kernel::Duration retry_after{};
@@ -217,13 +221,19 @@
   // `request.engine_tokens_per_s`. Returns an empty list for plain services.
   std::vector<Upstream> EnginesToQuery(RoutedRequest& request,
                                        kernel::TimePoint now);
-  // Returns the engines that follow those of EnginesToQuery(), if the request
-  // may also be placed there after `refusal` by the first ones: its workspace
-  // must be well below its fair share. Other engines have to prefill the shared
-  // prefix again. Answers the load in which the preferred engines of one
-  // workspace's prompts are busier than those of another's.
+  // Returns the engines whose boards should be queried after `decision`, which
+  // rests on those of EnginesToQuery(); empty if the decision stands.
+  //
+  // After a refusal these are the engines that follow, if the request may also
+  // be placed there: its workspace must be well below its fair share. Other
+  // engines have to prefill the shared prefix again. Answers the load in which
+  // the preferred engines of one workspace's prompts are busier than those of
+  // another's.
+  //
+  // After an admission these are the first engines and those that follow, for a
+  // prompt without a shared prefix; see ShouldCompareFurther().
   std::vector<Upstream> FurtherEnginesToQuery(const RoutedRequest& request,
-                                              const Decision& refusal,
+                                              const Decision& decision,
                                               kernel::TimePoint now);
   // Returns a refusal if none of `engines`, the result of EnginesToQuery(),
   // would admit the request whatever its board replies: because of its
@@ -344,12 +354,13 @@
   // Returns the throughput that one of `engines` engines can sustain, from the
   // fleet's stated throughput; 0 if none is stated.
   double EngineTokensPerSecond(size_t engines) const;
-  // Returns kQueriedEngines of `candidates`, after the `first` most preferred
-  // ones for the prompt's shared prefix.
+  // Returns `count` of `candidates`, after the `first` most preferred ones for
+  // the prompt's shared prefix.
   static std::vector<Upstream> PreferredEngines(
       const RoutedRequest& request,
       const std::vector<const Upstream*>& candidates,
-      size_t first);
+      size_t first,
+      size_t count);
   // Returns whether `upstream` has not been tried, wants requests and, if the
   // request's stream has begun, may continue it.
   bool MayServe(const RoutedRequest& request,
@@ -391,6 +402,8 @@
   EngineCandidate ToCandidate(const RoutedRequest& request,
                               const Upstream& upstream,
                               kernel::TimePoint now);
+  // Returns the slots of the upstream's engine; 0 if they are not stated.
+  uint32_t EngineSlots(const Upstream& upstream) const;
   bool IsForEngine(const RoutedRequest& request,
                    const std::vector<const Upstream*>& candidates);
   Decision ChoosePlain(const RoutedRequest& request,
