Let requests that can be repeated show how long connections may idle

Cause: each gateway sends one request in 1.6 s to each engine; requests that cannot be repeated open a new connection after 1.5 s. Change: routing/idle_limits.h, used by UpstreamPool.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -19,12 +19,6 @@
 // Reading from the upstream pauses while more bytes than this are buffered for
 // the caller.
 constexpr size_t kMaxUnreadBytes = size_t{128} * 1024;
-// Maximum idle times of a connection that a request may use. Upstreams drop
-// idle connections without notice, and a request that is lost on one can be
-// repeated only if its route allows it.
-constexpr kernel::Duration kMaxIdleIfRepeatable = std::chrono::seconds(8);
-constexpr kernel::Duration kMaxIdleIfNotRepeatable =
-    std::chrono::milliseconds(1500);
 // At the request's deadline, an attempt without an answer for this many latency
 // objectives counts as a failure of its upstream.
 constexpr int kSilentAfterObjectives = 2;
@@ -293,11 +287,8 @@
       forwarded,
       has_body ? std::optional<uint64_t>(body_.size()) : std::nullopt);
   bytes.append(body_);
-  connection_ = context_.pool.Acquire(upstream_,
-                                      request_.route->is_repeatable()
-                                          ? kMaxIdleIfRepeatable
-                                          : kMaxIdleIfNotRepeatable,
-                                      request_.hash);
+  connection_ = context_.pool.Acquire(
+      upstream_, request_.route->is_repeatable(), request_.hash);
   context_.router.OnSent(request_, decision, sent_at_);
   is_engine_attempt_ = decision.is_engine;
   if (is_engine_attempt_) {
--- a/jackdawshunt/gateway/upstream_pool.cc
+++ b/jackdawshunt/gateway/upstream_pool.cc
@@ -12,6 +12,8 @@
 // Idle connections are closed after this time.
 constexpr kernel::Duration kMaxIdle = std::chrono::seconds(8);
 constexpr size_t kMaxIdlePerUpstream = 16;
+// A connection that the upstream had forgotten is reset within a round trip.
+constexpr kernel::Duration kMaxTimeToReset = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -28,9 +30,11 @@
 
 UpstreamPool::Connection UpstreamPool::Acquire(
     const routing::Upstream& upstream,
-    kernel::Duration max_idle,
+    bool is_repeatable,
     uint64_t request_key) {
   const kernel::TimePoint now = loop_.clock().Now();
+  const kernel::Duration max_idle =
+      is_repeatable ? kMaxIdle : idle_limits_.MaxIdle(upstream.service, now);
   auto& idle = idle_[upstream.address.ToString()];
   while (!idle.empty() && !idle.front()->is_usable()) {
     idle.pop_front();
@@ -43,6 +47,9 @@
   if (found != idle.end()) {
     Connection connection = std::move(*found);
     idle.erase(found);
+    reuses_[connection.get()] = {.service = upstream.service,
+                                 .at = now,
+                                 .idle = now - connection->idle_since()};
     return connection;
   }
   ++connections_opened_;
@@ -52,6 +59,7 @@
 
 void UpstreamPool::Release(const routing::Upstream& upstream,
                            Connection connection) {
+  RecordReuse(*connection);
   auto& idle = idle_[upstream.address.ToString()];
   if (!connection->is_usable() || connection->is_busy() ||
       idle.size() >= kMaxIdlePerUpstream) {
@@ -61,10 +69,27 @@
   idle.push_front(std::move(connection));
 }
 
+void UpstreamPool::RecordReuse(const http1::ClientConnection& connection) {
+  const auto reuse = reuses_.find(&connection);
+  if (reuse == reuses_.end()) {
+    return;
+  }
+  const kernel::TimePoint now = loop_.clock().Now();
+  const bool has_answered = connection.idle_since() > reuse->second.at;
+  const bool was_lost = !has_answered && !connection.is_usable() &&
+                        now - reuse->second.at <= kMaxTimeToReset;
+  if (has_answered || was_lost) {
+    idle_limits_.OnReused(reuse->second.service, reuse->second.idle, was_lost,
+                          now);
+  }
+  reuses_.erase(reuse);
+}
+
 void UpstreamPool::Discard(Connection connection) {
   if (connection == nullptr) {
     return;
   }
+  reuses_.erase(connection.get());
   loop_.Post([discarded = std::shared_ptr<http1::ClientConnection>(
                   std::move(connection))] {});
 }
--- a/jackdawshunt/gateway/upstream_pool.h
+++ b/jackdawshunt/gateway/upstream_pool.h
@@ -2,13 +2,14 @@
 //
 // Example:
 //   auto connection =
-//       pool.Acquire(upstream, /*max_idle=*/std::chrono::seconds(2), key);
+//       pool.Acquire(upstream, /*is_repeatable=*/true, key);
 //   // ... one request ...
 //   pool.Release(upstream, std::move(connection));
 //
 // An upstream may close an idle connection without notice, and a request sent
 // on it is lost; a request that must not be repeated therefore uses only a
-// connection that was used a short time ago. Not thread-safe.
+// connection that was used a short time ago, as far as losses of other requests
+// show (routing/idle_limits.h). Not thread-safe.
 #ifndef JACKDAWSHUNT_GATEWAY_UPSTREAM_POOL_H_
 #define JACKDAWSHUNT_GATEWAY_UPSTREAM_POOL_H_
 
@@ -20,6 +21,7 @@
 
 #include "jackdawshunt/http1/client.h"
 #include "jackdawshunt/kernel/event_loop.h"
+#include "jackdawshunt/routing/idle_limits.h"
 #include "jackdawshunt/routing/upstream.h"
 
 namespace jackdawshunt::gateway {
@@ -30,11 +32,11 @@
 
   explicit UpstreamPool(kernel::EventLoop& loop);
 
-  // Returns an idle connection that was used less than `max_idle` ago and has
-  // not sent a request with `request_key`, or a new one that opens with the
-  // first request.
+  // Returns an idle connection that has not sent a request with `request_key`
+  // and was used so recently that a request which is repeatable, or not, may be
+  // sent on it; otherwise a new one that opens with the first request.
   Connection Acquire(const routing::Upstream& upstream,
-                     kernel::Duration max_idle,
+                     bool is_repeatable,
                      uint64_t request_key);
   // Returns `connection`, which must not be null, to the pool. Discards it if
   // it is not usable or the upstream has enough idle connections.
@@ -53,7 +55,19 @@
                          kernel::Duration max_idle,
                          kernel::TimePoint now);
 
+  // A connection in use that had been idle.
+  struct Reuse {
+    std::string service;
+    kernel::TimePoint at{};
+    kernel::Duration idle{};
+  };
+
+  // Records what the use of the connection, if it had been idle, shows.
+  void RecordReuse(const http1::ClientConnection& connection);
+
   kernel::EventLoop& loop_;
+  routing::IdleLimits idle_limits_;
+  std::unordered_map<const http1::ClientConnection*, Reuse> reuses_;
   // Idle connections by address, the most recently used first.
   std::unordered_map<std::string, std::list<Connection>> idle_;
   uint64_t connections_opened_ = 0;
