Know a sole software version only while every change was followed

Cause: a caller that does not name the request that began its stream goes on at the only version of the list. After the list was read as a whole again (history gone, store restored) a version that came and went in the gap was missed, so the stream could go on at another one. Change: each whole list, and the removal of an entry that was never seen, begins the time anew for which versions are known. Cost: such callers are refused for the route's time after a gap. Callers that name the request do not depend on the list.

--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -36,7 +36,8 @@
 void Directory::Replace(const std::vector<Upstream>& upstreams,
                         kernel::TimePoint now,
                         bool is_restored) {
-  known_since_ = std::min(known_since_, now);
+  // Entries that came and went since the list before are not known.
+  known_since_ = now;
   if (is_restored) {
     OnListOutageEnded(now);
   }
@@ -158,6 +159,8 @@
   stale_entries_.erase(std::string(id));
   const auto entry = entries_.find(id);
   if (entry == entries_.end()) {
+    // It was added and removed between two readings.
+    known_since_ = now;
     return;
   }
   if (InGrace(now) && !entry->second.upstream.is_draining) {
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -108,8 +108,8 @@
   std::vector<const Upstream*> Listed(std::string_view service) const;
   // Returns the origin of all streams that began at `service` within `window`,
   // as far as the list tells: kUnknownOrigin if upstreams of several software
-  // versions, or of an unknown one, were listed in that time, or if the list
-  // has been known for a shorter time.
+  // versions, or of an unknown one, were listed in that time, or if not every
+  // change of that time is known.
   uint64_t SoleOrigin(std::string_view service,
                       kernel::Duration window,
                       kernel::TimePoint now) const;
@@ -186,6 +186,7 @@
   };
   std::map<std::string, Leaving, std::less<>> leaving_;  // By id.
   kernel::TimePoint grace_ends_{};
+  // Since this time every entry of the list has been known.
   kernel::TimePoint known_since_ = kernel::TimePoint::max();
   // By service and origin, the last time at which an upstream was unlisted.
   std::map<std::pair<std::string, uint64_t>, kernel::TimePoint> unlisted_;
--- a/jackdawshunt/routing/stream_origins_test.cc
+++ b/jackdawshunt/routing/stream_origins_test.cc
@@ -251,6 +251,29 @@
   EXPECT_EQ(sole_origin(), kUnknownOrigin);
 }
 
+// Guards against a guess by an instance that did not follow every change: a
+// version may have come and gone between two lists, or between two answers to a
+// watch.
+TEST_F(StreamOriginRouterTest, SoleOriginNeedsEveryChangeOfTheWindow) {
+  Directory directory(seconds(2));
+  constexpr kernel::Duration kWindow = seconds(12);
+  const auto sole_origin = [&] {
+    return directory.SoleOrigin("llm", kWindow, Now());
+  };
+  const uint64_t v1 = StreamOriginOf("llm", "v1");
+  directory.Replace({Engine(0), Engine(3)}, Now());
+  clock_.Advance(kWindow);
+  EXPECT_EQ(sole_origin(), v1);
+  directory.Replace({Engine(0), Engine(3)}, Now());
+  EXPECT_EQ(sole_origin(), kUnknownOrigin);
+  clock_.Advance(kWindow);
+  EXPECT_EQ(sole_origin(), v1);
+  directory.Remove("i-never-seen", Now());
+  EXPECT_EQ(sole_origin(), kUnknownOrigin);
+  clock_.Advance(kWindow);
+  EXPECT_EQ(sole_origin(), v1);
+}
+
 TEST_F(StreamOriginRouterTest, HomesAreInDifferentDataCentres) {
   const auto router = MakeRouter(120);
   for (uint64_t key = 1; key <= 200; ++key) {
