Read the list before an unnamed stream goes on at the only version

Cause: a gateway's list can be half a second behind (changes are grouped). In that time another gateway can begin a stream at a version that is not known here; if it is lost, its caller's next request went on at the version known here. Ruled out: a longer wait after each change (the change is not known here).

--- a/jackdawshunt/gateway/gateway_process.cc
+++ b/jackdawshunt/gateway/gateway_process.cc
@@ -105,7 +105,13 @@
   tick_timer_ = loop_.Every(kTickPeriod, [this] { Tick(); });
   exchange_.Start([this] { return upstreams_.changed_revision(); },
                   [this] { return evacuations_.changed_revision(); });
-  origins_.SetListCheck([this] { return exchange_.IsListCurrent(); });
+  origins_.SetListReader([this](const std::function<void(bool)>& done) {
+    if (exchange_.IsListCurrent()) {
+      upstreams_.Read(done);
+    } else {
+      done(false);
+    }
+  });
   keep_current_timer_ =
       loop_.Every(kKeepCurrentPeriod, [this] { KeepCurrent(); });
   last_lag_check_ = loop_.clock().Now();
--- a/jackdawshunt/gateway/origin_client.cc
+++ b/jackdawshunt/gateway/origin_client.cc
@@ -1,8 +1,22 @@
 #include "jackdawshunt/gateway/origin_client.h"
 
+#include <array>
 #include <utility>
 
 namespace jackdawshunt::gateway {
+namespace {
+
+constexpr std::array<std::string_view, 3> kSourceNames = {"instance", "boards",
+                                                          "list"};
+// The list is not waited for longer than the boards are.
+constexpr kernel::Duration kMaxListTime =
+    routing::OriginLookup::kMaxRounds * routing::OriginLookup::kRoundTime;
+
+}  // namespace
+
+std::string_view OriginSourceName(OriginSource source) {
+  return kSourceNames.at(static_cast<size_t>(source));
+}
 
 struct OriginClient::Lookup {
   explicit Lookup(std::vector<std::string> homes) : rounds(std::move(homes)) {}
@@ -49,10 +63,7 @@
   const kernel::TimePoint now = loop_.clock().Now();
   const std::string& first_request = request.resumption->first_request;
   if (first_request.empty()) {
-    const bool is_current = is_list_current_ && is_list_current_();
-    found({.origin = is_current ? router_.SoleOrigin(request, now)
-                                : routing::kUnknownOrigin});
-    return nullptr;
+    return FindSole(request, std::move(found));
   }
   const uint64_t hash = routing::HashOf(first_request);
   const uint64_t known = origins_.Find(hash, now);
@@ -60,15 +71,57 @@
     found({.origin = known});
     return nullptr;
   }
+  uint64_t nonce = 0;
   auto lookup =
-      std::make_shared<Lookup>(router_.PossibleOriginHomesOf(hash, now));
+      Begin(router_.PossibleOriginHomesOf(hash, now), std::move(found), nonce);
   lookup->request_hash = hash;
   lookup->expires_at = request.resumable_until;
-  lookup->started_at = now;
+  Continue(nonce);
+  return lookup;
+}
+
+std::shared_ptr<OriginClient::Lookup> OriginClient::Begin(
+    std::vector<std::string> homes,
+    FoundCallback found,
+    uint64_t& nonce) {
+  auto lookup = std::make_shared<Lookup>(std::move(homes));
+  lookup->started_at = loop_.clock().Now();
   lookup->found = std::move(found);
-  const uint64_t nonce = next_nonce_++;
+  nonce = next_nonce_++;
   lookups_.emplace(nonce, lookup);
-  Continue(nonce);
+  return lookup;
+}
+
+OriginClient::LookupHandle OriginClient::FindSole(
+    const routing::RoutedRequest& request,
+    FoundCallback found) {
+  const bool may_be_known =
+      read_list_ && router_.SoleOrigin(request, loop_.clock().Now()) !=
+                        routing::kUnknownOrigin;
+  if (!may_be_known) {
+    found({.source = OriginSource::kList});
+    return nullptr;
+  }
+  uint64_t nonce = 0;
+  auto lookup = Begin({}, std::move(found), nonce);
+  const auto finish = [this, nonce, &request](bool is_read) {
+    const auto entry = lookups_.find(nonce);
+    const auto waiting =
+        entry == lookups_.end() ? nullptr : entry->second.lock();
+    if (waiting == nullptr) {
+      return;
+    }
+    const kernel::TimePoint now = loop_.clock().Now();
+    lookups_.erase(entry);
+    waiting->timer.Cancel();
+    std::exchange(waiting->found,
+                  nullptr)({.origin = is_read ? router_.SoleOrigin(request, now)
+                                              : routing::kUnknownOrigin,
+                            .source = OriginSource::kList,
+                            .time = now - waiting->started_at});
+  };
+  lookup->timer = loop_.After(kMaxListTime, [finish] { finish(false); });
+  read_list_(finish);
   return lookup;
 }
 
@@ -114,6 +167,7 @@
   lookups_.erase(nonce);
   lookup.timer.Cancel();
   const OriginAnswer answer = {.origin = *lookup.rounds.result(),
+                               .source = OriginSource::kBoards,
                                .rounds = lookup.rounds.rounds(),
                                .time = loop_.clock().Now() - lookup.started_at};
   if (answer.origin != routing::kUnknownOrigin) {
--- a/jackdawshunt/gateway/origin_client.h
+++ b/jackdawshunt/gateway/origin_client.h
@@ -16,8 +16,10 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "jackdawshunt/gateway/board_client.h"
 #include "jackdawshunt/kernel/event_loop.h"
@@ -27,8 +29,17 @@
 
 namespace jackdawshunt::gateway {
 
+// What told the origin of a stream, or did not know it.
+enum class OriginSource {
+  kInstance,  // A record at this instance.
+  kBoards,
+  kList,  // Only one software version can have begun the stream.
+};
+std::string_view OriginSourceName(OriginSource source);
+
 struct OriginAnswer {
   uint64_t origin = routing::kUnknownOrigin;
+  OriginSource source = OriginSource::kInstance;
   // Rounds of queries to boards; 0 if this instance had a record.
   int rounds = 0;
   kernel::Duration time{};
@@ -49,17 +60,18 @@
   // must be set.
   void Record(const routing::RoutedRequest& request);
 
-  // Sets the function that returns whether this instance has the fleet's newest
-  // list of upstreams, so that it knows of new software versions.
-  void SetListCheck(std::function<bool()> is_list_current) {
-    is_list_current_ = std::move(is_list_current);
-  }
+  // Reads the changes of the list of upstreams up to now, so that every
+  // software version that can have begun a stream is known, and calls `done`.
+  using ListReader =
+      std::function<void(std::function<void(bool is_read)> done)>;
+  void SetListReader(ListReader reader) { read_list_ = std::move(reader); }
 
   // Looks up the origin of the stream that `request` resumes; its resumption
   // must be set. If the caller does not name the request that began the stream,
-  // the origin is known only where one software version serves. Calls `found`
-  // once, possibly before it returns. Destroying the returned handle cancels
-  // the lookup.
+  // the origin is known only where one software version serves, and the list is
+  // read before the answer. Calls `found` once, possibly before it returns.
+  // Destroying the returned handle cancels the lookup; `request` must live as
+  // long.
   using LookupHandle = std::shared_ptr<void>;
   [[nodiscard]] LookupHandle Find(const routing::RoutedRequest& request,
                                   FoundCallback found);
@@ -73,6 +85,13 @@
  private:
   struct Lookup;
 
+  // Looks up a stream that its caller does not name.
+  LookupHandle FindSole(const routing::RoutedRequest& request,
+                        FoundCallback found);
+  // Returns a new lookup, and sets `nonce` to its key.
+  std::shared_ptr<Lookup> Begin(std::vector<std::string> homes,
+                                FoundCallback found,
+                                uint64_t& nonce);
   void OnReply(const std::string& ip, const board::OriginReply& reply);
   // Sends the next queries, or ends the lookup.
   void Continue(uint64_t nonce);
@@ -84,7 +103,7 @@
   routing::StreamOrigins origins_;
   std::unordered_map<uint64_t, std::weak_ptr<Lookup>> lookups_;  // By nonce.
   uint64_t next_nonce_ = 1;
-  std::function<bool()> is_list_current_;
+  ListReader read_list_;
 };
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/origin_client_test.cc
+++ b/jackdawshunt/gateway/origin_client_test.cc
@@ -52,14 +52,26 @@
     router_.Prepare(request, std::chrono::seconds(8), loop_.clock().Now());
     return request;
   }
-  // Starts to look up the stream that the request `first` began.
+  // Starts to look up the stream that the request `first` began; a stream whose
+  // caller does not name it if that is empty.
   void Find(const std::string& first) {
-    routing::RoutedRequest request = MakeRequest("next");
-    request.resumption = {.first_request = first, .last_event_id = "3"};
-    lookup_ = origins_->Find(request, [this](const OriginAnswer& answer) {
+    resuming_ = MakeRequest("next");
+    resuming_.resumption = {.first_request = first, .last_event_id = "3"};
+    lookup_ = origins_->Find(resuming_, [this](const OriginAnswer& answer) {
       answer_ = answer.origin;
     });
   }
+  // Lists one engine of a stated version for longer than any stream lasts.
+  uint64_t ListOneVersion() {
+    routing::Upstream engine;
+    engine.id = "i-1";
+    engine.service = "llm";
+    engine.software_version = "v1";
+    engine.address = {kBoardIp, 8080};
+    router_.directory().Replace({engine},
+                                loop_.clock().Now() - std::chrono::seconds(60));
+    return routing::StreamOriginOf("llm", "v1");
+  }
   template <typename T>
   T Receive() {
     EXPECT_TRUE(loop_.RunUntil([this] { return !received_.empty(); },
@@ -81,6 +93,7 @@
   std::unique_ptr<board::DatagramSocket> board_;
   std::unique_ptr<BoardClient> boards_;
   std::unique_ptr<OriginClient> origins_;
+  routing::RoutedRequest resuming_;
   OriginClient::LookupHandle lookup_;
   std::optional<http::Address> gateway_;
   std::vector<board::Message> received_;
@@ -119,6 +132,40 @@
   EXPECT_EQ(answer_, routing::kUnknownOrigin);
 }
 
+// Guards against a stream that goes on at the only listed version although
+// another gateway began it at one that is not known here yet.
+TEST_F(OriginClientTest, SoleVersionIsKnownOnlyAfterTheListWasRead) {
+  const uint64_t v1 = ListOneVersion();
+  std::function<void(bool)> done;
+  origins_->SetListReader([&](std::function<void(bool)> read) { done = read; });
+  Find("");
+  EXPECT_FALSE(answer_.has_value());
+  done(true);
+  EXPECT_EQ(answer_, v1);
+
+  answer_.reset();
+  Find("");
+  routing::Upstream newer;
+  newer.id = "i-2";
+  newer.service = "llm";
+  newer.software_version = "v2";
+  newer.address = {kBoardIp, 8081};
+  router_.directory().Put(newer, loop_.clock().Now());
+  done(true);
+  EXPECT_EQ(answer_, routing::kUnknownOrigin);
+}
+
+// Guards against a caller that waits for a store that does not answer.
+TEST_F(OriginClientTest, SilentStoreMakesTheSoleVersionUnknown) {
+  ListOneVersion();
+  origins_->SetListReader([](const std::function<void(bool)>&) {});
+  const kernel::TimePoint began = loop_.clock().Now();
+  Find("");
+  ASSERT_TRUE(AwaitAnswer());
+  EXPECT_EQ(answer_, routing::kUnknownOrigin);
+  EXPECT_LE(loop_.clock().Now() - began, std::chrono::seconds(1));
+}
+
 // Guards against a caller that waits for boards that are gone.
 TEST_F(OriginClientTest, SilentBoardsMakeTheOriginUnknown) {
   const kernel::TimePoint began = loop_.clock().Now();
--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -69,6 +69,7 @@
   switch (ApplyRecords(is_list, *answer)) {
     case routing::AnswerUse::kApply:
       callbacks_.on_current(sent);
+      NotifyReaders(sent);
       break;
     case routing::AnswerUse::kListAgain:
       List();
@@ -131,6 +132,36 @@
       });
 }
 
+void RecordFollower::Read(ReadCallback done) {
+  if (!is_connected()) {
+    done(false);
+    return;
+  }
+  readers_.push_back({boot_clock_.Now(), std::move(done)});
+  ReadNow();
+}
+
+void RecordFollower::NotifyReaders(kernel::TimePoint sent) {
+  std::vector<Reader> waiting;
+  std::vector<Reader> served;
+  for (Reader& reader : std::exchange(readers_, {})) {
+    (reader.asked_at <= sent ? served : waiting).push_back(std::move(reader));
+  }
+  readers_ = std::move(waiting);
+  for (const Reader& reader : served) {
+    reader.done(true);
+  }
+  if (!readers_.empty()) {
+    ReadNow();
+  }
+}
+
+void RecordFollower::FailReaders() {
+  for (const Reader& reader : std::exchange(readers_, {})) {
+    reader.done(false);
+  }
+}
+
 void RecordFollower::OnReadNow(
     kernel::TimePoint sent,
     const absl::StatusOr<platform::RecordList>& answer) {
@@ -139,18 +170,21 @@
     switch (ApplyRecords(/*is_list=*/false, *answer)) {
       case routing::AnswerUse::kApply:
         callbacks_.on_current(sent);
+        NotifyReaders(sent);
         break;
       case routing::AnswerUse::kListAgain:
         retry_timer_.Cancel();
         List();
         return;
       case routing::AnswerUse::kDrop:
+        FailReaders();
         return;
     }
     if (answer->records.empty()) {
       return;
     }
   } else if (!absl::IsOutOfRange(answer.status())) {
+    FailReaders();
     base::Log(base::LogLevel::kDebug, "store_read_failed",
               {{"records", platform::RecordKindName(kind_)},
                {"error", std::string(answer.status().message())}});
@@ -163,6 +197,7 @@
 }
 
 void RecordFollower::OnFailure(const absl::Status& status) {
+  FailReaders();
   if (++consecutive_failures_ == 1) {
     unavailable_since_ = loop_.clock().Now();
     if (absl::IsDeadlineExceeded(status)) {
--- a/jackdawshunt/gateway/record_follower.h
+++ b/jackdawshunt/gateway/record_follower.h
@@ -68,6 +68,11 @@
   // watch; use when the watch may have failed. Does nothing before the first
   // list, while an earlier such request is pending or while calls are retried.
   void ReadNow();
+  // Calls `done` with true once the callbacks have received all changes up to
+  // now, or with false if the store does not answer; possibly before it
+  // returns.
+  using ReadCallback = std::function<void(bool is_read)>;
+  void Read(ReadCallback done);
 
   // Returns whether a list was received and the last list or watch succeeded.
   bool is_connected() const {
@@ -92,6 +97,10 @@
   // returns why the answer cannot be applied.
   routing::AnswerUse ApplyRecords(bool is_list,
                                   const platform::RecordList& list);
+  // Calls back the readers whose changes an answer to a request sent at this
+  // time of the boot clock holds.
+  void NotifyReaders(kernel::TimePoint sent);
+  void FailReaders();
   void OnFailure(const absl::Status& status);
   // Retries in `delay`, or later if the store does not answer other followers.
   void RetryAfter(kernel::Duration delay, bool is_answered);
@@ -105,6 +114,11 @@
   platform::RecordSource source_;            // Lists and watches.
   platform::RecordSource immediate_source_;  // Requests without a wait.
   bool is_reading_now_ = false;
+  struct Reader {
+    kernel::TimePoint asked_at{};  // Of the boot clock.
+    ReadCallback done;
+  };
+  std::vector<Reader> readers_;
   kernel::Timer retry_timer_;
   routing::StoreCursor cursor_;
   routing::StoreRevision changed_revision_;
--- a/jackdawshunt/gateway/request_log.cc
+++ b/jackdawshunt/gateway/request_log.cc
@@ -65,6 +65,7 @@
       .Add("resumes", request.resumption->first_request)
       .Add("after_event", request.resumption->last_event_id)
       .Add("known", answer.origin != routing::kUnknownOrigin)
+      .Add("source", OriginSourceName(answer.source))
       .Add("rounds", answer.rounds)
       .Add("ms", ToWholeMs(answer.time));
 }
