Keep the origin of a resumed stream under the resuming request too

Cause: only the request that began a stream was recorded. A caller that resumed a second time and named its second request was refused after all gateways were killed. Change: each request that forwards a first event is recorded. Not reproduced: two versions in one text after a kill of all gateways; the records of the boards, or a refusal, held in each case.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -221,13 +221,15 @@
 }
 
 void Call::OnFirstEvent() {
+  const bool is_first = !std::exchange(has_first_event_, true);
   if (!request_.origin.has_value()) {
     request_.origin = attempt_->upstream().origin;
-    if (request_.route->is_resumable) {
-      context_.origins.Record(request_);
-    }
   }
-  if (!std::exchange(has_first_event_, true)) {
+  // A request that resumed a stream may be the one that its caller names next.
+  if (is_first && request_.route->is_resumable) {
+    context_.origins.Record(request_);
+  }
+  if (is_first) {
     context_.metrics.ObserveFirstByte(kind_name(), Now() - request_.arrived_at);
   }
 }
