--- a/jackdawshunt/gateway/request_log.cc
+++ b/jackdawshunt/gateway/request_log.cc
@@ -35,6 +35,9 @@
       .Add("candidates", decision.candidates)
       .Add("content", [&] { return ContentText(request); })
       .Add("left_ms", ToWholeMs(request.deadline - now));
+  if (decision.verdict == routing::Verdict::kRefuse) {
+    line.Add("rule", routing::RefusalRuleName(decision.rule));
+  }
   if (decision.is_engine) {
     line.Add("offers", decision.offers)
         .Add("unreachable", decision.unreachable)
--- a/jackdawshunt/routing/admission.cc
+++ b/jackdawshunt/routing/admission.cc
@@ -25,6 +25,9 @@
 constexpr kernel::Duration kMaxRequiredIdleTime =
     std::chrono::milliseconds(400);
 
+constexpr std::array<std::string_view, 5> kRefusalRuleNames = {
+    "none", "wait", "pace", "fleet_full", "engine_not_idle"};
+
 kernel::Duration Scale(kernel::Duration duration, double factor) {
   return kernel::Duration(
       static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
@@ -32,6 +35,10 @@
 
 }  // namespace
 
+std::string_view RefusalRuleName(RefusalRule rule) {
+  return kRefusalRuleNames.at(static_cast<size_t>(rule));
+}
+
 double ShareFactor(double share_used) {
   if (share_used <= 0) {
     return 1.0;  // Every workspace gets its share.
@@ -61,18 +68,27 @@
       factor);
   const kernel::Duration max_ahead =
       Scale(input.objective, policy.ahead_of_pace_fraction * factor);
-  const kernel::Duration excess = std::max(
-      input.cost.wait - max_wait, input.cost.ahead_of_pace - max_ahead);
-  const bool has_share_or_spare_capacity =
-      factor > 0 ||
-      (input.fleet_has_spare_capacity &&
-       input.cost.idle_time >= RequiredIdleTime(input.share_used));
-  if (excess <= kernel::Duration::zero() && has_share_or_spare_capacity) {
+  const kernel::Duration excess_wait = input.cost.wait - max_wait;
+  const kernel::Duration excess_pace = input.cost.ahead_of_pace - max_ahead;
+  RefusalRule rule = RefusalRule::kNone;
+  if (excess_wait > kernel::Duration::zero()) {
+    rule = RefusalRule::kWait;
+  } else if (excess_pace > kernel::Duration::zero()) {
+    rule = RefusalRule::kPace;
+  } else if (factor <= 0 && !input.fleet_has_spare_capacity) {
+    rule = RefusalRule::kFleetFull;
+  } else if (factor <= 0 &&
+             input.cost.idle_time < RequiredIdleTime(input.share_used)) {
+    rule = RefusalRule::kEngineNotIdle;
+  }
+  if (rule == RefusalRule::kNone) {
     return {};
   }
-  return {.is_admitted = false,
-          .retry_after =
-              RetryDelay(excess, input.time_to_deadline, input.request_hash)};
+  return {
+      .is_admitted = false,
+      .rule = rule,
+      .retry_after = RetryDelay(std::max(excess_wait, excess_pace),
+                                input.time_to_deadline, input.request_hash)};
 }
 
 kernel::Duration RetryDelay(kernel::Duration excess,
--- a/jackdawshunt/routing/admission.h
+++ b/jackdawshunt/routing/admission.h
@@ -19,6 +19,7 @@
 #define JACKDAWSHUNT_ROUTING_ADMISSION_H_
 
 #include <cstdint>
+#include <string_view>
 
 #include "jackdawshunt/kernel/clock.h"
 #include "jackdawshunt/routing/engine_estimate.h"
@@ -55,8 +56,19 @@
   uint64_t request_hash = 0;  // Spreads the retries.
 };
 
+// What decides that a request is refused.
+enum class RefusalRule {
+  kNone,
+  kWait,           // Its prefill would begin too late.
+  kPace,           // The engine's claims exceed what it sustains by too much.
+  kFleetFull,      // Beyond its share, while the fleet has no spare capacity.
+  kEngineNotIdle,  // Beyond its share, while the engine has work.
+};
+std::string_view RefusalRuleName(RefusalRule rule);
+
 struct AdmissionDecision {
   bool is_admitted = true;
+  RefusalRule rule = RefusalRule::kNone;
   kernel::Duration retry_after{};  // Set only for a refusal.
 };
 
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -725,6 +725,7 @@
        .fleet_has_spare_capacity = decision.fleet_has_spare_capacity,
        .request_hash = request.hash},
       settings_.admission);
+  decision.rule = admission.rule;
   decision.retry_after = admission.retry_after;
   decision.verdict = admission.is_admitted ? Verdict::kSend : Verdict::kRefuse;
   return decision;
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -148,6 +148,7 @@
   double share_used = 0;   // See FairShare::ShareUsed().
   // See FairShare::FleetHasSpareCapacity().
   bool fleet_has_spare_capacity = true;
+  RefusalRule rule = RefusalRule::kNone;  // Only for kRefuse.
   kernel::Duration retry_after{};
   bool is_engine = false;
 };
