Refuse requests of all routes alike beyond the workspace's share

Change: below a share factor of 1, and for the pace, fixed bounds for all routes. AdmissionTest.RoutesAreRefusedAlikeBeyondTheShare fails before.

--- a/jackdawshunt/routing/admission.cc
+++ b/jackdawshunt/routing/admission.cc
@@ -63,11 +63,13 @@
       input.cost.prefill_time;
   const kernel::Duration max_long_prompt_wait =
       Scale(input.objective, policy.long_prompt_wait_fraction);
-  const kernel::Duration max_wait = Scale(
-      std::max({policy.negligible_wait, max_timely_wait, max_long_prompt_wait}),
-      factor);
-  const kernel::Duration max_ahead =
-      Scale(input.objective, policy.ahead_of_pace_fraction * factor);
+  const kernel::Duration max_own_wait =
+      std::max({policy.negligible_wait, max_timely_wait, max_long_prompt_wait});
+  const kernel::Duration max_wait =
+      factor >= 1
+          ? Scale(max_own_wait, factor)
+          : std::min(max_own_wait, Scale(policy.max_wait_beyond_share, factor));
+  const kernel::Duration max_ahead = Scale(policy.max_ahead_of_pace, factor);
   const kernel::Duration excess_wait = input.cost.wait - max_wait;
   const kernel::Duration excess_pace = input.cost.ahead_of_pace - max_ahead;
   RefusalRule rule = RefusalRule::kNone;
--- a/jackdawshunt/routing/admission.h
+++ b/jackdawshunt/routing/admission.h
@@ -34,12 +34,15 @@
   // long prompt whose prefill takes the whole objective, so that prompts of all
   // sizes are served alike.
   double long_prompt_wait_fraction = 0.2;
-  // Maximum EngineCost::ahead_of_pace, as a fraction of the latency objective,
-  // before ShareFactor() is applied.
-  double ahead_of_pace_fraction = 1.0;
-  // Waits up to this are accepted, before ShareFactor() is applied; shorter
-  // waits are not worth a refusal.
+  // Waits up to this are accepted from workspaces within their share; shorter
+  // ones are not worth a refusal.
   kernel::Duration negligible_wait = std::chrono::milliseconds(30);
+  // Maximum wait of a workspace beyond its share, and maximum
+  // EngineCost::ahead_of_pace, before ShareFactor() is applied. They do not
+  // depend on the route's objective, or such a workspace would get its share
+  // mostly on the routes with long objectives.
+  kernel::Duration max_wait_beyond_share = std::chrono::milliseconds(400);
+  kernel::Duration max_ahead_of_pace = std::chrono::milliseconds(1000);
 };
 
 struct AdmissionInput {
--- a/jackdawshunt/routing/admission_test.cc
+++ b/jackdawshunt/routing/admission_test.cc
@@ -15,6 +15,26 @@
           .time_to_deadline = seconds(8)};
 }
 
+// Guards against a workspace beyond its share that gets its tokens mostly on
+// the routes with long objectives, while engines have some queue: requests of
+// all routes are refused at the same queue.
+TEST(AdmissionTest, RoutesAreRefusedAlikeBeyondTheShare) {
+  for (const double share_used : {1.05, 1.15, 1.25}) {
+    for (int wait_ms = 0; wait_ms < 400; wait_ms += 10) {
+      AdmissionInput shorter = InputOf(milliseconds(800));
+      shorter.share_used = share_used;
+      shorter.cost.wait = milliseconds(wait_ms);
+      shorter.cost.ahead_of_pace = milliseconds(2 * wait_ms);
+      AdmissionInput longer = shorter;
+      longer.objective = milliseconds(1500);
+      longer.remaining_objective = longer.objective;
+      EXPECT_EQ(DecideAdmission(shorter, {}).is_admitted,
+                DecideAdmission(longer, {}).is_admitted)
+          << share_used << " " << wait_ms;
+    }
+  }
+}
+
 // Guards against refusals whose cause cannot be told from the log.
 TEST(AdmissionTest, RefusalNamesTheRuleThatDecided) {
   const auto rule_of = [](const AdmissionInput& input) {
