Pace engines by their own prefill rate where that is faster than stated

Change: claims are paced to 0.87 of the prefill rate that is seen at the engine, or to the stated throughput if that is more. LoadReplayTest.EnginesFasterThanStatedAreUsed fails before.

--- a/jackdawshunt/routing/engine_estimate.cc
+++ b/jackdawshunt/routing/engine_estimate.cc
@@ -16,6 +16,9 @@
 // Each observed rate is limited to these factors of the initial rate.
 constexpr double kMinRateFactor = 0.1;
 constexpr double kMaxRateFactor = 3.0;
+// Fraction of its prefill rate at which an engine can work all the time without
+// cutting its streams off.
+constexpr double kSustainedPrefillFraction = 0.87;
 // Fraction of the engine's cache that cached parts and running requests fill
 // before the least recently used parts count as evicted.
 constexpr double kUsableCacheFraction = 0.9;
@@ -69,11 +72,15 @@
 
 kernel::Duration EngineEstimate::PaceTime(uint64_t uncached_tokens,
                                           uint32_t output_tokens) const {
-  return sustained_tokens_per_ms_ <= 0
-             ? kernel::Duration::zero()
-             : FromMs(static_cast<double>(uncached_tokens +
-                                          uint64_t{2} * output_tokens) /
-                      sustained_tokens_per_ms_);
+  if (sustained_tokens_per_ms_ <= 0) {
+    return kernel::Duration::zero();
+  }
+  const double rate =
+      std::max(sustained_tokens_per_ms_,
+               kSustainedPrefillFraction * prefill_tokens_per_ms_);
+  return FromMs(
+      static_cast<double>(uncached_tokens + uint64_t{2} * output_tokens) /
+      rate);
 }
 
 EngineCost EngineEstimate::Estimate(const std::vector<uint64_t>& keys,
--- a/jackdawshunt/routing/engine_estimate.h
+++ b/jackdawshunt/routing/engine_estimate.h
@@ -12,7 +12,8 @@
 // stream in time and finishes few. So claims are also paced to the throughput
 // that the operator states: `ahead_of_pace` is the time by which recent claims
 // exceed it. Otherwise prompts would be prefilled in time, but long streams
-// would be cut off at their deadline.
+// would be cut off at their deadline. An engine that is seen to prefill much
+// faster than that sustains more, and is paced by its own rate.
 //
 // Where the engine's own report is available, OnReport() adds the requests that
 // no one here has claimed. After a restart of the gateways and of the board the
--- a/jackdawshunt/routing/load_replay_test.cc
+++ b/jackdawshunt/routing/load_replay_test.cc
@@ -53,6 +53,7 @@
   bool uses_refusals = true;
   bool uses_pacing = true;
   bool uses_shares = true;
+  double stated_tokens_per_ms = 32.0;  // Of one engine.
   // Numbers of engines that may be chosen: the most preferred ones for the
   // shared prefix and some at random; all engines when both are 0.
   size_t preferred_engines = 0;
@@ -109,7 +110,8 @@
   for (size_t i = 0; i < load.engines; ++i) {
     engines.emplace_back(EngineModelSettings{});
     estimates.emplace_back(profile, 30.0);
-    estimates.back().set_sustained_tokens_per_ms(policy.uses_pacing ? 32.0 : 0);
+    estimates.back().set_sustained_tokens_per_ms(
+        policy.uses_pacing ? policy.stated_tokens_per_ms : 0);
   }
   FairShare shares(seconds(2));
   ReplayResult outcome;
@@ -251,6 +253,15 @@
   EXPECT_GT(paced.in_time * 10, unpaced.in_time * 11);
 }
 
+// Guards against engines that idle while work waits, where the operator states
+// less than they can do.
+TEST(LoadReplayTest, EnginesFasterThanStatedAreUsed) {
+  const Load load{.requests_per_s = 100, .templates = 60};
+  const ReplayResult stated = Replay(load, {});
+  const ReplayResult understated = Replay(load, {.stated_tokens_per_ms = 10});
+  EXPECT_GT(understated.in_time * 10, stated.in_time * 9);
+}
+
 // Guards against one workspace that sends many times its usual load at the
 // expense of the others.
 TEST(LoadReplayTest, FloodOfOneWorkspaceDoesNotStarveOthers) {
