--- a/jackdawshunt/gateway/origin_client_test.cc
+++ b/jackdawshunt/gateway/origin_client_test.cc
@@ -1,8 +1,10 @@
 #include "jackdawshunt/gateway/origin_client.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gtest/gtest.h"
@@ -137,7 +139,8 @@
 TEST_F(OriginClientTest, SoleVersionIsKnownOnlyAfterTheListWasRead) {
   const uint64_t v1 = ListOneVersion();
   std::function<void(bool)> done;
-  origins_->SetListReader([&](std::function<void(bool)> read) { done = read; });
+  origins_->SetListReader(
+      [&](std::function<void(bool)> read) { done = std::move(read); });
   Find("");
   EXPECT_FALSE(answer_.has_value());
   done(true);
