Do not refuse a begun stream for its workspace's share

Cause: the tokens of a stream count in its workspace's share when it begins. A continuation inside its answer, or a caller's named resumption, was refused again for the share, so the stream was lost although its version was known and served. Change: once the origin of a stream is known, its share does not decide; wait and pace do. Callers that do not name the request stay bound to the share, as any request could claim to resume. RouterTest.BegunStreamIsNotRefusedForItsWorkspacesShare fails before.

--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -52,6 +52,15 @@
 // Below this used share a workspace may also use the next kQueriedEngines.
 constexpr double kMaxShareForFurtherEngines = 0.6;
 
+// Returns whether an upstream has begun the request's stream, so that it has
+// counted in its workspace's share. Not so for a caller that does not name the
+// request that began the stream, as any request could claim that.
+bool HasBegun(const RoutedRequest& request) {
+  return request.origin.has_value() &&
+         (!request.resumption.has_value() ||
+          !request.resumption->first_request.empty());
+}
+
 // Returns the key of the longest shared prefix, which determines the preferred
 // engines; a prompt without one prefers engines by the hash of its request.
 uint64_t AffinityKey(const RoutedRequest& request) {
@@ -709,7 +718,7 @@
   Decision decision;
   decision.is_engine = true;
   decision.cost = cost;
-  decision.share_used = request.workspace.empty()
+  decision.share_used = request.workspace.empty() || HasBegun(request)
                             ? 0
                             : shares_.ShareUsed(HashOf(request.workspace), now);
   decision.fleet_has_spare_capacity = shares_.FleetHasSpareCapacity(now);
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -421,6 +421,32 @@
   EXPECT_GT(router.shares().ShareUsed(HashOf("lodge"), Now()), 0);
 }
 
+// Guards against streams that are cut off, or not resumed after a loss, because
+// their workspace has used its share meanwhile: they counted when they began.
+TEST_F(RouterTest, BegunStreamIsNotRefusedForItsWorkspacesShare) {
+  Router router({}, Now());
+  router.SetDesiredState(MakeEngineState());
+  Upstream engine = MakeUpstream("a");
+  engine.software_version = "v1";
+  router.directory().Replace({engine}, Now());
+  RoutedRequest request = MakePromptRequest(router, Now());
+  router.shares().OnRequest(HashOf("other"), 100000, Now());  // Not admitted.
+  router.shares().OnRequest(HashOf("lodge"), 900000, Now());
+  router.shares().OnAdmitted(HashOf("lodge"), 300000, Now());
+  clock_.Advance(milliseconds(100));
+  BoardOffer offer{.upstream = "a", .cost = {.wait = milliseconds(50)}};
+  const auto verdict = [&] {
+    return router.Choose(request, {offer}, Now()).verdict;
+  };
+  EXPECT_EQ(verdict(), Verdict::kRefuse);
+  request.origin = StreamOriginOf("desk", "v1");
+  EXPECT_EQ(verdict(), Verdict::kSend);
+  request.resumption = {.first_request = "", .last_event_id = "3"};
+  EXPECT_EQ(verdict(), Verdict::kRefuse);
+  request.resumption->first_request = "first";
+  EXPECT_EQ(verdict(), Verdict::kSend);
+}
+
 // Guards against a workspace that starts to flood and takes its share of the
 // whole window within a second, while all others wait.
 TEST_F(FairShareTest, StartOfFloodGetsLittleMoreThanOthersInItsFirstSecond) {
