End both kinds of origin lookup in one place

Cause: the lookup by the list ended itself with a copy of Finish(), searched the lookups a third time, and Begin() returned its key through a reference. Change: a lookup holds its key, FindLookup() and End() serve both kinds. No behaviour changes.

--- a/jackdawshunt/gateway/origin_client.cc
+++ b/jackdawshunt/gateway/origin_client.cc
@@ -21,6 +21,7 @@
 struct OriginClient::Lookup {
   explicit Lookup(std::vector<std::string> homes) : rounds(std::move(homes)) {}
 
+  uint64_t nonce = 0;
   routing::OriginLookup rounds;
   uint64_t request_hash = 0;  // Of the request that began the stream.
   kernel::TimePoint expires_at{};
@@ -71,27 +72,31 @@
     found({.origin = known});
     return nullptr;
   }
-  uint64_t nonce = 0;
   auto lookup =
-      Begin(router_.PossibleOriginHomesOf(hash, now), std::move(found), nonce);
+      Begin(router_.PossibleOriginHomesOf(hash, now), std::move(found));
   lookup->request_hash = hash;
   lookup->expires_at = request.resumable_until;
-  Continue(nonce);
+  Continue(lookup->nonce);
   return lookup;
 }
 
 std::shared_ptr<OriginClient::Lookup> OriginClient::Begin(
     std::vector<std::string> homes,
-    FoundCallback found,
-    uint64_t& nonce) {
+    FoundCallback found) {
   auto lookup = std::make_shared<Lookup>(std::move(homes));
   lookup->started_at = loop_.clock().Now();
   lookup->found = std::move(found);
-  nonce = next_nonce_++;
-  lookups_.emplace(nonce, lookup);
+  lookup->nonce = next_nonce_++;
+  lookups_.emplace(lookup->nonce, lookup);
   return lookup;
 }
 
+std::shared_ptr<OriginClient::Lookup> OriginClient::FindLookup(
+    uint64_t nonce) const {
+  const auto found = lookups_.find(nonce);
+  return found == lookups_.end() ? nullptr : found->second.lock();
+}
+
 OriginClient::LookupHandle OriginClient::FindSole(
     const routing::RoutedRequest& request,
     FoundCallback found) {
@@ -102,23 +107,14 @@
     found({.source = OriginSource::kList});
     return nullptr;
   }
-  uint64_t nonce = 0;
-  auto lookup = Begin({}, std::move(found), nonce);
-  const auto finish = [this, nonce, &request](bool is_read) {
-    const auto entry = lookups_.find(nonce);
-    const auto waiting =
-        entry == lookups_.end() ? nullptr : entry->second.lock();
-    if (waiting == nullptr) {
-      return;
+  auto lookup = Begin({}, std::move(found));
+  const auto finish = [this, nonce = lookup->nonce, &request](bool is_read) {
+    if (const auto waiting = FindLookup(nonce)) {
+      End(*waiting,
+          {.origin = is_read ? router_.SoleOrigin(request, loop_.clock().Now())
+                             : routing::kUnknownOrigin,
+           .source = OriginSource::kList});
     }
-    const kernel::TimePoint now = loop_.clock().Now();
-    lookups_.erase(entry);
-    waiting->timer.Cancel();
-    std::exchange(waiting->found,
-                  nullptr)({.origin = is_read ? router_.SoleOrigin(request, now)
-                                              : routing::kUnknownOrigin,
-                            .source = OriginSource::kList,
-                            .time = now - waiting->started_at});
   };
   lookup->timer = loop_.After(kMaxListTime, [finish] { finish(false); });
   read_list_(finish);
@@ -126,8 +122,7 @@
 }
 
 void OriginClient::Continue(uint64_t nonce) {
-  const auto found = lookups_.find(nonce);
-  const auto lookup = found == lookups_.end() ? nullptr : found->second.lock();
+  const auto lookup = FindLookup(nonce);
   if (lookup == nullptr) {
     return;
   }
@@ -136,7 +131,7 @@
                                           .request = lookup->request_hash});
   }
   if (lookup->rounds.result().has_value()) {
-    Finish(nonce, *lookup);
+    Finish(*lookup);
     return;
   }
   lookup->timer = loop_.After(routing::OriginLookup::kRoundTime,
@@ -159,20 +154,24 @@
   }
   lookup->rounds.OnReply(ip, reply.origin);
   if (lookup->rounds.result().has_value()) {
-    Finish(reply.nonce, *lookup);
+    Finish(*lookup);
   }
 }
 
-void OriginClient::Finish(uint64_t nonce, Lookup& lookup) {
-  lookups_.erase(nonce);
-  lookup.timer.Cancel();
-  const OriginAnswer answer = {.origin = *lookup.rounds.result(),
-                               .source = OriginSource::kBoards,
-                               .rounds = lookup.rounds.rounds(),
-                               .time = loop_.clock().Now() - lookup.started_at};
-  if (answer.origin != routing::kUnknownOrigin) {
-    origins_.Record(lookup.request_hash, answer.origin, lookup.expires_at);
+void OriginClient::Finish(Lookup& lookup) {
+  const uint64_t origin = *lookup.rounds.result();
+  if (origin != routing::kUnknownOrigin) {
+    origins_.Record(lookup.request_hash, origin, lookup.expires_at);
   }
+  End(lookup, {.origin = origin,
+               .source = OriginSource::kBoards,
+               .rounds = lookup.rounds.rounds()});
+}
+
+void OriginClient::End(Lookup& lookup, OriginAnswer answer) {
+  lookups_.erase(lookup.nonce);
+  lookup.timer.Cancel();
+  answer.time = loop_.clock().Now() - lookup.started_at;
   std::exchange(lookup.found, nullptr)(answer);
 }
 
--- a/jackdawshunt/gateway/origin_client.h
+++ b/jackdawshunt/gateway/origin_client.h
@@ -88,14 +88,17 @@
   // Looks up a stream that its caller does not name.
   LookupHandle FindSole(const routing::RoutedRequest& request,
                         FoundCallback found);
-  // Returns a new lookup, and sets `nonce` to its key.
   std::shared_ptr<Lookup> Begin(std::vector<std::string> homes,
-                                FoundCallback found,
-                                uint64_t& nonce);
+                                FoundCallback found);
+  // Returns null if the lookup has ended or was cancelled.
+  std::shared_ptr<Lookup> FindLookup(uint64_t nonce) const;
   void OnReply(const std::string& ip, const board::OriginReply& reply);
   // Sends the next queries, or ends the lookup.
   void Continue(uint64_t nonce);
-  void Finish(uint64_t nonce, Lookup& lookup);
+  // Ends a lookup at boards that has a result.
+  void Finish(Lookup& lookup);
+  // Ends the lookup with `answer`, whose time is filled in.
+  void End(Lookup& lookup, OriginAnswer answer);
 
   kernel::EventLoop& loop_;
   routing::Router& router_;
