Log outdated answers of the store, expired entries and the start that leaves

Change: an answer of the store that is older than an earlier one is logged and counted; an entry that disappears in the grace period is reported as expired; upstream_changed names the start; an answer that says "leaving" of another start than the listed one is logged. No decision changes. Measured: routing_test and gateway_test pass.

--- a/jackdawshunt/gateway/attempt.cc
+++ b/jackdawshunt/gateway/attempt.cc
@@ -129,8 +129,11 @@
   if (answer_.is_wrong_instance) {
     return;  // It is the state of another upstream.
   }
-  if (answer_.is_leaving && context_.router.OnLeaving(upstream_, Now())) {
-    LogUpstreamState("leaving", kernel::Duration::zero());
+  if (answer_.is_leaving) {
+    const auto leaving = context_.router.OnLeaving(upstream_, Now());
+    if (leaving != routing::Directory::Leaving::kKnown) {
+      LogUpstreamState(routing::LeavingName(leaving), kernel::Duration::zero());
+    }
   }
   if (answer_.retry_after.value_or(kernel::Duration::zero()) >
       kernel::Duration::zero()) {
--- a/jackdawshunt/gateway/gateway_report.cc
+++ b/jackdawshunt/gateway/gateway_report.cc
@@ -22,6 +22,7 @@
       [](const routing::Upstream& upstream, routing::Directory::Change change) {
         base::LogLine(base::LogLevel::kInfo, "upstream_changed")
             .Add("upstream", upstream.id)
+            .Add("started_unix_ms", upstream.started_unix_ms)
             .Add("service", upstream.service)
             .Add("version", upstream.software_version)
             .Add("address", upstream.address.ToString())
@@ -52,6 +53,10 @@
   metrics_.SetGauge("store_calls", static_cast<double>(configuration_.calls() +
                                                        upstreams_.calls() +
                                                        evacuations_.calls()));
+  metrics_.SetGauge("store_answers_outdated",
+                    static_cast<double>(configuration_.outdated_answers() +
+                                        upstreams_.outdated_answers() +
+                                        evacuations_.outdated_answers()));
   metrics_.SetGauge("board_questions",
                     static_cast<double>(boards_.queries_sent()));
   metrics_.SetGauge("board_questions_unanswered",
--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -108,6 +108,15 @@
   if (use != routing::AnswerUse::kApply) {
     return use;
   }
+  if (list.revision < before) {
+    ++outdated_answers_;
+    base::Log(base::LogLevel::kInfo, "store_answer_outdated",
+              {{"records", platform::RecordKindName(kind_)},
+               {"is_list", is_list},
+               {"changes", list.records.size()},
+               {"revision", list.revision.revision},
+               {"known_revision", before.revision}});
+  }
   if (is_list || !list.records.empty()) {
     changed_revision_ = cursor_.position();
   }
--- a/jackdawshunt/gateway/record_follower.h
+++ b/jackdawshunt/gateway/record_follower.h
@@ -82,6 +82,8 @@
   routing::StoreRevision revision() const { return cursor_.position(); }
   // Returns the revision of the last answer that brought changes.
   routing::StoreRevision changed_revision() const { return changed_revision_; }
+  // Returns the number of answers that were older than earlier ones.
+  uint64_t outdated_answers() const { return outdated_answers_; }
   // Returns the number of requests sent to the store.
   uint64_t calls() const { return source_.calls() + immediate_source_.calls(); }
 
@@ -122,6 +124,7 @@
   kernel::Timer retry_timer_;
   routing::StoreCursor cursor_;
   routing::StoreRevision changed_revision_;
+  uint64_t outdated_answers_ = 0;
   uint32_t consecutive_failures_ = 0;  // Since the last answer.
   kernel::TimePoint unavailable_since_{};
 };
--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -17,8 +17,11 @@
 // Time for which the software versions of unlisted upstreams are kept.
 constexpr kernel::Duration kUnlistedMemory = std::chrono::seconds(300);
 
-constexpr std::array<std::string_view, 5> kChangeNames = {
-    "added", "updated", "restarted", "draining", "removed"};
+constexpr std::array<std::string_view, 6> kChangeNames = {
+    "added", "updated", "restarted", "draining", "expired", "removed"};
+// In the state field of log lines.
+constexpr std::array<std::string_view, 3> kLeavingNames = {
+    "leaving", "known_leaving", "other_start_leaving"};
 
 }  // namespace
 
@@ -26,6 +29,10 @@
   return kChangeNames.at(static_cast<size_t>(change));
 }
 
+std::string_view LeavingName(Directory::Leaving leaving) {
+  return kLeavingNames.at(static_cast<size_t>(leaving));
+}
+
 Directory::Directory(kernel::Duration return_grace)
     : return_grace_(return_grace) {}
 
@@ -133,13 +140,15 @@
   }
 }
 
-bool Directory::MarkLeaving(const Upstream& upstream, kernel::TimePoint now) {
+Directory::Leaving Directory::MarkLeaving(const Upstream& upstream,
+                                          kernel::TimePoint now) {
   const auto entry = entries_.find(upstream.id);
-  const bool is_other_start =
-      entry != entries_.end() &&
-      entry->second.upstream.started_unix_ms != upstream.started_unix_ms;
-  if (is_other_start || leaving_.contains(upstream.id)) {
-    return false;
+  if (entry != entries_.end() &&
+      entry->second.upstream.started_unix_ms != upstream.started_unix_ms) {
+    return Leaving::kOtherStart;
+  }
+  if (leaving_.contains(upstream.id)) {
+    return Leaving::kKnown;
   }
   std::erase_if(leaving_, [&](const auto& row) {
     return !entries_.contains(row.first) &&
@@ -152,7 +161,7 @@
     Put(Upstream(entry->second.upstream), now);
     SetExpired(entry->second, is_expired);
   }
-  return true;
+  return Leaving::kNew;
 }
 
 void Directory::Remove(std::string_view id, kernel::TimePoint now) {
@@ -164,7 +173,11 @@
     return;
   }
   if (InGrace(now) && !entry->second.upstream.is_draining) {
+    const bool was_expired = entry->second.is_expired;
     SetExpired(entry->second, true);
+    if (!was_expired && observer_) {
+      observer_(entry->second.upstream, Change::kExpired);
+    }
     return;
   }
   Erase(entry, now);
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -43,8 +43,22 @@
 
 class Directory {
  public:
-  // How an entry changed.
-  enum class Change { kAdded, kUpdated, kRestarted, kDraining, kRemoved };
+  // How an entry changed. kExpired: it is no longer listed, and stays usable
+  // for the grace period.
+  enum class Change {
+    kAdded,
+    kUpdated,
+    kRestarted,
+    kDraining,
+    kExpired,
+    kRemoved
+  };
+  // What MarkLeaving() learned.
+  enum class Leaving {
+    kNew,
+    kKnown,
+    kOtherStart,  // Another start of the upstream is listed.
+  };
   using Observer = std::function<void(const Upstream&, Change)>;
 
   explicit Directory(kernel::Duration return_grace);
@@ -71,8 +85,8 @@
 
   // Records that this start of an upstream has said itself that it leaves. It
   // counts as draining from now on, whatever the list states, until it starts
-  // again. Returns false if that is known or the start is not the listed one.
-  bool MarkLeaving(const Upstream& upstream, kernel::TimePoint now);
+  // again.
+  Leaving MarkLeaving(const Upstream& upstream, kernel::TimePoint now);
 
   // Starts the grace period; call when the list can be read again after an
   // outage.
@@ -180,11 +194,11 @@
   };
   std::map<std::string, Removal, std::less<>> removed_;  // By id.
   // An upstream that has said that it leaves.
-  struct Leaving {
+  struct LeavingStart {
     int64_t started_unix_ms = 0;
     kernel::TimePoint known_since{};
   };
-  std::map<std::string, Leaving, std::less<>> leaving_;  // By id.
+  std::map<std::string, LeavingStart, std::less<>> leaving_;  // By id.
   kernel::TimePoint grace_ends_{};
   // Since this time every entry of the list has been known.
   kernel::TimePoint known_since_ = kernel::TimePoint::max();
@@ -194,6 +208,7 @@
 };
 
 std::string_view ChangeName(Directory::Change change);
+std::string_view LeavingName(Directory::Leaving leaving);
 
 }  // namespace jackdawshunt::routing
 
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -248,9 +248,9 @@
   void OnConnectionRefused(const Upstream& upstream, kernel::TimePoint now);
   // Returns whether `upstream` may still be sent new requests.
   bool IsReady(const Upstream& upstream, kernel::TimePoint now);
-  // Records that an answer of `upstream` says that it leaves. Returns false if
-  // that is known.
-  bool OnLeaving(const Upstream& upstream, kernel::TimePoint now) {
+  // Records that an answer of `upstream` says that it leaves.
+  Directory::Leaving OnLeaving(const Upstream& upstream,
+                               kernel::TimePoint now) {
     beliefs_.OnLeaving(upstream, now);
     return directory_.MarkLeaving(upstream, now);
   }
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -147,8 +147,8 @@
   Upstream a = MakeUpstream("a");
   a.started_unix_ms = 5;
   directory.Replace({a, MakeUpstream("b")}, Now());
-  EXPECT_TRUE(directory.MarkLeaving(a, Now()));
-  EXPECT_FALSE(directory.MarkLeaving(a, Now()));
+  EXPECT_EQ(directory.MarkLeaving(a, Now()), Directory::Leaving::kNew);
+  EXPECT_EQ(directory.MarkLeaving(a, Now()), Directory::Leaving::kKnown);
   EXPECT_EQ(directory.Ready("desk", Now()).size(), 1u);
   directory.Put(a, Now());
   directory.Replace({a, MakeUpstream("b")}, Now(), /*is_restored=*/true);
@@ -160,7 +160,7 @@
   restarted.started_unix_ms = 6;
   directory.Put(restarted, Now());
   EXPECT_EQ(directory.Ready("desk", Now()).size(), 2u);
-  EXPECT_FALSE(directory.MarkLeaving(a, Now()));  // Of an earlier start.
+  EXPECT_EQ(directory.MarkLeaving(a, Now()), Directory::Leaving::kOtherStart);
   EXPECT_EQ(directory.Ready("desk", Now()).size(), 2u);
 }
 
