Log that an expired entry is listed again

Cause: without it the log cannot tell an upstream that is gone and still used from one that registered itself again. Change: upstream_changed has listed_again and whether the entry is draining. No decision changes. Measured: routing_test passes.

--- a/jackdawshunt/gateway/gateway_report.cc
+++ b/jackdawshunt/gateway/gateway_report.cc
@@ -26,6 +26,7 @@
             .Add("service", upstream.service)
             .Add("version", upstream.software_version)
             .Add("address", upstream.address.ToString())
+            .Add("draining", upstream.is_draining)
             .Add("change", routing::ChangeName(change));
       });
   router_.beliefs().SetObserver(
--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -17,8 +17,9 @@
 // Time for which the software versions of unlisted upstreams are kept.
 constexpr kernel::Duration kUnlistedMemory = std::chrono::seconds(300);
 
-constexpr std::array<std::string_view, 6> kChangeNames = {
-    "added", "updated", "restarted", "draining", "expired", "removed"};
+constexpr std::array<std::string_view, 7> kChangeNames = {
+    "added",   "updated",      "restarted", "draining",
+    "expired", "listed_again", "removed"};
 // In the state field of log lines.
 constexpr std::array<std::string_view, 3> kLeavingNames = {
     "leaving", "known_leaving", "other_start_leaving"};
@@ -101,6 +102,7 @@
   stale_entries_.erase(upstream.id);
   const auto [found, is_new] = entries_.try_emplace(upstream.id);
   Entry& entry = found->second;
+  const bool was_expired = entry.is_expired;
   SetExpired(entry, false);
   entry.keeps_draining = false;
   Upstream updated = upstream;
@@ -117,6 +119,9 @@
     }
   }
   if (!is_new && entry.upstream == updated) {
+    if (was_expired && observer_) {
+      observer_(entry.upstream, Change::kListedAgain);
+    }
     return;
   }
   Change change = is_new ? Change::kAdded : Change::kUpdated;
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -44,13 +44,14 @@
 class Directory {
  public:
   // How an entry changed. kExpired: it is no longer listed, and stays usable
-  // for the grace period.
+  // for the grace period. kListedAgain: it was listed within that time.
   enum class Change {
     kAdded,
     kUpdated,
     kRestarted,
     kDraining,
     kExpired,
+    kListedAgain,
     kRemoved
   };
   // What MarkLeaving() learned.
