--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -140,6 +140,36 @@
   EXPECT_EQ(directory.Ready("desk", Now())[0]->id, "b");
 }
 
+// Guards against an upstream that is gone and stays in use because the store
+// goes away again and again.
+TEST_F(DirectoryTest, FurtherOutagesDoNotExtendTheUseOfAnExpiredEntry) {
+  Directory directory(seconds(2));
+  directory.Replace({MakeUpstream("a"), MakeUpstream("b")}, Now());
+  directory.OnListOutageEnded(Now());
+  directory.Remove("a", Now());
+  for (int i = 0; i < 3; ++i) {
+    clock_.Advance(milliseconds(1200));
+    directory.OnListOutageEnded(Now());
+    directory.Remove("a", Now());
+  }
+  ASSERT_EQ(directory.Ready("desk", Now()).size(), 1u);
+  EXPECT_EQ(directory.Ready("desk", Now())[0]->id, "b");
+}
+
+// Guards against a request that waited for a connection to an upstream that is
+// gone and is sent after the grace period, since nothing else was asked for.
+TEST_F(RouterTest, ExpiredUpstreamIsNotReadyAfterTheGracePeriod) {
+  Router router({.return_grace = seconds(2)}, Now());
+  const Upstream upstream = MakeUpstream("a");
+  router.directory().Put(upstream, Now());
+  router.directory().OnListOutageEnded(Now());
+  router.directory().Remove("a", Now());
+  clock_.Advance(seconds(1));
+  EXPECT_TRUE(router.IsReady(upstream, Now()));
+  clock_.Advance(seconds(1));
+  EXPECT_FALSE(router.IsReady(upstream, Now()));
+}
+
 // Guards against an upstream that said itself that it leaves and is believed to
 // be ready again because of its entry.
 TEST_F(DirectoryTest, LeavingUpstreamStaysDrainingUntilItStartsAgain) {
