Apply no answer of the store over a newer one

What callers saw: requests could reach an upstream that had said it leaves. Cause: a follower has two calls at the store, its watch and a read beside it, and their answers can arrive in the other order. StoreCursor::OnWatch() accepted an answer that is older than the position, and its records replaced newer ones, so that an upstream read as draining was ready again; the same for evacuations. Class of fault: state replaced by a message without a check of its age. Change: such an answer is known already (AnswerUse::kKnown): all changes up to the position have been applied, so none of it is needed.

--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -67,6 +67,7 @@
     callbacks_.on_reconnected(now - unavailable_since_);
   }
   switch (ApplyRecords(is_list, *answer)) {
+    case routing::AnswerUse::kKnown:
     case routing::AnswerUse::kApply:
       callbacks_.on_current(sent);
       NotifyReaders(sent);
@@ -94,29 +95,10 @@
   const routing::StoreRevision before = cursor_.position();
   const routing::AnswerUse use =
       is_list ? cursor_.OnList(list.revision) : cursor_.OnWatch(list.revision);
-  if (use != routing::AnswerUse::kApply || (is_list && cursor_.is_restored())) {
-    base::Log(base::LogLevel::kWarning,
-              use == routing::AnswerUse::kDrop ? "store_answer_of_earlier_era"
-                                               : "store_restored",
-              {{"records", platform::RecordKindName(kind_)},
-               {"era", list.revision.era},
-               {"revision", list.revision.revision},
-               {"known_era", before.era},
-               {"known_revision", before.revision},
-               {"lists_again", use == routing::AnswerUse::kListAgain}});
-  }
+  LogUnusualAnswer(use, is_list, list, before);
   if (use != routing::AnswerUse::kApply) {
     return use;
   }
-  if (list.revision < before) {
-    ++outdated_answers_;
-    base::Log(base::LogLevel::kInfo, "store_answer_outdated",
-              {{"records", platform::RecordKindName(kind_)},
-               {"is_list", is_list},
-               {"changes", list.records.size()},
-               {"revision", list.revision.revision},
-               {"known_revision", before.revision}});
-  }
   if (is_list || !list.records.empty()) {
     changed_revision_ = cursor_.position();
   }
@@ -128,6 +110,32 @@
   return use;
 }
 
+void RecordFollower::LogUnusualAnswer(routing::AnswerUse use,
+                                      bool is_list,
+                                      const platform::RecordList& list,
+                                      routing::StoreRevision before) {
+  std::string_view event;
+  if (use == routing::AnswerUse::kKnown) {
+    ++outdated_answers_;
+    event = "store_answer_outdated";
+  } else if (use == routing::AnswerUse::kDrop) {
+    event = "store_answer_of_earlier_era";
+  } else if (use == routing::AnswerUse::kListAgain ||
+             (is_list && cursor_.is_restored())) {
+    event = "store_restored";
+  } else {
+    return;
+  }
+  base::Log(base::LogLevel::kWarning, event,
+            {{"records", platform::RecordKindName(kind_)},
+             {"changes", list.records.size()},
+             {"era", list.revision.era},
+             {"revision", list.revision.revision},
+             {"known_era", before.era},
+             {"known_revision", before.revision},
+             {"lists_again", use == routing::AnswerUse::kListAgain}});
+}
+
 void RecordFollower::ReadNow() {
   if (!cursor_.has_list() || is_reading_now_ || consecutive_failures_ > 0) {
     return;
@@ -181,6 +189,10 @@
         callbacks_.on_current(sent);
         NotifyReaders(sent);
         break;
+      case routing::AnswerUse::kKnown:
+        callbacks_.on_current(sent);
+        NotifyReaders(sent);
+        return;  // The watch goes on from a newer revision.
       case routing::AnswerUse::kListAgain:
         retry_timer_.Cancel();
         List();
--- a/jackdawshunt/gateway/record_follower.h
+++ b/jackdawshunt/gateway/record_follower.h
@@ -99,6 +99,11 @@
   // returns why the answer cannot be applied.
   routing::AnswerUse ApplyRecords(bool is_list,
                                   const platform::RecordList& list);
+  // Logs an answer that is not applied, or the first list after a restoration.
+  void LogUnusualAnswer(routing::AnswerUse use,
+                        bool is_list,
+                        const platform::RecordList& list,
+                        routing::StoreRevision before);
   // Calls back the readers whose changes an answer to a request sent at this
   // time of the boot clock holds.
   void NotifyReaders(kernel::TimePoint sent);
--- a/jackdawshunt/routing/store_cursor.cc
+++ b/jackdawshunt/routing/store_cursor.cc
@@ -23,7 +23,10 @@
     has_list_ = false;
     return AnswerUse::kListAgain;
   }
-  position_ = std::max(position_, answer);
+  if (answer < position_) {
+    return AnswerUse::kKnown;
+  }
+  position_ = answer;
   return AnswerUse::kApply;
 }
 
--- a/jackdawshunt/routing/store_cursor.h
+++ b/jackdawshunt/routing/store_cursor.h
@@ -7,6 +7,10 @@
 // of an earlier era would miss changes, so it lists all records again; an
 // answer of an earlier era arrived late and is dropped.
 //
+// A follower may have several watches at once. Their answers can arrive in
+// another order than that in which the store gave them, so an older one is not
+// applied over a newer one.
+//
 // Example:
 //   routing::StoreCursor cursor;
 //   cursor.OnList({.era = 1, .revision = 530});
@@ -36,6 +40,7 @@
 // How a follower uses an answer of the store.
 enum class AnswerUse {
   kApply,
+  kKnown,      // Older than position(): all of its changes are known.
   kListAgain,  // The store was restored since the last list.
   kDrop,       // From an earlier era.
 };
