Do not replace an awaited list by an earlier read beside the watch

What callers saw: nothing yet; a gateway in this state relies on its watch alone, and a watch that stays silent hides a leaving for up to 25 s. Cause: when the store has lost its history, the follower lists again; the answer to a read that was sent before made it watch instead, which cancels the list. The follower then counts as without a list for good, and ReadNow() and Read() do nothing. Evidence: AnswerFromBeforeTheHistoryWasLostStopsNoList fails on the code before (is_connected() false) and passes now. Change: such an answer is ignored; the list holds its changes. Measured: gateway_test passes.

--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -183,6 +183,10 @@
     kernel::TimePoint sent,
     const absl::StatusOr<platform::RecordList>& answer) {
   is_reading_now_ = false;
+  if (!cursor_.has_list()) {
+    FailReaders();
+    return;  // The list that is awaited holds these changes.
+  }
   if (answer.ok()) {
     switch (ApplyRecords(/*is_list=*/false, *answer)) {
       case routing::AnswerUse::kApply:
