Bound the use of an entry that is gone from when it was found missing

What callers saw: requests could reach an upstream for seconds after the list no longer had it. Cause: after an outage of the store of 0.8 s or more a missing entry stays in use for 1.5 s, in which a live upstream registers itself again; the end of that period was one time for all entries, and each further outage moved it. Class of fault: a deadline that repeats of its cause extend. Beside it, IsReady(), which checks requests that waited for a connection or a permit, knew nothing of that end. Change: each expired entry has its own end of use, set once. Ruled out: that the grace period alone is too long, 1.5 s is within drainMs.

--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -102,8 +102,8 @@
   stale_entries_.erase(upstream.id);
   const auto [found, is_new] = entries_.try_emplace(upstream.id);
   Entry& entry = found->second;
-  const bool was_expired = entry.is_expired;
-  SetExpired(entry, false);
+  const bool was_expired = entry.usable_until.has_value();
+  SetUsableUntil(entry, std::nullopt);
   entry.keeps_draining = false;
   Upstream updated = upstream;
   updated.hash = HashOf(updated.id);
@@ -162,9 +162,9 @@
   leaving_[upstream.id] = {.started_unix_ms = upstream.started_unix_ms,
                            .known_since = now};
   if (entry != entries_.end()) {
-    const bool is_expired = entry->second.is_expired;
+    const auto usable_until = entry->second.usable_until;
     Put(Upstream(entry->second.upstream), now);
-    SetExpired(entry->second, is_expired);
+    SetUsableUntil(entry->second, usable_until);
   }
   return Leaving::kNew;
 }
@@ -177,22 +177,24 @@
     known_since_ = now;
     return;
   }
-  if (InGrace(now) && !entry->second.upstream.is_draining) {
-    const bool was_expired = entry->second.is_expired;
-    SetExpired(entry->second, true);
-    if (!was_expired && observer_) {
+  const auto usable_until = entry->second.usable_until;
+  if (entry->second.upstream.is_draining ||
+      now >= usable_until.value_or(grace_ends_)) {
+    Erase(entry, now);
+  } else if (!usable_until.has_value()) {
+    SetUsableUntil(entry->second, grace_ends_);
+    if (observer_) {
       observer_(entry->second.upstream, Change::kExpired);
     }
-    return;
   }
-  Erase(entry, now);
 }
 
-void Directory::SetExpired(Entry& entry, bool is_expired) {
-  if (entry.is_expired != is_expired) {
-    entry.is_expired = is_expired;
-    expired_entries_ += is_expired ? 1 : -1;
+void Directory::SetUsableUntil(Entry& entry,
+                               std::optional<kernel::TimePoint> time) {
+  if (entry.usable_until.has_value() != time.has_value()) {
+    expired_entries_ += time.has_value() ? 1 : -1;
   }
+  entry.usable_until = time;
 }
 
 void Directory::Erase(std::map<std::string, Entry, std::less<>>::iterator entry,
@@ -203,7 +205,7 @@
   removed_[entry->first] = {
       .at = now, .started_unix_ms = entry->second.upstream.started_unix_ms};
   RecordUnlisted(entry->second.upstream, now);
-  SetExpired(entry->second, false);
+  SetUsableUntil(entry->second, std::nullopt);
   const Upstream removed = std::move(entry->second.upstream);
   entries_.erase(entry);
   lists_.clear();
@@ -218,17 +220,14 @@
   grace_ends_ = now + return_grace_;
 }
 
-bool Directory::InGrace(kernel::TimePoint now) const {
-  return now < grace_ends_;
-}
-
-void Directory::RemoveExpired(kernel::TimePoint now) {
-  if (expired_entries_ == 0 || InGrace(now)) {
+void Directory::DropExpired(kernel::TimePoint now) {
+  if (expired_entries_ == 0) {
     return;
   }
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     const auto next = std::next(entry);
-    if (entry->second.is_expired) {
+    const auto usable_until = entry->second.usable_until;
+    if (usable_until.has_value() && now >= *usable_until) {
       Erase(entry, now);
     }
     entry = next;
@@ -288,7 +287,7 @@
 
 const Directory::ServiceLists& Directory::ListsOf(std::string_view service,
                                                   kernel::TimePoint now) {
-  RemoveExpired(now);
+  DropExpired(now);
   if (!stale_entries_.empty()) {
     AddStaleEntries(now);
   }
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -29,6 +29,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -81,8 +82,12 @@
   // Adds or updates one entry that the upstream has written.
   void Put(const Upstream& upstream, kernel::TimePoint now);
   // Removes an entry. During the grace period an entry that is not draining is
-  // only marked as expired, and removed afterwards unless it is put again.
+  // only marked as expired, and removed at the end of that period unless it is
+  // put again; further outages do not extend its use.
   void Remove(std::string_view id, kernel::TimePoint now);
+  // Removes the entries whose grace period has ended. The functions that take
+  // lists of upstreams do so first; Find() does not.
+  void DropExpired(kernel::TimePoint now);
 
   // Records that this start of an upstream has said itself that it leaves. It
   // counts as draining from now on, whatever the list states, until it starts
@@ -145,7 +150,8 @@
  private:
   struct Entry {
     Upstream upstream;
-    bool is_expired = false;
+    // Set while it is expired.
+    std::optional<kernel::TimePoint> usable_until;
     // Lists show a copy of the entry from before it was draining.
     bool keeps_draining = false;
   };
@@ -165,7 +171,7 @@
   // Updates superseded_ after a change.
   void UpdateSuperseded();
   const ServiceLists& ListsOf(std::string_view service, kernel::TimePoint now);
-  void SetExpired(Entry& entry, bool is_expired);
+  void SetUsableUntil(Entry& entry, std::optional<kernel::TimePoint> time);
   // Returns whether a listed entry is from before its upstream was draining.
   bool KeepsDraining(const Upstream& listed, bool is_restored);
   // Adds the stale entries whose time has come.
@@ -173,8 +179,6 @@
   void RecordUnlisted(const Upstream& upstream, kernel::TimePoint now);
   void Erase(std::map<std::string, Entry, std::less<>>::iterator entry,
              kernel::TimePoint now);
-  void RemoveExpired(kernel::TimePoint now);
-  bool InGrace(kernel::TimePoint now) const;
 
   const kernel::Duration return_grace_;
   std::map<std::string, Entry, std::less<>> entries_;
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -600,6 +600,7 @@
 }
 
 bool Router::IsReady(const Upstream& upstream, kernel::TimePoint now) {
+  directory_.DropExpired(now);
   const Upstream* const current = directory_.Find(upstream.id);
   return current != nullptr && !current->is_draining &&
          !directory_.IsEvacuated(current->data_centre) &&
