Apply a leaving to the start that may have said it, not the one that was listed

What callers saw: a request could reach an upstream seconds after its answer said that it leaves. Cause: an upstream can start again under its id, and the list shows that late. What an answer says was attributed to the start that was listed when the request was placed: the mark was dropped when the list showed the later start, or ignored when it had shown it meanwhile. Class of fault: a statement of a peer attributed to the wrong incarnation. Evidence: the two new tests, with the signature of before, fail on the code before (2 upstreams ready, 1 should be). Change: a leaving covers every start up to the time at which the request was sent, with 1 s for opening the connection and for clocks; a later listed one for at most 60 s, so that a wrong clock costs no more. LeavingUpstreamStaysDrainingUntilItStartsAgain states times now; it expects the same. Ruled out: the time at which the answer arrived, since an answer of the earlier start that was held up would mark the later one. Measured: routing_test, gateway_test pass.

--- a/jackdawshunt/gateway/attempt.cc
+++ b/jackdawshunt/gateway/attempt.cc
@@ -56,6 +56,7 @@
 
 void Attempt::Send(const http1::RequestHead& head, std::string_view body) {
   const kernel::TimePoint now = Now();
+  sent_unix_ms_ = context_.UnixNowMs();
   platform::ForwardedFields fields;
   fields.remaining_deadline = request_.deadline - now;
   fields.upstream_id = upstream_.id;
@@ -130,7 +131,8 @@
     return;  // It is the state of another upstream.
   }
   if (answer_.is_leaving) {
-    const auto leaving = context_.router.OnLeaving(upstream_, Now());
+    const auto leaving =
+        context_.router.OnLeaving(upstream_, sent_unix_ms_, Now());
     if (leaving != routing::Directory::Leaving::kKnown) {
       LogUpstreamState(routing::LeavingName(leaving), kernel::Duration::zero());
     }
--- a/jackdawshunt/gateway/attempt.h
+++ b/jackdawshunt/gateway/attempt.h
@@ -156,6 +156,7 @@
   const routing::Upstream& upstream_;
   const AttemptOptions options_;
   UpstreamPool::Connection connection_;
+  int64_t sent_unix_ms_ = 0;
   std::optional<kernel::TimePoint> first_event_at_;
   platform::UpstreamAnswer answer_;
   http1::ResponseHead head_;
--- a/jackdawshunt/gateway/call_context.h
+++ b/jackdawshunt/gateway/call_context.h
@@ -36,6 +36,13 @@
   bool is_draining = false;
 
   kernel::TimePoint Now() const { return loop.clock().Now(); }
+  // Returns the time of day, which upstreams state the times of their starts
+  // in.
+  static int64_t UnixNowMs() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+  }
 };
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -16,6 +16,12 @@
 constexpr kernel::Duration kRemovalMemory = std::chrono::seconds(60);
 // Time for which the software versions of unlisted upstreams are kept.
 constexpr kernel::Duration kUnlistedMemory = std::chrono::seconds(300);
+// A start that began this long after a request was sent may have answered it:
+// a connection is opened for up to 500 ms, and clocks differ.
+constexpr int64_t kMaxStartedAfterSendMs = 1000;
+// A leaving upstream has ended after this time. Bounds the effect of a wrong
+// clock on starts that were not listed when it was told.
+constexpr kernel::Duration kMaxLeavingTime = std::chrono::seconds(60);
 
 constexpr std::array<std::string_view, 7> kChangeNames = {
     "added",   "updated",      "restarted", "draining",
@@ -97,6 +103,13 @@
   }
 }
 
+bool Directory::LeavingStarts::Cover(int64_t started_unix_ms,
+                                     kernel::TimePoint now) const {
+  return started_unix_ms <= listed_unix_ms ||
+         (started_unix_ms <= last_unix_ms &&
+          now - known_since <= kMaxLeavingTime);
+}
+
 void Directory::Put(const Upstream& upstream, kernel::TimePoint now) {
   removed_.erase(upstream.id);
   stale_entries_.erase(upstream.id);
@@ -112,10 +125,10 @@
   updated.origin = StreamOriginOf(updated.service, updated.software_version);
   const auto leaving = leaving_.find(updated.id);
   if (leaving != leaving_.end()) {
-    if (updated.started_unix_ms > leaving->second.started_unix_ms) {
-      leaving_.erase(leaving);
-    } else {
+    if (leaving->second.Cover(updated.started_unix_ms, now)) {
       updated.is_draining = true;
+    } else {
+      leaving_.erase(leaving);
     }
   }
   if (!is_new && entry.upstream == updated) {
@@ -146,20 +159,29 @@
 }
 
 Directory::Leaving Directory::MarkLeaving(const Upstream& upstream,
+                                          int64_t sent_unix_ms,
                                           kernel::TimePoint now) {
+  const int64_t last_unix_ms =
+      std::max(upstream.started_unix_ms, sent_unix_ms + kMaxStartedAfterSendMs);
   const auto entry = entries_.find(upstream.id);
   if (entry != entries_.end() &&
-      entry->second.upstream.started_unix_ms != upstream.started_unix_ms) {
+      entry->second.upstream.started_unix_ms > last_unix_ms) {
     return Leaving::kOtherStart;
   }
-  if (leaving_.contains(upstream.id)) {
+  const auto known = leaving_.find(upstream.id);
+  if (known != leaving_.end()) {
+    known->second.listed_unix_ms =
+        std::max(known->second.listed_unix_ms, upstream.started_unix_ms);
+    known->second.last_unix_ms =
+        std::max(known->second.last_unix_ms, last_unix_ms);
     return Leaving::kKnown;
   }
   std::erase_if(leaving_, [&](const auto& row) {
     return !entries_.contains(row.first) &&
            now - row.second.known_since > kUnlistedMemory;
   });
-  leaving_[upstream.id] = {.started_unix_ms = upstream.started_unix_ms,
+  leaving_[upstream.id] = {.listed_unix_ms = upstream.started_unix_ms,
+                           .last_unix_ms = last_unix_ms,
                            .known_since = now};
   if (entry != entries_.end()) {
     const auto usable_until = entry->second.usable_until;
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -59,7 +59,7 @@
   enum class Leaving {
     kNew,
     kKnown,
-    kOtherStart,  // Another start of the upstream is listed.
+    kOtherStart,  // A start that began after the request is listed.
   };
   using Observer = std::function<void(const Upstream&, Change)>;
 
@@ -89,10 +89,15 @@
   // lists of upstreams do so first; Find() does not.
   void DropExpired(kernel::TimePoint now);
 
-  // Records that this start of an upstream has said itself that it leaves. It
-  // counts as draining from now on, whatever the list states, until it starts
-  // again.
-  Leaving MarkLeaving(const Upstream& upstream, kernel::TimePoint now);
+  // Records that the upstream itself has said that it leaves, in the answer to
+  // a request that was sent at `sent_unix_ms` to what was listed as this start.
+  // It counts as draining from now on, whatever the list states, until it
+  // starts again. The list may show starts late, so that a later one has
+  // answered: every start up to that time is covered, also if it is listed
+  // afterwards.
+  Leaving MarkLeaving(const Upstream& upstream,
+                      int64_t sent_unix_ms,
+                      kernel::TimePoint now);
 
   // Starts the grace period; call when the list can be read again after an
   // outage.
@@ -198,12 +203,15 @@
     int64_t started_unix_ms = 0;  // Of the removed entry.
   };
   std::map<std::string, Removal, std::less<>> removed_;  // By id.
-  // An upstream that has said that it leaves.
-  struct LeavingStart {
-    int64_t started_unix_ms = 0;
+  // The starts of an upstream that have said that they leave.
+  struct LeavingStarts {
+    int64_t listed_unix_ms = 0;  // The one that was listed.
+    int64_t last_unix_ms = 0;    // The latest that may have answered.
     kernel::TimePoint known_since{};
+
+    bool Cover(int64_t started_unix_ms, kernel::TimePoint now) const;
   };
-  std::map<std::string, LeavingStart, std::less<>> leaving_;  // By id.
+  std::map<std::string, LeavingStarts, std::less<>> leaving_;  // By id.
   kernel::TimePoint grace_ends_{};
   // Since this time every entry of the list has been known.
   kernel::TimePoint known_since_ = kernel::TimePoint::max();
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -242,6 +242,18 @@
   directory_.Put(entry, now);
 }
 
+Directory::Leaving Router::OnLeaving(const Upstream& upstream,
+                                     int64_t sent_unix_ms,
+                                     kernel::TimePoint now) {
+  beliefs_.OnLeaving(upstream, now);
+  const auto leaving = directory_.MarkLeaving(upstream, sent_unix_ms, now);
+  const Upstream* const listed = directory_.Find(upstream.id);
+  if (listed != nullptr && leaving != Directory::Leaving::kOtherStart) {
+    beliefs_.OnLeaving(*listed, now);
+  }
+  return leaving;
+}
+
 void Router::SetEvacuated(std::set<std::string, std::less<>> data_centres,
                           kernel::TimePoint now) {
   knows_evacuations_ = true;
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -248,12 +248,11 @@
   void OnConnectionRefused(const Upstream& upstream, kernel::TimePoint now);
   // Returns whether `upstream` may still be sent new requests.
   bool IsReady(const Upstream& upstream, kernel::TimePoint now);
-  // Records that an answer of `upstream` says that it leaves.
+  // Records that the answer of `upstream` to a request that was sent at
+  // `sent_unix_ms` says that it leaves; see Directory::MarkLeaving().
   Directory::Leaving OnLeaving(const Upstream& upstream,
-                               kernel::TimePoint now) {
-    beliefs_.OnLeaving(upstream, now);
-    return directory_.MarkLeaving(upstream, now);
-  }
+                               int64_t sent_unix_ms,
+                               kernel::TimePoint now);
   // Returns the rate of the upstream if each request to it needs a permit,
   // because it names a limit or is cold; see PermitCounter.
   std::optional<PermitRate> RateOf(const Upstream& upstream,
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -175,10 +175,10 @@
 TEST_F(DirectoryTest, LeavingUpstreamStaysDrainingUntilItStartsAgain) {
   Directory directory(seconds(2));
   Upstream a = MakeUpstream("a");
-  a.started_unix_ms = 5;
+  a.started_unix_ms = 5000;
   directory.Replace({a, MakeUpstream("b")}, Now());
-  EXPECT_EQ(directory.MarkLeaving(a, Now()), Directory::Leaving::kNew);
-  EXPECT_EQ(directory.MarkLeaving(a, Now()), Directory::Leaving::kKnown);
+  EXPECT_EQ(directory.MarkLeaving(a, 9000, Now()), Directory::Leaving::kNew);
+  EXPECT_EQ(directory.MarkLeaving(a, 9000, Now()), Directory::Leaving::kKnown);
   EXPECT_EQ(directory.Ready("desk", Now()).size(), 1u);
   directory.Put(a, Now());
   directory.Replace({a, MakeUpstream("b")}, Now(), /*is_restored=*/true);
@@ -187,13 +187,47 @@
   directory.Put(a, Now());
   EXPECT_EQ(directory.Ready("desk", Now()).size(), 1u);
   Upstream restarted = a;
-  restarted.started_unix_ms = 6;
+  restarted.started_unix_ms = 11000;
   directory.Put(restarted, Now());
   EXPECT_EQ(directory.Ready("desk", Now()).size(), 2u);
-  EXPECT_EQ(directory.MarkLeaving(a, Now()), Directory::Leaving::kOtherStart);
+  // Of an earlier start.
+  EXPECT_EQ(directory.MarkLeaving(a, 9000, Now()),
+            Directory::Leaving::kOtherStart);
   EXPECT_EQ(directory.Ready("desk", Now()).size(), 2u);
 }
 
+// Guards against a start that said that it leaves, and is ready once the list
+// shows it, since it was taken for the earlier start that was listed then.
+TEST_F(DirectoryTest, StartThatIsListedAfterItSaidThatItLeavesIsDraining) {
+  Directory directory(seconds(2));
+  Upstream earlier = MakeUpstream("a");
+  earlier.started_unix_ms = 5000;
+  directory.Replace({earlier, MakeUpstream("b")}, Now());
+  Upstream later = earlier;
+  later.started_unix_ms = 8000;
+  EXPECT_EQ(directory.MarkLeaving(earlier, 9000, Now()),
+            Directory::Leaving::kNew);
+  directory.Put(later, Now());
+  EXPECT_EQ(directory.Ready("desk", Now()).size(), 1u);
+  // A start that still writes its entry now was taken for it by a wrong clock.
+  clock_.Advance(seconds(61));
+  directory.Put(later, Now());
+  EXPECT_EQ(directory.Ready("desk", Now()).size(), 2u);
+}
+
+// As above, if the list shows it while the answer is on its way.
+TEST_F(DirectoryTest, StartThatIsListedBeforeItsAnswerArrivesIsDraining) {
+  Directory directory(seconds(2));
+  Upstream earlier = MakeUpstream("a");
+  earlier.started_unix_ms = 5000;
+  Upstream later = earlier;
+  later.started_unix_ms = 8000;
+  directory.Replace({later, MakeUpstream("b")}, Now());
+  EXPECT_EQ(directory.MarkLeaving(earlier, 9000, Now()),
+            Directory::Leaving::kNew);
+  EXPECT_EQ(directory.Ready("desk", Now()).size(), 1u);
+}
+
 TEST_F(DirectoryTest, ReportsRestartUnderSameId) {
   Directory directory(seconds(2));
   std::vector<Directory::Change> changes;
