Keep the other entries when one entry of the store is odd

What callers saw: gateways that read a list with one odd entry went on with the list of before, so that leaving upstreams got requests and new ones none; with an entry that is nested some million times deep the process would hold hundreds of megabytes. Cause: the JSON library gives up a whole answer for one number beyond a double, one NaN or one unpaired surrogate, and builds values of any depth; slots, weights and limits were cast to 32 bits, times to microseconds without a check, port 0 and the unspecified address named usable upstreams, and a version of another type counted as not stated. Class of fault: one writer's data decides on that of all. Evidence: OddEntryNamesNoUpstreamAnd KeepsOthers, OddValueInAnUnreadFieldIsIgnored and OddEntryKeepsTheConfigurationAnd Evacuations fail on the code before and pass now, for lists and watches of all three kinds. Change: RepairJson() replaces such values by an empty array, which no field of a single value takes, before the text is parsed; the library still decides what is JSON. Fields are read with the range of their type. Ruled out: parsing each entry by itself, which needs the same scan and does not bound the depth.

--- a/jackdawshunt/platform/records.cc
+++ b/jackdawshunt/platform/records.cc
@@ -1,14 +1,17 @@
 #include "jackdawshunt/platform/records.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <limits>
 #include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "jackdawshunt/base/log.h"
 #include "jackdawshunt/object_api/address.h"
+#include "jackdawshunt/platform/json_text.h"
 
 namespace jackdawshunt::platform {
 namespace {
@@ -31,6 +34,11 @@
   return kKinds.at(static_cast<size_t>(kind));
 }
 
+// A double holds all whole numbers up to this one.
+constexpr uint64_t kMaxExactInDouble = uint64_t{1} << 53;
+// Within what a Duration holds.
+constexpr uint64_t kMaxMilliseconds = uint64_t{1} << 52;
+
 // Reads typed fields of one JSON object. status() is the first error.
 class ObjectReader {
  public:
@@ -51,17 +59,23 @@
   }
 
   // Returns a text or the digits of a number; empty when the field is missing
-  // or has another type.
-  std::string Label(const char* name) const {
+  // or null.
+  std::string Label(const char* name) {
     const json* field = Find(name);
-    if (field == nullptr || !(field->is_string() || field->is_number())) {
+    if (field == nullptr || field->is_null()) {
+      return {};
+    }
+    if (!field->is_string() && !field->is_number()) {
+      Fail(name);
       return {};
     }
     return field->is_string() ? field->get<std::string>() : field->dump();
   }
 
-  uint64_t RequiredUnsigned(const char* name) {
-    const auto value = Unsigned(name);
+  // Reads a whole number of at most what T holds.
+  template <typename T = uint64_t>
+  T Required(const char* name) {
+    const auto value = Optional<T>(name);
     if (!value.has_value()) {
       Fail(name);
     }
@@ -69,21 +83,39 @@
   }
 
   // Returns nullopt when the field is missing or null.
-  std::optional<uint64_t> Unsigned(const char* name) {
+  template <typename T = uint64_t>
+  std::optional<T> Optional(const char* name) {
     const json* field = Find(name);
     if (field == nullptr || field->is_null()) {
       return std::nullopt;
     }
-    if (field->is_number_float()) {
+    std::optional<uint64_t> value;
+    if (field->is_number_unsigned()) {
+      value = field->get<uint64_t>();
+    } else if (field->is_number_float()) {
       const double number = field->get<double>();
-      if (std::isfinite(number) && number >= 0 && number < 1e18) {
-        return static_cast<uint64_t>(number);
+      if (number >= 0 && number <= static_cast<double>(kMaxExactInDouble)) {
+        value = static_cast<uint64_t>(number);
       }
-    } else if (field->is_number_unsigned()) {
-      return field->get<uint64_t>();
     }
-    Fail(name);
-    return std::nullopt;
+    if (!value.has_value() || *value > std::numeric_limits<T>::max()) {
+      Fail(name);
+      return std::nullopt;
+    }
+    return static_cast<T>(*value);
+  }
+
+  // Returns nullopt when the field is missing or null.
+  std::optional<kernel::Duration> Milliseconds(const char* name) {
+    const auto count = Optional(name);
+    if (count.value_or(0) > kMaxMilliseconds) {
+      Fail(name);
+      return std::nullopt;
+    }
+    return count.has_value()
+               ? std::optional<kernel::Duration>(
+                     std::chrono::milliseconds(static_cast<int64_t>(*count)))
+               : std::nullopt;
   }
 
   // Returns nullopt when the field is missing or null.
@@ -139,10 +171,6 @@
   absl::Status status_;
 };
 
-kernel::Duration Milliseconds(uint64_t count) {
-  return std::chrono::milliseconds(static_cast<int64_t>(count));
-}
-
 std::optional<routing::RouteKind> ParseKind(std::string_view name) {
   if (name == "safe") {
     return routing::RouteKind::kSafe;
@@ -166,7 +194,7 @@
     ObjectReader entry(item);
     routing::WeightedService service;
     service.service = entry.RequiredText("service");
-    service.weight = static_cast<uint32_t>(entry.RequiredUnsigned("weight"));
+    service.weight = entry.Required<uint32_t>("weight");
     if (!entry.status().ok()) {
       reader.Fail("split");
       return;
@@ -187,12 +215,16 @@
   } else {
     reader.Fail("kind");
   }
-  route.timeout = Milliseconds(reader.RequiredUnsigned("timeoutMs"));
+  if (const auto timeout = reader.Milliseconds("timeoutMs")) {
+    route.timeout = *timeout;
+  } else {
+    reader.Fail("timeoutMs");
+  }
   route.latency_objective =
-      Milliseconds(reader.Unsigned("targetLatencyMs").value_or(0));
-  route.priority = static_cast<int>(reader.Unsigned("priority").value_or(0));
-  route.attempts = static_cast<uint32_t>(
-      std::max<uint64_t>(1, reader.Unsigned("attempts").value_or(1)));
+      reader.Milliseconds("targetLatencyMs").value_or(kernel::Duration::zero());
+  route.priority = reader.Optional<int>("priority").value_or(0);
+  route.attempts =
+      std::max<uint32_t>(1, reader.Optional<uint32_t>("attempts").value_or(1));
   route.is_public = reader.Boolean("public");
   route.is_resumable = reader.Boolean("resumable");
   DecodeServicesOfRoute(reader, route);
@@ -207,7 +239,7 @@
   routing::Service service;
   service.name = reader.RequiredText("name");
   service.connection_limit =
-      static_cast<uint32_t>(reader.Unsigned("connectionLimit").value_or(0));
+      reader.Optional<uint32_t>("connectionLimit").value_or(0);
   service.cold_time = std::chrono::duration_cast<kernel::Duration>(
       std::chrono::duration<double>(reader.Number("coldStartS").value_or(0)));
   service.cold_requests_per_second = reader.Number("coldPerS").value_or(0);
@@ -215,8 +247,8 @@
   if (engine != nullptr && engine->is_object()) {
     ObjectReader fields(*engine);
     routing::EngineProfile profile;
-    profile.slots = static_cast<uint32_t>(fields.Unsigned("slots").value_or(0));
-    profile.cache_tokens = fields.Unsigned("kvTokens").value_or(0);
+    profile.slots = fields.Optional<uint32_t>("slots").value_or(0);
+    profile.cache_tokens = fields.Optional("kvTokens").value_or(0);
     if (!fields.status().ok()) {
       reader.Fail("engine");
     }
@@ -239,8 +271,8 @@
       }
     }
   }
-  if (const auto priority = reader.Unsigned("priority")) {
-    workspace.priority = static_cast<int>(*priority);
+  if (const auto priority = reader.Optional<int>("priority")) {
+    workspace.priority = *priority;
   }
   if (!reader.status().ok()) {
     return reader.status();
@@ -255,16 +287,14 @@
   }
   ObjectReader reader(*object);
   limits.header_bytes =
-      reader.Unsigned("headerBytes").value_or(limits.header_bytes);
-  limits.body_bytes = reader.Unsigned("bodyBytes").value_or(limits.body_bytes);
-  if (const auto ms = reader.Unsigned("headerTimeoutMs")) {
-    limits.request_timeout = Milliseconds(*ms);
-  }
-  if (const auto ms = reader.Unsigned("idleTimeoutMs")) {
-    limits.idle_timeout = Milliseconds(*ms);
-  }
+      reader.Optional("headerBytes").value_or(limits.header_bytes);
+  limits.body_bytes = reader.Optional("bodyBytes").value_or(limits.body_bytes);
+  limits.request_timeout =
+      reader.Milliseconds("headerTimeoutMs").value_or(limits.request_timeout);
+  limits.idle_timeout =
+      reader.Milliseconds("idleTimeoutMs").value_or(limits.idle_timeout);
   limits.tokens_per_second =
-      static_cast<double>(reader.Unsigned("tokensPerS").value_or(0));
+      static_cast<double>(reader.Optional("tokensPerS").value_or(0));
   return limits;
 }
 
@@ -291,40 +321,8 @@
   return decoded;
 }
 
-// Replaces raw control characters and bytes that are not UTF-8, which would
-// make the whole text invalid JSON. They can only occur inside one record.
-std::string ReplaceInvalidBytes(std::string_view body) {
-  std::string text(body);
-  size_t i = 0;
-  while (i < text.size()) {
-    const auto byte = static_cast<unsigned char>(text[i]);
-    size_t length = 1;
-    bool is_valid = byte >= 0x20 && byte < 0x80;
-    if (byte >= 0xc2 && byte <= 0xf4) {
-      length = byte >= 0xf0 ? 4 : byte >= 0xe0 ? 3 : 2;
-      is_valid = i + length <= text.size();
-      for (size_t k = 1; is_valid && k < length; ++k) {
-        const auto next = static_cast<unsigned char>(text[i + k]);
-        is_valid = (next & 0xc0) == 0x80;
-      }
-      if (is_valid && length > 2) {
-        const auto next = static_cast<unsigned char>(text[i + 1]);
-        is_valid =
-            !(byte == 0xe0 && next < 0xa0) && !(byte == 0xed && next > 0x9f) &&
-            !(byte == 0xf0 && next < 0x90) && !(byte == 0xf4 && next > 0x8f);
-      }
-    }
-    if (!is_valid) {
-      text[i] = byte < 0x20 ? ' ' : '?';
-      length = 1;
-    }
-    i += length;
-  }
-  return text;
-}
-
 absl::StatusOr<json> ParseBody(std::string_view body) {
-  json parsed = json::parse(ReplaceInvalidBytes(body), nullptr, false);
+  json parsed = json::parse(RepairJson(body), nullptr, false);
   if (!parsed.is_object()) {
     return absl::InvalidArgumentError(
         "the store's answer is not a JSON object");
@@ -332,6 +330,12 @@
   return parsed;
 }
 
+// Returns whether a server can be reached at the address; a connection to the
+// unspecified address leads to this machine.
+bool NamesServer(const http::Address& address) {
+  return address.port != 0 && address.ip != "0.0.0.0" && address.ip != "::";
+}
+
 RecordValue DecodeValue(RecordKind kind,
                         const std::string& name,
                         const json& object) {
@@ -412,7 +416,7 @@
   }
   ObjectReader reader(*parsed);
   RecordList list;
-  list.revision.revision = reader.RequiredUnsigned("storeRevision");
+  list.revision.revision = reader.Required("storeRevision");
   list.has_more = format.has_pages && reader.Boolean("hasMore");
   const json* entries = reader.Array(format.array);
   if (entries == nullptr) {
@@ -437,7 +441,7 @@
     const json& specification) {
   ObjectReader reader(specification);
   routing::DesiredState state;
-  state.version = reader.RequiredUnsigned("version");
+  state.version = reader.Required("version");
   if (reader.Array("routes") == nullptr) {
     reader.Fail("routes");
   }
@@ -459,13 +463,12 @@
   upstream.service = reader.RequiredText("service");
   upstream.data_centre = reader.RequiredText("zone");
   const auto address = object_api::ParseAddress(reader.RequiredText("address"));
-  if (address.has_value()) {
+  if (address.has_value() && NamesServer(*address)) {
     upstream.address = *address;
   } else {
     reader.Fail("address");
   }
-  upstream.slots = static_cast<uint32_t>(
-      std::max<uint64_t>(1, reader.RequiredUnsigned("slots")));
+  upstream.slots = std::max<uint32_t>(1, reader.Required<uint32_t>("slots"));
   upstream.software_version = reader.Label("version");
   const std::string state = reader.RequiredText("state");
   if (state == "draining") {
@@ -474,8 +477,7 @@
     reader.Fail("state");
   }
   // The time when the process started, not when the record was created.
-  upstream.started_unix_ms =
-      static_cast<int64_t>(reader.Unsigned("born").value_or(0));
+  upstream.started_unix_ms = reader.Optional<int64_t>("born").value_or(0);
   if (const auto ms = reader.Number("coldRemainingMs")) {
     upstream.cold_remaining = std::chrono::duration_cast<kernel::Duration>(
         std::chrono::duration<double, std::milli>(*ms));
--- a/jackdawshunt/platform/records_test.cc
+++ b/jackdawshunt/platform/records_test.cc
@@ -1,7 +1,9 @@
 #include "jackdawshunt/platform/records.h"
 
 #include <string>
+#include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
 
 namespace jackdawshunt::platform {
@@ -128,6 +130,132 @@
   }
 }
 
+std::string Replaced(const std::string& field, const std::string& value) {
+  std::string record = kServer;
+  const size_t name = record.find("\"" + field + "\":");
+  const size_t begin = name + field.size() + 3;
+  const size_t end = record.find_first_of(",}", begin);
+  return record.replace(begin, end - begin, value);
+}
+
+// Entries that name no upstream to use, as another writer may leave them.
+std::vector<std::string> OddServers() {
+  const std::string nested =
+      std::string(200000, '[') + std::string(200000, ']');
+  std::string objects;
+  for (int i = 0; i < 200000; ++i) {
+    objects += R"({"specification":)";
+  }
+  objects += "0" + std::string(200000, '}');
+  std::vector<std::string> odd = {nested, objects};
+  for (const std::string& number :
+       {std::string("1e999"), std::string("-1e999"), std::string("1e18"),
+        std::string("-1"), std::string("4294967296"),
+        std::string("18446744073709551615"),
+        std::string("18446744073709551616"), std::string(400, '9'),
+        std::string("NaN"), std::string("Infinity"), nested}) {
+    odd.push_back(Replaced("slots", number));
+  }
+  for (const char* const number :
+       {"1e999", "-1", "1e300", "9223372036854775808", "18446744073709551615",
+        "NaN"}) {
+    odd.push_back(Replaced("born", number));
+    odd.push_back(Replaced("coldRemainingMs", number));
+  }
+  for (const char* const port : {"0", "65536", "70000", "-1", "1e3",
+                                 "99999999999999999999", "", "8080 "}) {
+    odd.push_back(
+        Replaced("address", absl::StrCat("\"10.128.0.9:", port, "\"")));
+  }
+  for (const char* const ip : {"10.128.0.256", "h", "", "0.0.0.0", "[::]"}) {
+    odd.push_back(Replaced("address", absl::StrCat("\"", ip, ":80\"")));
+  }
+  for (const std::string& other :
+       {nested, std::string("{}"), std::string("true"), std::string("1e999")}) {
+    odd.push_back(Replaced("version", other));
+    odd.push_back(Replaced("service", other));
+    odd.push_back(Replaced("state", other));
+  }
+  odd.push_back(Replaced("state", "\"\\ud800\""));
+  return odd;
+}
+
+// Guards against a list that is not followed, a process that ends, and requests
+// that are sent to no server, because of one odd entry.
+TEST(RecordsTest, OddEntryNamesNoUpstreamAndKeepsOthers) {
+  const std::string good = Item("i-good", kServer);
+  for (const std::string& odd : OddServers()) {
+    const std::string shown = odd.substr(0, 200);
+    const std::string bad = Item("i-odd", odd);
+    const auto list =
+        DecodeList(RecordKind::kUpstream, ListOf(bad + "," + good));
+    ASSERT_TRUE(list.ok()) << shown;
+    ASSERT_EQ(list->records.size(), 2u) << shown;
+    EXPECT_TRUE(std::holds_alternative<Absent>(list->records[0].value))
+        << shown;
+    EXPECT_TRUE(
+        std::holds_alternative<routing::Upstream>(list->records[1].value))
+        << shown;
+    const auto changes = DecodeWatch(
+        RecordKind::kUpstream, R"({"events":[{"object":)" + bad +
+                                   R"(,"removed":false},{"object":)" + good +
+                                   R"(}],"storeRevision":9})");
+    ASSERT_TRUE(changes.ok()) << shown;
+    ASSERT_EQ(changes->records.size(), 2u) << shown;
+    EXPECT_TRUE(std::holds_alternative<Absent>(changes->records[0].value))
+        << shown;
+    EXPECT_TRUE(
+        std::holds_alternative<routing::Upstream>(changes->records[1].value))
+        << shown;
+  }
+}
+
+// What no field of an upstream is read from does not make it unusable.
+TEST(RecordsTest, OddValueInAnUnreadFieldIsIgnored) {
+  for (const std::string& odd :
+       {std::string("1e999"), std::string("NaN"), std::string("\"\\udc00\""),
+        std::string(300000, '[') + std::string(300000, ']')}) {
+    std::string record = kServer;
+    record.insert(1, R"("extra":)" + odd + ",");
+    const auto list =
+        DecodeList(RecordKind::kUpstream, ListOf(Item("i-1", record)));
+    ASSERT_TRUE(list.ok());
+    EXPECT_TRUE(
+        std::holds_alternative<routing::Upstream>(list->records.at(0).value));
+  }
+}
+
+// Guards against a configuration or evacuations that are not followed because
+// of another object of their kind, or of one odd number.
+TEST(RecordsTest, OddEntryKeepsTheConfigurationAndEvacuations) {
+  const std::string nested =
+      std::string(200000, '[') + std::string(200000, ']');
+  const std::string configuration = Item(
+      "main",
+      R"({"version":7,"routes":[{"name":"odd","host":"h","pathPrefix":"/o/",)"
+      R"("kind":"safe","service":"s","timeoutMs":1e999},{"name":"long",)"
+      R"("host":"h","pathPrefix":"/l/","kind":"safe","service":"s",)"
+      R"("timeoutMs":18446744073709551615},{"name":"good","host":"h",)"
+      R"("pathPrefix":"/g/","kind":"safe","service":"s","timeoutMs":1000}]})");
+  for (const std::string& odd : {nested, std::string("1e999")}) {
+    const auto list =
+        DecodeList(RecordKind::kDesiredState,
+                   ListOf(Item("other", odd) + "," + configuration));
+    ASSERT_TRUE(list.ok());
+    ASSERT_EQ(list->records.size(), 1u);
+    const auto* state =
+        std::get_if<routing::DesiredState>(&list->records[0].value);
+    ASSERT_NE(state, nullptr);
+    ASSERT_EQ(state->routes.size(), 1u);
+    EXPECT_EQ(state->routes[0].name, "good");
+    const auto evacuations =
+        DecodeList(RecordKind::kEvacuation,
+                   ListOf(Item("a", odd) + "," + Item("b", "{}")));
+    ASSERT_TRUE(evacuations.ok());
+    EXPECT_EQ(evacuations->records.size(), 2u);
+  }
+}
+
 TEST(RecordsTest, IgnoresEntriesWithoutName) {
   const auto list = DecodeList(
       RecordKind::kUpstream,
