--- a/jackdawshunt/platform/engine_report.cc
+++ b/jackdawshunt/platform/engine_report.cc
@@ -1,9 +1,11 @@
 #include "jackdawshunt/platform/engine_report.h"
 
+#include <limits>
 #include <optional>
 
 #include "absl/strings/str_cat.h"
 #include "jackdawshunt/http1/message.h"
+#include "jackdawshunt/platform/json_text.h"
 #include "jackdawshunt/routing/prompt.h"
 #include "nlohmann/json.hpp"
 
@@ -14,13 +16,18 @@
 // Longer lists are rejected. An engine runs tens of requests at once.
 constexpr size_t kMaxRuns = 4096;
 
+// Returns whether `value` is a whole number of at most 32 bits.
+bool IsCount(const nlohmann::json& value) {
+  return value.is_number_unsigned() &&
+         value.get<uint64_t>() <= std::numeric_limits<uint32_t>::max();
+}
+
 // Reads one row of `runs`: [id, tokens in memory, events made, priority]. The
 // priority is not used.
 absl::StatusOr<routing::EngineRun> DecodeRun(const nlohmann::json& row) {
   const bool is_valid = row.is_array() && row.size() >= 3 &&
                         (row[0].is_string() || row[0].is_number_unsigned()) &&
-                        row[1].is_number_unsigned() &&
-                        row[2].is_number_unsigned();
+                        row[1].is_number_unsigned() && IsCount(row[2]);
   if (!is_valid) {
     return absl::InvalidArgumentError(
         "field runs has an entry that is not [id, tokens, events, ...]");
@@ -44,28 +51,41 @@
 
 absl::StatusOr<routing::EngineReport> DecodeEngineReport(
     std::string_view body) {
-  const auto parsed = nlohmann::json::parse(body, nullptr, false);
+  const auto parsed = nlohmann::json::parse(RepairJson(body), nullptr, false);
   if (!parsed.is_object()) {
     return absl::InvalidArgumentError("the report is not a JSON object");
   }
   absl::Status status;
-  const auto read = [&](const char* name, bool is_required) -> uint64_t {
-    const auto field = parsed.find(name);
-    if (field != parsed.end() && field->is_number_unsigned()) {
-      return field->get<uint64_t>();
-    }
-    if (is_required && status.ok()) {
+  const auto reject = [&status](const char* name) {
+    if (status.ok()) {
       status = absl::InvalidArgumentError(
           absl::StrCat("field ", name, " is missing or has another type"));
     }
+  };
+  const auto tokens = [&](const char* name) -> uint64_t {
+    const auto field = parsed.find(name);
+    if (field == parsed.end() || !field->is_number_unsigned()) {
+      reject(name);
+      return 0;
+    }
+    return field->get<uint64_t>();
+  };
+  const auto count = [&](const char* name, bool is_required) -> uint32_t {
+    const auto field = parsed.find(name);
+    if (field != parsed.end() && IsCount(*field)) {
+      return field->get<uint32_t>();
+    }
+    if (is_required) {
+      reject(name);
+    }
     return 0;
   };
   routing::EngineReport report;
-  report.waiting = static_cast<uint32_t>(read("queueDepth", true));
-  report.running = static_cast<uint32_t>(read("activeRequests", true));
-  report.unevictable_tokens = read("kvUsed", true);
-  report.cache_tokens = read("kvTotal", true);
-  report.next_prompt_tokens = static_cast<uint32_t>(read("next", false));
+  report.waiting = count("queueDepth", true);
+  report.running = count("activeRequests", true);
+  report.unevictable_tokens = tokens("kvUsed");
+  report.cache_tokens = tokens("kvTotal");
+  report.next_prompt_tokens = count("next", false);
   if (!status.ok()) {
     return status;
   }
--- a/jackdawshunt/platform/engine_report_test.cc
+++ b/jackdawshunt/platform/engine_report_test.cc
@@ -40,6 +40,31 @@
   }
 }
 
+// Guards against a load that is taken for another one because a number was cast
+// to a smaller type, and against a report lost for a value that is not read.
+TEST(EngineReportTest, OddValuesAreNotTakenForOthers) {
+  const auto decode = [](const std::string& waiting, const std::string& events,
+                         const std::string& other) {
+    return DecodeEngineReport(
+        R"({"queueDepth":)" + waiting +
+        R"(,"activeRequests":1,"kvUsed":5,"kvTotal":9,"runs":[["r",4,)" +
+        events + R"(,0]],"other":)" + other + "}");
+  };
+  const std::string nested =
+      std::string(100000, '[') + std::string(100000, ']');
+  for (const std::string& other : {std::string("1e999"), nested}) {
+    const auto report = decode("3", "2", other);
+    ASSERT_TRUE(report.ok()) << report.status();
+    EXPECT_EQ(report->waiting, 3u);
+  }
+  for (const std::string& odd :
+       {std::string("4294967297"), std::string("1e999"), std::string("-1"),
+        std::string("18446744073709551616"), nested}) {
+    EXPECT_FALSE(decode(odd, "2", "0").ok()) << odd.substr(0, 50);
+    EXPECT_FALSE(decode("3", odd, "0").ok()) << odd.substr(0, 50);
+  }
+}
+
 TEST(EngineReportTest, RequestNamesTheEngine) {
   EXPECT_EQ(EngineReportRequest({"127.0.0.1", 8000})
                 .find("GET /jackdawshunt/report HTTP/1.1\r\n"),
