Go on with the next page of a list from the last name of the page

What callers saw: nothing yet; a gateway could list without end, or take a part of the upstreams for all of them. Cause: the next page was asked for from the last record that is used, not from the last entry, and the name was put into the query as it is: a page of other objects ended the list (the configuration behind it was not found), an entry named "a&watch=1" asked something else, and a name whose bytes cannot be read asked for the same page again and again. Change: the last name of the page counts, encoded, and a list that does not advance is an error. PercentEncode() moved to http/, where both clients of stores use it. Measured: the three new tests of RecordSourceTest fail on the code before (no second call in 20 s twice, three calls) and pass now.

--- a/jackdawshunt/http/http.h
+++ b/jackdawshunt/http/http.h
@@ -23,6 +23,9 @@
 // empty string if it is absent. The result points into `headers`.
 std::string_view FindHeader(const Headers& headers, std::string_view name);
 
+// Encodes `text` for a path or a value of a query; slashes stay.
+std::string PercentEncode(std::string_view text);
+
 // An IP address and a port. Host names are not resolved.
 struct Address {
   std::string ip = "127.0.0.1";
--- a/jackdawshunt/object_api/client.cc
+++ b/jackdawshunt/object_api/client.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_format.h"
 #include "jackdawshunt/http/client.h"
 #include "jackdawshunt/object_api/address.h"
 #include "nlohmann/json.hpp"
@@ -19,23 +18,6 @@
 // If the reply to a write is lost, the write may have taken effect.
 enum class CallType { kRead, kWrite };
 
-std::string PercentEncode(std::string_view text) {
-  constexpr std::string_view kUnescapedCharacters = "-._~/";
-  std::string escaped;
-  for (const char c : text) {
-    const bool is_alphanumeric = (c >= 'a' && c <= 'z') ||
-                                 (c >= 'A' && c <= 'Z') ||
-                                 (c >= '0' && c <= '9');
-    if (is_alphanumeric ||
-        kUnescapedCharacters.find(c) != std::string_view::npos) {
-      escaped.push_back(c);
-    } else {
-      absl::StrAppendFormat(&escaped, "%%%02X", static_cast<unsigned char>(c));
-    }
-  }
-  return escaped;
-}
-
 // Returns the stored text. A platform may also embed the value as JSON instead
 // of a string.
 std::string ValueText(const Json& json) {
@@ -219,9 +201,9 @@
 Client::~Client() = default;
 
 void Client::Get(const std::string& key, Callback<Object> done) {
-  impl_->Send<Object>({.path = absl::StrCat("/objects/", PercentEncode(key))},
-                      CallType::kRead, impl_->timeout, ParseObject,
-                      std::move(done));
+  impl_->Send<Object>(
+      {.path = absl::StrCat("/objects/", http::PercentEncode(key))},
+      CallType::kRead, impl_->timeout, ParseObject, std::move(done));
 }
 
 void Client::Put(const std::string& key,
@@ -232,7 +214,7 @@
   headers.emplace_back("Content-Type", "application/json");
   impl_->Send<uint64_t>(
       {.method = "PUT",
-       .path = absl::StrCat("/objects/", PercentEncode(key)),
+       .path = absl::StrCat("/objects/", http::PercentEncode(key)),
        .headers = std::move(headers),
        .body = value},
       CallType::kWrite, impl_->timeout,
@@ -245,7 +227,7 @@
                     Callback<uint64_t> done) {
   impl_->Send<uint64_t>(
       {.method = "DELETE",
-       .path = absl::StrCat("/objects/", PercentEncode(key)),
+       .path = absl::StrCat("/objects/", http::PercentEncode(key)),
        .headers = IfMatchHeaders(expected)},
       CallType::kWrite, impl_->timeout,
       [](const Json& json) { return json.at("version").get<uint64_t>(); },
@@ -255,7 +237,7 @@
 void Client::List(const std::string& prefix, Callback<Listing> done) {
   impl_->Send<Listing>(
       {.path = "/objects",
-       .query = absl::StrCat("prefix=", PercentEncode(prefix))},
+       .query = absl::StrCat("prefix=", http::PercentEncode(prefix))},
       CallType::kRead, impl_->timeout,
       [](const Json& json) { return ParseListing(json, "objects"); },
       std::move(done));
@@ -269,8 +251,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
   impl_->Send<Listing>(
       {.path = "/watch",
-       .query = absl::StrCat("prefix=", PercentEncode(prefix), "&from=", from,
-                             "&wait_ms=", wait_ms)},
+       .query = absl::StrCat("prefix=", http::PercentEncode(prefix),
+                             "&from=", from, "&wait_ms=", wait_ms)},
       CallType::kRead, wait + impl_->timeout,
       [](const Json& json) { return ParseListing(json, "changes"); },
       std::move(done));
--- a/jackdawshunt/platform/record_source.cc
+++ b/jackdawshunt/platform/record_source.cc
@@ -113,15 +113,18 @@
                  "the store was restored between two pages of a list"));
              return;
            }
-           const std::string last =
-               page->records.empty() ? "" : page->records.back().name;
            std::move(page->records.begin(), page->records.end(),
                      std::back_inserter(collected.records));
-           if (page->has_more && !last.empty()) {
-             ListPages(std::move(collected), last, std::move(then));
-             return;
+           const std::string previous =
+               std::exchange(collected.last_name, page->last_name);
+           if (!page->has_more) {
+             then(std::move(collected));
+           } else if (page->last_name.empty() || page->last_name == previous) {
+             then(absl::InvalidArgumentError(
+                 "a page of a list has no name from which to go on"));
+           } else {
+             ListPages(std::move(collected), page->last_name, std::move(then));
            }
-           then(std::move(collected));
          });
   }
 
--- a/jackdawshunt/platform/record_source_test.cc
+++ b/jackdawshunt/platform/record_source_test.cc
@@ -1,6 +1,7 @@
 #include "jackdawshunt/platform/record_source.h"
 
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -23,9 +24,10 @@
   }
 
   void OnRequest(http1::ServerConnection& connection,
-                 const http1::RequestHead& /*head*/,
+                 const http1::RequestHead& head,
                  std::string& /*body*/) override {
     calls_.push_back(&connection);
+    targets_.push_back(head.target);
   }
   void OnRequestError(http1::ServerConnection&, http1::RequestError) override {}
   void OnDrained(http1::ServerConnection&) override {}
@@ -44,6 +46,18 @@
                      result_ = std::move(answer);
                    });
   }
+  void List() {
+    result_.reset();
+    source_->List([this](absl::StatusOr<RecordList> answer) {
+      result_ = std::move(answer);
+    });
+  }
+  void AnswerPage(size_t call, std::string_view items, bool has_more) {
+    calls_.at(call)->Reply(
+        {.status = 200, .headers = {}},
+        absl::StrCat(R"({"items":[)", std::string(items), R"(],"hasMore":)",
+                     has_more ? "true" : "false", R"(,"storeRevision":5})"));
+  }
   void AwaitCalls(size_t count) {
     ASSERT_TRUE(loop_.RunUntil([&] { return calls_.size() >= count; },
                                std::chrono::seconds(20)));
@@ -58,6 +72,7 @@
   std::unique_ptr<http1::Listener> listener_;
   std::unique_ptr<RecordSource> source_;
   std::vector<http1::ServerConnection*> calls_;
+  std::vector<std::string> targets_;
   std::optional<absl::StatusOr<RecordList>> result_;
 };
 
@@ -97,5 +112,54 @@
   EXPECT_EQ((*result_)->revision.revision, 9u);
 }
 
+// Guards against a list that ends early, or that is another one, because of the
+// name of the last entry of a page.
+TEST_F(RecordSourceTest, NextPageFollowsTheLastNameOfThePage) {
+  List();
+  AwaitCalls(1);
+  AnswerPage(0, R"({"metadata":{"name":"a b&watch=1#%"}},{"metadata":{}})",
+             /*has_more=*/true);
+  AwaitCalls(2);
+  EXPECT_TRUE(targets_[1].ends_with("?after=a%20b%26watch%3D1%23%25"))
+      << targets_[1];
+  AnswerPage(1, R"({"metadata":{"name":"c"}})", /*has_more=*/false);
+  AwaitResult();
+  ASSERT_TRUE(result_->ok());
+  EXPECT_EQ((*result_)->records.size(), 2u);
+}
+
+// Guards against a configuration that is never found behind other objects of
+// its kind.
+TEST_F(RecordSourceTest, PageWithoutUsableRecordsIsFollowedByTheNext) {
+  source_ = std::make_unique<RecordSource>(
+      loop_, http::Address{"127.0.0.1", listener_->port()},
+      RecordKind::kDesiredState);
+  List();
+  AwaitCalls(1);
+  AnswerPage(0, R"({"metadata":{"name":"backup"}})", /*has_more=*/true);
+  AwaitCalls(2);
+  EXPECT_TRUE(targets_[1].ends_with("?after=backup")) << targets_[1];
+  AnswerPage(1,
+             R"({"metadata":{"name":"main"},)"
+             R"("specification":{"version":3,"routes":[]}})",
+             /*has_more=*/false);
+  AwaitResult();
+  ASSERT_TRUE(result_->ok());
+  ASSERT_EQ((*result_)->records.size(), 1u);
+}
+
+// Guards against calls without end: the store does not know a name whose bytes
+// were not readable.
+TEST_F(RecordSourceTest, ListThatDoesNotAdvanceIsAnError) {
+  List();
+  AwaitCalls(1);
+  AnswerPage(0, R"({"metadata":{"name":"b"}})", /*has_more=*/true);
+  AwaitCalls(2);
+  AnswerPage(1, R"({"metadata":{"name":"b"}})", /*has_more=*/true);
+  AwaitResult();
+  EXPECT_TRUE(absl::IsInvalidArgument(result_->status()));
+  EXPECT_EQ(calls_.size(), 2u);
+}
+
 }  // namespace
 }  // namespace jackdawshunt::platform
--- a/jackdawshunt/platform/records.cc
+++ b/jackdawshunt/platform/records.cc
@@ -378,8 +378,11 @@
   }
   ObjectReader fields(*metadata);
   const std::string name = fields.RequiredText("name");
-  if (!fields.status().ok() ||
-      (kind == RecordKind::kDesiredState && name != kDesiredStateName)) {
+  if (!fields.status().ok()) {
+    return;
+  }
+  list.last_name = name;
+  if (kind == RecordKind::kDesiredState && name != kDesiredStateName) {
     return;
   }
   list.records.push_back({name, is_removed ? RecordValue(Absent{})
@@ -515,7 +518,7 @@
   std::string path = absl::StrCat("/jackdawshunt/objects/",
                                   std::string(RowFor(kind).wire_name));
   if (!after.empty()) {
-    absl::StrAppend(&path, "?after=", std::string(after));
+    absl::StrAppend(&path, "?after=", http::PercentEncode(after));
   }
   return path;
 }
--- a/jackdawshunt/platform/records.h
+++ b/jackdawshunt/platform/records.h
@@ -46,6 +46,7 @@
   std::vector<Record> records;      // After a watch, only the changed ones.
   routing::StoreRevision revision;  // Of the store, to watch from.
   bool has_more = false;            // Whether a list has further pages.
+  std::string last_name;            // Of all entries, also unusable ones.
 };
 
 // Decode the "specification" of one record. Error: InvalidArgument, which names
