Go on with a broken stream only by an answer that is alike

What callers saw: the text of an error in the middle of a stream, or a stream that ended as if it were complete. Cause: when a stream had broken off, the next upstream's answer was discarded only if its status was none of success; a sealed 201, 202, 203, 204 or 206, or a 200 of another media type, was taken for the rest of the stream. Class of fault: a part accepted by a weaker check than the whole. Change: an answer continues another one only if its status and media type are those of the response that has begun; else it counts as an error of that upstream.

With it, RepeatedRefusalTest: a refusal that is written once more on a kept connection, at six moments, in three framings, with and without the id of its request. None of the 144 cases fails: answers are told apart by the request's id, bytes behind an answer end the connection, and no id is sent twice on one.

--- a/jackdawshunt/gateway/attempt.cc
+++ b/jackdawshunt/gateway/attempt.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "jackdawshunt/gateway/request_log.h"
 
 namespace jackdawshunt::gateway {
@@ -113,9 +114,17 @@
   }
 }
 
+BegunResponse Attempt::begun() const {
+  const std::string_view type = http::FindHeader(head_.headers, "Content-Type");
+  const std::string_view media_type = type.substr(0, type.find(';'));
+  return {.status = head_.status,
+          .media_type = absl::AsciiStrToLower(absl::StripAsciiWhitespace(
+              absl::string_view(media_type.data(), media_type.size())))};
+}
+
 std::unique_ptr<ResponseBody> Attempt::MakeBody() const {
   if (answer_.is_not_executed || (answer_.is_success() && !answer_.is_sealed) ||
-      (options_.is_continuation && !answer_.is_success()) ||
+      (options_.continues.has_value() && begun() != *options_.continues) ||
       (!answer_.is_success() && MeansNotExecuted(answer_.status))) {
     return MakeDiscardedBody();
   }
--- a/jackdawshunt/gateway/attempt.h
+++ b/jackdawshunt/gateway/attempt.h
@@ -26,11 +26,20 @@
 
 namespace jackdawshunt::gateway {
 
+// What the caller's response began with. Only a response that is alike can
+// continue it.
+struct BegunResponse {
+  int status = 0;
+  std::string media_type;  // Without parameters; empty if not stated.
+
+  bool operator==(const BegunResponse&) const = default;
+};
+
 struct AttemptOptions {
   // Whether the upstream's limit allows the request.
   bool has_permit = false;
-  // Whether the response to the caller has started before this attempt.
-  bool is_continuation = false;
+  // The response to the caller, if it has started before this attempt.
+  std::optional<BegunResponse> continues;
   // The last event that the caller was sent.
   std::optional<uint64_t> last_event_id;
 };
@@ -97,6 +106,8 @@
   }
   // Returns the head for the caller's response.
   const http1::ResponseHead& head() const { return head_; }
+  // Returns what a response with this head begins with.
+  BegunResponse begun() const;
   const routing::Upstream& upstream() const { return upstream_; }
   // Returns the last event that the caller was sent, now or before.
   std::optional<uint64_t> last_event_id() const;
--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -185,11 +185,11 @@
 
 void Call::SendAttempt(const routing::Decision& decision, bool has_permit) {
   CountResumption("sent");
-  auto attempt = std::make_unique<Attempt>(
-      context_, request_, *this, decision,
-      AttemptOptions{.has_permit = has_permit,
-                     .is_continuation = is_answer_started_,
-                     .last_event_id = LastEventId()});
+  auto attempt =
+      std::make_unique<Attempt>(context_, request_, *this, decision,
+                                AttemptOptions{.has_permit = has_permit,
+                                               .continues = begun_,
+                                               .last_event_id = LastEventId()});
   if (attempt_ != nullptr) {
     earlier_events_ += attempt_->event_count();
     // It may be the caller of this function.
@@ -214,6 +214,7 @@
   } else {
     is_answer_started_ = true;
     final_status_ = attempt_->head().status;
+    begun_ = attempt_->begun();
     caller_->StartResponse(attempt_->head(), http1::BodyFraming::Chunked(),
                            context_.closes_connections, data);
   }
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -143,6 +143,7 @@
   StartChecks::Handle start_check_;   // After a loss.
   bool may_have_executed_ = false;
   bool is_answer_started_ = false;
+  std::optional<BegunResponse> begun_;  // Once events were forwarded.
   bool has_first_event_ = false;
   bool is_done_ = false;
   int final_status_ = 0;
--- a/jackdawshunt/gateway/call_test.cc
+++ b/jackdawshunt/gateway/call_test.cc
@@ -4,11 +4,14 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "absl/strings/numbers.h"
@@ -48,11 +51,31 @@
   void SetResponses(std::vector<EngineResponse> responses) {
     responses_ = std::move(responses);
   }
+  // Leaves the answers to `script`, which gets the number of the arrival.
+  using Script = std::function<void(http1::ServerConnection& connection,
+                                    const http1::RequestHead& head,
+                                    size_t arrival)>;
+  void SetScript(Script script) { script_ = std::move(script); }
+  // Calls `run` later, unless the connection has ended.
+  void After(kernel::Duration delay,
+             http1::ServerConnection& connection,
+             std::function<void()> run) {
+    timers_.push_back(
+        loop_.After(delay, [this, then = std::move(run), &connection] {
+          if (connections_.Contains(connection)) {
+            then();
+          }
+        }));
+  }
 
   void OnRequest(http1::ServerConnection& connection,
                  const http1::RequestHead& head,
                  std::string&) override {
     ++arrivals_;
+    if (script_) {
+      script_(connection, head, arrivals_);
+      return;
+    }
     const std::string id(http::FindHeader(head.headers, "Request-Id"));
     const http1::ResponseHead response_head{
         .status = 200,
@@ -104,6 +127,8 @@
   http1::ConnectionSet connections_;
   kernel::Timer abort_timer_;
   std::vector<EngineResponse> responses_;
+  Script script_;
+  std::vector<kernel::Timer> timers_;
   size_t arrivals_ = 0;
 };
 
@@ -142,12 +167,18 @@
     route.path_prefix = "/revise/";
     route.kind = routing::RouteKind::kStream;
     route.is_resumable = true;
-    route.attempts = 2;
+    route.attempts = 3;
     route.timeout = seconds(8);
     route.latency_objective = seconds(1);
     route.services = {{"llm", 1}};
-    state.routes = {route};
+    routing::Route plain = route;
+    plain.path_prefix = "/hold/";
+    plain.kind = routing::RouteKind::kUnsafe;
+    plain.is_resumable = false;
+    plain.services = {{"desk", 1}};
+    state.routes = {route, plain};
     state.services = {
+        {.name = "desk"},
         {.name = "llm",
          .engine = routing::EngineProfile{.slots = 64, .cache_tokens = 90000}}};
     router_.SetDesiredState(std::move(state));
@@ -170,6 +201,14 @@
       engine.address.port = listeners_.back()->port();
       upstreams.push_back(engine);
     }
+    routing::Upstream desk = upstreams.front();
+    desk.id = "d-0";
+    desk.service = "desk";
+    desk.address.ip = "127.0.4.100";
+    listeners_.push_back(*http1::Listener::Bind(
+        loop_, {desk.address.ip, 0}, [this](int fd) { engines_.Add(fd); }));
+    desk.address.port = listeners_.back()->port();
+    upstreams.push_back(desk);
     router_.directory().Replace(upstreams, loop_.clock().Now());
     board_client_ = std::make_unique<BoardClient>(loop_, "127.0.0.1", port);
     EXPECT_TRUE(board_client_->Open().ok());
@@ -240,20 +279,21 @@
     return text.substr(0, text.find("\r\n"));
   }
   // Returns the response to the request, as far as it arrives.
-  const CallerResponse& WholeAnswer() {
-    EXPECT_EQ(write(caller_, kRequest, sizeof(kRequest) - 1),
-              static_cast<ssize_t>(sizeof(kRequest) - 1));
+  const CallerResponse& WholeAnswer(std::string_view request = kRequest) {
+    response_.emplace();
+    EXPECT_EQ(write(caller_, request.data(), request.size()),
+              static_cast<ssize_t>(request.size()));
     EXPECT_TRUE(loop_.RunUntil(
         [&] {
           std::array<char, 4096> buffer;
           const ssize_t count = read(caller_, buffer.data(), buffer.size());
           if (count > 0) {
-            response_.Feed({buffer.data(), static_cast<size_t>(count)});
+            response_->Feed({buffer.data(), static_cast<size_t>(count)});
           }
-          return response_.is_complete() || count == 0;
+          return response_->is_complete() || count == 0;
         },
         seconds(20)));
-    return response_;
+    return *response_;
   }
   void OnBoardMessage(size_t engine,
                       const http::Address& from,
@@ -267,12 +307,23 @@
     }
   }
 
+  routing::RoutedRequest MakePlainRequest(std::string id) {
+    routing::RoutedRequest request;
+    request.id = std::move(id);
+    request.table = router_.table();
+    request.route = request.table->Match("h", "/hold/x");
+    router_.Prepare(request, seconds(3), loop_.clock().Now());
+    return request;
+  }
+
   // http1::ServerConnection::Handler:
   void OnRequest(http1::ServerConnection& connection,
                  const http1::RequestHead& head,
                  std::string& body) override {
-    call_ = std::make_unique<Call>(*context_, connection, head, body,
-                                   MakeRequest());
+    const std::string id(http::FindHeader(head.headers, "Request-Id"));
+    call_ = std::make_unique<Call>(
+        *context_, connection, head, body,
+        head.target == "/hold/x" ? MakePlainRequest(id) : MakeRequest());
     call_->Start();
   }
   void OnRequestError(http1::ServerConnection&, http1::RequestError) override {}
@@ -295,7 +346,7 @@
   routing::OverloadGauge overload_;
   std::unique_ptr<CallContext> context_;
   int caller_ = -1;
-  CallerResponse response_;
+  std::optional<CallerResponse> response_;
   std::unique_ptr<http1::ServerConnection> connection_;
   std::unique_ptr<Call> call_;
 };
@@ -368,5 +419,252 @@
                          CutResponseTest,
                          ::testing::Range<size_t>(0, 60));
 
+// How the end of a raw answer is marked.
+enum class RawEnd { kLength, kChunks, kClose, kCutInBody, kCutAfterHead };
+
+struct RawAnswer {
+  std::string first_line;
+  std::string fields;  // Each with its line end.
+  std::string body;
+  RawEnd end = RawEnd::kLength;
+};
+
+std::string Describe(const RawAnswer& answer) {
+  return absl::StrCat(answer.first_line, " | ", answer.fields, " | ",
+                      answer.body, " | ", static_cast<int>(answer.end));
+}
+
+// Returns the bytes of the answer.
+std::string RawBytes(const RawAnswer& answer) {
+  std::string bytes =
+      absl::StrCat("HTTP/1.1 ", answer.first_line, "\r\n", answer.fields);
+  switch (answer.end) {
+    case RawEnd::kChunks:
+      return absl::StrCat(bytes, "Transfer-Encoding: chunked\r\n\r\n",
+                          answer.body.empty()
+                              ? ""
+                              : absl::StrCat(absl::Hex(answer.body.size()),
+                                             "\r\n", answer.body, "\r\n"),
+                          "0\r\n\r\n");
+    case RawEnd::kClose:
+      return absl::StrCat(bytes, "Connection: close\r\n\r\n", answer.body);
+    case RawEnd::kCutAfterHead:
+      return absl::StrCat(bytes, "Content-Length: 9\r\n\r\n");
+    case RawEnd::kLength:
+    case RawEnd::kCutInBody:
+      break;
+  }
+  const size_t rest = answer.end == RawEnd::kCutInBody ? 7 : 0;
+  return absl::StrCat(bytes, "Content-Length: ", answer.body.size() + rest,
+                      "\r\n\r\n", answer.body);
+}
+
+// The answers of an upstream that does not go on with a stream.
+std::vector<RawAnswer> ErrorAnswers() {
+  constexpr char kOwn[] = "Request-Id: 1\r\n";
+  constexpr char kSeal[] = "Request-Id: 1\r\nResponse-Seal: s\r\n";
+  constexpr char kRefusal[] = "Request-Id: 1\r\nNot-Executed: 1\r\n";
+  // Text that could pass for an event.
+  constexpr char kText[] = "id: 9\ndata: error\n\n";
+  std::vector<RawAnswer> answers;
+  for (const RawEnd end : {RawEnd::kLength, RawEnd::kChunks, RawEnd::kClose,
+                           RawEnd::kCutInBody, RawEnd::kCutAfterHead}) {
+    for (const int status : {300, 302, 400, 401, 403, 404, 408, 409, 410, 416,
+                             421, 422, 429, 500, 501, 502, 503, 504, 599}) {
+      const std::string line = absl::StrCat(status, " Error");
+      answers.push_back({line, kOwn, kText, end});
+      answers.push_back({line, kSeal, kText, end});
+      answers.push_back({line, kRefusal, "refused", end});
+      answers.push_back({line, kSeal, "", end});
+    }
+    // Successes that are no part of a stream.
+    answers.push_back({"200 OK", kOwn, kText, end});
+    answers.push_back({"200 OK", kRefusal, kText, end});
+    for (const char* const line :
+         {"201 Created", "202 Accepted", "203 Other", "206 Partial Content"}) {
+      answers.push_back({line, kSeal, kText, end});
+      answers.push_back({line, kSeal, "", end});
+    }
+    answers.push_back(
+        {"200 OK", absl::StrCat(kSeal, "Content-Type: application/json\r\n"),
+         "{\"error\":\"lost\"}\n\n", end});
+    answers.push_back({"200 OK",
+                       absl::StrCat(kSeal, "Content-Type: text/plain\r\n"), "",
+                       end});
+  }
+  answers.push_back({"204 No Content", kSeal, "", RawEnd::kLength});
+  answers.push_back({"103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 500 Error", kSeal,
+                     kText, RawEnd::kLength});
+  answers.push_back(
+      {"500 Error", "Request-Id: other\r\n", kText, RawEnd::kLength});
+  answers.push_back({"500 Error", "", kText, RawEnd::kClose});
+  return answers;
+}
+
+// The parameter is the index of the answer.
+class BrokenStreamTest : public CallTest,
+                         public ::testing::WithParamInterface<size_t> {};
+
+// Guards against the text or the head of an error in the middle of a stream,
+// and against a stream that ends as if it were complete, when the upstream at
+// which a broken stream goes on answers with an error.
+TEST_P(BrokenStreamTest, ErrorInPlaceOfTheRestReachesNobody) {
+  const RawAnswer answer = ErrorAnswers().at(GetParam());
+  SCOPED_TRACE(Describe(answer));
+  MakeRequest();  // Adds to the retry budget.
+  MakeRequest();
+  const std::vector<std::string> events = MakeEvents(7);
+  const http1::ResponseHead stream{
+      .status = 200,
+      .headers = {{"Request-Id", "1"},
+                  {"Response-Seal", "seal"},
+                  {"Content-Type", "text/event-stream"}}};
+  engines_.SetScript([&](http1::ServerConnection& connection,
+                         const http1::RequestHead& head, size_t arrival) {
+    if (arrival == 1) {
+      connection.StartResponse(stream, http1::BodyFraming::Chunked(), false,
+                               events[0]);
+      engines_.After(milliseconds(1), connection,
+                     [&connection] { connection.Abort(); });
+    } else if (arrival == 2) {
+      connection.WriteRaw(RawBytes(answer));
+      engines_.After(milliseconds(2), connection,
+                     [&connection] { connection.Abort(); });
+    } else {
+      EXPECT_EQ(http::FindHeader(head.headers, "Last-Event-Id"), "1");
+      connection.Reply(stream, events[1] + events[2]);
+    }
+  });
+  const CallerResponse& response = WholeAnswer();
+  EXPECT_TRUE(response.is_complete());
+  EXPECT_EQ(response.status(), 200);
+  EXPECT_EQ(response.body(), absl::StrJoin(events, ""));
+  EXPECT_EQ(engines_.arrivals(), 3u);
+}
+
+INSTANTIATE_TEST_SUITE_P(EachAnswer,
+                         BrokenStreamTest,
+                         ::testing::Range<size_t>(0, ErrorAnswers().size()));
+
+// When a refusal of an earlier request on the connection is written once more.
+enum class RepeatAt {
+  kAtOnce,          // With the first one.
+  kWhileIdle,       // Before the next request.
+  kBeforeAnswer,    // While the next request runs.
+  kWithAnswer,      // In front of the answer to it.
+  kAfterAnswer,     // Behind the answer to it.
+  kWhileIdleAgain,  // After the answer to it.
+};
+
+using RepeatedRefusal = std::tuple<RepeatAt, RawEnd, const char*, bool>;
+
+// The parameters are when and in which framing it is written, its status, and
+// whether it names the request that was refused.
+class RepeatedRefusalTest
+    : public CallTest,
+      public ::testing::WithParamInterface<RepeatedRefusal> {
+ protected:
+  static std::string Request(const std::string& id) {
+    return absl::StrCat("POST /hold/x HTTP/1.1\r\nHost: h\r\nRequest-Id: ", id,
+                        "\r\nContent-Length: 2\r\n\r\n{}");
+  }
+  static int StatusOf(const char* refusal) {
+    int status = 0;
+    EXPECT_TRUE(absl::SimpleAtoi(absl::string_view(refusal, 3), &status));
+    return status;
+  }
+  void Pause(kernel::Duration time) {
+    loop_.RunUntil([] { return false; }, time);
+  }
+};
+
+// Guards against "not run, try again" for a request that an upstream runs, and
+// against a second run of it.
+TEST_P(RepeatedRefusalTest, IsNotTakenForTheAnswerToALaterRequest) {
+  const auto [at, end, refusal, names_request] = GetParam();
+  const std::string repeated =
+      RawBytes({refusal,
+                absl::StrCat(names_request ? "Request-Id: refused\r\n" : "",
+                             "Not-Executed: 1\r\n"),
+                "no", end});
+  std::map<std::string, int> runs;
+  engines_.SetScript([&, at = at, refusal = refusal, end = end](
+                         http1::ServerConnection& connection,
+                         const http1::RequestHead& head, size_t) {
+    const std::string id(http::FindHeader(head.headers, "Request-Id"));
+    ++runs[id];
+    const auto repeat = [&connection, &repeated] {
+      connection.WriteRaw(repeated);
+    };
+    const auto answer = [&connection, id] {
+      connection.Reply(
+          {.status = 200,
+           .headers = {{"Request-Id", id}, {"Response-Seal", "s"}}},
+          id);
+    };
+    if (id == "refused") {
+      connection.Reply({.status = StatusOf(refusal),
+                        .headers = {{"Request-Id", id}, {"Not-Executed", "1"}}},
+                       "no");
+      if (at == RepeatAt::kAtOnce) {
+        repeat();
+      } else if (at == RepeatAt::kWhileIdle) {
+        engines_.After(milliseconds(1), connection, repeat);
+      }
+    } else if (id == "next" && at == RepeatAt::kBeforeAnswer) {
+      repeat();
+      engines_.After(milliseconds(2), connection, answer);
+    } else if (id == "next" && at == RepeatAt::kWithAnswer) {
+      repeat();
+      answer();
+    } else {
+      answer();
+      if (id == "next" && at == RepeatAt::kAfterAnswer) {
+        repeat();
+      } else if (id == "next" && at == RepeatAt::kWhileIdleAgain) {
+        engines_.After(milliseconds(1), connection, repeat);
+      }
+    }
+    if (id == "next" && end == RawEnd::kClose) {
+      engines_.After(milliseconds(4), connection,
+                     [&connection] { connection.Abort(); });
+    }
+  });
+  EXPECT_EQ(WholeAnswer(Request("refused")).status(), 503);
+  if (at == RepeatAt::kWhileIdle) {
+    Pause(milliseconds(4));
+  }
+  const CallerResponse& next = WholeAnswer(Request("next"));
+  EXPECT_TRUE(next.is_complete());
+  EXPECT_EQ(runs["next"], 1);
+  const bool ends_inside_refusal =
+      end == RawEnd::kClose &&
+      (at == RepeatAt::kBeforeAnswer || at == RepeatAt::kWithAnswer);
+  EXPECT_EQ(next.status(), ends_inside_refusal ? 502 : 200) << next.body();
+  if (!ends_inside_refusal) {
+    EXPECT_EQ(next.body(), "next");
+  }
+  Pause(milliseconds(3));
+  const CallerResponse& last = WholeAnswer(Request("last"));
+  EXPECT_EQ(last.status(), 200);
+  EXPECT_EQ(last.body(), "last");
+  EXPECT_EQ(runs["last"], 1);
+  EXPECT_GE(pool_.connections_opened(), 2u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    EachMoment,
+    RepeatedRefusalTest,
+    ::testing::Combine(
+        ::testing::Values(RepeatAt::kAtOnce,
+                          RepeatAt::kWhileIdle,
+                          RepeatAt::kBeforeAnswer,
+                          RepeatAt::kWithAnswer,
+                          RepeatAt::kAfterAnswer,
+                          RepeatAt::kWhileIdleAgain),
+        ::testing::Values(RawEnd::kLength, RawEnd::kChunks, RawEnd::kClose),
+        ::testing::Values("503 Busy", "429 Many", "408 Late", "400 Bad"),
+        ::testing::Bool()));
+
 }  // namespace
 }  // namespace jackdawshunt::gateway
