End a stream before a head that stands in place of an event

What callers saw: the whole head of an error in the middle of their stream. Cause: the head of another answer was recognised only in bodies without a length or chunks; an upstream that writes an error into the stream it has begun, in its framing, had the head forwarded as an event. Change: an event that begins with "HTTP/1." ends the attempt like one out of order; the stream goes on elsewhere. Not covered: an error's text without a head, which cannot be told from an event.

--- a/jackdawshunt/gateway/call_test.cc
+++ b/jackdawshunt/gateway/call_test.cc
@@ -546,6 +546,32 @@
                          BrokenStreamTest,
                          ::testing::Range<size_t>(0, ErrorAnswers().size()));
 
+// Guards against the head of an error in the middle of a stream, when the
+// upstream writes it in place of the next event.
+TEST_F(CallTest, HeadInsideAStreamReachesNobody) {
+  MakeRequest();  // Adds to the retry budget.
+  MakeRequest();
+  const std::vector<std::string> events = MakeEvents(7);
+  const http1::ResponseHead stream{
+      .status = 200,
+      .headers = {{"Request-Id", "1"}, {"Response-Seal", "seal"}}};
+  engines_.SetScript([&](http1::ServerConnection& connection,
+                         const http1::RequestHead& head, size_t arrival) {
+    if (arrival == 1) {
+      connection.Reply(stream, events[0] +
+                                   "HTTP/1.1 500 Error\r\n"
+                                   "Content-Length: 7\r\n\r\nfailed\n");
+    } else {
+      EXPECT_EQ(http::FindHeader(head.headers, "Last-Event-Id"), "1");
+      connection.Reply(stream, events[1] + events[2]);
+    }
+  });
+  const CallerResponse& response = WholeAnswer();
+  EXPECT_TRUE(response.is_complete());
+  EXPECT_EQ(response.body(), absl::StrJoin(events, ""));
+  EXPECT_EQ(engines_.arrivals(), 2u);
+}
+
 // When a refusal of an earlier request on the connection is written once more.
 enum class RepeatAt {
   kAtOnce,          // With the first one.
--- a/jackdawshunt/gateway/event_splitter.cc
+++ b/jackdawshunt/gateway/event_splitter.cc
@@ -42,7 +42,7 @@
   buffer_.append(data);
   size_t end = FindEventEnd(buffer_, returned_bytes_);
   while (end != std::string_view::npos) {
-    if (!ApplyEventId(std::string_view(buffer_).substr(
+    if (!ApplyEvent(std::string_view(buffer_).substr(
             returned_bytes_, end - returned_bytes_))) {
       break;
     }
@@ -69,14 +69,20 @@
       break;
     }
   }
-  if (ApplyEventId(piece.substr(0, piece.rfind('\n') + 1))) {
+  if (ApplyEvent(piece.substr(0, piece.rfind('\n') + 1))) {
     returned_bytes_ += piece.size();
     has_split_event_ = true;
   }
 }
 
-bool EventSplitter::ApplyEventId(std::string_view event) {
+bool EventSplitter::ApplyEvent(std::string_view event) {
   constexpr std::string_view kField = "id:";
+  // No field of an event begins like this.
+  constexpr std::string_view kStatusLine = "HTTP/1.";
+  if (!has_split_event_ && event.starts_with(kStatusLine)) {
+    is_out_of_order_ = true;
+    return false;
+  }
   const std::optional<uint64_t> previous = last_event_id_;
   // After a split, the first line is the rest of one.
   size_t start = has_split_event_ ? event.find('\n') : 0;
--- a/jackdawshunt/gateway/event_splitter.h
+++ b/jackdawshunt/gateway/event_splitter.h
@@ -26,7 +26,8 @@
   // Appends `data` and returns the events that are now complete; the view is
   // valid until the next call. An event larger than kMaxEventBytes is returned
   // in pieces. Nothing is returned from an event on whose id is not above that
-  // of an earlier one; see is_out_of_order().
+  // of an earlier one, or in whose place the head of an answer stands; see
+  // is_out_of_order().
   std::string_view Feed(std::string_view data);
 
   // Returns whether the bytes so far end inside an event.
@@ -37,8 +38,8 @@
   // the stream cannot be continued after a whole event.
   bool has_split_event() const { return has_split_event_; }
 
-  // Returns whether an event was not returned because of its id, so that the
-  // bytes are not the stream's.
+  // Returns whether an event was not returned because of its id or since it is
+  // the head of an answer, so that the bytes are not the stream's.
   bool is_out_of_order() const { return is_out_of_order_; }
 
   // Returns the bytes of the incomplete event; valid until the next call.
@@ -57,8 +58,8 @@
   void SplitEvent();
   // Records the id of the event, or of a piece of one, if it is numeric and
   // higher than those of earlier events. Sets `is_out_of_order_` and returns
-  // false if it is not higher.
-  bool ApplyEventId(std::string_view event);
+  // false if it is not higher, or if the event is the head of an answer.
+  bool ApplyEvent(std::string_view event);
 
   std::string buffer_;
   size_t returned_bytes_ = 0;  // Leading bytes of `buffer_` that the last call
--- a/jackdawshunt/gateway/event_splitter_test.cc
+++ b/jackdawshunt/gateway/event_splitter_test.cc
@@ -78,6 +78,20 @@
   }
 }
 
+// Guards against the head of an error in place of an event, in any pieces.
+TEST(EventSplitterTest, ReturnsNoHeadOfAnAnswer) {
+  const std::string event = "id: 1\ndata: HTTP/1.1 200 OK\n\n";
+  const std::string text =
+      event + "HTTP/1.1 500 Error\r\nX: y\r\n\r\nfailed\n\nid: 2\n\n";
+  for (size_t cut = 0; cut <= text.size(); ++cut) {
+    EventSplitter splitter;
+    std::string out(splitter.Feed(text.substr(0, cut)));
+    out.append(splitter.Feed(text.substr(cut)));
+    EXPECT_EQ(out, event) << cut;
+    EXPECT_TRUE(splitter.is_out_of_order()) << cut;
+  }
+}
+
 // Guards against events of a second run, which follow those of the first, or
 // come from an engine that does not resume where it was asked to.
 TEST(EventSplitterTest, ReturnsNoEventWhoseIdDoesNotIncrease) {
