Check an engine again when its board's reply comes

Cause: the reply of a board arrives up to some tens of milliseconds after the query, a frozen process reads it later; an engine whose entry expired meanwhile, or whose address another start took, was still chosen. Class of fault: a decision on state that was checked before a wait. Evidence: OffersOfEnginesThatMayNoLongerBeUsedAreIgnored fails on the code before in two of its three cases and passes now. Change: IsReady(), which other waits use already.

--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -669,6 +669,7 @@
     const RoutedRequest& request,
     const std::vector<BoardOffer>& offers,
     kernel::TimePoint now) {
+  directory_.DropExpired(now);
   std::vector<const Upstream*> reachable;
   for (const BoardOffer& offer : offers) {
     const Upstream* const upstream = directory_.Find(offer.upstream);
@@ -679,7 +680,7 @@
       }
       continue;
     }
-    if (upstream != nullptr && !upstream->is_draining &&
+    if (upstream != nullptr && IsReady(*upstream, now) &&
         MayServe(request, *upstream, now)) {
       reachable.push_back(upstream);
     }
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -1,5 +1,6 @@
 // Unit tests of the directory, the retry budget, upstream health, key
 // freshness, overload, the router, fair shares and engine estimates.
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -601,6 +602,43 @@
   EXPECT_EQ(router.Choose(request, none, Now()).verdict, Verdict::kSend);
 }
 
+// Guards against requests that waited for the reply of a board and are sent to
+// an engine that may no longer be used when it comes.
+TEST_F(RouterTest, OffersOfEnginesThatMayNoLongerBeUsedAreIgnored) {
+  const std::vector<BoardOffer> offers = {
+      {.upstream = "a", .cost = {}},
+      {.upstream = "b", .cost = {.wait = milliseconds(100)}}};
+  Upstream a = MakeUpstream("a");
+  a.started_unix_ms = 1000;
+  Upstream b = MakeUpstream("b");
+  b.address.port = 2;
+  const auto choose = [&](const std::function<void(Directory&)>& change) {
+    Router router({.return_grace = seconds(1)}, Now());
+    router.SetDesiredState(MakeEngineState());
+    router.directory().Replace({a, b}, Now());
+    RoutedRequest request = MakePromptRequest(router, Now());
+    change(router.directory());
+    return router.Choose(request, offers, Now()).upstream.id;
+  };
+  EXPECT_EQ(choose([](Directory&) {}), "a");
+  EXPECT_EQ(choose([&](Directory& directory) {
+              directory.OnListOutageEnded(Now());
+              directory.Remove("a", Now());
+              clock_.Advance(milliseconds(1500));
+            }),
+            "b");
+  EXPECT_EQ(choose([&](Directory& directory) {
+              Upstream later = MakeUpstream("later", "other");
+              later.started_unix_ms = 2000;
+              directory.Put(later, Now());
+            }),
+            "b");
+  EXPECT_EQ(choose([&](Directory& directory) {
+              directory.MarkLeaving(a, 5000, Now());
+            }),
+            "b");
+}
+
 // Guards against the processor time of three queries for each refusal while one
 // workspace sends many times its usual load.
 TEST_F(RouterTest, RefusesByRecentOffersWithoutQuery) {
