--- a/jackdawshunt/gateway/event_splitter.cc
+++ b/jackdawshunt/gateway/event_splitter.cc
@@ -42,8 +42,8 @@
   buffer_.append(data);
   size_t end = FindEventEnd(buffer_, returned_bytes_);
   while (end != std::string_view::npos) {
-    if (!ApplyEvent(std::string_view(buffer_).substr(
-            returned_bytes_, end - returned_bytes_))) {
+    if (!ApplyEvent(std::string_view(buffer_).substr(returned_bytes_,
+                                                     end - returned_bytes_))) {
       break;
     }
     ++event_count_;
--- a/jackdawshunt/platform/json_text_test.cc
+++ b/jackdawshunt/platform/json_text_test.cc
@@ -71,7 +71,9 @@
 
 // What the library reads is not changed, and repaired text is not repaired
 // again.
-RC_GTEST_PROP(JsonTextTest, KeepsWhatTheLibraryReads, (std::string text)) {
+RC_GTEST_PROP(JsonTextTest,
+              KeepsWhatTheLibraryReads,
+              (const std::string& text)) {
   const std::string repaired = RepairJson(text);
   RC_ASSERT(RepairJson(repaired) == repaired);
   if (nlohmann::json::accept(text)) {
--- a/jackdawshunt/platform/records_test.cc
+++ b/jackdawshunt/platform/records_test.cc
@@ -188,7 +188,7 @@
     const std::string shown = odd.substr(0, 200);
     const std::string bad = Item("i-odd", odd);
     const auto list =
-        DecodeList(RecordKind::kUpstream, ListOf(bad + "," + good));
+        DecodeList(RecordKind::kUpstream, ListOf(absl::StrCat(bad, ",", good)));
     ASSERT_TRUE(list.ok()) << shown;
     ASSERT_EQ(list->records.size(), 2u) << shown;
     EXPECT_TRUE(std::holds_alternative<Absent>(list->records[0].value))
@@ -197,9 +197,9 @@
         std::holds_alternative<routing::Upstream>(list->records[1].value))
         << shown;
     const auto changes = DecodeWatch(
-        RecordKind::kUpstream, R"({"events":[{"object":)" + bad +
-                                   R"(,"removed":false},{"object":)" + good +
-                                   R"(}],"storeRevision":9})");
+        RecordKind::kUpstream, absl::StrCat(R"({"events":[{"object":)", bad,
+                                            R"(,"removed":false},{"object":)",
+                                            good, R"(}],"storeRevision":9})"));
     ASSERT_TRUE(changes.ok()) << shown;
     ASSERT_EQ(changes->records.size(), 2u) << shown;
     EXPECT_TRUE(std::holds_alternative<Absent>(changes->records[0].value))
