Read control characters between values of the store's answers as white space

Cause: RepairJson() replaced them by an empty array, which makes the text unreadable; the code before it read them as blanks. Change: they count as white space.

--- a/jackdawshunt/platform/json_text.cc
+++ b/jackdawshunt/platform/json_text.cc
@@ -12,8 +12,13 @@
 // An integer of so few digits fits every type.
 constexpr size_t kMaxPlainDigits = 15;
 
+bool IsControl(char c) {
+  return static_cast<unsigned char>(c) < 0x20;
+}
+
+// Between values, control characters count as white space.
 bool IsSpace(char c) {
-  return c == ' ' || c == '\t' || c == '\n' || c == '\r';
+  return c == ' ' || IsControl(c);
 }
 
 bool IsStructural(char c) {
@@ -54,7 +59,7 @@
   for (size_t i = 0; i < text.size();) {
     const size_t length = CharacterLength(text, i);
     if (length == 0) {
-      replaced[i] = static_cast<unsigned char>(text[i]) < 0x20 ? ' ' : '?';
+      replaced[i] = IsControl(text[i]) ? ' ' : '?';
     }
     i += std::max<size_t>(length, 1);
   }
@@ -77,7 +82,7 @@
         Open();
       } else if (IsStructural(c) || IsSpace(c)) {
         depth_ -= (c == ']' || c == '}') && depth_ > 0 ? 1 : 0;
-        repaired_.push_back(c);
+        repaired_.push_back(IsControl(c) ? ' ' : c);
         ++position_;
       } else {
         CopyWord();
--- a/jackdawshunt/platform/json_text.h
+++ b/jackdawshunt/platform/json_text.h
@@ -21,10 +21,9 @@
 
 // Returns `text` with each value that is nested deeper, is a number beyond a
 // double, or is no JSON value, such as NaN, replaced by an empty array, which
-// no field expects that holds a single value. In strings, control characters
-// and bytes that are not UTF-8 are replaced by ' ' and '?', and a string that
-// is still not readable by "?". Other text stays as it is, also if it is not
-// JSON.
+// no field expects that holds a single value. Control characters are replaced
+// by ' ', bytes in strings that are not UTF-8 by '?', and a string that is
+// still not readable by "?". Other text stays as it is, also if it is not JSON.
 std::string RepairJson(std::string_view text);
 
 }  // namespace jackdawshunt::platform
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -85,8 +85,8 @@
   // only marked as expired, and removed at the end of that period unless it is
   // put again; further outages do not extend its use.
   void Remove(std::string_view id, kernel::TimePoint now);
-  // Removes the entries whose grace period has ended. The functions that take
-  // lists of upstreams do so first; Find() does not.
+  // Removes the entries whose grace period has ended. Ready() and Running() do
+  // so first, Find() does not.
   void DropExpired(kernel::TimePoint now);
 
   // Records that the upstream itself has said that it leaves, in the answer to
