Add failing tests of clients that keep no limits

The tests start a gateway on a machine of 64 MB and 400 descriptors, set a crowd on one of its ports, and check that the process lives, that its resident memory plus the bytes in the kernel's queues of its sockets and its open descriptors stay within the machine, and that an ordinary request is answered beside the crowd and afterwards. The bounds are the machine's limits, not measured figures. Crowds of 160 clients send bodies (in large and in small chunks, short of their end, byte by byte, whole, beyond the limit announced or sent, with an unknown key, to the ports of readiness and of the operator), heads, trailers and chunk extensions without end, requests one behind another, or ask for answers and do not read them; crowds of 700 hold connections that are silent or send half a head.

--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -143,7 +143,8 @@
             .born_unix_ms = kBeginUnixMs,
             .is_engine = is_engine,
             .events = options_.stream_events,
-            .work = options_.work},
+            .work = options_.work,
+            .answer_bytes = options_.plain_answer_bytes},
         runs_));
     upstream_addresses_.push_back({UpstreamIp(i), upstreams_[i]->port()});
     if (options_.has_proxies) {
@@ -479,9 +480,9 @@
       "\nbounds.revokeMs=", Milliseconds(options_.revocation),
       "\nbounds.strictRevocation=true\nbounds.graceS=8\n"
       "bounds.budgetRatio=0.2\nbounds.budgetWindowS=10\n"
-      "bounds.budgetSlack=50\nlimits.memoryMb=260\n"
-      "limits.fileDescriptors=",
-      options_.file_descriptors, "\n", more);
+      "bounds.budgetSlack=50\nlimits.memoryMb=",
+      options_.memory_mb,
+      "\nlimits.fileDescriptors=", options_.file_descriptors, "\n", more);
   return path;
 }
 
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -49,6 +49,9 @@
   // Puts a proxy that injects faults on each hop of ProxiedHop.
   bool has_proxies = false;
   uint32_t file_descriptors = 4100;  // Of each process.
+  uint32_t memory_mb = 260;          // Of each process.
+  // Least size of the answers of plain upstreams.
+  size_t plain_answer_bytes = 0;
   // Gateways and upstreams are spread over so many, named by DataCentreName().
   size_t data_centres = 1;
   // Of engines that start while the fleet runs. Absent: none is ever cold, and
@@ -231,6 +234,14 @@
   Process& gateway(size_t index) { return *gateways_[index]; }
   Process& board(size_t index) { return *boards_[index]; }
   http::Address gateway_address(size_t index) const;
+  // Returns the address for readiness checks.
+  http::Address readiness_address(size_t index) const {
+    return {GatewayIp(index), readiness_port_};
+  }
+  // Returns the address of health and metrics.
+  http::Address operator_address(size_t index) const {
+    return {GatewayIp(index), internal_port_};
+  }
   // Returns its address, also while it is down.
   const http::Address& upstream_address(size_t index) const {
     return upstream_addresses_[index];
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -234,6 +234,9 @@
   latest_[&connection] = {latest_[&connection].back(), request};
   std::string body = ExpectedBody(request, options_.is_engine, options_.events,
                                   options_.version);
+  if (!options_.is_engine && body.size() < options_.answer_bytes) {
+    body.resize(options_.answer_bytes, 'x');
+  }
   if (options_.is_engine) {
     // Without the events that the caller already has.
     const uint64_t first_event = jobs_.at(&connection).next_event;
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -104,6 +104,7 @@
   uint32_t events = 5;  // Of one stream.
   kernel::Duration event_gap = std::chrono::milliseconds(10);
   kernel::Duration work = std::chrono::milliseconds(5);  // Before an answer.
+  size_t answer_bytes = 0;  // Least size of the answers of a plain service.
 };
 
 class StandInUpstream final : public http1::ServerConnection::Handler {
