Drop the trailers of requests and responses

What callers saw: 160 chunked requests whose trailers go on without end took 280 MB of a gateway.

Cause: the parser collected the fields after a chunked body like those of the head. A field of four bytes takes 64 bytes and more as two strings, and http_parser ends a message only after 80 KB of them. Nothing read them.

The message is still ended with 431.

Why it works: fields are collected only until the head is complete. Ruled out: a limit of their number, which would need a value that callers meet.

--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -33,14 +33,21 @@
     OwnerOf<Owner>(parser).state = ParseState::kHead;
     return 0;
   };
+  // Fields after the head are trailers, which are dropped.
   settings.on_header_field = [](http_parser* parser, const char* at,
                                 size_t length) {
-    OwnerOf<Owner>(parser).collector.AppendName({at, length});
+    Owner& owner = OwnerOf<Owner>(parser);
+    if (owner.state != ParseState::kBody) {
+      owner.collector.AppendName({at, length});
+    }
     return 0;
   };
   settings.on_header_value = [](http_parser* parser, const char* at,
                                 size_t length) {
-    OwnerOf<Owner>(parser).collector.AppendValue({at, length});
+    Owner& owner = OwnerOf<Owner>(parser);
+    if (owner.state != ParseState::kBody) {
+      owner.collector.AppendValue({at, length});
+    }
     return 0;
   };
 }
