Stop parsing a head at its limit and release a rejected message

What callers saw: 160 heads without end took 99 MB of a gateway.

Cause: a read of 32 KiB was parsed whole before the size of the head was checked, which makes 8,000 fields of half a megabyte, and a rejected message kept its fields and its body while the connection was read off for a second.

RequestParserTest.HeadBeyondTheLimitIsRejectedInOnePiece fails before: a head over the limit was accepted if it arrived in one read.

Why it works: at most one byte more than the limit is parsed of a head that is not complete, and a rejected message holds nothing.

--- a/jackdawshunt/http1/internal/header_collector.cc
+++ b/jackdawshunt/http1/internal/header_collector.cc
@@ -39,7 +39,7 @@
 }
 
 void HeaderCollector::Clear() {
-  headers_.clear();
+  headers_ = {};
   in_value_ = false;
 }
 
--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -62,17 +62,23 @@
     parser.data = this;
     state = ParseState::kStart;
     error = ParseError::kNone;
-    head = {};
-    body.clear();
-    collector.Clear();
+    Release();
     head_bytes = 0;
     keep_alive = false;
     expects_continue = false;
   }
 
+  // Ends the message and releases its memory.
   void Fail(ParseError kind) {
     state = ParseState::kInvalid;
     error = kind;
+    Release();
+  }
+
+  void Release() {
+    head = {};
+    body = {};
+    collector.Clear();
   }
 
   // Validates the complete head. Returns non-zero, which stops http_parser, if
@@ -99,6 +105,34 @@
     return 0;
   }
 
+  // Parses `data`, which is not empty, or the first part of it. Returns the
+  // number of bytes consumed.
+  size_t FeedPart(std::string_view data) {
+    static const http_parser_settings settings = MakeSettings();
+    const bool in_head = state != ParseState::kBody;
+    if (in_head) {
+      // One byte beyond the limit shows that the head exceeds it.
+      data = data.substr(0, limits.header_bytes - head_bytes + 1);
+    }
+    const size_t consumed =
+        http_parser_execute(&parser, &settings, data.data(), data.size());
+    if (state == ParseState::kComplete) {
+      return consumed;
+    }
+    if (state != ParseState::kInvalid && HTTP_PARSER_ERRNO(&parser) != HPE_OK) {
+      Fail(HTTP_PARSER_ERRNO(&parser) == HPE_HEADER_OVERFLOW
+               ? ParseError::kHeadTooLarge
+               : ParseError::kMalformed);
+    }
+    if (in_head) {
+      head_bytes += consumed;
+      if (state == ParseState::kHead && head_bytes > limits.header_bytes) {
+        Fail(ParseError::kHeadTooLarge);
+      }
+    }
+    return consumed;
+  }
+
   static http_parser_settings MakeSettings() {
     http_parser_settings settings;
     http_parser_settings_init(&settings);
@@ -144,30 +178,10 @@
 RequestParser::~RequestParser() = default;
 
 size_t RequestParser::Feed(std::string_view data) {
-  static const http_parser_settings settings = Impl::MakeSettings();
-  Impl& self = *impl_;
-  if (self.state == ParseState::kComplete ||
-      self.state == ParseState::kInvalid || data.empty()) {
-    return 0;
-  }
-  const bool in_head = self.state != ParseState::kBody;
-  const size_t consumed =
-      http_parser_execute(&self.parser, &settings, data.data(), data.size());
-  if (self.state == ParseState::kComplete) {
-    return consumed;
-  }
-  if (self.state != ParseState::kInvalid &&
-      HTTP_PARSER_ERRNO(&self.parser) != HPE_OK) {
-    self.Fail(HTTP_PARSER_ERRNO(&self.parser) == HPE_HEADER_OVERFLOW
-                  ? ParseError::kHeadTooLarge
-                  : ParseError::kMalformed);
-  }
-  if (in_head) {
-    self.head_bytes += consumed;
-    if (self.state == ParseState::kHead &&
-        self.head_bytes > self.limits.header_bytes) {
-      self.Fail(ParseError::kHeadTooLarge);
-    }
+  size_t consumed = 0;
+  while (impl_->state != ParseState::kComplete &&
+         impl_->state != ParseState::kInvalid && consumed < data.size()) {
+    consumed += impl_->FeedPart(data.substr(consumed));
   }
   return consumed;
 }
--- a/jackdawshunt/http1/parser_test.cc
+++ b/jackdawshunt/http1/parser_test.cc
@@ -107,6 +107,18 @@
   EXPECT_EQ(parser.body(), "ok");
 }
 
+TEST(RequestParserTest, HeadBeyondTheLimitIsRejectedInOnePiece) {
+  const std::string text =
+      "GET / HTTP/1.1\r\nLong: " + std::string(100, 'a') + "\r\n\r\n";
+  RequestParser within({.header_bytes = text.size(), .body_bytes = 100});
+  EXPECT_EQ(within.Feed(text), text.size());
+  EXPECT_EQ(within.state(), ParseState::kComplete);
+  RequestParser beyond({.header_bytes = text.size() - 2, .body_bytes = 100});
+  beyond.Feed(text);
+  EXPECT_EQ(beyond.error(), ParseError::kHeadTooLarge);
+  EXPECT_TRUE(beyond.head().headers.empty());
+}
+
 TEST(RequestParserTest, EnforcesLimits) {
   RequestParser head({.header_bytes = 64, .body_bytes = 100});
   head.Feed("GET / HTTP/1.1\r\nLong: " + std::string(200, 'a'));
