Keep one copy of a request's body, and only while it is needed

What callers saw: 160 whole requests of a mebibyte took 239 to 276 MB of a gateway.

Cause: a body was copied behind its head, again into the connection that is opened, and again into its output; std::string doubled its capacity while it arrived; and the call kept it after its end, until the next request on the connection or its close. Freed blocks stayed with the process, since malloc raises its threshold for mappings with each large block.

Change: the attempts of a call and their connections share one body, of which the first 16 KiB are copied to be sent with the head. The call releases it when it ends and when its response can no longer be repeated. Bodies grow by a quarter or to the announced length. Blocks of 128 KiB and more are mapped.

--- a/jackdawshunt/gateway/attempt.cc
+++ b/jackdawshunt/gateway/attempt.cc
@@ -55,7 +55,8 @@
   Abandon();
 }
 
-void Attempt::Send(const http1::RequestHead& head, std::string_view body) {
+void Attempt::Send(const http1::RequestHead& head,
+                   const std::shared_ptr<const std::string>& body) {
   const kernel::TimePoint now = Now();
   sent_unix_ms_ = context_.UnixNowMs();
   platform::ForwardedFields fields;
@@ -65,11 +66,10 @@
   fields.last_event_id = options_.last_event_id;
   const http1::RequestHead forwarded =
       platform::EncodeUpstreamRequest(head, fields);
-  const bool has_body = !body.empty() || head.method != "GET";
-  std::string bytes = http1::Serialize(
+  const bool has_body = !body->empty() || head.method != "GET";
+  const std::string bytes = http1::Serialize(
       forwarded,
-      has_body ? std::optional<uint64_t>(body.size()) : std::nullopt);
-  bytes.append(body);
+      has_body ? std::optional<uint64_t>(body->size()) : std::nullopt);
   connection_ = context_.pool.Acquire(upstream_,
                                       request_.route->is_repeatable()
                                           ? kMaxIdleIfRepeatable
@@ -79,7 +79,7 @@
   if (decision_.is_engine) {
     context_.boards.SendClaim(upstream_, request_);
   }
-  connection_->Send(bytes, head.method == "HEAD", *this, request_.hash);
+  connection_->Send(bytes, head.method == "HEAD", *this, request_.hash, body);
 }
 
 bool Attempt::IsStillWanted() {
--- a/jackdawshunt/gateway/attempt.h
+++ b/jackdawshunt/gateway/attempt.h
@@ -77,7 +77,8 @@
   Attempt& operator=(const Attempt&) = delete;
 
   // Sends the request to the upstream; call once.
-  void Send(const http1::RequestHead& head, std::string_view body);
+  void Send(const http1::RequestHead& head,
+            const std::shared_ptr<const std::string>& body);
   // Resumes reading from the upstream; call when the bytes that waited for the
   // caller have been written.
   void OnCallerDrained();
--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -36,7 +36,7 @@
     : context_(context),
       caller_(&caller),
       head_(std::move(head)),
-      body_(std::move(body)),
+      body_(std::make_shared<const std::string>(std::move(body))),
       request_(std::move(request)) {}
 
 Call::~Call() = default;
@@ -213,6 +213,9 @@
     caller_->WriteBody(data);
   } else {
     is_answer_started_ = true;
+    if (!attempt_->is_resumable()) {
+      body_.reset();
+    }
     final_status_ = attempt_->head().status;
     begun_ = attempt_->begun();
     caller_->StartResponse(attempt_->head(), http1::BodyFraming::Chunked(),
@@ -424,6 +427,7 @@
 
 void Call::Finish(int status, std::string_view reason) {
   is_done_ = true;
+  body_.reset();
   query_.reset();
   origin_lookup_.reset();
   start_check_.reset();
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -127,7 +127,7 @@
   CallContext& context_;
   http1::ServerConnection* caller_;  // Null after a disconnect.
   const http1::RequestHead head_;
-  const std::string body_;
+  std::shared_ptr<const std::string> body_;  // Null once it is not needed.
   routing::RoutedRequest request_;
   kernel::Timer deadline_;
 
--- a/jackdawshunt/gateway/gateway_process.cc
+++ b/jackdawshunt/gateway/gateway_process.cc
@@ -1,5 +1,6 @@
 #include "jackdawshunt/gateway/gateway_process.h"
 
+#include <malloc.h>
 #include <sys/stat.h>
 
 #include <csignal>
@@ -35,6 +36,9 @@
 // File descriptors reserved for upstreams, the store and files; the others may
 // be used for callers.
 constexpr uint32_t kReservedDescriptors = 1000;
+// Larger blocks of memory are returned to the system when they are freed, also
+// while later ones are in use.
+constexpr int kMinMappedBytes = 128 * 1024;
 
 }  // namespace
 
@@ -85,6 +89,7 @@
                    EvacuationCallbacks()) {}
 
 int GatewayProcess::Run() {
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
   base::SetLogContext({{"instance", settings_.instance}});
   base::BufferLog(kLogLinesPerSecond);
   log_flush_timer_ = loop_.Every(kLogFlushPeriod, [] { base::FlushLog(); });
--- a/jackdawshunt/http1/client.cc
+++ b/jackdawshunt/http1/client.cc
@@ -60,6 +60,8 @@
   void Close() {
     connect_timer.Cancel();
     stream.Close();
+    unsent_request = {};
+    unsent_body.reset();
     is_closed = true;
   }
 
@@ -83,9 +85,15 @@
     }
     // The request is written only after the connection is established, so that
     // a failed connect is known to have sent nothing.
-    stream.Write(unsent_request);
-    unsent_request.clear();
-    unsent_request.shrink_to_fit();
+    Write(std::exchange(unsent_request, {}), std::move(unsent_body));
+  }
+  void Write(std::string_view request,
+             std::shared_ptr<const std::string> body) {
+    if (body == nullptr) {
+      stream.Write(request);
+    } else {
+      stream.Write(request, std::move(body));
+    }
   }
   void OnDrained() override {}
   void OnEnd(internal::SocketStream::End end) override {
@@ -212,6 +220,7 @@
   internal::SocketStream stream;
   kernel::Timer connect_timer;
   std::string unsent_request;
+  std::shared_ptr<const std::string> unsent_body;
   ResponseParser parser;
   internal::EmbeddedHeadScanner scanner{*this};
   bool has_embedded_response = false;
@@ -243,7 +252,8 @@
 void ClientConnection::Send(std::string_view request,
                             bool is_head_request,
                             ResponseReceiver& receiver,
-                            uint64_t request_key) {
+                            uint64_t request_key,
+                            std::shared_ptr<const std::string> body) {
   Impl& self = *impl_;
   self.receiver = &receiver;
   self.is_head_request = is_head_request;
@@ -256,10 +266,11 @@
     self.request_keys.insert(request_key);
   }
   if (self.is_connected) {
-    self.stream.Write(request);
+    self.Write(request, std::move(body));
     return;
   }
   self.unsent_request.assign(request);
+  self.unsent_body = std::move(body);
   self.Open();
 }
 
--- a/jackdawshunt/http1/client.h
+++ b/jackdawshunt/http1/client.h
@@ -81,11 +81,13 @@
   // Sends the bytes of one request. Requires !is_busy() and is_usable().
   // `receiver` must stay valid until OnEnd(), OnLost() or CancelRequest(). No
   // callback runs before Send() returns. `request_key` is a hash of the id that
-  // responses name, if they do; see has_sent().
+  // responses name, if they do; see has_sent(). A `body` that is given follows
+  // `request`; it is not copied if it is large.
   void Send(std::string_view request,
             bool is_head_request,
             ResponseReceiver& receiver,
-            uint64_t request_key = 0);
+            uint64_t request_key = 0,
+            std::shared_ptr<const std::string> body = nullptr);
   // Closes the connection without a callback; it is not usable afterwards.
   void CancelRequest();
 
--- a/jackdawshunt/http1/internal/socket_stream.cc
+++ b/jackdawshunt/http1/internal/socket_stream.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -19,6 +20,8 @@
 // Sent bytes are erased from the front of the output buffer once there are this
 // many.
 constexpr size_t kCompactBytes = size_t{64} * 1024;
+// So much of a body is copied behind its head, to send both at once.
+constexpr size_t kCopiedBodyBytes = size_t{16} * 1024;
 
 bool IsTemporary(int error) {
   return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -94,11 +97,17 @@
   event_free(std::exchange(read_event_, nullptr));
   event_free(std::exchange(write_event_, nullptr));
   close(std::exchange(fd_, -1));
-  output_.clear();
-  output_sent_ = 0;
+  DropOutput();
   is_reading_ = false;
 }
 
+void SocketStream::DropOutput() {
+  output_ = {};
+  output_sent_ = 0;
+  shared_.reset();
+  shared_sent_ = 0;
+}
+
 void SocketStream::OnReadable() {
   static std::array<char, kReadBufferBytes> buffer;
   const ssize_t count = recv(fd_, buffer.data(), buffer.size(), 0);
@@ -152,30 +161,57 @@
     }
     event_add(write_event_, nullptr);
   }
+  if (shared_ != nullptr) {
+    output_.append(*shared_, shared_sent_);
+    shared_.reset();
+    shared_sent_ = 0;
+  }
   output_.append(data);
 }
 
-bool SocketStream::Flush() {
-  while (unwritten() > 0) {
+void SocketStream::Write(std::string_view head,
+                         std::shared_ptr<const std::string> body) {
+  std::string first;
+  first.reserve(head.size() + std::min(body->size(), kCopiedBodyBytes));
+  first.append(head).append(*body, 0, kCopiedBodyBytes);
+  Write(first);
+  if (!is_open() || has_failed_ || body->size() <= kCopiedBodyBytes) {
+    return;
+  }
+  shared_ = std::move(body);
+  shared_sent_ = kCopiedBodyBytes;
+  if (output_.empty()) {
+    Flush();
+  }
+}
+
+bool SocketStream::FlushPart(const std::string& data, size_t* sent) {
+  while (*sent < data.size()) {
     const ssize_t count =
-        send(fd_, output_.data() + output_sent_, unwritten(), MSG_NOSIGNAL);
+        send(fd_, data.data() + *sent, data.size() - *sent, MSG_NOSIGNAL);
     if (count < 0) {
       if (IsTemporary(errno)) {
         event_add(write_event_, nullptr);
       } else {
         has_failed_ = true;
-        output_.clear();
-        output_sent_ = 0;
+        DropOutput();
       }
       return false;
     }
-    output_sent_ += static_cast<size_t>(count);
+    *sent += static_cast<size_t>(count);
+  }
+  return true;
+}
+
+bool SocketStream::Flush() {
+  if (!FlushPart(output_, &output_sent_) ||
+      (shared_ != nullptr && !FlushPart(*shared_, &shared_sent_))) {
     if (output_sent_ >= kCompactBytes) {
       output_.erase(0, std::exchange(output_sent_, 0));
     }
+    return false;
   }
-  output_.clear();
-  output_sent_ = 0;
+  DropOutput();
   return true;
 }
 
--- a/jackdawshunt/http1/internal/socket_stream.h
+++ b/jackdawshunt/http1/internal/socket_stream.h
@@ -15,6 +15,7 @@
 #define JACKDAWSHUNT_HTTP1_INTERNAL_SOCKET_STREAM_H_
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -58,6 +59,9 @@
   // Sends `data` or buffers what the socket does not accept. Ignored after the
   // stream was closed or a write failed.
   void Write(std::string_view data);
+  // Sends `head` and `body`. What the socket does not accept of a large body is
+  // kept by reference, not copied.
+  void Write(std::string_view head, std::shared_ptr<const std::string> body);
   // Starts or stops reading.
   void SetReading(bool is_reading);
   // Closes the socket without a callback and discards buffered output.
@@ -71,7 +75,10 @@
   bool was_accepted() const { return was_accepted_; }
   int fd() const { return fd_; }
   // Returns the number of buffered bytes that were not sent yet.
-  size_t unwritten() const { return output_.size() - output_sent_; }
+  size_t unwritten() const {
+    return output_.size() - output_sent_ +
+           (shared_ == nullptr ? 0 : shared_->size() - shared_sent_);
+  }
 
  private:
   void StartEvents();
@@ -80,6 +87,10 @@
   // Sends the output buffer. Returns false if the socket accepts no more bytes
   // or failed.
   bool Flush();
+  // Sends the part of `data` after `*sent`. Returns false if the socket accepts
+  // no more bytes or failed.
+  bool FlushPart(const std::string& data, size_t* sent);
+  void DropOutput();
 
   kernel::EventLoop& loop_;
   Owner& owner_;
@@ -88,6 +99,9 @@
   event* write_event_ = nullptr;
   std::string output_;
   size_t output_sent_ = 0;  // Bytes of output_ that were sent.
+  // Follows output_; null if there is none.
+  std::shared_ptr<const std::string> shared_;
+  size_t shared_sent_ = 0;
   bool is_connecting_ = false;
   bool was_refused_ = false;
   bool was_accepted_ = false;
--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -16,6 +16,8 @@
 // responses before it, is treated as malformed.
 constexpr size_t kMaxResponseHeadBytes = size_t{64} * 1024;
 constexpr int kMaxInterimResponses = 32;
+constexpr size_t kMinBodyCapacity = 1024;
+constexpr size_t kBodyGrowthDivisor = 4;
 // Responses without a body.
 constexpr int kHttpNoContent = 204;
 constexpr int kHttpNotModified = 304;
@@ -81,6 +83,25 @@
     collector.Clear();
   }
 
+  // Makes room for `more` bytes of the body and no more than a part beyond;
+  // std::string itself would double its capacity.
+  void GrowBody(size_t more) {
+    const size_t needed = body.size() + more;
+    if (needed <= body.capacity()) {
+      return;
+    }
+    size_t capacity =
+        std::max(needed + needed / kBodyGrowthDivisor, kMinBodyCapacity);
+    if ((parser.flags & F_CHUNKED) == 0) {
+      // What is still to come of the announced length, with `more`.
+      capacity = std::min(capacity, body.size() + more + parser.content_length);
+    }
+    std::string grown;
+    grown.reserve(std::max(capacity, needed));
+    grown.append(body);
+    body.swap(grown);
+  }
+
   // Validates the complete head. Returns non-zero, which stops http_parser, if
   // the head is invalid.
   int FinishHead() {
@@ -150,6 +171,7 @@
         self.Fail(ParseError::kBodyTooLarge);
         return -1;
       }
+      self.GrowBody(length);
       self.body.append(at, length);
       return 0;
     };
