Bound the memory that requests and responses of callers take together

Cause: only the size of one body was bounded, and the number of connections by descriptors; their product is what callers could take. The memory of the machine was decoded and used by nothing.

Change: http1::ClientBudget, a module without input and output, accounts for what each connection holds (input, the request that is served, a response that is kept, output that is not read) and decides who yields: a request that stalls, a response that nobody reads, then the newest request of a workspace that holds more. A request without room gets 503 with Retry-After, a request that yields too; neither was sent to an upstream. Its size is half of limits.memoryMb, or limits.clientMemoryMb. Under pressure responses are not kept, and reading from the upstream pauses at once.

A second request is parsed only when the response before it has been read, and read-ahead is 16 KiB instead of 64.

Ruled out: pausing connections without room, since what the kernel receives for them counts too, and a stalled one would keep its room.

--- a/jackdawshunt/gateway/attempt.cc
+++ b/jackdawshunt/gateway/attempt.cc
@@ -11,9 +11,6 @@
 // A response that is not forwarded is read to its end only this long, to keep
 // the connection.
 constexpr kernel::Duration kMaxDiscardTime = std::chrono::milliseconds(250);
-// Reading from the upstream pauses while more bytes than this are buffered for
-// the caller.
-constexpr size_t kMaxUnreadBytes = size_t{128} * 1024;
 // Maximum idle times of a connection that a request may use. Upstreams drop
 // idle connections without notice, and a request that is lost on one can be
 // repeated only if its route allows it.
@@ -186,6 +183,10 @@
   if (!is_running()) {
     return;
   }
+  const size_t kept = body_->KeptWith(data.size());
+  if (kept > 0 && !owner_.HoldAnswer(kept)) {
+    body_->StopKeeping();
+  }
   const std::string_view ready = body_->Feed(data);
   if (body_->events() != nullptr) {
     OnEventData(!ready.empty());
@@ -203,7 +204,7 @@
     case ResponseBody::State::kOpen:
       break;
   }
-  if (!is_reading_paused_ && unread > kMaxUnreadBytes) {
+  if (!is_reading_paused_ && unread > owner_.MaxUnreadBytes()) {
     is_reading_paused_ = true;
     connection_->PauseReading();
   }
--- a/jackdawshunt/gateway/attempt.h
+++ b/jackdawshunt/gateway/attempt.h
@@ -56,6 +56,12 @@
     // Sends `data` to the caller. Returns the number of
     // bytes that wait to be written to the caller's connection.
     virtual size_t Forward(std::string_view data) = 0;
+    // Takes room for `bytes` of a response that is kept. Returns false if there
+    // is none.
+    virtual bool HoldAnswer(size_t bytes) = 0;
+    // Returns how many bytes may wait for the caller before reading from the
+    // upstream pauses.
+    virtual size_t MaxUnreadBytes() const = 0;
     // Called once, unless the attempt was abandoned.
     virtual void OnAttemptEnded(routing::Outcome outcome) = 0;
     // Called instead if the attempt was abandoned because the caller left.
--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -12,6 +12,9 @@
 // A request that was refused so many permits is refused: the upstreams that may
 // serve it are most probably all at their limits.
 constexpr int kMaxRefusedPermits = 4;
+// Reading from the upstream pauses while more bytes than this wait for the
+// caller.
+constexpr size_t kMaxUnreadBytes = size_t{128} * 1024;
 
 base::ErrorKind RefusalKind(routing::Verdict verdict) {
   switch (verdict) {
@@ -224,6 +227,15 @@
   return caller_->buffered_bytes();
 }
 
+bool Call::HoldAnswer(size_t bytes) {
+  return caller_ == nullptr || caller_->HoldAnswer(bytes);
+}
+
+size_t Call::MaxUnreadBytes() const {
+  return caller_ != nullptr && caller_->is_under_pressure() ? 0
+                                                            : kMaxUnreadBytes;
+}
+
 void Call::OnFirstEvent() {
   const bool is_first = !std::exchange(has_first_event_, true);
   if (!request_.origin.has_value()) {
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -56,6 +56,8 @@
   bool HasCallerLeft() const override;
   void OnFirstEvent() override;
   size_t Forward(std::string_view data) override;
+  bool HoldAnswer(size_t bytes) override;
+  size_t MaxUnreadBytes() const override;
   void OnAttemptEnded(routing::Outcome outcome) override;
   void OnCallerLeft() override;
 
--- a/jackdawshunt/gateway/gateway_process.cc
+++ b/jackdawshunt/gateway/gateway_process.cc
@@ -46,6 +46,7 @@
                                std::string settings_path)
     : settings_(std::move(settings)),
       settings_path_(std::move(settings_path)),
+      client_budget_(MakeBudgetOptions(settings_)),
       router_(MakeRouterSettings(settings_), loop_.clock().Now()),
       freshness_({.max_revocation_delay = settings_.promises.revocation,
                   .is_strict = settings_.promises.is_revocation_strict}),
@@ -58,7 +59,10 @@
       permits_(loop_, router_, boards_),
       context_{loop_,         router_,  pool_,    boards_,  origins_,
                start_checks_, permits_, metrics_, overload_},
-      http_frontend_(context_, freshness_, MaxConnections(settings_)),
+      http_frontend_(context_,
+                     freshness_,
+                     client_budget_,
+                     MaxConnections(settings_)),
       exchange_(loop_, router_, boards_, freshness_),
       readiness_(loop_, [this] { return IsReady(); }),
       configuration_(loop_,
@@ -146,6 +150,14 @@
   return router;
 }
 
+http1::ClientBudgetOptions GatewayProcess::MakeBudgetOptions(
+    const platform::InstanceSettings& settings) {
+  http1::ClientBudgetOptions options;
+  options.capacity_bytes =
+      settings.client_memory_bytes.value_or(settings.memory_bytes / 2);
+  return options;
+}
+
 size_t GatewayProcess::MaxConnections(
     const platform::InstanceSettings& settings) {
   return settings.file_descriptors > 2 * kReservedDescriptors
--- a/jackdawshunt/gateway/gateway_process.h
+++ b/jackdawshunt/gateway/gateway_process.h
@@ -47,6 +47,8 @@
   // What the process starts and stops (gateway_process.cc).
   static routing::RouterSettings MakeRouterSettings(
       const platform::InstanceSettings& settings);
+  static http1::ClientBudgetOptions MakeBudgetOptions(
+      const platform::InstanceSettings& settings);
   static size_t MaxConnections(const platform::InstanceSettings& settings);
   bool Listen();
   bool IsReady() const;
@@ -93,6 +95,7 @@
 
   platform::InstanceSettings settings_;
   const std::string settings_path_;
+  http1::ClientBudget client_budget_;  // Outlives what waits in the loop.
   kernel::EventLoop loop_;
   routing::Router router_;
   routing::KeyFreshness freshness_;
--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -32,8 +32,28 @@
     FaultError{http1::RequestError::kBodyTooLarge,
                base::ErrorKind::kBodyTooLarge},
     FaultError{http1::RequestError::kTimeout, base::ErrorKind::kRequestTimeout},
+    FaultError{http1::RequestError::kNoMemory, base::ErrorKind::kOverloaded},
 };
 
+// Room that a request takes for its response while it is served: what is read
+// from the upstream before reading pauses.
+constexpr size_t kResponseBytes = size_t{32} * 1024;
+// A request's head is held as received, as fields, and as sent to the upstream.
+constexpr size_t kHeadCopies = 3;
+// Smaller bodies are copied to be sent with the head.
+constexpr size_t kMaxCopiedBody = size_t{16} * 1024;
+
+// Returns an upper bound of the memory that a request takes while it is served.
+size_t MemoryOf(const http1::RequestHead& head, const std::string& body) {
+  size_t head_bytes = head.target.size();
+  for (const auto& [name, value] : head.headers) {
+    head_bytes +=
+        sizeof(http::Headers::value_type) + name.size() + value.size();
+  }
+  return kResponseBytes + kHeadCopies * head_bytes + body.capacity() +
+         2 * std::min(body.size(), kMaxCopiedBody);
+}
+
 }  // namespace
 
 // A caller's connection and its current call.
@@ -45,7 +65,11 @@
           bool is_refused)
       : http_frontend_(http_frontend),
         is_refused_(is_refused),
-        connection_(http_frontend.context_.loop, fd, limits, *this) {}
+        connection_(http_frontend.context_.loop,
+                    fd,
+                    limits,
+                    *this,
+                    &http_frontend.budget_) {}
 
   http1::ServerConnection& connection() { return connection_; }
   void OnQuarantineChanged() {
@@ -93,9 +117,11 @@
 
 HttpFrontend::HttpFrontend(CallContext& context,
                            const routing::KeyFreshness& freshness,
+                           http1::ClientBudget& budget,
                            size_t max_connections)
     : context_(context),
       freshness_(freshness),
+      budget_(budget),
       max_connections_(max_connections) {}
 
 HttpFrontend::~HttpFrontend() = default;
@@ -233,40 +259,39 @@
                    context_.closes_connections || closes);
 }
 
-void HttpFrontend::OnRequest(Session& session,
-                             const http1::RequestHead& head,
-                             std::string& body) {
+std::optional<routing::RoutedRequest> HttpFrontend::Admit(
+    Session& session,
+    const http1::RequestHead& head,
+    platform::CallerRequest* decoded) {
   http1::ServerConnection& connection = session.connection();
-  auto decoded = platform::DecodeRequest(head);
-  if (!decoded.ok()) {
-    ReplyError(connection, {}, base::ErrorKind::kBadRequest,
-               std::string(decoded.status().message()));
-    return;
+  const auto refuse = [&](base::ErrorKind kind, std::string_view message,
+                          bool closes = false) {
+    ReplyError(connection, decoded->id, kind, message, closes);
+    return std::nullopt;
+  };
+  auto fields = platform::DecodeRequest(head);
+  if (!fields.ok()) {
+    return refuse(base::ErrorKind::kBadRequest,
+                  std::string(fields.status().message()));
   }
+  *decoded = *std::move(fields);
   if (session.is_refused()) {
-    ReplyError(connection, decoded->id, base::ErrorKind::kOverloaded,
-               "this instance has too many connections", /*closes=*/true);
-    return;
+    return refuse(base::ErrorKind::kOverloaded,
+                  "this instance has too many connections", /*closes=*/true);
   }
   const auto table = context_.router.table();
   if (table == nullptr) {
-    ReplyError(connection, decoded->id, base::ErrorKind::kNotReady,
-               "no configuration is known");
-    return;
+    return refuse(base::ErrorKind::kNotReady, "no configuration is known");
   }
   if (is_refusing_) {
-    ReplyError(connection, decoded->id, base::ErrorKind::kDraining,
-               "the process is shutting down");
-    return;
+    return refuse(base::ErrorKind::kDraining, "the process is shutting down");
   }
   routing::RoutedRequest request;
   request.id = decoded->id;
   request.table = table;
   request.route = table->Match(decoded->host, head.target);
   if (request.route == nullptr) {
-    ReplyError(connection, decoded->id, base::ErrorKind::kNotFound,
-               "no route matches");
-    return;
+    return refuse(base::ErrorKind::kNotFound, "no route matches");
   }
   if (table->has_workspaces()) {
     const routing::Workspace* workspace =
@@ -274,15 +299,12 @@
                                  : table->FindWorkspace(decoded->api_key);
     if (!request.route->is_public) {
       if (!freshness_.MayAccept(boot_clock_.Now())) {
-        ReplyError(connection, decoded->id,
-                   base::ErrorKind::kPlatformUnavailable,
-                   "the configuration is too old to accept API keys");
-        return;
+        return refuse(base::ErrorKind::kPlatformUnavailable,
+                      "the configuration is too old to accept API keys");
       }
       if (workspace == nullptr) {
-        ReplyError(connection, decoded->id, base::ErrorKind::kUnauthenticated,
-                   "the API key is not known");
-        return;
+        return refuse(base::ErrorKind::kUnauthenticated,
+                      "the API key is not known");
       }
     }
     if (workspace != nullptr) {
@@ -293,24 +315,42 @@
       decoded->deadline.has_value() &&
       context_.router.IsRetryAfterRefusal(*request.route, *decoded->deadline);
   if (context_.overload.ShouldRefuse(routing::HashOf(request.id), is_retry)) {
-    ReplyError(connection, decoded->id, base::ErrorKind::kOverloaded,
-               "this instance is short of processor time");
+    return refuse(base::ErrorKind::kOverloaded,
+                  "this instance is short of processor time");
+  }
+  return request;
+}
+
+void HttpFrontend::OnRequest(Session& session,
+                             const http1::RequestHead& head,
+                             std::string& body) {
+  http1::ServerConnection& connection = session.connection();
+  platform::CallerRequest decoded;
+  auto admitted = Admit(session, head, &decoded);
+  if (!admitted.has_value()) {
+    return;
+  }
+  routing::RoutedRequest& request = *admitted;
+  connection.SetWorkspace(request.workspace);
+  if (!connection.HoldRequest(MemoryOf(head, body))) {
+    ReplyError(connection, decoded.id, base::ErrorKind::kOverloaded,
+               "the requests of this instance take all of its memory");
     return;
   }
-  request.prompt = std::move(decoded->prompt);
+  request.prompt = std::move(decoded.prompt);
   if (request.route->kind == routing::RouteKind::kStream &&
-      decoded->resumes_stream()) {
-    request.resumption = {.first_request = decoded->resumed_request,
-                          .last_event_id = decoded->last_event_id};
+      decoded.resumes_stream()) {
+    request.resumption = {.first_request = decoded.resumed_request,
+                          .last_event_id = decoded.last_event_id};
   }
   request.content = routing::ContentHash(
       {.method = head.method,
-       .host = decoded->host,
+       .host = decoded.host,
        .target = head.target,
        .workspace = request.workspace,
        .body = body,
        .prompt = request.prompt.has_value() ? &*request.prompt : nullptr});
-  context_.router.Prepare(request, decoded->deadline,
+  context_.router.Prepare(request, decoded.deadline,
                           context_.loop.clock().Now());
   session.StartCall(std::make_unique<Call>(
       context_, connection, head, std::move(body), std::move(request)));
--- a/jackdawshunt/gateway/http_frontend.h
+++ b/jackdawshunt/gateway/http_frontend.h
@@ -11,6 +11,7 @@
 #define JACKDAWSHUNT_GATEWAY_HTTP_FRONTEND_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -28,9 +29,11 @@
  public:
   // `context` and `freshness` must outlive the frontend. On connections beyond
   // `max_connections` the first request is refused; far beyond they are closed
-  // when accepted.
+  // when accepted. All take their memory from `budget`, which must outlive the
+  // loop.
   HttpFrontend(CallContext& context,
                const routing::KeyFreshness& freshness,
+               http1::ClientBudget& budget,
                size_t max_connections);
   ~HttpFrontend();
 
@@ -61,6 +64,11 @@
 
   void Accept(int fd);
   void Remove(Session* session);
+  // Returns the request if it is allowed; otherwise replies with an error.
+  // `decoded` receives the fields of the head.
+  std::optional<routing::RoutedRequest> Admit(Session& session,
+                                              const http1::RequestHead& head,
+                                              platform::CallerRequest* decoded);
   // Starts a call for the request, or replies with an error when the request is
   // not allowed.
   void OnRequest(Session& session,
@@ -77,6 +85,7 @@
 
   CallContext& context_;
   const routing::KeyFreshness& freshness_;
+  http1::ClientBudget& budget_;
   const size_t max_connections_;
   kernel::BootClock boot_clock_;
   std::unique_ptr<http1::Listener> listener_;
--- a/jackdawshunt/gateway/response_body.cc
+++ b/jackdawshunt/gateway/response_body.cc
@@ -28,16 +28,20 @@
  public:
   std::string_view Feed(std::string_view data) override {
     if (is_forwarded_) {
-      kept_ = {};
+      kept_ = {};  // The caller of Feed() has used it.
       return data;
     }
     kept_.append(data);
-    if (kept_.size() <= kMaxKeptBytes) {
+    if (kept_.size() <= kMaxKeptBytes && !stops_keeping_) {
       return {};
     }
     is_forwarded_ = true;
     return kept_;
   }
+  size_t KeptWith(size_t more) const override {
+    return is_forwarded_ ? 0 : kept_.size() + more;
+  }
+  void StopKeeping() override { stops_keeping_ = true; }
   std::optional<std::string_view> kept() const override {
     return is_forwarded_ ? std::nullopt
                          : std::optional<std::string_view>(kept_);
@@ -46,6 +50,7 @@
 
  private:
   std::string kept_;
+  bool stops_keeping_ = false;
   bool is_forwarded_ = false;
 };
 
--- a/jackdawshunt/gateway/response_body.h
+++ b/jackdawshunt/gateway/response_body.h
@@ -38,6 +38,12 @@
   // Returns the bytes that are kept until the body is complete; nullopt if
   // bytes are forwarded as they arrive.
   virtual std::optional<std::string_view> kept() const { return std::nullopt; }
+  // Returns the bytes that Feed() would keep with `more` bytes; 0 if it keeps
+  // none.
+  virtual size_t KeptWith(size_t /*more*/) const { return 0; }
+  // Makes the next Feed() return what was kept, and forwards the rest as it
+  // arrives.
+  virtual void StopKeeping() {}
   // Returns whether another upstream can continue what was forwarded.
   virtual bool is_resumable() const { return true; }
   // Returns the splitter of a body that is forwarded event by event, else null.
--- a/jackdawshunt/http1/internal/header_collector.cc
+++ b/jackdawshunt/http1/internal/header_collector.cc
@@ -28,6 +28,7 @@
     in_value_ = false;
   }
   headers_.back().first.append(piece);
+  text_bytes_ += piece.size();
 }
 
 void HeaderCollector::AppendValue(std::string_view piece) {
@@ -36,10 +37,12 @@
   }
   in_value_ = true;
   headers_.back().second.append(piece);
+  text_bytes_ += piece.size();
 }
 
 void HeaderCollector::Clear() {
   headers_ = {};
+  text_bytes_ = 0;
   in_value_ = false;
 }
 
@@ -48,6 +51,7 @@
     absl::StripAsciiWhitespace(&value);
   }
   in_value_ = false;
+  text_bytes_ = 0;
   return std::exchange(headers_, {});
 }
 
--- a/jackdawshunt/http1/internal/header_collector.h
+++ b/jackdawshunt/http1/internal/header_collector.h
@@ -11,6 +11,7 @@
 #ifndef JACKDAWSHUNT_HTTP1_INTERNAL_HEADER_COLLECTOR_H_
 #define JACKDAWSHUNT_HTTP1_INTERNAL_HEADER_COLLECTOR_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -26,9 +27,15 @@
   // Removes and returns all fields, with surrounding blanks stripped from the
   // values.
   http::Headers Take();
+  // Returns an upper bound of the memory that the fields take.
+  size_t memory_bytes() const {
+    return headers_.capacity() * sizeof(http::Headers::value_type) +
+           2 * text_bytes_;
+  }
 
  private:
   http::Headers headers_;
+  size_t text_bytes_ = 0;
   bool in_value_ = false;  // The last piece belonged to a value.
 };
 
--- a/jackdawshunt/http1/internal/socket_stream.cc
+++ b/jackdawshunt/http1/internal/socket_stream.cc
@@ -139,8 +139,11 @@
     owner_.OnConnected();
     return;
   }
+  const size_t before = unwritten();
   if (Flush()) {
     owner_.OnDrained();
+  } else if (unwritten() < before) {
+    owner_.OnPartlySent();
   }
 }
 
--- a/jackdawshunt/http1/internal/socket_stream.h
+++ b/jackdawshunt/http1/internal/socket_stream.h
@@ -39,6 +39,8 @@
     virtual void OnData(std::string_view data) = 0;
     // Called when all buffered output has been sent.
     virtual void OnDrained() = 0;
+    // Called when a part of the buffered output has been sent.
+    virtual void OnPartlySent() {}
     // Called when the connection ended or could not be established; the owner
     // calls Close().
     virtual void OnEnd(End end) = 0;
--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -57,7 +57,10 @@
 }  // namespace
 
 struct RequestParser::Impl {
-  explicit Impl(ParseLimits with_limits) : limits(with_limits) { Start(); }
+  Impl(ParseLimits with_limits, MayHold with_may_hold)
+      : limits(with_limits), may_hold(std::move(with_may_hold)) {
+    Start();
+  }
 
   void Start() {
     http_parser_init(&parser, HTTP_REQUEST);
@@ -68,6 +71,7 @@
     head_bytes = 0;
     keep_alive = false;
     expects_continue = false;
+    drops_body = false;
   }
 
   // Ends the message and releases its memory.
@@ -79,16 +83,25 @@
 
   void Release() {
     head = {};
+    head_memory = 0;
     body = {};
     collector.Clear();
   }
 
+  size_t head_bytes_held() const {
+    return head_memory + collector.memory_bytes() + 2 * head.target.size();
+  }
+  size_t held_bytes() const {
+    return head_bytes_held() + (body.empty() ? 0 : body.capacity());
+  }
+
   // Makes room for `more` bytes of the body and no more than a part beyond;
-  // std::string itself would double its capacity.
-  void GrowBody(size_t more) {
+  // std::string itself would double its capacity. Returns false if there is no
+  // room.
+  bool GrowBody(size_t more) {
     const size_t needed = body.size() + more;
     if (needed <= body.capacity()) {
-      return;
+      return true;
     }
     size_t capacity =
         std::max(needed + needed / kBodyGrowthDivisor, kMinBodyCapacity);
@@ -96,15 +109,20 @@
       // What is still to come of the announced length, with `more`.
       capacity = std::min(capacity, body.size() + more + parser.content_length);
     }
+    if (may_hold && !may_hold(head_bytes_held() + capacity)) {
+      return false;
+    }
     std::string grown;
-    grown.reserve(std::max(capacity, needed));
+    grown.reserve(capacity);
     grown.append(body);
     body.swap(grown);
+    return true;
   }
 
   // Validates the complete head. Returns non-zero, which stops http_parser, if
   // the head is invalid.
   int FinishHead() {
+    head_memory = collector.memory_bytes();
     head.method = http_method_str(static_cast<http_method>(parser.method));
     head.headers = collector.Take();
     const bool is_http_1_1 = parser.http_major == 1 && parser.http_minor == 1;
@@ -149,6 +167,9 @@
       head_bytes += consumed;
       if (state == ParseState::kHead && head_bytes > limits.header_bytes) {
         Fail(ParseError::kHeadTooLarge);
+      } else if (state == ParseState::kHead && may_hold &&
+                 !may_hold(held_bytes())) {
+        Fail(ParseError::kNoMemory);
       }
     }
     return consumed;
@@ -171,7 +192,13 @@
         self.Fail(ParseError::kBodyTooLarge);
         return -1;
       }
-      self.GrowBody(length);
+      if (self.drops_body) {
+        return 0;
+      }
+      if (!self.GrowBody(length)) {
+        self.Fail(ParseError::kNoMemory);
+        return -1;
+      }
       self.body.append(at, length);
       return 0;
     };
@@ -185,18 +212,21 @@
 
   http_parser parser;
   ParseLimits limits;
+  const MayHold may_hold;
   ParseState state = ParseState::kStart;
   ParseError error = ParseError::kNone;
   RequestHead head;
   std::string body;
   HeaderCollector collector;
   size_t head_bytes = 0;
+  size_t head_memory = 0;  // Of the complete head.
   bool keep_alive = false;
   bool expects_continue = false;
+  bool drops_body = false;
 };
 
-RequestParser::RequestParser(ParseLimits limits)
-    : impl_(std::make_unique<Impl>(limits)) {}
+RequestParser::RequestParser(ParseLimits limits, MayHold may_hold)
+    : impl_(std::make_unique<Impl>(limits, std::move(may_hold))) {}
 RequestParser::~RequestParser() = default;
 
 size_t RequestParser::Feed(std::string_view data) {
@@ -211,6 +241,13 @@
 void RequestParser::Reset() {
   impl_->Start();
 }
+void RequestParser::DropBody() {
+  impl_->body = {};
+  impl_->drops_body = true;
+}
+void RequestParser::Abandon() {
+  impl_->Fail(ParseError::kNoMemory);
+}
 void RequestParser::set_limits(ParseLimits limits) {
   impl_->limits = limits;
 }
@@ -226,6 +263,14 @@
 std::string& RequestParser::body() {
   return impl_->body;
 }
+size_t RequestParser::held_bytes() const {
+  return impl_->held_bytes();
+}
+std::optional<uint64_t> RequestParser::remaining_bytes() const {
+  return (impl_->parser.flags & F_CHUNKED) != 0
+             ? std::nullopt
+             : std::optional(impl_->parser.content_length);
+}
 bool RequestParser::keep_alive() const {
   return impl_->keep_alive;
 }
--- a/jackdawshunt/http1/parser.h
+++ b/jackdawshunt/http1/parser.h
@@ -17,6 +17,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,7 +35,13 @@
   kInvalid,   // The message was rejected; see ParseError.
 };
 
-enum class ParseError { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge };
+enum class ParseError {
+  kNone,
+  kMalformed,
+  kHeadTooLarge,
+  kBodyTooLarge,
+  kNoMemory,  // There is no room for the message.
+};
 
 struct ParseLimits {
   size_t header_bytes = size_t{16} * 1024;
@@ -44,7 +51,11 @@
 // Parses one request and buffers its whole body.
 class RequestParser {
  public:
-  explicit RequestParser(ParseLimits limits);
+  // Returns whether the message may take `bytes` of memory.
+  using MayHold = std::function<bool(size_t bytes)>;
+
+  // Asks `may_hold`, if given, before the message takes more memory.
+  explicit RequestParser(ParseLimits limits, MayHold may_hold = {});
   ~RequestParser();
   RequestParser(const RequestParser&) = delete;
   RequestParser& operator=(const RequestParser&) = delete;
@@ -54,6 +65,10 @@
   size_t Feed(std::string_view data);
   // Discards the current message and expects a new one.
   void Reset();
+  // Releases the body and drops the rest of it; the head must be complete.
+  void DropBody();
+  // Ends the message as invalid and releases its memory.
+  void Abandon();
   // Sets the limits for all bytes that are fed from now on.
   void set_limits(ParseLimits limits);
 
@@ -61,6 +76,11 @@
   ParseError error() const;
   const RequestHead& head() const;
   std::string& body();
+  // Returns an upper bound of the memory that the message takes.
+  size_t held_bytes() const;
+  // Returns the bytes of the body that have not arrived; nullopt if the body is
+  // chunked. The head must be complete.
+  std::optional<uint64_t> remaining_bytes() const;
   // Returns whether the connection stays open for another request.
   bool keep_alive() const;
   // Returns whether the caller waits for "100 Continue" before it sends the
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -26,7 +26,10 @@
 namespace {
 
 // Input beyond the current request that is buffered before reading stops.
-constexpr size_t kReadAheadBytes = size_t{64} * 1024;
+constexpr size_t kReadAheadBytes = size_t{16} * 1024;
+// The rest of a refused request is read off if it is no longer than this, so
+// that the connection can be kept.
+constexpr uint64_t kMaxDroppedBytes = uint64_t{64} * 1024;
 // After a response that closes the connection, the caller's remaining bytes are
 // read for this long: closing with unread bytes would send a reset, which can
 // discard the response.
@@ -135,18 +138,28 @@
   return ntohs(bound.sin_port);
 }
 
-struct ServerConnection::Impl final : internal::SocketStream::Owner {
+struct ServerConnection::Impl final : internal::SocketStream::Owner,
+                                      ClientBudget::Client::Owner {
   Impl(ServerConnection& owner,
        kernel::EventLoop& on_loop,
        int fd,
        ServerConnectionLimits with_limits,
-       Handler& to_handler)
+       Handler& to_handler,
+       ClientBudget* of_budget)
       : self(owner),
         loop(on_loop),
         limits(with_limits),
         handler(to_handler),
-        parser(with_limits.parse),
+        budget(of_budget),
+        parser(
+            with_limits.parse,
+            of_budget == nullptr
+                ? RequestParser::MayHold()
+                : [this](size_t bytes) { return HoldInput(bytes); }),
         stream(on_loop, *this) {
+    if (budget != nullptr) {
+      client.emplace(*budget, *this, Now());
+    }
     stream.Adopt(fd);
     StartIdleTimer();
   }
@@ -158,6 +171,11 @@
     }
     timer.Cancel();
     stream.Close();
+    parser.Abandon();
+    unparsed = {};
+    if (client.has_value()) {
+      client->Clear();
+    }
     handler.OnClosed(self);
   }
 
@@ -165,69 +183,197 @@
     timer = loop.After(limits.idle_timeout, [this] { CloseAndNotify(); });
   }
 
+  kernel::TimePoint Now() const { return loop.clock().Now(); }
+
+  // Returns whether a part of a request has arrived that may still be served.
+  bool is_receiving() const {
+    return !is_busy && !is_dropping && !closes_after_response &&
+           (parser.state() == ParseState::kHead ||
+            parser.state() == ParseState::kBody);
+  }
+
+  // Takes room for `bytes` of the message that is parsed, beside the
+  // read-ahead.
+  bool HoldInput(size_t bytes) {
+    return client->Resize(ClientMemory::kInput, bytes + read_ahead_bytes(),
+                          Now());
+  }
+
+  // Accounts for what was received and what waits to be read by the caller.
+  void AccountInput() {
+    if (client.has_value()) {
+      client->Account(ClientMemory::kInput,
+                      parser.held_bytes() + read_ahead_bytes());
+    }
+  }
+  size_t read_ahead_bytes() const {
+    return unparsed.empty() ? 0 : unparsed.capacity();
+  }
+  void AccountOutput() {
+    if (!client.has_value()) {
+      return;
+    }
+    const size_t unread = stream.unwritten();
+    const uint64_t before = client->held_bytes(ClientMemory::kOutput);
+    if (unread != before) {
+      if (before == 0 || unread < before) {
+        client->OnRead(Now());
+      }
+      client->Account(ClientMemory::kOutput, unread);
+    }
+  }
+
+  // Records the progress of a request of which `count` bytes were parsed.
+  void AccountProgress(ParseState before, size_t count) {
+    if (!client.has_value()) {
+      return;
+    }
+    if (!is_receiving()) {
+      client->EndRequest();
+    } else if (before == ParseState::kStart) {
+      client->BeginRequest(Now());
+    } else {
+      client->OnReceived(count, Now());
+    }
+  }
+
+  // ClientBudget::Client::Owner:
+  void OnReclaimed() override {
+    if (is_receiving()) {
+      parser.Abandon();
+      unparsed = {};
+      AccountInput();
+      Fail(RequestError::kNoMemory);
+    } else {
+      self.Abort();
+    }
+  }
+
   // internal::SocketStream::Owner:
   void OnConnected() override {}
   void OnEnd(internal::SocketStream::End /*end*/) override { CloseAndNotify(); }
   void OnDrained() override {
+    AccountOutput();
     if (!is_busy && closes_after_response) {
       ShutDownAndLinger();
     } else if (is_busy) {
       handler.OnDrained(self);
+    } else {
+      ConsumeUnparsed();
     }
   }
+  void OnPartlySent() override { AccountOutput(); }
   void OnData(std::string_view data) override {
-    if (is_lingering) {
-      return;
+    if (closes_after_response && !is_busy) {
+      return;  // No request is served any more.
     }
-    if (is_busy || !unparsed.empty()) {
+    if (!MayParse() || !unparsed.empty()) {
       unparsed.append(data);
-      if (is_busy && unparsed.size() > kReadAheadBytes) {
-        stream.SetReading(false);
+      PauseReadingAhead();
+    } else {
+      data.remove_prefix(Consume(data));
+      if (!closes_after_response || is_busy) {
+        unparsed.append(data);
       }
-      return;
     }
-    data.remove_prefix(Consume(data));
-    unparsed.append(data);
+    AccountInput();
+  }
+
+  // A request is parsed once the response to the one before it has been read.
+  bool MayParse() const { return !is_busy && stream.unwritten() == 0; }
+
+  void PauseReadingAhead() {
+    if (!MayParse() && (unparsed.size() > kReadAheadBytes ||
+                        (!unparsed.empty() && self.is_under_pressure()))) {
+      stream.SetReading(false);
+    }
   }
 
   // Parses requests until one is delivered to the handler and not yet answered.
   // Returns the number of bytes consumed.
   size_t Consume(std::string_view data) {
     size_t consumed = 0;
-    while (stream.is_open() && !is_busy && !closes_after_response &&
+    while (stream.is_open() && MayParse() && !closes_after_response &&
            consumed < data.size()) {
       const ParseState before = parser.state();
-      consumed += parser.Feed(data.substr(consumed));
+      const size_t count = parser.Feed(data.substr(consumed));
+      consumed += count;
       if (parser.state() != ParseState::kStart &&
           before == ParseState::kStart) {
         timer = loop.After(limits.request_timeout,
                            [this] { Fail(RequestError::kTimeout); });
       }
-      if (before != ParseState::kBody && parser.state() == ParseState::kBody &&
-          parser.expects_continue()) {
-        Write("HTTP/1.1 100 Continue\r\n\r\n");
-      }
+      AccountProgress(before, count);
       if (parser.state() == ParseState::kInvalid) {
-        Fail(parser.error() == ParseError::kHeadTooLarge
-                 ? RequestError::kHeadTooLarge
-             : parser.error() == ParseError::kBodyTooLarge
-                 ? RequestError::kBodyTooLarge
-                 : RequestError::kMalformed);
+        FailInvalid();
         return data.size();
       }
+      if (before != ParseState::kBody && parser.state() == ParseState::kBody) {
+        OfferHead();
+      }
       if (parser.state() == ParseState::kComplete) {
-        timer.Cancel();
-        is_busy = true;
-        handler.OnRequest(self, parser.head(), parser.body());
+        OnComplete();
       }
     }
     return consumed;
   }
 
+  // Lets the handler refuse a request whose body has not arrived.
+  void OfferHead() {
+    is_busy = true;
+    handler.OnHead(self, parser.head());
+    if (is_dropping || !stream.is_open() || closes_after_response) {
+      return;  // Refused.
+    }
+    is_busy = false;
+    if (parser.expects_continue()) {
+      Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+
+  void OnComplete() {
+    timer.Cancel();
+    if (is_dropping) {
+      is_dropping = false;
+      parser.Reset();
+      StartIdleTimer();
+      return;
+    }
+    is_busy = true;
+    handler.OnRequest(self, parser.head(), parser.body());
+  }
+
+  void FailInvalid() {
+    if (is_dropping) {
+      CloseAndNotify();  // It was answered.
+      return;
+    }
+    struct Row {
+      ParseError error;
+      RequestError reported;
+    };
+    static constexpr std::array kRows = {
+        Row{ParseError::kHeadTooLarge, RequestError::kHeadTooLarge},
+        Row{ParseError::kBodyTooLarge, RequestError::kBodyTooLarge},
+        Row{ParseError::kNoMemory, RequestError::kNoMemory},
+    };
+    for (const Row& row : kRows) {
+      if (row.error == parser.error()) {
+        Fail(row.reported);
+        return;
+      }
+    }
+    Fail(RequestError::kMalformed);
+  }
+
   void Fail(RequestError error) {
     is_busy = true;
     closes_after_response = true;
     timer.Cancel();
+    parser.Abandon();
+    if (client.has_value()) {
+      client->EndRequest();
+    }
     handler.OnRequestError(self, error);
   }
 
@@ -243,7 +389,18 @@
     timer = loop.After(kLingerTime, [this] { CloseAndNotify(); });
   }
 
-  void Write(std::string_view data) { stream.Write(data); }
+  void Write(std::string_view data) {
+    stream.Write(data);
+    AccountOutput();
+  }
+
+  // Drops the rest of a request that was answered.
+  void DropRest() {
+    is_dropping = true;
+    parser.DropBody();
+    AccountInput();
+    timer = loop.After(limits.request_timeout, [this] { CloseAndNotify(); });
+  }
 
   // Appends part of the current response's body in its framing.
   void AppendBody(std::string_view data, std::string& out) const {
@@ -256,16 +413,31 @@
 
   void Finish() {
     is_busy = false;
-    parser.Reset();
+    const bool has_rest = parser.state() == ParseState::kBody;
+    if (!has_rest) {
+      parser.Reset();
+    }
+    if (client.has_value()) {
+      client->EndRequest();
+      client->Account(ClientMemory::kRequest, 0);
+      client->Account(ClientMemory::kAnswer, 0);
+    }
     if (!stream.is_open()) {
       return;
     }
     if (closes_after_response) {
+      parser.Abandon();
+      unparsed = {};
+      AccountInput();
       if (stream.unwritten() == 0) {
         ShutDownAndLinger();
       }
       return;
     }
+    if (has_rest) {
+      DropRest();
+      return;
+    }
     StartIdleTimer();
     if (!unparsed.empty()) {
       // Parses in a later turn, since this may run inside OnRequest().
@@ -275,15 +447,25 @@
   }
 
   void ConsumeUnparsed() {
+    if (!MayParse()) {
+      return;
+    }
     const std::string data = std::exchange(unparsed, {});
-    unparsed = data.substr(Consume(data));
+    const size_t consumed = Consume(data);
+    if (!closes_after_response || is_busy) {
+      unparsed = data.substr(consumed);
+    }
+    AccountInput();
     stream.SetReading(true);
+    PauseReadingAhead();
   }
 
   ServerConnection& self;
   kernel::EventLoop& loop;
   const ServerConnectionLimits limits;
   Handler& handler;
+  ClientBudget* const budget;
+  std::optional<ClientBudget::Client> client;  // Present with a budget.
   RequestParser parser;
   internal::SocketStream stream;
   std::string unparsed;  // Input after the current request, not parsed yet.
@@ -291,6 +473,8 @@
   kernel::Timer next_request;
   BodyFraming framing;
   bool is_busy = false;
+  // The request was answered, and the rest of its body is dropped.
+  bool is_dropping = false;
   bool closes_after_response = false;
   bool is_lingering = false;
 };
@@ -298,8 +482,9 @@
 ServerConnection::ServerConnection(kernel::EventLoop& loop,
                                    int fd,
                                    ServerConnectionLimits limits,
-                                   Handler& handler)
-    : impl_(std::make_unique<Impl>(*this, loop, fd, limits, handler)) {}
+                                   Handler& handler,
+                                   ClientBudget* budget)
+    : impl_(std::make_unique<Impl>(*this, loop, fd, limits, handler, budget)) {}
 ServerConnection::~ServerConnection() = default;
 
 void ServerConnection::StartResponse(const ResponseHead& head,
@@ -307,8 +492,11 @@
                                      bool close_after,
                                      std::string_view first_part) {
   impl_->framing = framing;
+  const bool has_long_rest = impl_->parser.state() == ParseState::kBody &&
+                             impl_->parser.remaining_bytes().value_or(
+                                 kMaxDroppedBytes + 1) > kMaxDroppedBytes;
   impl_->closes_after_response = impl_->closes_after_response || close_after ||
-                                 !impl_->parser.keep_alive();
+                                 has_long_rest || !impl_->parser.keep_alive();
   std::string out = Serialize(head, framing, impl_->closes_after_response);
   impl_->AppendBody(first_part, out);
   impl_->Write(out);
@@ -362,6 +550,30 @@
   impl_->CloseAndNotify();
 }
 
+void ServerConnection::SetWorkspace(std::string_view workspace) {
+  if (impl_->client.has_value()) {
+    impl_->client->SetWorkspace(workspace);
+  }
+}
+
+bool ServerConnection::HoldRequest(size_t bytes) {
+  if (!impl_->client.has_value()) {
+    return true;
+  }
+  // What was received is now part of the request.
+  impl_->client->Account(ClientMemory::kInput, impl_->read_ahead_bytes());
+  return impl_->client->Resize(ClientMemory::kRequest, bytes, impl_->Now());
+}
+
+bool ServerConnection::HoldAnswer(size_t bytes) {
+  return !impl_->client.has_value() ||
+         impl_->client->Resize(ClientMemory::kAnswer, bytes, impl_->Now());
+}
+
+bool ServerConnection::is_under_pressure() const {
+  return impl_->budget != nullptr && impl_->budget->is_under_pressure();
+}
+
 bool ServerConnection::has_arriving_request() const {
   int unread = 0;
   return impl_->stream.is_open() && !impl_->is_busy &&
@@ -401,8 +613,8 @@
   return impl_->is_busy;
 }
 bool ServerConnection::has_partial_request() const {
-  return impl_->parser.state() == ParseState::kHead ||
-         impl_->parser.state() == ParseState::kBody;
+  return !impl_->is_dropping && (impl_->parser.state() == ParseState::kHead ||
+                                 impl_->parser.state() == ParseState::kBody);
 }
 size_t ServerConnection::buffered_bytes() const {
   return impl_->stream.unwritten();
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -20,6 +20,7 @@
 
 #include "absl/status/statusor.h"
 #include "jackdawshunt/http/http.h"
+#include "jackdawshunt/http1/client_budget.h"
 #include "jackdawshunt/http1/message.h"
 #include "jackdawshunt/http1/parser.h"
 #include "jackdawshunt/kernel/event_loop.h"
@@ -68,6 +69,7 @@
   kHeadTooLarge,
   kBodyTooLarge,
   kTimeout,
+  kNoMemory,  // The clients of the process hold too much.
 };
 
 class ServerConnection {
@@ -77,6 +79,11 @@
   class Handler {
    public:
     virtual ~Handler() = default;
+    // Called when the head of a request is complete and its body is not. The
+    // handler may Reply() to refuse the request: the rest of it is then
+    // dropped, and the connection closes unless the rest is short.
+    virtual void OnHead(ServerConnection& /*connection*/,
+                        const RequestHead& /*head*/) {}
     // Called when a request is complete; `body` may be moved from.
     virtual void OnRequest(ServerConnection& connection,
                            const RequestHead& head,
@@ -92,12 +99,15 @@
     virtual void OnClosed(ServerConnection& connection) = 0;
   };
 
-  // Takes ownership of the accepted, non-blocking socket `fd`. `loop` and
-  // `handler` must outlive the connection.
+  // Takes ownership of the accepted, non-blocking socket `fd`. `loop`,
+  // `handler` and `budget` must outlive the connection. With a budget, requests
+  // for which it has no room are rejected, and the connection may be closed for
+  // others.
   ServerConnection(kernel::EventLoop& loop,
                    int fd,
                    ServerConnectionLimits limits,
-                   Handler& handler);
+                   Handler& handler,
+                   ClientBudget* budget = nullptr);
   ~ServerConnection();
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
@@ -123,6 +133,17 @@
   void WriteRaw(std::string_view bytes);
   // Resets the connection, so that the caller sees an incomplete response.
   void Abort();
+  // Sets the workspace whose part of the budget the current request takes.
+  void SetWorkspace(std::string_view workspace);
+  // Takes room for the current request, until its response is finished. Returns
+  // false if there is none.
+  bool HoldRequest(size_t bytes);
+  // Takes room for a response of `bytes` that is kept until it is complete.
+  // Returns false if there is none.
+  bool HoldAnswer(size_t bytes);
+  // Returns whether responses should not be buffered, since the clients of the
+  // process hold much.
+  bool is_under_pressure() const;
   // Returns whether the first bytes of a request that was not delivered yet
   // have been received, whether parsed or still in the socket.
   bool has_arriving_request() const;
--- a/jackdawshunt/platform/settings.cc
+++ b/jackdawshunt/platform/settings.cc
@@ -186,6 +186,12 @@
   if (memory_mb > 0) {
     settings.memory_bytes = static_cast<uint64_t>(memory_mb * 1024 * 1024);
   }
+  double client_memory_mb = 0;
+  reader.Number("limits.clientMemoryMb", client_memory_mb);
+  if (client_memory_mb > 0) {
+    settings.client_memory_bytes =
+        static_cast<uint64_t>(client_memory_mb * 1024 * 1024);
+  }
   double descriptors = 0;
   reader.Number("limits.fileDescriptors", descriptors);
   if (descriptors > 0) {
--- a/jackdawshunt/platform/settings.h
+++ b/jackdawshunt/platform/settings.h
@@ -69,6 +69,9 @@
   // Period in which an upstream refreshes its record.
   kernel::Duration heartbeat = std::chrono::milliseconds(1200);
   uint64_t memory_bytes = uint64_t{192} * 1024 * 1024;
+  // Memory that the requests and responses of callers may take together, in
+  // bytes. Absent: half of `memory_bytes`.
+  std::optional<uint64_t> client_memory_bytes;
   uint32_t file_descriptors = 1024;
   double cpu_share = 1.0;
   Promises promises;
