Decide on a request when its head is known

What callers saw: a request with an unknown key, without a route, or one that arrives while there is no configuration, while the process shuts down or on a connection beyond the limit, was asked for its body and read to its end, up to the limit of a body and the time of a request, before it got its refusal. A crowd with a key of nobody took as much memory as one with a sound key.

Cause: the connection delivered whole requests only.

Change: HttpFrontend checks the head (Admit()) when the body has not arrived yet, and once more when it has, since the configuration may have changed. Expect: 100-continue gets the refusal instead of a 100.

Ruled out: answering only when a short body has been read off, which would hold the refusal back for a slow caller.

--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -85,6 +85,10 @@
     call_->Start();
   }
 
+  void OnHead(http1::ServerConnection&,
+              const http1::RequestHead& head) override {
+    http_frontend_.OnHead(*this, head);
+  }
   void OnRequest(http1::ServerConnection&,
                  const http1::RequestHead& head,
                  std::string& body) override {
@@ -259,6 +263,13 @@
                    context_.closes_connections || closes);
 }
 
+void HttpFrontend::OnHead(Session& session, const http1::RequestHead& head) {
+  platform::CallerRequest decoded;
+  if (const auto request = Admit(session, head, &decoded)) {
+    session.connection().SetWorkspace(request->workspace);
+  }
+}
+
 std::optional<routing::RoutedRequest> HttpFrontend::Admit(
     Session& session,
     const http1::RequestHead& head,
--- a/jackdawshunt/gateway/http_frontend.h
+++ b/jackdawshunt/gateway/http_frontend.h
@@ -64,6 +64,9 @@
 
   void Accept(int fd);
   void Remove(Session* session);
+  // Refuses a request whose body has not arrived if its head is enough to know
+  // that it cannot be served.
+  void OnHead(Session& session, const http1::RequestHead& head);
   // Returns the request if it is allowed; otherwise replies with an error.
   // `decoded` receives the fields of the head.
   std::optional<routing::RoutedRequest> Admit(Session& session,
--- a/jackdawshunt/testing/misbehaving_clients_test.cc
+++ b/jackdawshunt/testing/misbehaving_clients_test.cc
@@ -335,5 +335,29 @@
   EXPECT_EQ(chunked.answers().count(200), 1u);
 }
 
+// Guards against callers that send a body for nothing: what the head shows is
+// answered while the body is awaited.
+TEST_F(SmallMachineTest, BodyIsAwaitedOfARequestThatCannotBeServed) {
+  Start();
+  struct Case {
+    std::string head;
+    int status;
+  };
+  const std::string expect =
+      "Expect: 100-continue\r\nContent-Length: 1000\r\n\r\n";
+  const std::vector<Case> cases = {
+      {RequestHead(1, expect, "key-of-nobody"), 401},
+      {RequestHead(2, expect, "key-lodge", "no-route"), 404},
+      {RequestHead(3, "Content-Length: 2000000\r\n\r\n"), 413},
+      {RequestHead(4, expect), 100}};
+  for (const Case& each : cases) {
+    ClientCrowd client({.clients = 1,
+                        .address = fleet_->gateway_address(0),
+                        .head = [&](size_t) { return each.head; }});
+    EXPECT_TRUE(fleet_->Await([&] { return !client.answers().empty(); }));
+    EXPECT_EQ(client.answers().begin()->first, each.status);
+  }
+}
+
 }  // namespace
 }  // namespace jackdawshunt::testing
