Free the memory of strings that are no longer needed

What callers saw: 600 connections with half a head of tiny fields took 163 MB of a gateway although most of them were refused at once.

Cause: an assignment of {} to a std::string or a vector takes an empty list and keeps the capacity, and libstdc++'s move from an empty string keeps it too. Rejected messages, bodies that were dropped and responses that were forwarded thus stayed allocated until their connections closed, a second later at least.

Evidence: the account showed 131 MB held of a capacity of 32 MB after 405 refusals, 262,144 bytes for each. RequestParserTest.RejectedMessageKeepsItsMemory fails before (90,000 bytes of capacity after Abandon()).

Why it works: internal::Release() swaps with a new value.

--- a/jackdawshunt/gateway/response_body.cc
+++ b/jackdawshunt/gateway/response_body.cc
@@ -28,7 +28,7 @@
  public:
   std::string_view Feed(std::string_view data) override {
     if (is_forwarded_) {
-      kept_ = {};  // The caller of Feed() has used it.
+      std::string().swap(kept_);  // The caller of Feed() has used it.
       return data;
     }
     kept_.append(data);
--- a/jackdawshunt/http1/client.cc
+++ b/jackdawshunt/http1/client.cc
@@ -7,6 +7,7 @@
 
 #include "absl/container/flat_hash_set.h"
 #include "jackdawshunt/http1/internal/embedded_head_scanner.h"
+#include "jackdawshunt/http1/internal/release.h"
 #include "jackdawshunt/http1/internal/socket_options.h"
 #include "jackdawshunt/http1/internal/socket_stream.h"
 
@@ -60,7 +61,7 @@
   void Close() {
     connect_timer.Cancel();
     stream.Close();
-    unsent_request = {};
+    internal::Release(unsent_request);
     unsent_body.reset();
     is_closed = true;
   }
--- a/jackdawshunt/http1/internal/header_collector.cc
+++ b/jackdawshunt/http1/internal/header_collector.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/ascii.h"
+#include "jackdawshunt/http1/internal/release.h"
 #include "jackdawshunt/http1/message.h"
 
 namespace jackdawshunt::http1::internal {
@@ -41,7 +42,7 @@
 }
 
 void HeaderCollector::Clear() {
-  headers_ = {};
+  Release(headers_);
   text_bytes_ = 0;
   in_value_ = false;
 }
--- a/jackdawshunt/http1/internal/socket_stream.cc
+++ b/jackdawshunt/http1/internal/socket_stream.cc
@@ -12,6 +12,7 @@
 #include "event2/event.h"
 #include "event2/util.h"
 #include "jackdawshunt/http/socket_address.h"
+#include "jackdawshunt/http1/internal/release.h"
 
 namespace jackdawshunt::http1::internal {
 namespace {
@@ -102,7 +103,7 @@
 }
 
 void SocketStream::DropOutput() {
-  output_ = {};
+  Release(output_);
   output_sent_ = 0;
   shared_.reset();
   shared_sent_ = 0;
--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/ascii.h"
 #include "http_parser.h"
 #include "jackdawshunt/http1/internal/header_collector.h"
+#include "jackdawshunt/http1/internal/release.h"
 
 namespace jackdawshunt::http1 {
 namespace {
@@ -82,9 +83,9 @@
   }
 
   void Release() {
-    head = {};
+    internal::Release(head);
     head_memory = 0;
-    body = {};
+    internal::Release(body);
     collector.Clear();
   }
 
@@ -242,7 +243,7 @@
   impl_->Start();
 }
 void RequestParser::DropBody() {
-  impl_->body = {};
+  internal::Release(impl_->body);
   impl_->drops_body = true;
 }
 void RequestParser::Abandon() {
--- a/jackdawshunt/http1/parser_test.cc
+++ b/jackdawshunt/http1/parser_test.cc
@@ -119,6 +119,25 @@
   EXPECT_TRUE(beyond.head().headers.empty());
 }
 
+// An assignment of {} would keep the capacity.
+TEST(RequestParserTest, RejectedMessageKeepsItsMemory) {
+  RequestParser head({.header_bytes = 1000, .body_bytes = 100000});
+  std::string text = "GET / HTTP/1.1\r\n";
+  for (int i = 0; i < 500; ++i) {
+    text += "a:\r\n";
+  }
+  head.Feed(text);
+  EXPECT_EQ(head.error(), ParseError::kHeadTooLarge);
+  EXPECT_EQ(head.held_bytes(), 0u);
+  RequestParser body({.header_bytes = 1000, .body_bytes = 100000});
+  body.Feed("POST / HTTP/1.1\r\nContent-Length: 90000\r\n\r\n" +
+            std::string(80000, 'b'));
+  EXPECT_GE(body.held_bytes(), 80000u);
+  body.Abandon();
+  EXPECT_EQ(body.held_bytes(), 0u);
+  EXPECT_LT(body.body().capacity(), 100u);
+}
+
 TEST(RequestParserTest, EnforcesLimits) {
   RequestParser head({.header_bytes = 64, .body_bytes = 100});
   head.Feed("GET / HTTP/1.1\r\nLong: " + std::string(200, 'a'));
