Limit what the kernel receives and sends ahead for callers

What callers saw: requests written one behind another, whose answers nobody reads, took 608 MB of a gateway with the kernel's queues, and 160 answers that nobody reads 531 MB. Bytes that were received and not read count towards the memory of a process.

Cause: a connection that is not read keeps its receive buffer, which the kernel had let grow to megabytes, and the send buffer grows too.

Change: callers' connections offer 16 KiB. While more than that of a request has arrived and there is room, the buffer is 64 KiB, which the account contains. The kernel takes 16 KiB that it cannot send yet (TCP_NOTSENT_LOWAT). The options are set on the listening socket, before the window is chosen. The gateway reports what clients hold, and how many yielded or were refused, as gauges.

Ruled out: setting the buffer of accepted sockets, where the window of the handshake stays: a body of a mebibyte then took longer than 8 s on the loopback device, whose segments are larger than the buffer (ServesBodiesAtTheLimitInCalm failed).

--- a/jackdawshunt/gateway/gateway_report.cc
+++ b/jackdawshunt/gateway/gateway_report.cc
@@ -66,6 +66,18 @@
                     std::chrono::duration<double>(overload_.lag()).count());
   metrics_.SetGauge("store_era",
                     static_cast<double>(upstreams_.revision().era));
+  for (size_t use = 0; use < http1::kClientMemoryKinds; ++use) {
+    const auto kind = static_cast<http1::ClientMemory>(use);
+    metrics_.SetGauge(
+        std::string("client_bytes_").append(http1::ClientMemoryName(kind)),
+        static_cast<double>(client_budget_.held_bytes(kind)));
+  }
+  metrics_.SetGauge("client_connections",
+                    static_cast<double>(client_budget_.clients()));
+  metrics_.SetGauge("client_memory_reclaimed",
+                    static_cast<double>(client_budget_.reclaimed()));
+  metrics_.SetGauge("client_memory_refused",
+                    static_cast<double>(client_budget_.refused()));
   metrics_.SetGauge("stream_origins", static_cast<double>(origins_.size()));
   metrics_.SetGauge("stream_origins_rejected",
                     static_cast<double>(origins_.rejected()));
--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -131,8 +131,9 @@
 HttpFrontend::~HttpFrontend() = default;
 
 absl::Status HttpFrontend::Listen(const http::Address& address) {
-  auto listener = http1::Listener::Bind(context_.loop, address,
-                                        [this](int fd) { Accept(fd); });
+  auto listener = http1::Listener::Bind(
+      context_.loop, address, [this](int fd) { Accept(fd); },
+      /*has_small_buffers=*/true);
   if (!listener.ok()) {
     return listener.status();
   }
--- a/jackdawshunt/gateway/readiness_server.cc
+++ b/jackdawshunt/gateway/readiness_server.cc
@@ -14,7 +14,8 @@
 
 absl::Status ReadinessServer::Listen(const http::Address& address) {
   auto listener = http1::Listener::Bind(
-      loop_, address, [this](int fd) { connections_.Add(fd); });
+      loop_, address, [this](int fd) { connections_.Add(fd); },
+      /*has_small_buffers=*/true);
   if (!listener.ok()) {
     return listener.status();
   }
--- a/jackdawshunt/http1/internal/socket_options.cc
+++ b/jackdawshunt/http1/internal/socket_options.cc
@@ -18,6 +18,9 @@
 constexpr int kProbeIntervalSeconds = 1;
 constexpr int kProbes = 2;
 
+// Beside what is in flight.
+constexpr int kMaxUnsentBytes = 16 * 1024;
+
 void Set(int fd, int level, int option, int value) {
   if (setsockopt(fd, level, option, &value, sizeof(value)) != 0) {
     base::Log(base::LogLevel::kDebug, "socket_option_failed",
@@ -43,6 +46,13 @@
 
 void SetCallerSocketOptions(int fd) {
   SetKeepAlive(fd);
+  Set(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, kMaxUnsentBytes);
+}
+
+void SetReceiveBuffer(int fd, size_t bytes) {
+  Set(fd, SOL_SOCKET, SO_RCVBUF, static_cast<int>(bytes));
+  // The buffer alone does not raise the window beyond that of the handshake.
+  Set(fd, IPPROTO_TCP, TCP_WINDOW_CLAMP, static_cast<int>(bytes));
 }
 
 bool HasCallerSocketOptions(int fd) {
--- a/jackdawshunt/http1/internal/socket_options.h
+++ b/jackdawshunt/http1/internal/socket_options.h
@@ -6,17 +6,24 @@
 #ifndef JACKDAWSHUNT_HTTP1_INTERNAL_SOCKET_OPTIONS_H_
 #define JACKDAWSHUNT_HTTP1_INTERNAL_SOCKET_OPTIONS_H_
 
+#include <cstddef>
+
 #include "jackdawshunt/kernel/clock.h"
 
 namespace jackdawshunt::http1::internal {
 
-// Disables the delay of small writes (Nagle) and enables keep-alive probes,
-// which detect callers that disappeared without closing the connection. Linux
-// copies these options from a listening socket to the accepted ones.
+// Disables the delay of small writes (Nagle), enables keep-alive probes, which
+// detect callers that disappeared without closing the connection, and limits
+// the bytes that the kernel takes before it can send them. Linux copies these
+// options from a listening socket to the accepted ones.
 void SetCallerSocketOptions(int fd);
 // Returns whether the options of SetCallerSocketOptions() are set.
 bool HasCallerSocketOptions(int fd);
 
+// Limits the bytes that the kernel receives before they are read. Accepted
+// sockets inherit the limit of the listening one; it can be raised to 64 KiB.
+void SetReceiveBuffer(int fd, size_t bytes);
+
 // Sets the options of SetCallerSocketOptions(). In addition, the kernel ends
 // the connection when sent bytes stay unacknowledged for
 // `unacknowledged_timeout`.
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -19,6 +19,7 @@
 #include "event2/util.h"
 #include "jackdawshunt/base/log.h"
 #include "jackdawshunt/http/socket_address.h"
+#include "jackdawshunt/http1/internal/release.h"
 #include "jackdawshunt/http1/internal/socket_options.h"
 #include "jackdawshunt/http1/internal/socket_stream.h"
 
@@ -34,6 +35,10 @@
 // read for this long: closing with unread bytes would send a reset, which can
 // discard the response.
 constexpr kernel::Duration kLingerTime = std::chrono::seconds(1);
+// Bytes that the kernel receives ahead. While more than this of a request has
+// arrived, its connection has a larger buffer if there is room.
+constexpr size_t kReceiveBufferBytes = size_t{16} * 1024;
+constexpr size_t kLargeReceiveBufferBytes = size_t{64} * 1024;
 constexpr int kBacklog = 1024;
 // Connections accepted in one turn of the loop, so that a full backlog does not
 // delay the events of open connections.
@@ -92,13 +97,19 @@
 absl::StatusOr<std::unique_ptr<Listener>> Listener::Bind(
     kernel::EventLoop& loop,
     const http::Address& address,
-    AcceptCallback accept) {
+    AcceptCallback accept,
+    bool has_small_buffers) {
   const auto bound = http::ToSocketAddress(address);
   if (!bound.has_value()) {
     return absl::UnavailableError(
         absl::StrCat(address.ToString(), " is not an IPv4 address"));
   }
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd >= 0 && has_small_buffers) {
+    // Before listen(), since the window of a connection is chosen when it
+    // opens.
+    internal::SetReceiveBuffer(fd, kReceiveBufferBytes);
+  }
   if (fd < 0 || evutil_make_listen_socket_reuseable(fd) != 0 ||
       bind(fd, reinterpret_cast<const sockaddr*>(&*bound), sizeof(*bound)) !=
           0 ||
@@ -172,7 +183,7 @@
     timer.Cancel();
     stream.Close();
     parser.Abandon();
-    unparsed = {};
+    internal::Release(unparsed);
     if (client.has_value()) {
       client->Clear();
     }
@@ -201,13 +212,32 @@
 
   // Accounts for what was received and what waits to be read by the caller.
   void AccountInput() {
+    AdaptReceiveBuffer();
     if (client.has_value()) {
       client->Account(ClientMemory::kInput,
                       parser.held_bytes() + read_ahead_bytes());
     }
   }
+  // Returns the bytes that are read ahead, also by the kernel.
   size_t read_ahead_bytes() const {
-    return unparsed.empty() ? 0 : unparsed.capacity();
+    return (unparsed.empty() ? 0 : unparsed.capacity()) +
+           (has_large_buffer ? kLargeReceiveBufferBytes : 0);
+  }
+
+  // Adapts the kernel's buffer to the request that is being received.
+  void AdaptReceiveBuffer() {
+    const bool wants_large = stream.is_open() && is_receiving() &&
+                             parser.held_bytes() > kReceiveBufferBytes;
+    if (budget == nullptr || wants_large == has_large_buffer ||
+        (wants_large && budget->is_under_pressure())) {
+      return;
+    }
+    has_large_buffer = wants_large;
+    if (stream.is_open()) {
+      internal::SetReceiveBuffer(stream.fd(), wants_large
+                                                  ? kLargeReceiveBufferBytes
+                                                  : kReceiveBufferBytes);
+    }
   }
   void AccountOutput() {
     if (!client.has_value()) {
@@ -241,7 +271,7 @@
   void OnReclaimed() override {
     if (is_receiving()) {
       parser.Abandon();
-      unparsed = {};
+      internal::Release(unparsed);
       AccountInput();
       Fail(RequestError::kNoMemory);
     } else {
@@ -427,7 +457,7 @@
     }
     if (closes_after_response) {
       parser.Abandon();
-      unparsed = {};
+      internal::Release(unparsed);
       AccountInput();
       if (stream.unwritten() == 0) {
         ShutDownAndLinger();
@@ -477,6 +507,7 @@
   bool is_dropping = false;
   bool closes_after_response = false;
   bool is_lingering = false;
+  bool has_large_buffer = false;
 };
 
 ServerConnection::ServerConnection(kernel::EventLoop& loop,
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -33,12 +33,14 @@
   using AcceptCallback = std::function<void(int fd)>;
 
   // Listens at `address` and calls `accept` with each accepted socket, which is
-  // non-blocking and which `accept` then owns. Error: Unavailable if the
-  // address cannot be bound.
+  // non-blocking and which `accept` then owns. With `has_small_buffers` the
+  // kernel receives few bytes ahead; connections with a budget adapt that.
+  // Error: Unavailable if the address cannot be bound.
   static absl::StatusOr<std::unique_ptr<Listener>> Bind(
       kernel::EventLoop& loop,
       const http::Address& address,
-      AcceptCallback accept);
+      AcceptCallback accept,
+      bool has_small_buffers = false);
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
