Bound the connections and the bodies of the port of readiness

What callers saw: 160 bodies sent to the port of readiness took 177 MB of a gateway, and 700 silent connections there 717 descriptors of a machine that has 400. Nothing but the number of descriptors stopped them, and without descriptors a listener reports the same connection again and again.

Cause: the port used server connections with their defaults: bodies of 4 MiB, and no limit of connections.

Change: checks have at most 8 KiB of head and 1 KiB of body, take their memory from the account of all clients, and 32 connections may be open. A further one takes the place of one that yields; http1::ChooseYielding() decides: connections that are closing, then those that are silent, stop inside a request or do not read, then those that have been idle for a second, the longest first. A listener that cannot accept waits for 100 ms.

ReadinessChecksThatNobodyReads failed while a connection with an unread answer did not yield: the balancer got no answer beside it.

A sound balancer opens one connection or keeps one, so it never meets the limit.

--- a/jackdawshunt/gateway/readiness_server.cc
+++ b/jackdawshunt/gateway/readiness_server.cc
@@ -5,10 +5,26 @@
 #include "jackdawshunt/platform/wire.h"
 
 namespace jackdawshunt::gateway {
+namespace {
+
+// Checks are a few lines without a body, from a few balancers.
+constexpr size_t kMaxHeaderBytes = size_t{8} * 1024;
+constexpr size_t kMaxBodyBytes = 1024;
+constexpr size_t kMaxConnections = 32;
+
+}  // namespace
 
 ReadinessServer::ReadinessServer(kernel::EventLoop& loop,
-                                 std::function<bool()> is_ready)
-    : loop_(loop), is_ready_(std::move(is_ready)), connections_(loop, *this) {}
+                                 std::function<bool()> is_ready,
+                                 http1::ClientBudget& budget)
+    : loop_(loop),
+      is_ready_(std::move(is_ready)),
+      connections_(loop,
+                   *this,
+                   {.limits = {.parse = {.header_bytes = kMaxHeaderBytes,
+                                         .body_bytes = kMaxBodyBytes}},
+                    .max_connections = kMaxConnections,
+                    .budget = &budget}) {}
 
 ReadinessServer::~ReadinessServer() = default;
 
--- a/jackdawshunt/gateway/readiness_server.h
+++ b/jackdawshunt/gateway/readiness_server.h
@@ -2,7 +2,7 @@
 // instance accepts callers, else 503.
 //
 // Example:
-//   gateway::ReadinessServer server(loop, [] { return true; });
+//   gateway::ReadinessServer server(loop, [] { return true; }, budget);
 //   absl::Status status = server.Listen({"10.1.0.33", 8780});
 //
 // Not thread-safe.
@@ -19,7 +19,10 @@
 
 class ReadinessServer final : public http1::ServerConnection::Handler {
  public:
-  ReadinessServer(kernel::EventLoop& loop, std::function<bool()> is_ready);
+  // `budget` must outlive the loop.
+  ReadinessServer(kernel::EventLoop& loop,
+                  std::function<bool()> is_ready,
+                  http1::ClientBudget& budget);
   ~ReadinessServer() override;
 
   // Starts to accept connections at `address`.
--- a/jackdawshunt/http1/client_budget.h
+++ b/jackdawshunt/http1/client_budget.h
@@ -141,6 +141,10 @@
   void EndRequest();
   // Records that the client has read a part of a response.
   void OnRead(kernel::TimePoint now) { read_at_ = now; }
+  // Returns whether a request is being received and does not progress.
+  bool IsRequestStalled(kernel::TimePoint now) const;
+  // Returns whether the client does not read its response.
+  bool IsResponseStalled(kernel::TimePoint now) const;
   // Sets the workspace of the current request; empty if it is not known.
   void SetWorkspace(std::string_view workspace);
 
@@ -152,9 +156,6 @@
  private:
   friend class ClientBudget;
 
-  bool IsRequestStalled(kernel::TimePoint now) const;
-  bool IsResponseStalled(kernel::TimePoint now) const;
-
   ClientBudget& budget_;
   Owner& owner_;
   std::array<uint64_t, kClientMemoryKinds> uses_{};
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -43,10 +43,13 @@
 // Connections accepted in one turn of the loop, so that a full backlog does not
 // delay the events of open connections.
 constexpr size_t kMaxAcceptsPerTurn = 32;
+// Time without accepting after an error.
+constexpr kernel::Duration kAcceptRetryTime = std::chrono::milliseconds(100);
 
 }  // namespace
 
 struct Listener::Impl {
+  explicit Impl(kernel::EventLoop& on_loop) : loop(on_loop) {}
   ~Impl() {
     event_free(readable);
     close(fd);
@@ -67,6 +70,10 @@
       if (errno != EAGAIN) {
         base::Log(base::LogLevel::kError, "accept_failed",
                   {{"error", strerror(errno)}});
+        // Without descriptors the connection would be reported again at once.
+        event_del(readable);
+        retry = loop.After(kAcceptRetryTime,
+                           [this] { event_add(readable, nullptr); });
       }
       return;
     }
@@ -82,8 +89,10 @@
     accept(accepted);
   }
 
+  kernel::EventLoop& loop;
   int fd = -1;
   event* readable = nullptr;
+  kernel::Timer retry;
   AcceptCallback accept;
   // Whether accepted sockets have the options of the listening one; unknown
   // before the first connection.
@@ -122,7 +131,7 @@
         "cannot listen at ", address.ToString(), ": ", strerror(error)));
   }
   internal::SetCallerSocketOptions(fd);
-  auto impl = std::make_unique<Impl>();
+  auto impl = std::make_unique<Impl>(loop);
   impl->fd = fd;
   impl->accept = std::move(accept);
   impl->readable = event_new(
@@ -191,6 +200,7 @@
   }
 
   void StartIdleTimer() {
+    state_since = Now();
     timer = loop.After(limits.idle_timeout, [this] { CloseAndNotify(); });
   }
 
@@ -279,6 +289,29 @@
     }
   }
 
+  ConnectionState connection_state() const {
+    if (is_lingering) {
+      return ConnectionState::kClosing;
+    }
+    if (is_receiving()) {
+      return parser.state() == ParseState::kHead ||
+                     (client.has_value() && client->IsRequestStalled(Now()))
+                 ? ConnectionState::kSilent
+                 : ConnectionState::kBusy;
+    }
+    if (is_busy) {
+      return ConnectionState::kBusy;
+    }
+    if (stream.unwritten() > 0) {
+      // A caller that sends more requests meanwhile does not read.
+      return !unparsed.empty() ||
+                     (client.has_value() && client->IsResponseStalled(Now()))
+                 ? ConnectionState::kSilent
+                 : ConnectionState::kBusy;
+    }
+    return has_answered ? ConnectionState::kIdle : ConnectionState::kSilent;
+  }
+
   // internal::SocketStream::Owner:
   void OnConnected() override {}
   void OnEnd(internal::SocketStream::End /*end*/) override { CloseAndNotify(); }
@@ -330,6 +363,7 @@
       consumed += count;
       if (parser.state() != ParseState::kStart &&
           before == ParseState::kStart) {
+        state_since = Now();
         timer = loop.After(limits.request_timeout,
                            [this] { Fail(RequestError::kTimeout); });
       }
@@ -443,6 +477,7 @@
 
   void Finish() {
     is_busy = false;
+    has_answered = true;
     const bool has_rest = parser.state() == ParseState::kBody;
     if (!has_rest) {
       parser.Reset();
@@ -508,6 +543,9 @@
   bool closes_after_response = false;
   bool is_lingering = false;
   bool has_large_buffer = false;
+  bool has_answered = false;  // A request so far.
+  // The connection is idle, or receives a request, since then.
+  kernel::TimePoint state_since{};
 };
 
 ServerConnection::ServerConnection(kernel::EventLoop& loop,
@@ -613,6 +651,14 @@
           (ioctl(impl_->stream.fd(), FIONREAD, &unread) == 0 && unread > 0));
 }
 
+ConnectionUse ServerConnection::use() const {
+  return {impl_->connection_state(), impl_->state_since};
+}
+
+void ServerConnection::Yield() {
+  impl_->CloseAndNotify();
+}
+
 bool ServerConnection::has_caller_left() const {
   if (!impl_->stream.is_open()) {
     return true;
@@ -652,8 +698,18 @@
 }
 
 void ConnectionSet::Add(int fd) {
+  if (connections_.size() >= options_.max_connections) {
+    const auto yielding =
+        ChooseYielding(connections_, loop_.clock().Now(),
+                       [](const auto& row) { return row.second->use(); });
+    if (yielding == connections_.end()) {
+      close(fd);
+      return;
+    }
+    yielding->second->Yield();  // The handler removes it.
+  }
   auto connection = std::make_unique<ServerConnection>(
-      loop_, fd, ServerConnectionLimits{}, handler_);
+      loop_, fd, options_.limits, handler_, options_.budget);
   ServerConnection* const key = connection.get();
   connections_.emplace(key, std::move(connection));
 }
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -21,6 +22,7 @@
 #include "absl/status/statusor.h"
 #include "jackdawshunt/http/http.h"
 #include "jackdawshunt/http1/client_budget.h"
+#include "jackdawshunt/http1/connection_use.h"
 #include "jackdawshunt/http1/message.h"
 #include "jackdawshunt/http1/parser.h"
 #include "jackdawshunt/kernel/event_loop.h"
@@ -154,6 +156,11 @@
   // `close_after` with its response.
   void CloseWhenIdle();
 
+  // Returns how the connection uses its descriptor.
+  ConnectionUse use() const;
+  // Closes the connection at once, for one that needs its descriptor.
+  void Yield();
+
   // Returns whether the caller has closed its side of the connection, also if
   // that was not read yet.
   bool has_caller_left() const;
@@ -171,6 +178,13 @@
   std::unique_ptr<Impl> impl_;
 };
 
+struct ConnectionSetOptions {
+  ServerConnectionLimits limits;
+  // A further connection takes the place of one that may yield, or is closed.
+  size_t max_connections = std::numeric_limits<size_t>::max();
+  ClientBudget* budget = nullptr;  // Must outlive the loop.
+};
+
 // Owns the open connections of a server whose handler has no other state per
 // connection.
 //
@@ -182,8 +196,10 @@
 //   connections.Remove(connection);
 class ConnectionSet {
  public:
-  ConnectionSet(kernel::EventLoop& loop, ServerConnection::Handler& handler)
-      : loop_(loop), handler_(handler) {}
+  ConnectionSet(kernel::EventLoop& loop,
+                ServerConnection::Handler& handler,
+                ConnectionSetOptions options = {})
+      : loop_(loop), handler_(handler), options_(options) {}
   ConnectionSet(const ConnectionSet&) = delete;
   ConnectionSet& operator=(const ConnectionSet&) = delete;
 
@@ -202,6 +218,7 @@
  private:
   kernel::EventLoop& loop_;
   ServerConnection::Handler& handler_;
+  const ConnectionSetOptions options_;
   std::unordered_map<ServerConnection*, std::unique_ptr<ServerConnection>>
       connections_;
 };
