Let silent connections yield to new callers, and keep descriptors free

What callers saw: beside 700 connections that say nothing, on a machine of 400 descriptors, an ordinary caller got 503 for as long as they stayed, and the process had 616 descriptors open.

Cause: connections were served in the order of their arrival up to the limit, and 400 more were accepted to be refused, whatever the descriptors. Connections to upstreams were not counted, so a crowd of running requests could take those of the store and of boards.

Change: at the limit the connection yields that http1::ChooseYielding() names: one that closes, is silent, stopped inside its head, or does not progress or read, then one that has been idle for a second. Only where none yields the new one is refused. An eighth of the descriptors at most is for connections to be refused, and a quarter, 300 at most, is left for the process itself; requests beyond are refused as not run.

--- a/jackdawshunt/gateway/call_context.h
+++ b/jackdawshunt/gateway/call_context.h
@@ -2,7 +2,7 @@
 //
 // Example:
 //   gateway::CallContext context{.loop = loop, .router = router, ...};
-//   gateway::HttpFrontend frontend(context, freshness, max_connections);
+//   gateway::HttpFrontend frontend(context, freshness, budget, limits);
 #ifndef JACKDAWSHUNT_GATEWAY_CALL_CONTEXT_H_
 #define JACKDAWSHUNT_GATEWAY_CALL_CONTEXT_H_
 
--- a/jackdawshunt/gateway/gateway_process.cc
+++ b/jackdawshunt/gateway/gateway_process.cc
@@ -3,6 +3,7 @@
 #include <malloc.h>
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -33,9 +34,16 @@
 // termination grace period.
 constexpr kernel::Duration kExitMargin = std::chrono::milliseconds(400);
 constexpr kernel::Duration kExitPollPeriod = std::chrono::milliseconds(50);
-// File descriptors reserved for upstreams, the store and files; the others may
-// be used for callers.
-constexpr uint32_t kReservedDescriptors = 1000;
+// File descriptors that callers do not use for connections that are served.
+constexpr size_t kReservedDescriptors = 1000;
+// Connections that are accepted to be refused, and their largest part of all
+// descriptors.
+constexpr size_t kMaxRefusedConnections = 400;
+constexpr size_t kRefusedConnectionsDivisor = 8;
+// Descriptors that neither callers nor upstreams use: files, the store, boards,
+// the ports of readiness and of the operator; their largest part of all.
+constexpr size_t kOwnDescriptors = 300;
+constexpr size_t kOwnDescriptorsDivisor = 4;
 // Larger blocks of memory are returned to the system when they are freed, also
 // while later ones are in use.
 constexpr int kMinMappedBytes = 128 * 1024;
@@ -62,7 +70,7 @@
       http_frontend_(context_,
                      freshness_,
                      client_budget_,
-                     MaxConnections(settings_)),
+                     MakeFrontendLimits(settings_)),
       exchange_(loop_, router_, boards_, freshness_),
       readiness_(
           loop_,
@@ -161,11 +169,19 @@
   return options;
 }
 
-size_t GatewayProcess::MaxConnections(
+FrontendLimits GatewayProcess::MakeFrontendLimits(
     const platform::InstanceSettings& settings) {
-  return settings.file_descriptors > 2 * kReservedDescriptors
-             ? settings.file_descriptors - kReservedDescriptors
-             : settings.file_descriptors / 2;
+  const size_t descriptors = settings.file_descriptors;
+  FrontendLimits limits;
+  limits.connections = descriptors > 2 * kReservedDescriptors
+                           ? descriptors - kReservedDescriptors
+                           : descriptors / 2;
+  limits.refused_connections = std::min<size_t>(
+      kMaxRefusedConnections, descriptors / kRefusedConnectionsDivisor);
+  limits.descriptors =
+      descriptors - limits.refused_connections -
+      std::min<size_t>(kOwnDescriptors, descriptors / kOwnDescriptorsDivisor);
+  return limits;
 }
 
 bool GatewayProcess::Listen() {
--- a/jackdawshunt/gateway/gateway_process.h
+++ b/jackdawshunt/gateway/gateway_process.h
@@ -49,7 +49,8 @@
       const platform::InstanceSettings& settings);
   static http1::ClientBudgetOptions MakeBudgetOptions(
       const platform::InstanceSettings& settings);
-  static size_t MaxConnections(const platform::InstanceSettings& settings);
+  static FrontendLimits MakeFrontendLimits(
+      const platform::InstanceSettings& settings);
   bool Listen();
   bool IsReady() const;
   void Tick();
--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -16,9 +16,6 @@
 // Retry-After of errors that another instance, or this one shortly after, would
 // not return.
 constexpr kernel::Duration kRetryAfter = std::chrono::milliseconds(200);
-// Connections accepted beyond the limit, only to refuse one request each as not
-// run; a reset would tell the caller nothing.
-constexpr size_t kMaxRefusedConnections = 400;
 constexpr kernel::Duration kLimitLogPeriod = std::chrono::seconds(1);
 
 struct FaultError {
@@ -122,11 +119,11 @@
 HttpFrontend::HttpFrontend(CallContext& context,
                            const routing::KeyFreshness& freshness,
                            http1::ClientBudget& budget,
-                           size_t max_connections)
+                           const FrontendLimits& limits)
     : context_(context),
       freshness_(freshness),
       budget_(budget),
-      max_connections_(max_connections) {}
+      limits_(limits) {}
 
 HttpFrontend::~HttpFrontend() = default;
 
@@ -146,11 +143,14 @@
 }
 
 void HttpFrontend::Accept(int fd) {
-  const bool is_refused = sessions_.size() >= max_connections_;
-  if (is_refused) {
+  if (is_at_limit()) {
+    CloseYielding();
     LogConnectionLimit();
   }
-  if (sessions_.size() >= max_connections_ + kMaxRefusedConnections) {
+  const bool is_refused = is_at_limit();
+  connections_over_limit_ += is_refused ? 1 : 0;
+  if (sessions_.size() >= limits_.connections + limits_.refused_connections ||
+      open_descriptors() >= limits_.descriptors + limits_.refused_connections) {
     close(fd);
     return;
   }
@@ -169,8 +169,21 @@
   sessions_.emplace(key, std::move(session));
 }
 
+size_t HttpFrontend::open_descriptors() const {
+  return sessions_.size() + context_.pool.open_connections();
+}
+
+void HttpFrontend::CloseYielding() {
+  const auto yielding = http1::ChooseYielding(
+      sessions_, context_.Now(),
+      [](const auto& row) { return row.second->connection().use(); });
+  if (yielding != sessions_.end()) {
+    ++connections_yielded_;
+    yielding->second->connection().Yield();  // Removes the session.
+  }
+}
+
 void HttpFrontend::LogConnectionLimit() {
-  ++connections_over_limit_;
   const kernel::TimePoint now = context_.loop.clock().Now();
   if (now - limit_logged_at_ < kLimitLogPeriod) {
     return;
@@ -178,6 +191,7 @@
   limit_logged_at_ = now;
   base::Log(base::LogLevel::kWarning, "connection_limit",
             {{"open", sessions_.size()},
+             {"yielded", std::exchange(connections_yielded_, 0)},
              {"refused", std::exchange(connections_over_limit_, 0)}});
 }
 
@@ -344,6 +358,11 @@
   }
   routing::RoutedRequest& request = *admitted;
   connection.SetWorkspace(request.workspace);
+  if (open_descriptors() >= limits_.descriptors) {
+    ReplyError(connection, decoded.id, base::ErrorKind::kOverloaded,
+               "this instance has too many connections");
+    return;
+  }
   if (!connection.HoldRequest(MemoryOf(head, body))) {
     ReplyError(connection, decoded.id, base::ErrorKind::kOverloaded,
                "the requests of this instance take all of its memory");
--- a/jackdawshunt/gateway/http_frontend.h
+++ b/jackdawshunt/gateway/http_frontend.h
@@ -2,7 +2,7 @@
 // request.
 //
 // Example:
-//   gateway::HttpFrontend frontend(context, freshness, max_connections);
+//   gateway::HttpFrontend frontend(context, freshness, budget, limits);
 //   absl::Status status = frontend.Listen({"10.1.0.33", 8783});
 //   frontend.StartDraining();
 //
@@ -25,16 +25,27 @@
 
 namespace jackdawshunt::gateway {
 
+struct FrontendLimits {
+  // Connections of callers.
+  size_t connections = 0;
+  // Connections beyond these, only to refuse one request each as not run: a
+  // reset would tell the caller nothing.
+  size_t refused_connections = 0;
+  // Connections of callers and to upstreams together. Requests beyond are
+  // refused.
+  size_t descriptors = 0;
+};
+
 class HttpFrontend {
  public:
-  // `context` and `freshness` must outlive the frontend. On connections beyond
-  // `max_connections` the first request is refused; far beyond they are closed
-  // when accepted. All take their memory from `budget`, which must outlive the
-  // loop.
+  // `context` and `freshness` must outlive the frontend. A connection beyond
+  // the limits takes the place of one that yields. Where none does, its first
+  // request is refused; far beyond the limits it is closed when accepted. All
+  // take their memory from `budget`, which must outlive the loop.
   HttpFrontend(CallContext& context,
                const routing::KeyFreshness& freshness,
                http1::ClientBudget& budget,
-               size_t max_connections);
+               const FrontendLimits& limits);
   ~HttpFrontend();
 
   // Starts to accept connections at `address`.
@@ -63,6 +74,14 @@
   class Session;
 
   void Accept(int fd);
+  // Returns whether there are as many connections as may be open.
+  bool is_at_limit() const {
+    return sessions_.size() >= limits_.connections ||
+           open_descriptors() >= limits_.descriptors;
+  }
+  size_t open_descriptors() const;
+  // Closes the connection that yields to a new one, if any.
+  void CloseYielding();
   void Remove(Session* session);
   // Refuses a request whose body has not arrived if its head is enough to know
   // that it cannot be served.
@@ -83,18 +102,20 @@
                   base::ErrorKind kind,
                   std::string_view message,
                   bool closes = false);
-  // Counts a connection beyond the limit, and logs the count once a second.
+  // Logs, once a second, how many connections were beyond the limits.
   void LogConnectionLimit();
 
   CallContext& context_;
   const routing::KeyFreshness& freshness_;
   http1::ClientBudget& budget_;
-  const size_t max_connections_;
+  const FrontendLimits limits_;
   kernel::BootClock boot_clock_;
   std::unique_ptr<http1::Listener> listener_;
   std::unordered_map<Session*, std::unique_ptr<Session>> sessions_;
   bool is_refusing_ = false;
-  uint64_t connections_over_limit_ = 0;  // Since they were last logged.
+  // Since they were last logged.
+  uint64_t connections_over_limit_ = 0;
+  uint64_t connections_yielded_ = 0;
   kernel::TimePoint limit_logged_at_{};
 };
 
--- a/jackdawshunt/gateway/upstream_pool.cc
+++ b/jackdawshunt/gateway/upstream_pool.cc
@@ -34,7 +34,9 @@
   auto& idle = idle_[upstream.address.ToString()];
   while (!idle.empty() && !idle.front()->is_usable()) {
     idle.pop_front();
+    --idle_count_;
   }
+  ++in_use_;
   const auto found =
       std::find_if(idle.begin(), idle.end(), [&](const Connection& candidate) {
         return IsReusable(*candidate, max_idle, now) &&
@@ -43,6 +45,7 @@
   if (found != idle.end()) {
     Connection connection = std::move(*found);
     idle.erase(found);
+    --idle_count_;
     return connection;
   }
   ++connections_opened_;
@@ -58,6 +61,8 @@
     Discard(std::move(connection));
     return;
   }
+  --in_use_;
+  ++idle_count_;
   idle.push_front(std::move(connection));
 }
 
@@ -65,6 +70,7 @@
   if (connection == nullptr) {
     return;
   }
+  --in_use_;
   loop_.Post([discarded = std::shared_ptr<http1::ClientConnection>(
                   std::move(connection))] {});
 }
@@ -72,7 +78,7 @@
 void UpstreamPool::CloseIdleConnections() {
   const kernel::TimePoint now = loop_.clock().Now();
   for (auto row = idle_.begin(); row != idle_.end();) {
-    row->second.remove_if([now](const Connection& connection) {
+    idle_count_ -= row->second.remove_if([now](const Connection& connection) {
       return !IsReusable(*connection, kMaxIdle, now);
     });
     row = row->second.empty() ? idle_.erase(row) : std::next(row);
--- a/jackdawshunt/gateway/upstream_pool.h
+++ b/jackdawshunt/gateway/upstream_pool.h
@@ -47,6 +47,8 @@
 
   // Returns the number of connections created so far.
   uint64_t connections_opened() const { return connections_opened_; }
+  // Returns the number of connections that are idle or in use.
+  size_t open_connections() const { return in_use_ + idle_count_; }
 
  private:
   static bool IsReusable(const http1::ClientConnection& connection,
@@ -57,6 +59,8 @@
   // Idle connections by address, the most recently used first.
   std::unordered_map<std::string, std::list<Connection>> idle_;
   uint64_t connections_opened_ = 0;
+  size_t in_use_ = 0;
+  size_t idle_count_ = 0;
 };
 
 }  // namespace jackdawshunt::gateway
