Leave descriptors to a process that has very few

Change: from 64 descriptors on a third, 700 at most, is left for refused connections, files, the store, boards and the other ports; a tenth, 400 at most, of all are refused connections.

--- a/jackdawshunt/gateway/gateway_process.cc
+++ b/jackdawshunt/gateway/gateway_process.cc
@@ -39,11 +39,13 @@
 // Connections that are accepted to be refused, and their largest part of all
 // descriptors.
 constexpr size_t kMaxRefusedConnections = 400;
-constexpr size_t kRefusedConnectionsDivisor = 8;
-// Descriptors that neither callers nor upstreams use: files, the store, boards,
-// the ports of readiness and of the operator; their largest part of all.
-constexpr size_t kOwnDescriptors = 300;
-constexpr size_t kOwnDescriptorsDivisor = 4;
+constexpr size_t kRefusedConnectionsDivisor = 10;
+// Descriptors that callers that are served and upstreams do not use: for
+// connections that are refused, files, the store, boards and the other ports;
+// their largest part of all. A process with very few has none to spare.
+constexpr size_t kOwnDescriptors = 700;
+constexpr size_t kOwnDescriptorsDivisor = 3;
+constexpr size_t kFewDescriptors = 64;
 // Larger blocks of memory are returned to the system when they are freed, also
 // while later ones are in use.
 constexpr int kMinMappedBytes = 128 * 1024;
@@ -179,8 +181,10 @@
   limits.refused_connections = std::min<size_t>(
       kMaxRefusedConnections, descriptors / kRefusedConnectionsDivisor);
   limits.descriptors =
-      descriptors - limits.refused_connections -
-      std::min<size_t>(kOwnDescriptors, descriptors / kOwnDescriptorsDivisor);
+      descriptors < kFewDescriptors
+          ? descriptors
+          : descriptors -
+                std::min(kOwnDescriptors, descriptors / kOwnDescriptorsDivisor);
   return limits;
 }
 
