Apply the configuration's limits to open connections

What callers saw: a connection kept the limits of the moment at which it was accepted, so that one accepted before the first configuration took bodies of 4 MiB and 10 s for a request whatever the configuration said, and a crowd could keep such connections.

Change: the limits are read when a request begins.

Evidence: ServerConnectionTest.LimitsOfTheConnectionOutliveTheConfiguration, which does not compile before (it sets limits for the next request); read in the code otherwise. http1_test and gateway_test pass.

--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -82,6 +82,10 @@
     call_->Start();
   }
 
+  http1::ServerConnectionLimits CurrentLimits(
+      const http1::ServerConnectionLimits& /*initial*/) const override {
+    return http_frontend_.CurrentLimits();
+  }
   void OnHead(http1::ServerConnection&,
               const http1::RequestHead& head) override {
     http_frontend_.OnHead(*this, head);
@@ -154,19 +158,20 @@
     close(fd);
     return;
   }
+  auto session =
+      std::make_unique<Session>(*this, fd, CurrentLimits(), is_refused);
+  Session* const key = session.get();
+  sessions_.emplace(key, std::move(session));
+}
+
+http1::ServerConnectionLimits HttpFrontend::CurrentLimits() const {
   const auto& table = context_.router.table();
   const routing::Limits limits =
       table == nullptr ? routing::Limits{} : table->state().limits;
-  auto session = std::make_unique<Session>(
-      *this, fd,
-      http1::ServerConnectionLimits{
-          .parse = {.header_bytes = limits.header_bytes,
+  return {.parse = {.header_bytes = limits.header_bytes,
                     .body_bytes = limits.body_bytes},
           .request_timeout = limits.request_timeout,
-          .idle_timeout = limits.idle_timeout},
-      is_refused);
-  Session* const key = session.get();
-  sessions_.emplace(key, std::move(session));
+          .idle_timeout = limits.idle_timeout};
 }
 
 size_t HttpFrontend::open_descriptors() const {
--- a/jackdawshunt/gateway/http_frontend.h
+++ b/jackdawshunt/gateway/http_frontend.h
@@ -80,6 +80,8 @@
            open_descriptors() >= limits_.descriptors;
   }
   size_t open_descriptors() const;
+  // Returns the limits of the current configuration.
+  http1::ServerConnectionLimits CurrentLimits() const;
   // Closes the connection that yields to a new one, if any.
   void CloseYielding();
   void Remove(Session* session);
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -380,6 +380,12 @@
   void OnDrained(ServerConnection&) override {}
   void OnClosed(ServerConnection&) override { is_closed = true; }
 
+  ServerConnectionLimits CurrentLimits(
+      const ServerConnectionLimits& initial) const override {
+    return limits.value_or(initial);
+  }
+
+  std::optional<ServerConnectionLimits> limits;
   std::function<void(ServerConnection&)> on_request;
   std::vector<std::string> targets;
   std::optional<RequestError> error;
@@ -567,6 +573,18 @@
   EXPECT_FALSE(connection_->has_arriving_request());
 }
 
+// Guards against connections that keep the limits of the moment at which they
+// were accepted.
+TEST_F(ServerConnectionTest, LimitsOfTheConnectionOutliveTheConfiguration) {
+  Write("GET /1 HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(AwaitText("/1"));
+  handler_.limits =
+      ServerConnectionLimits{.parse = {.header_bytes = 1000, .body_bytes = 10}};
+  Write("POST /2 HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+  ASSERT_TRUE(AwaitText("bad"));
+  EXPECT_EQ(handler_.error, RequestError::kBodyTooLarge);
+}
+
 TEST_F(ServerConnectionTest, CloseWhenIdleWaitsForResponse) {
   handler_.responds = false;
   Write("GET /last HTTP/1.1\r\n\r\n");
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -168,6 +168,7 @@
        ClientBudget* of_budget)
       : self(owner),
         loop(on_loop),
+        initial_limits(with_limits),
         limits(with_limits),
         handler(to_handler),
         budget(of_budget),
@@ -359,6 +360,10 @@
     while (stream.is_open() && MayParse() && !closes_after_response &&
            consumed < data.size()) {
       const ParseState before = parser.state();
+      if (before == ParseState::kStart) {
+        limits = handler.CurrentLimits(initial_limits);
+        parser.set_limits(limits.parse);
+      }
       const size_t count = parser.Feed(data.substr(consumed));
       consumed += count;
       if (parser.state() != ParseState::kStart &&
@@ -527,7 +532,8 @@
 
   ServerConnection& self;
   kernel::EventLoop& loop;
-  const ServerConnectionLimits limits;
+  const ServerConnectionLimits initial_limits;
+  ServerConnectionLimits limits;  // Of the current request.
   Handler& handler;
   ClientBudget* const budget;
   std::optional<ClientBudget::Client> client;  // Present with a budget.
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -83,6 +83,12 @@
   class Handler {
    public:
     virtual ~Handler() = default;
+    // Returns the limits of the next request; `initial` are those that the
+    // connection was created with.
+    virtual ServerConnectionLimits CurrentLimits(
+        const ServerConnectionLimits& initial) const {
+      return initial;
+    }
     // Called when the head of a request is complete and its body is not. The
     // handler may Reply() to refuse the request: the rest of it is then
     // dropped, and the connection closes unless the rest is short.
