Log how many clients have no room, and why a request was not read

What operators saw: every request that could not be read was logged with the same detail, and nothing told of clients that take the memory of a gateway.

Change: request_rejected states which limit a request broke; client_memory, once a second at most, states what clients hold by use, how many yielded and how many were refused.

--- a/jackdawshunt/gateway/gateway_process.cc
+++ b/jackdawshunt/gateway/gateway_process.cc
@@ -232,6 +232,7 @@
     settings_mtime_ = info.st_mtime;
   }
   SetGauges();
+  LogClientMemory();
 }
 
 void GatewayProcess::MeasureLag() {
--- a/jackdawshunt/gateway/gateway_process.h
+++ b/jackdawshunt/gateway/gateway_process.h
@@ -93,6 +93,8 @@
   // An entry without upstreams may have a misspelt name.
   void LogEvacuation(const std::string& data_centre, bool is_evacuated);
   void SetGauges();
+  // Logs how many clients were refused room, or lost it, since the last call.
+  void LogClientMemory();
 
   platform::InstanceSettings settings_;
   const std::string settings_path_;
@@ -132,6 +134,8 @@
   kernel::TimePoint last_lag_check_{};
   time_t settings_mtime_ = 0;
   bool has_upstreams_ = false;
+  uint64_t logged_reclaimed_ = 0;
+  uint64_t logged_refused_ = 0;
 };
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/gateway_report.cc
+++ b/jackdawshunt/gateway/gateway_report.cc
@@ -2,6 +2,7 @@
 // metrics.
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "jackdawshunt/base/log.h"
 #include "jackdawshunt/base/log_line.h"
@@ -114,6 +115,27 @@
                     static_cast<double>(router_.directory().size()));
 }
 
+void GatewayProcess::LogClientMemory() {
+  const uint64_t reclaimed =
+      client_budget_.reclaimed() -
+      std::exchange(logged_reclaimed_, client_budget_.reclaimed());
+  const uint64_t refused =
+      client_budget_.refused() -
+      std::exchange(logged_refused_, client_budget_.refused());
+  if (reclaimed == 0 && refused == 0) {
+    return;
+  }
+  base::LogLine line(base::LogLevel::kWarning, "client_memory");
+  for (size_t use = 0; use < http1::kClientMemoryKinds; ++use) {
+    const auto kind = static_cast<http1::ClientMemory>(use);
+    line.Add(std::string(http1::ClientMemoryName(kind)).append("_bytes"),
+             client_budget_.held_bytes(kind));
+  }
+  line.Add("connections", client_budget_.clients())
+      .Add("reclaimed", reclaimed)
+      .Add("refused", refused);
+}
+
 void GatewayProcess::OnQuarantineChanged(
     const std::vector<routing::Quarantine>& quarantine) {
   const kernel::TimePoint now = loop_.clock().Now();
--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -18,18 +18,25 @@
 constexpr kernel::Duration kRetryAfter = std::chrono::milliseconds(200);
 constexpr kernel::Duration kLimitLogPeriod = std::chrono::seconds(1);
 
+constexpr std::string_view kNoMemoryMessage =
+    "the requests of this instance take all of its memory";
+
 struct FaultError {
   http1::RequestError fault;
   base::ErrorKind kind;
+  std::string_view message;
 };
 constexpr std::array kFaultErrors = {
-    FaultError{http1::RequestError::kMalformed, base::ErrorKind::kBadRequest},
+    FaultError{http1::RequestError::kMalformed, base::ErrorKind::kBadRequest,
+               "the request is malformed"},
     FaultError{http1::RequestError::kHeadTooLarge,
-               base::ErrorKind::kHeadersTooLarge},
+               base::ErrorKind::kHeadersTooLarge, "the head exceeds the limit"},
     FaultError{http1::RequestError::kBodyTooLarge,
-               base::ErrorKind::kBodyTooLarge},
-    FaultError{http1::RequestError::kTimeout, base::ErrorKind::kRequestTimeout},
-    FaultError{http1::RequestError::kNoMemory, base::ErrorKind::kOverloaded},
+               base::ErrorKind::kBodyTooLarge, "the body exceeds the limit"},
+    FaultError{http1::RequestError::kTimeout, base::ErrorKind::kRequestTimeout,
+               "the request was not complete in time"},
+    FaultError{http1::RequestError::kNoMemory, base::ErrorKind::kOverloaded,
+               kNoMemoryMessage},
 };
 
 // Room that a request takes for its response while it is served: what is read
@@ -97,9 +104,8 @@
   }
   void OnRequestError(http1::ServerConnection& connection,
                       http1::RequestError fault) override {
-    http_frontend_.ReplyError(connection, {},
-                              kFaultErrors.at(static_cast<size_t>(fault)).kind,
-                              "the request cannot be read");
+    const FaultError& row = kFaultErrors.at(static_cast<size_t>(fault));
+    http_frontend_.ReplyError(connection, {}, row.kind, row.message);
   }
   void OnDrained(http1::ServerConnection&) override {
     if (call_ != nullptr) {
@@ -370,7 +376,7 @@
   }
   if (!connection.HoldRequest(MemoryOf(head, body))) {
     ReplyError(connection, decoded.id, base::ErrorKind::kOverloaded,
-               "the requests of this instance take all of its memory");
+               kNoMemoryMessage);
     return;
   }
   request.prompt = std::move(decoded.prompt);
