Move the listener out of the server's file, raise buffers of large bodies only

The kernel's buffer of a connection is raised to 64 KiB once more than that of a request has arrived, not from 16 KiB on: the raised buffer is accounted for, and made a sound request of 17 KiB a large client, which the part for small ones does not protect.

--- a/jackdawshunt/board/engine_monitor_test.cc
+++ b/jackdawshunt/board/engine_monitor_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "gtest/gtest.h"
+#include "jackdawshunt/http1/listener.h"
 #include "jackdawshunt/http1/server.h"
 
 namespace jackdawshunt::board {
--- a/jackdawshunt/gateway/call_test.cc
+++ b/jackdawshunt/gateway/call_test.cc
@@ -20,6 +20,7 @@
 #include "event2/util.h"
 #include "gtest/gtest.h"
 #include "jackdawshunt/board/datagram_socket.h"
+#include "jackdawshunt/http1/listener.h"
 
 namespace jackdawshunt::gateway {
 namespace {
--- a/jackdawshunt/gateway/http_frontend.h
+++ b/jackdawshunt/gateway/http_frontend.h
@@ -18,6 +18,7 @@
 
 #include "absl/status/status.h"
 #include "jackdawshunt/gateway/call.h"
+#include "jackdawshunt/http1/listener.h"
 #include "jackdawshunt/http1/server.h"
 #include "jackdawshunt/kernel/boot_clock.h"
 #include "jackdawshunt/platform/wire.h"
--- a/jackdawshunt/gateway/readiness_server.h
+++ b/jackdawshunt/gateway/readiness_server.h
@@ -13,6 +13,7 @@
 #include <memory>
 
 #include "absl/status/status.h"
+#include "jackdawshunt/http1/listener.h"
 #include "jackdawshunt/http1/server.h"
 
 namespace jackdawshunt::gateway {
--- a/jackdawshunt/gateway/record_follower_test.cc
+++ b/jackdawshunt/gateway/record_follower_test.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
+#include "jackdawshunt/http1/listener.h"
 #include "jackdawshunt/http1/server.h"
 
 namespace jackdawshunt::gateway {
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -13,6 +13,7 @@
 #include "gtest/gtest.h"
 #include "jackdawshunt/http/socket_address.h"
 #include "jackdawshunt/http1/client.h"
+#include "jackdawshunt/http1/listener.h"
 #include "jackdawshunt/http1/server.h"
 
 namespace jackdawshunt::http1 {
--- a/jackdawshunt/http1/internal/socket_options.h
+++ b/jackdawshunt/http1/internal/socket_options.h
@@ -20,6 +20,11 @@
 // Returns whether the options of SetCallerSocketOptions() are set.
 bool HasCallerSocketOptions(int fd);
 
+// Bytes that the kernel receives ahead, of most requests and of one of which
+// more than the latter have arrived.
+inline constexpr size_t kReceiveBufferBytes = size_t{16} * 1024;
+inline constexpr size_t kLargeReceiveBufferBytes = size_t{64} * 1024;
+
 // Limits the bytes that the kernel receives before they are read. Accepted
 // sockets inherit the limit of the listening one; it can be raised to 64 KiB.
 void SetReceiveBuffer(int fd, size_t bytes);
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -19,8 +19,6 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "absl/status/statusor.h"
-#include "jackdawshunt/http/http.h"
 #include "jackdawshunt/http1/client_budget.h"
 #include "jackdawshunt/http1/connection_use.h"
 #include "jackdawshunt/http1/message.h"
@@ -29,36 +27,6 @@
 
 namespace jackdawshunt::http1 {
 
-// A listening socket. Destruction closes it; accepted sockets stay open.
-class Listener {
- public:
-  using AcceptCallback = std::function<void(int fd)>;
-
-  // Listens at `address` and calls `accept` with each accepted socket, which is
-  // non-blocking and which `accept` then owns. With `has_small_buffers` the
-  // kernel receives few bytes ahead; connections with a budget adapt that.
-  // Error: Unavailable if the address cannot be bound.
-  static absl::StatusOr<std::unique_ptr<Listener>> Bind(
-      kernel::EventLoop& loop,
-      const http::Address& address,
-      AcceptCallback accept,
-      bool has_small_buffers = false);
-  ~Listener();
-  Listener(const Listener&) = delete;
-  Listener& operator=(const Listener&) = delete;
-
-  // Returns the bound port, or 0 if it cannot be read.
-  uint16_t port() const;
-  // Accepts all connections in the backlog; closing the listener would reset
-  // them.
-  void AcceptPending();
-
- private:
-  struct Impl;
-  explicit Listener(std::unique_ptr<Impl> impl);
-  std::unique_ptr<Impl> impl_;
-};
-
 struct ServerConnectionLimits {
   ParseLimits parse;
   // Time from the first byte of a request to the end of its body.
--- a/jackdawshunt/operator_api/server.cc
+++ b/jackdawshunt/operator_api/server.cc
@@ -6,6 +6,7 @@
 #include "jackdawshunt/base/crypto.h"
 #include "jackdawshunt/base/error.h"
 #include "jackdawshunt/base/log.h"
+#include "jackdawshunt/http1/listener.h"
 #include "jackdawshunt/http1/server.h"
 #include "prometheus/text_serializer.h"
 
--- a/jackdawshunt/testing/platform/stand_in_store.h
+++ b/jackdawshunt/testing/platform/stand_in_store.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <string>
 
+#include "jackdawshunt/http1/listener.h"
 #include "jackdawshunt/http1/server.h"
 #include "nlohmann/json.hpp"
 
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -23,6 +23,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "jackdawshunt/http1/listener.h"
 #include "jackdawshunt/http1/server.h"
 
 namespace jackdawshunt::testing {
