--- a/jackdawshunt/testing/misbehaving_clients_test.cc
+++ b/jackdawshunt/testing/misbehaving_clients_test.cc
@@ -2,9 +2,12 @@
 // memory and its descriptors must stay within those of its machine, and an
 // ordinary request must be answered meanwhile and afterwards.
 #include <ostream>
+#include <thread>
 
 #include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
+#include "jackdawshunt/testing/fleet.h"
+#include "jackdawshunt/testing/http_helper.h"
 #include "jackdawshunt/testing/platform/client_crowd.h"
 #include "jackdawshunt/testing/platform/platform_fleet.h"
 #include "jackdawshunt/testing/platform/process_watch.h"
@@ -231,11 +234,11 @@
 
 class SmallMachineTest : public ::testing::Test {
  protected:
-  void Start() {
-    fleet_ = std::make_unique<PlatformFleet>(
-        PlatformFleetOptions{.file_descriptors = kFileDescriptors,
-                             .memory_mb = kMemoryMb,
-                             .plain_answer_bytes = kAnswerBytes});
+  void Start(const PlatformFleetOptions& options = {
+                 .file_descriptors = kFileDescriptors,
+                 .memory_mb = kMemoryMb,
+                 .plain_answer_bytes = kAnswerBytes}) {
+    fleet_ = std::make_unique<PlatformFleet>(options);
     fleet_->Start();
   }
   http::Address AddressOf(Port port) const {
@@ -335,6 +338,74 @@
   EXPECT_EQ(chunked.answers().count(200), 1u);
 }
 
+// The smallest machine that is served, with bodies of its configuration's
+// limit.
+TEST_F(SmallMachineTest, LargeBodiesThatStopShortExhaustTheSmallestMachine) {
+  constexpr uint32_t kSmallestMemoryMb = 120;
+  constexpr uint32_t kSmallestDescriptors = 3075;
+  constexpr size_t kLargeBody = size_t{4} * 1024 * 1024;
+  Start({.file_descriptors = kSmallestDescriptors,
+         .memory_mb = kSmallestMemoryMb,
+         .body_bytes = kLargeBody});
+  ProcessWatch watch(fleet_->gateway(0).pid(), fleet_->gateway_address(0).ip);
+  ClientCrowd crowd(
+      {.clients = kCrowd,
+       .address = fleet_->gateway_address(0),
+       .head = [](size_t i) { return HeadWithLength(i, kLargeBody); },
+       .piece = std::string(kLargeBody - 1, 'b'),
+       .pieces = 1});
+  fleet_->RunFor(kCrowdTime);
+  EXPECT_TRUE(IsOrdinaryCallerServed()) << "beside the crowd";
+  crowd.Leave();
+  const auto call =
+      fleet_->Call(0, {.route = kHold, .body = std::string(kLargeBody, 'b')});
+  ASSERT_TRUE(fleet_->Await([&] { return call->is_done(); }));
+  EXPECT_EQ(call->status(), 200) << "at the limit, after the crowd";
+  const ProcessPeaks peaks = watch.Stop();
+  EXPECT_LE(peaks.memory_bytes, uint64_t{kSmallestMemoryMb} << 20);
+  EXPECT_LE(peaks.descriptors, kSmallestDescriptors);
+  std::printf("peak %zu MB, %zu descriptors\n",
+              static_cast<size_t>(peaks.memory_bytes >> 20),
+              static_cast<size_t>(peaks.descriptors));
+}
+
+// The entry role is to stay within 256 MB.
+TEST(EntryTest, BodiesThatStopShortExhaustTheMachine) {
+  constexpr size_t kEntryMemoryMb = 256;
+  constexpr size_t kEntryCrowd = 400;
+  const auto fleet = FleetBuilder().Workspace("lodge", 1).Start();
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const auto is_caller_served = [&] {
+    const auto answer = Fetch((*fleet)->EntryAddress(0),
+                              (*fleet)->ChatRequest("lodge", "hello", {}));
+    return answer.ok() && answer->status == 200;
+  };
+  ASSERT_TRUE(is_caller_served());
+  // No socket has this address: those of other processes are not counted.
+  ProcessWatch watch((*fleet)->entry(0).pid(), "255.255.255.255");
+  ClientCrowd crowd(
+      {.clients = kEntryCrowd,
+       .address = (*fleet)->EntryAddress(0),
+       .head =
+           [&](size_t) {
+             return absl::StrCat(
+                 "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                 "Authorization: Bearer ",
+                 Fleet::Token("lodge"), "\r\nContent-Length: ", kBodyLimit,
+                 "\r\n\r\n");
+           },
+       .piece = std::string(kBodyLimit - 1, 'b'),
+       .pieces = 1});
+  std::this_thread::sleep_for(kCrowdTime);
+  EXPECT_TRUE(PollUntil(is_caller_served)) << "beside the crowd";
+  crowd.Leave();
+  EXPECT_TRUE((*fleet)->entry(0).is_running());
+  EXPECT_TRUE(PollUntil(is_caller_served)) << "after the crowd";
+  const ProcessPeaks peaks = watch.Stop();
+  EXPECT_LE(peaks.memory_bytes, uint64_t{kEntryMemoryMb} << 20);
+  std::printf("peak %zu MB\n", static_cast<size_t>(peaks.memory_bytes >> 20));
+}
+
 // Guards against callers that send a body for nothing: what the head shows is
 // answered while the body is awaited.
 TEST_F(SmallMachineTest, BodyIsAwaitedOfARequestThatCannotBeServed) {
--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -450,7 +450,7 @@
         {engine_service, {{"name", kPlainService}, {"connectionLimit", 100}}}},
        {"limits",
         {{"headerBytes", 16384},
-         {"bodyBytes", 1048576},
+         {"bodyBytes", options_.body_bytes},
          {"headerTimeoutMs", 3000},
          {"idleTimeoutMs", 15000},
          {"tokensPerS", 1000000}}},
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -50,6 +50,7 @@
   bool has_proxies = false;
   uint32_t file_descriptors = 4100;  // Of each process.
   uint32_t memory_mb = 260;          // Of each process.
+  size_t body_bytes = 1048576;       // Limit of the configuration.
   // Least size of the answers of plain upstreams.
   size_t plain_answer_bytes = 0;
   // Gateways and upstreams are spread over so many, named by DataCentreName().
