--- a/jackdawshunt/http1/client_budget_test.cc
+++ b/jackdawshunt/http1/client_budget_test.cc
@@ -182,6 +182,7 @@
   const std::array<std::string_view, 3> workspaces = {"", "lodge", "school"};
   {
     std::vector<std::unique_ptr<FakeConnection>> connections;
+    connections.reserve(12);
     for (int i = 0; i < 12; ++i) {
       connections.push_back(std::make_unique<FakeConnection>(budget, now));
     }
--- a/jackdawshunt/http1/server_budget_test.cc
+++ b/jackdawshunt/http1/server_budget_test.cc
@@ -302,8 +302,8 @@
     return std::uniform_int_distribution<size_t>(0, bound - 1)(random_);
   }
   std::string NextPart() {
-    static const std::array<std::string, 4> kTargets = {"/", "/", "/refused",
-                                                        "/held"};
+    constexpr std::array<const char*, 4> kTargets = {"/", "/", "/refused",
+                                                     "/held"};
     const std::string target = kTargets.at(Below(kTargets.size()));
     const size_t length = Below(8) == 0 ? Below(700 * kKb) : Below(20 * kKb);
     switch (Below(8)) {
@@ -342,8 +342,10 @@
   for (uint64_t seed = 1; seed <= 12; ++seed) {
     SCOPED_TRACE(seed);
     std::mt19937_64 random(seed);
+    constexpr int kClients = 24;
     std::vector<RandomClient> crowd;
-    for (int i = 0; i < 24; ++i) {
+    crowd.reserve(kClients);
+    for (int i = 0; i < kClients; ++i) {
       crowd.emplace_back(Connect(), random);
     }
     for (int turn = 0; turn < 120; ++turn) {
