review: case 9, a gateway that starts as the store is restored accepts a revoked key

Cause: a new process cannot tell that the desired state it reads is from before a restoration, and does not wait for what the fleet knows. Case: review/9/run.sh, rule CONFIG (strictRevocation).

--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -144,6 +144,14 @@
             except OSError:
                 pass
 
+    def cut_all(self):
+        with self.lock:
+            for sock in self.open:
+                try:
+                    sock.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
     def close(self):
         self.is_closed = True
         # Wakes accept() and frees the port.
@@ -152,12 +160,7 @@
         except OSError:
             pass
         self.socket.close()
-        with self.lock:
-            for sock in self.open:
-                try:
-                    sock.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    pass
+        self.cut_all()
 
 
 class Store:
@@ -168,6 +171,8 @@
         self.revision = 10
         self.objects = {}  # kind -> name -> object
         self.events = []  # (revision, kind, event)
+        self.era = 1
+        self.is_away = False
         self.listener = Listener(ip, self.serve)
 
     def put(self, kind, name, specification):
@@ -182,6 +187,28 @@
                                 {"removed": False, "object": item}))
             self.changed.notify_all()
 
+    def copy(self):
+        with self.changed:
+            return (self.revision, json.dumps(self.objects),
+                    json.dumps(self.events))
+
+    def go_away(self):
+        """Is away until return_from(): cuts all channels, takes no others."""
+        with self.changed:
+            self.is_away = True
+            self.changed.notify_all()
+        self.listener.cut_all()
+
+    def return_from(self, copy=None):
+        """Comes back; with `copy`, restored from that older copy."""
+        with self.changed:
+            if copy is not None:
+                self.revision, objects, events = copy
+                self.objects = json.loads(objects)
+                self.events = json.loads(events)
+                self.era += 1
+            self.is_away = False
+
     def delete(self, kind, name):
         with self.changed:
             item = self.objects.get(kind, {}).pop(name, None)
@@ -193,10 +220,12 @@
             self.changed.notify_all()
 
     def serve(self, sock):
+        if self.is_away:
+            return
         connection = Connection(sock)
         while True:
             head = connection.read_head()
-            if head is None:
+            if head is None or self.is_away:
                 return
             method, target, _ = head[0].split(" ")
             connection.read_body(head[1])
@@ -212,18 +241,24 @@
                              sorted(self.objects.get(kind, {}).items())]
                     body = {"items": items, "hasMore": False,
                             "storeRevision": self.revision}
-            text = json.dumps(body).encode()
-            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: application/json"
-                         b"\r\nContent-Length: %d\r\n\r\n" % len(text) + text)
+            if self.is_away:
+                return
+            text = json.dumps(body or {}).encode()
+            sock.sendall(b"HTTP/1.1 %s\r\nContent-Type: application/json\r\n"
+                         b"Store-Era: %d\r\nContent-Length: %d\r\n\r\n" %
+                         (b"200 OK" if body is not None else b"410 Gone",
+                          self.era, len(text)) + text)
 
     def watch(self, kind, since, wait_ms):
         until = time.monotonic() + wait_ms / 1000
         with self.changed:
             while True:
+                if since > self.revision:
+                    return None
                 events = [e for r, k, e in self.events
                           if k == kind and r > since]
                 left = until - time.monotonic()
-                if events or left <= 0:
+                if events or left <= 0 or self.is_away:
                     return {"events": events, "storeRevision": self.revision}
                 self.changed.wait(left)
 
@@ -342,13 +377,15 @@
         row.update(more)
         self.routes.append(row)
 
+    def configuration(self):
+        return {"version": self.version, "routes": list(self.routes),
+                "services": list(self.services), "limits": dict(self.limits),
+                "tenants": [{"name": n, "apiKeys": list(k), "priority": 1}
+                            for n, k in self.keys.items()]}
+
     def put_configuration(self):
         self.version += 3
-        self.store.put("config", "main", {
-            "version": self.version, "routes": self.routes,
-            "services": self.services, "limits": self.limits,
-            "tenants": [{"name": n, "apiKeys": k, "priority": 1}
-                        for n, k in self.keys.items()]})
+        self.store.put("config", "main", self.configuration())
 
     def add_server(self, service, handle, slots=64):
         index = len(self.servers)
@@ -462,11 +499,12 @@
         shutil.rmtree(self.temporary, ignore_errors=True)
 
 
-def request_bytes(method, path, request_id, deadline_ms, body=None, more=()):
+def request_bytes(method, path, request_id, deadline_ms, body=None, more=(),
+                  key=KEY):
     lines = ["%s %s HTTP/1.1" % (method, path), "Host: " + HOST,
              "Request-Id: " + request_id,
              "Deadline-Milliseconds: %d" % deadline_ms,
-             "Authorization: Token " + KEY]
+             "Authorization: Token " + key]
     lines += list(more)
     if body is not None:
         lines.append("Content-Length: %d" % len(body))
