review: case 7, a dropped service and a server that came back end the gateway

Cause: a server that is first seen while its service is in no desired state has no engine estimate, which a resumed stream's placement dereferences. Case: review/7/run.sh, rule LOST, signal 11 at both gateways.

--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -269,14 +269,14 @@
     `handle` writes the answer and returns whether the channel stays open.
     """
 
-    def __init__(self, ip, name, service, handle, record, slots=64):
+    def __init__(self, ip, name, service, handle, record, slots=64, port=0):
         self.name = name
         self.service = service
         self.slots = slots
         self.handle = handle
         self.record = record
         self.born = int(time.time() * 1000)
-        self.listener = Listener(ip, self.serve)
+        self.listener = Listener(ip, self.serve, port)
         self.address = "%s:%d" % self.listener.address
 
     def entry(self, state="ready"):
