--- a/review/7/case.py
+++ b/review/7/case.py
@@ -162,8 +162,11 @@
         time.sleep(0.5)
         if TROUBLE:
             # The one that has the most streams.
-            case.crash(max(servers[1:], key=lambda server: len(
-                case.running.get(server.name, ()))))
+            second = max(servers[1:], key=lambda server: len(
+                case.running.get(server.name, ())))
+            case.crash(second)
+            time.sleep(DOWN_S)
+            case.come_back(second)
         for thread in threads:
             thread.join()
 
