Choose engines by the configuration that a request arrived under

Callers saw both gateways of review/7 end by signal 11, and lost 8 unsafe requests on kept connections and 32 streams with them (LOST).

Cause: an upstream got an engine estimate only when it was seen for the first time, and only if the newest configuration stated a profile for its service. A stream that is resumed keeps the service of its own configuration. Once the service had been dropped, older engines had an estimate and a restarted one had none; IsForEngine() looked at the first candidate, and ToCandidate() dereferenced the estimate of each. A configuration that adds the profile to a service in use did the same.

Change: the configuration of the request tells whether it is for engines and with which profile; estimates are created when they are first needed.

Ruled out: keeping the profiles of dropped services by name, since a configuration may also take the profile away from a service in use.

--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -496,18 +496,31 @@
                                                                   : untried;
 }
 
-bool Router::IsForEngine(const RoutedRequest& request,
-                         const std::vector<const Upstream*>& candidates) {
-  return request.prompt.has_value() && !candidates.empty() &&
-         StateOf(*candidates.front()).engine != nullptr;
+const EngineProfile* Router::EngineProfileFor(const RoutedRequest& request) {
+  const Service* const service = request.table->FindService(request.service);
+  return request.prompt.has_value() && service != nullptr &&
+                 service->engine.has_value()
+             ? &*service->engine
+             : nullptr;
+}
+
+EngineEstimate& Router::EstimateOf(const Upstream& upstream,
+                                   const EngineProfile& profile) {
+  UpstreamState& state = StateOf(upstream);
+  if (state.engine == nullptr) {
+    state.engine =
+        std::make_unique<EngineEstimate>(profile, kDefaultPrefillTokensPerMs);
+  }
+  return *state.engine;
 }
 
 EngineCandidate Router::ToCandidate(const RoutedRequest& request,
+                                    const EngineProfile& profile,
                                     const Upstream& upstream,
                                     kernel::TimePoint now) {
   EngineCandidate row;
   row.upstream_hash = upstream.hash;
-  EngineEstimate& engine = *StateOf(upstream).engine;
+  EngineEstimate& engine = EstimateOf(upstream, profile);
   engine.set_sustained_tokens_per_ms(request.engine_tokens_per_s / 1000.0);
   row.cost = engine.Estimate(request.part_keys, request.prompt->parts, now);
   // Other instances may have sent requests to it.
@@ -538,7 +551,7 @@
 std::vector<Upstream> Router::EnginesToQuery(RoutedRequest& request,
                                              kernel::TimePoint now) {
   const std::vector<const Upstream*> candidates = Candidates(request, now);
-  if (!IsForEngine(request, candidates)) {
+  if (candidates.empty() || EngineProfileFor(request) == nullptr) {
     return {};
   }
   // The stated throughput is that of all engines that run.
@@ -654,9 +667,11 @@
                                   request.deadline - now, request.hash);
     return none;
   }
-  Decision decision = IsForEngine(request, candidates)
-                          ? ChooseEngine(request, offers, candidates, now)
-                          : ChoosePlain(request, candidates, now);
+  const EngineProfile* const profile = EngineProfileFor(request);
+  Decision decision =
+      profile != nullptr
+          ? ChooseEngine(request, *profile, offers, candidates, now)
+          : ChoosePlain(request, candidates, now);
   decision.candidates = candidates.size();
   decision.offers = offers.size();
   decision.unreachable = static_cast<size_t>(std::count_if(
@@ -701,13 +716,14 @@
 }
 
 Decision Router::ChooseEngine(const RoutedRequest& request,
+                              const EngineProfile& profile,
                               const std::vector<BoardOffer>& offers,
                               const std::vector<const Upstream*>& candidates,
                               kernel::TimePoint now) {
   std::vector<EngineCandidate> rows;
   rows.reserve(candidates.size());
   for (const Upstream* upstream : candidates) {
-    EngineCandidate row = ToCandidate(request, *upstream, now);
+    EngineCandidate row = ToCandidate(request, profile, *upstream, now);
     const BoardOffer* offer = FindOffer(offers, *upstream);
     if (offer != nullptr) {
       row.cost = offer->cost;
--- a/jackdawshunt/routing/router.h
+++ b/jackdawshunt/routing/router.h
@@ -314,7 +314,8 @@
 
  private:
   struct UpstreamState {
-    std::unique_ptr<EngineEstimate> engine;  // Null for plain services.
+    // Null until a configuration has stated that it is an engine.
+    std::unique_ptr<EngineEstimate> engine;
     size_t in_flight = 0;
     // The last reply of the engine's board, to any request.
     EngineCost last_offer;
@@ -380,6 +381,7 @@
       const std::vector<const Upstream*>& candidates,
       const std::vector<BoardOffer>& offers);
   Decision ChooseEngine(const RoutedRequest& request,
+                        const EngineProfile& profile,
                         const std::vector<BoardOffer>& offers,
                         const std::vector<const Upstream*>& candidates,
                         kernel::TimePoint now);
@@ -389,10 +391,16 @@
                  const EngineCost& cost,
                  kernel::TimePoint now);
   EngineCandidate ToCandidate(const RoutedRequest& request,
+                              const EngineProfile& profile,
                               const Upstream& upstream,
                               kernel::TimePoint now);
-  bool IsForEngine(const RoutedRequest& request,
-                   const std::vector<const Upstream*>& candidates);
+  // Returns the profile of the engines that serve the request, by the
+  // configuration that it arrived under: a newer one may have dropped the
+  // service. Null if the request is not for engines.
+  static const EngineProfile* EngineProfileFor(const RoutedRequest& request);
+  // Returns the estimate of the upstream, which begins with `profile`.
+  EngineEstimate& EstimateOf(const Upstream& upstream,
+                             const EngineProfile& profile);
   Decision ChoosePlain(const RoutedRequest& request,
                        const std::vector<const Upstream*>& candidates,
                        kernel::TimePoint now);
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -442,6 +442,56 @@
   return request;
 }
 
+// Guards against a crash when engines of a service without a profile in the
+// newest configuration start beside older ones: a stream that began before the
+// service was dropped goes on at either.
+TEST_F(RouterTest, StreamOfADroppedServiceGoesOnAtAnEngineThatStartedLater) {
+  for (const char* const later : {"a", "z"}) {
+    Router router({}, Now());
+    router.SetDesiredState(MakeEngineState());
+    router.directory().Put(MakeUpstream("m"), Now());
+    RoutedRequest request = MakePromptRequest(router, Now());
+    ASSERT_EQ(router.Choose(request, {}, Now()).upstream.id, "m");
+    DesiredState without_service = MakeEngineState();
+    without_service.version = 2;
+    without_service.services.clear();
+    router.SetDesiredState(std::move(without_service));
+    router.directory().Put(MakeUpstream(later), Now());
+    EXPECT_EQ(router.EnginesToQuery(request, Now()).size(), 2u);
+    const Decision decision = router.Choose(request, {}, Now());
+    EXPECT_EQ(decision.verdict, Verdict::kSend);
+    EXPECT_TRUE(decision.is_engine);
+    router.OnSent(request, decision, Now());
+    EXPECT_EQ(router.Choose(request, {}, Now()).verdict, Verdict::kSend);
+  }
+}
+
+// Guards against a crash when a configuration adds the engine profile to a
+// service, or takes it away: upstreams that were used before and ones that are
+// used for the first time serve the same request.
+TEST_F(RouterTest, EngineProfileMayChangeWhileUpstreamsAreInUse) {
+  for (const bool adds_profile : {true, false}) {
+    for (const char* const later : {"a", "z"}) {
+      Router router({}, Now());
+      router.SetDesiredState(adds_profile ? MakeState(1) : MakeEngineState());
+      router.directory().Put(MakeUpstream("m"), Now());
+      RoutedRequest before = MakePromptRequest(router, Now());
+      router.OnSent(before, router.Choose(before, {}, Now()), Now());
+      DesiredState changed = adds_profile ? MakeEngineState() : MakeState(1);
+      changed.version = 2;
+      router.SetDesiredState(std::move(changed));
+      router.directory().Put(MakeUpstream(later), Now());
+      RoutedRequest after = MakePromptRequest(router, Now());
+      for (RoutedRequest* const request : {&before, &after}) {
+        const Decision decision = router.Choose(*request, {}, Now());
+        EXPECT_EQ(decision.verdict, Verdict::kSend);
+        EXPECT_EQ(decision.is_engine, adds_profile == (request == &after));
+        router.OnSent(*request, decision, Now());
+      }
+    }
+  }
+}
+
 // Guards against failed connections that count against a workspace: while
 // engines are down, its share would be used up by requests that were never
 // executed.
