Require keys whenever the configuration names workspaces

Cause: keys were checked only if a workspace had been decoded, and the decoder made the same empty list of a missing field, an empty one, and one without a usable entry.

Change: the decoder records whether the field is there, and the gateway checks keys if it is.

Ruled out: dropping a configuration whose workspaces cannot be decoded, since the one before it, with the keys that were taken away, would stay in force.

--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -330,7 +330,7 @@
   if (request.route == nullptr) {
     return refuse(base::ErrorKind::kNotFound, "no route matches");
   }
-  if (table->has_workspaces()) {
+  if (table->requires_keys()) {
     const routing::Workspace* workspace =
         decoded->api_key.empty() ? nullptr
                                  : table->FindWorkspace(decoded->api_key);
--- a/jackdawshunt/platform/records.cc
+++ b/jackdawshunt/platform/records.cc
@@ -21,6 +21,7 @@
 // The configuration is the object of this name; others of its kind are ignored.
 constexpr char kDesiredStateName[] = "main";
 constexpr char kStoreEra[] = "Store-Era";
+constexpr char kWorkspaces[] = "tenants";
 
 struct KindRow {
   std::string_view name;       // In log lines.
@@ -453,7 +454,9 @@
   }
   state.routes = DecodeArray(reader, "routes", &DecodeRoute);
   state.services = DecodeArray(reader, "services", &DecodeService);
-  state.workspaces = DecodeArray(reader, "tenants", &DecodeWorkspace);
+  state.workspaces = DecodeArray(reader, kWorkspaces, &DecodeWorkspace);
+  // Not whether any could be decoded: a list without keys opens no route.
+  state.requires_keys = reader.Find(kWorkspaces) != nullptr;
   state.limits = DecodeLimits(reader.Find("limits"));
   return state;
 }
--- a/jackdawshunt/platform/records_test.cc
+++ b/jackdawshunt/platform/records_test.cc
@@ -307,6 +307,24 @@
   EXPECT_EQ(state->workspaces[0].api_keys.size(), 2u);
 }
 
+// Guards against a configuration that opens all routes as it takes the last key
+// away: only one that names no workspaces at all needs no keys.
+TEST(RecordsTest, ConfigurationThatNamesWorkspacesRequiresKeys) {
+  for (const char* const tenants : {"[]", "null", "{}", "7", R"([{"name":7}])",
+                                    R"([{"name":"t","apiKeys":[]}])"}) {
+    const auto state = DecodeDesiredState(nlohmann::json::parse(
+        std::string(R"({"version":7,"routes":[],"tenants":)") + tenants + "}"));
+    ASSERT_TRUE(state.ok()) << tenants;
+    const routing::RoutingTable table(*state);
+    EXPECT_TRUE(table.requires_keys()) << tenants;
+    EXPECT_EQ(table.FindWorkspace("k"), nullptr) << tenants;
+  }
+  const auto open =
+      DecodeDesiredState(nlohmann::json::parse(R"({"version":7,"routes":[]})"));
+  ASSERT_TRUE(open.ok());
+  EXPECT_FALSE(routing::RoutingTable(*open).requires_keys());
+}
+
 TEST(RecordsTest, AnswerWithoutRecordArrayIsAnError) {
   for (const char* const body : {"", "[]", "{}", "{\"items\":3}", "garbage"}) {
     EXPECT_FALSE(DecodeList(RecordKind::kUpstream, body).ok()) << body;
--- a/jackdawshunt/routing/desired_state.h
+++ b/jackdawshunt/routing/desired_state.h
@@ -90,6 +90,9 @@
   std::vector<Service> services;
   Limits limits;
   std::vector<Workspace> workspaces;
+  // Whether routes that are not public need the key of a workspace; also true
+  // while there is none.
+  bool requires_keys = false;
 };
 
 // Immutable index of one desired state.
@@ -107,7 +110,7 @@
   const Service* FindService(std::string_view name) const;
   // Returns null when no workspace has the key.
   const Workspace* FindWorkspace(std::string_view api_key) const;
-  bool has_workspaces() const { return !state_.workspaces.empty(); }
+  bool requires_keys() const { return state_.requires_keys; }
 
  private:
   DesiredState state_;
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -473,6 +473,22 @@
   EXPECT_EQ(Call({.route = kFetch, .api_key = "key-lodge"})->status(), 401);
 }
 
+// Guards against routes that are open to everybody once the last key has been
+// taken away.
+TEST_F(GatewayProcessTest, TakingTheLastKeyAwayOpensNoRoute) {
+  Start();
+  EXPECT_EQ(Call({.route = kFetch})->status(), 200);
+  fleet_->PutConfigurationWithoutWorkspaces();
+  ASSERT_TRUE(
+      fleet_->Await([&] { return Call({.route = kFetch})->status() == 401; }));
+  for (const char* const key : {"key-lodge", "key-of-nobody", ""}) {
+    const CallPtr call = Call({.route = kHold, .api_key = key});
+    EXPECT_EQ(call->status(), 401) << key;
+    EXPECT_EQ(Runs(*call), 0u) << key;
+  }
+  EXPECT_EQ(Call({.route = kOpen, .api_key = ""})->status(), 200);
+}
+
 // The process cannot hear that a key is taken away, so it accepts none once
 // its knowledge is too old, and says so without having run anything.
 TEST_F(GatewayProcessTest, KeysAreRefusedWhenTheConfigurationIsTooOld) {
--- a/jackdawshunt/testing/platform/platform_fleet.cc
+++ b/jackdawshunt/testing/platform/platform_fleet.cc
@@ -414,6 +414,15 @@
 
 void PlatformFleet::PutConfiguration(
     const std::vector<std::string>& lodge_keys) {
+  WriteConfiguration({{{"name", "lodge"}, {"apiKeys", lodge_keys}},
+                      {{"name", "school"}, {"apiKeys", {"key-school"}}}});
+}
+
+void PlatformFleet::PutConfigurationWithoutWorkspaces() {
+  WriteConfiguration(json::array());
+}
+
+void PlatformFleet::WriteConfiguration(const json& workspaces) {
   const auto route = [this](const char* name, const char* kind,
                             const char* service, int attempts, bool is_public,
                             bool is_resumable) {
@@ -454,9 +463,7 @@
          {"headerTimeoutMs", 3000},
          {"idleTimeoutMs", 15000},
          {"tokensPerS", 1000000}}},
-       {"tenants",
-        {{{"name", "lodge"}, {"apiKeys", lodge_keys}},
-         {{"name", "school"}, {"apiKeys", {"key-school"}}}}}});
+       {"tenants", workspaces}});
 }
 
 std::string PlatformFleet::WriteSettings(const std::string& name,
@@ -478,8 +485,9 @@
       "\nplatform.address=",
       Through(ProxiedHop::kStore, 0, store_->address()).ToString(),
       "\nbounds.revokeMs=", Milliseconds(options_.revocation),
-      "\nbounds.strictRevocation=true\nbounds.graceS=8\n"
-      "bounds.budgetRatio=0.2\nbounds.budgetWindowS=10\n"
+      "\nbounds.strictRevocation=true\nbounds.graceS=",
+      options_.termination_grace.count(),
+      "\nbounds.budgetRatio=0.2\nbounds.budgetWindowS=10\n"
       "bounds.budgetSlack=50\nlimits.memoryMb=",
       options_.memory_mb,
       "\nlimits.fileDescriptors=", options_.file_descriptors, "\n", more);
--- a/jackdawshunt/testing/platform/platform_fleet.h
+++ b/jackdawshunt/testing/platform/platform_fleet.h
@@ -27,6 +27,7 @@
 #include "jackdawshunt/testing/platform/stand_in_store.h"
 #include "jackdawshunt/testing/platform/stand_in_upstream.h"
 #include "jackdawshunt/testing/process.h"
+#include "nlohmann/json.hpp"
 
 namespace jackdawshunt::testing {
 
@@ -46,6 +47,7 @@
   kernel::Duration route_timeout = std::chrono::seconds(8);
   uint32_t stream_events = 5;
   kernel::Duration work = std::chrono::milliseconds(5);  // Of each run.
+  std::chrono::seconds termination_grace{8};             // Of each process.
   // Puts a proxy that injects faults on each hop of ProxiedHop.
   bool has_proxies = false;
   uint32_t file_descriptors = 4100;  // Of each process.
@@ -156,6 +158,8 @@
   // Writes the configuration with the keys of the workspaces "lodge" and
   // "school"; a new version each time.
   void PutConfiguration(const std::vector<std::string>& lodge_keys);
+  // Writes the configuration without any workspace, and so without any key.
+  void PutConfigurationWithoutWorkspaces();
   // Writes the entry of an upstream; once it starts again if it is down for a
   // restart, not at all if it is down otherwise.
   void PutUpstream(size_t index, std::string_view state = "ready");
@@ -252,6 +256,8 @@
   std::vector<std::string> RunTwice() const;
 
  private:
+  // Writes a new version of the configuration with these workspaces, as JSON.
+  void WriteConfiguration(const nlohmann::json& workspaces);
   std::string GatewayIp(size_t index) const;
   std::string UpstreamIp(size_t index) const;
   std::string WriteSettings(const std::string& name,
