Give up a response whose status is not one of HTTP

Callers whose upstream answered with the status 000 waited for the route's timeout and got 504 after 8.0 s; a repeatable request was sent nowhere else. Statuses from 600 to 999 were passed on.

Cause: the parser took each status below 200 for that of an interim response and waited for the next one. The body of such a response reached the receiver without a head before it.

Change: a status outside of 100 to 599 makes the response malformed, so that the attempt is lost at once.

Evidence: ResponseParserTest.StatusOutsideOfHttpIsInvalid failed for all five statuses before, GatewayProcessTest.AnAnswerWithoutAValidStatusIsNotPassedOn for all three routes (504 after 8.0 s); both pass. The status 000 itself never reached a caller here.

--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -19,6 +19,8 @@
 constexpr int kMaxInterimResponses = 32;
 constexpr size_t kMinBodyCapacity = 1024;
 constexpr size_t kBodyGrowthDivisor = 4;
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 // Responses without a body.
 constexpr int kHttpNoContent = 204;
 constexpr int kHttpNotModified = 304;
@@ -303,6 +305,7 @@
     is_informational = head.status < 200;
     interim_responses += is_informational ? 1 : 0;
     if (!internal::AreValidHeaders(head.headers) || parser.http_major != 1 ||
+        head.status < kMinStatus || head.status > kMaxStatus ||
         head.status == 101 || interim_responses > kMaxInterimResponses) {
       state = ParseState::kInvalid;
       return -1;
--- a/jackdawshunt/http1/parser_test.cc
+++ b/jackdawshunt/http1/parser_test.cc
@@ -169,6 +169,22 @@
   }
 }
 
+// Guards against an upstream in trouble whose status is taken for that of an
+// interim response, so that the caller waits for another one, or is passed on.
+TEST(ResponseParserTest, StatusOutsideOfHttpIsInvalid) {
+  for (const char* const status : {"000", "001", "099", "600", "999"}) {
+    ResponseParser parser;
+    CollectedResponse sink;
+    sink.head.status = 0;
+    parser.Feed(std::string("HTTP/1.1 ") + status +
+                    " Trouble\r\nContent-Length: 3\r\n\r\nabc",
+                sink);
+    EXPECT_EQ(parser.state(), ParseState::kInvalid) << status;
+    EXPECT_EQ(sink.head.status, 0) << status;
+    EXPECT_EQ(sink.body, "") << status;
+  }
+}
+
 // Guards against an upstream that sends interim responses without end.
 TEST(ResponseParserTest, InterimResponsesWithoutEndAreInvalid) {
   const std::string one = "HTTP/1.1 102 Processing\r\nX: y\r\n\r\n";
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -723,6 +723,18 @@
   }
 }
 
+// Guards against answers whose status is not one of HTTP: they are not passed
+// on, and their callers do not wait for another one.
+TEST_F(GatewayProcessTest, AnAnswerWithoutAValidStatusIsNotPassedOn) {
+  Start();
+  SetFault(UpstreamFault::kStatusZero);
+  for (const char* const route : {kGenerate, kHold, kFetch}) {
+    const CallPtr call = Call({.route = route});
+    EXPECT_EQ(call->status(), 502) << route;
+    EXPECT_LT(call->total(), kernel::Duration(seconds(1))) << route;
+  }
+}
+
 // Guards against answers that end early and look complete, for callers with
 // new and with kept connections.
 TEST_F(GatewayProcessTest, UnframedAnswersThatAreCutDoNotLookComplete) {
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -294,6 +294,12 @@
           absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", request, "\r\n\r\n"));
       SendForever(connection, std::string(500, 'x'));
       return;
+    case UpstreamFault::kStatusZero:
+      End(connection, false);
+      connection.WriteRaw(
+          http1::Serialize(Head(request, 0), http1::BodyFraming::Length(5)) +
+          "wrong");
+      return;
     case UpstreamFault::kCutInsideEvent:
     case UpstreamFault::kCutBetweenEvents:
       End(connection, false);
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -66,6 +66,8 @@
   // event, or between two; in the middle of the body of a plain service.
   kCutInsideEvent,
   kCutBetweenEvents,
+  // Faults that the soak does not draw, so that its seeds keep their meaning:
+  kStatusZero,  // Runs, then answers with the status 000.
 };
 inline constexpr UpstreamFault kLastUpstreamFault =
     UpstreamFault::kCutBetweenEvents;
