Take an end during the request for a reset

Cause: only a reset that the gateway had seen was recognised. An upstream that closes its socket while no unread byte waits there sends an orderly end; the reset follows when more of the request arrives. The gateway read the end first, and the check of the upstream's start found it alive.

Change: an end that arrives while a part of the request is unsent, or not acknowledged by the peer, counts as a reset.

Ruled out: waiting for the reset after the end, since nothing bounds when it comes; checking only what the gateway itself has not written, since the kernel still holds a part then.

--- a/jackdawshunt/http1/client.cc
+++ b/jackdawshunt/http1/client.cc
@@ -102,7 +102,10 @@
       CloseAsLost(Loss::kNotConnected);
       return;
     }
-    const bool is_orderly = end == internal::SocketStream::End::kClosed;
+    // The reset that answers the rest of the request may come later than the
+    // end, or be hidden by it.
+    const bool is_orderly = end == internal::SocketStream::End::kClosed &&
+                            !stream.has_undelivered_output();
     if (is_orderly && receiver != nullptr) {
       parser.FeedEnd(*this);
       if (parser.state() == ParseState::kComplete) {
--- a/jackdawshunt/http1/client.h
+++ b/jackdawshunt/http1/client.h
@@ -34,9 +34,11 @@
 enum class Loss {
   kNotConnected,  // Not established; no byte of the request was sent.
   kClosed,        // Closed by the peer without a reset.
-  kReset,         // Reset, or sent bytes stayed unacknowledged for too long.
-  kMalformed,     // The peer sent bytes that are not a valid response.
-  kWithdrawn,     // IsStillWanted() was false; no byte was sent.
+  // Reset, or closed before the peer had received the whole request, or sent
+  // bytes stayed unacknowledged for too long.
+  kReset,
+  kMalformed,  // The peer sent bytes that are not a valid response.
+  kWithdrawn,  // IsStillWanted() was false; no byte was sent.
 };
 // Returns the name of `loss` for logs.
 std::string_view LossName(Loss loss);
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -52,6 +52,8 @@
     close(fds_.back());
     fds_.pop_back();
   }
+  // Sends no more on the last connection, and does not read from it.
+  void ShutDown() { shutdown(fds_.back(), SHUT_WR); }
   // Returns all input up to the end of the last connection.
   std::string ReadAll() {
     std::string text;
@@ -239,6 +241,32 @@
   EXPECT_EQ(receiver_.loss, Loss::kReset);
 }
 
+// More than the buffers of the kernel hold.
+constexpr size_t kLongBodyBytes = size_t{32} * 1024 * 1024;
+
+// Guards against a part of a response that is taken for the whole one: the
+// upstream ends the connection, by a reset or in order, while a long request is
+// still being written to it.
+TEST_F(ClientConnectionTest, EndDuringTheRequestCompletesNoBodyWithoutLength) {
+  for (const bool is_reset : {true, false}) {
+    ClientConnection connection(loop_, server_.address(), {});
+    receiver_ = {};
+    connection.Send("POST / HTTP/1.1\r\nHost: x\r\n\r\n", false, receiver_, 0,
+                    std::make_shared<const std::string>(kLongBodyBytes, 'x'));
+    server_.AwaitConnections(1);
+    server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart");
+    loop_.RunUntil([&] { return receiver_.body == "part"; }, seconds(20));
+    if (is_reset) {
+      server_.Reset();
+    } else {
+      server_.ShutDown();
+    }
+    AwaitDone();
+    EXPECT_FALSE(receiver_.has_ended) << is_reset;
+    EXPECT_EQ(receiver_.loss, Loss::kReset) << is_reset;
+  }
+}
+
 TEST_F(ClientConnectionTest, TruncatedResponseIsLost) {
   Send();
   server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\npart");
--- a/jackdawshunt/http1/internal/socket_stream.cc
+++ b/jackdawshunt/http1/internal/socket_stream.cc
@@ -1,6 +1,8 @@
 #include "jackdawshunt/http1/internal/socket_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -189,6 +191,13 @@
   }
 }
 
+bool SocketStream::has_undelivered_output() const {
+  int unacknowledged = 0;
+  return unwritten() > 0 ||
+         (is_open() && ioctl(fd_, SIOCOUTQ, &unacknowledged) == 0 &&
+          unacknowledged > 0);
+}
+
 bool SocketStream::FlushPart(const std::string& data, size_t* sent) {
   while (*sent < data.size()) {
     const ssize_t count =
--- a/jackdawshunt/http1/internal/socket_stream.h
+++ b/jackdawshunt/http1/internal/socket_stream.h
@@ -82,6 +82,10 @@
            (shared_ == nullptr ? 0 : shared_->size() - shared_sent_);
   }
 
+  // Returns whether bytes wait to be sent, or were not acknowledged by the
+  // peer.
+  bool has_undelivered_output() const;
+
  private:
   void StartEvents();
   void OnReadable();
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -1,12 +1,18 @@
 // The gateway and board roles as real processes against stand-ins of the
 // users' platform.
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <functional>
+#include <list>
 #include <sstream>
 
 #include "gtest/gtest.h"
+#include "jackdawshunt/http1/listener.h"
 #include "jackdawshunt/testing/platform/caller_stream.h"
 #include "jackdawshunt/testing/platform/platform_fleet.h"
 
@@ -17,10 +23,92 @@
 using std::chrono::seconds;
 using CallPtr = std::shared_ptr<PlatformCall>;
 
+// More than the buffers of the kernel hold.
+constexpr size_t kLongUpload = size_t{16} * 1024 * 1024;
+
 std::string WholeStream(const PlatformCall& call) {
   return StandInUpstream::ExpectedBody(call.id(), true, 5);
 }
 
+// A plain upstream that begins an answer without length while it reads the
+// request, and ends the connection after a part of it.
+class UploadCutter {
+ public:
+  enum class End { kReset, kInOrder };
+
+  UploadCutter(kernel::EventLoop& loop, End end)
+      : loop_(loop),
+        end_(end),
+        listener_(*http1::Listener::Bind(
+            loop,
+            {"127.0.5.1", 0},
+            [this](int fd) { Add(fd); },
+            /*has_small_buffers=*/true)) {}
+  ~UploadCutter() {
+    for (const Connection& connection : connections_) {
+      if (connection.fd >= 0) {
+        close(connection.fd);
+      }
+    }
+  }
+
+  http::Address address() const { return {"127.0.5.1", listener_->port()}; }
+  size_t answers() const { return answers_; }
+
+ private:
+  struct Connection {
+    int fd = -1;
+    std::string head;
+    kernel::Timer timer;
+  };
+
+  void Add(int fd) {
+    Connection& connection = connections_.emplace_back();
+    connection.fd = fd;
+    connection.timer = loop_.Every(
+        milliseconds(5), [this, &connection] { ReadHead(connection); });
+  }
+  void ReadHead(Connection& connection) {
+    std::array<char, 4096> buffer;
+    const ssize_t count =
+        recv(connection.fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    connection.head.append(buffer.data(),
+                           static_cast<size_t>(std::max<ssize_t>(count, 0)));
+    constexpr std::string_view kId = "Request-Id: ";
+    const size_t id = connection.head.find(kId);
+    if (connection.head.find("\r\n\r\n") == std::string::npos ||
+        id == std::string::npos) {
+      return;
+    }
+    const size_t from = id + kId.size();
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nResponse-Seal: seal\r\nRequest-Id: " +
+        connection.head.substr(from, connection.head.find("\r", from) - from) +
+        "\r\n\r\na part of the answer";
+    EXPECT_EQ(write(connection.fd, answer.data(), answer.size()),
+              static_cast<ssize_t>(answer.size()));
+    ++answers_;
+    // Once the part has been read, as a reset discards what has not.
+    connection.timer =
+        loop_.After(milliseconds(50), [this, &connection] { Cut(connection); });
+  }
+  void Cut(Connection& connection) const {
+    if (end_ == End::kInOrder) {
+      shutdown(connection.fd, SHUT_WR);
+      return;
+    }
+    const linger now{.l_onoff = 1, .l_linger = 0};
+    setsockopt(connection.fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    close(std::exchange(connection.fd, -1));
+  }
+
+  kernel::EventLoop& loop_;
+  const End end_;
+  std::unique_ptr<http1::Listener> listener_;
+  std::list<Connection> connections_;
+  size_t answers_ = 0;
+};
+
 class GatewayProcessTest : public ::testing::Test {
  protected:
   void Start(const PlatformFleetOptions& options = {}) {
@@ -735,6 +823,29 @@
   }
 }
 
+// Guards against the first part of an answer without length that looks
+// complete: its upstream ends the connection, in order or not, while a long
+// request is still being written to it.
+TEST_F(GatewayProcessTest, AnAnswerCutDuringTheUploadDoesNotLookComplete) {
+  for (const auto end :
+       {UploadCutter::End::kReset, UploadCutter::End::kInOrder}) {
+    Start({.plain = 1, .body_bytes = kLongUpload});
+    const UploadCutter cutter(fleet_->loop(), end);
+    fleet_->store().Put("servers", "i-cutter",
+                        {{"service", "desk"},
+                         {"address", cutter.address().ToString()},
+                         {"zone", "z"},
+                         {"slots", 6},
+                         {"state", "ready"}});
+    fleet_->DeleteUpstream(2);
+    fleet_->RunFor(seconds(1));
+    const CallPtr call =
+        Call({.route = kHold, .body = std::string(kLongUpload, 'b')});
+    EXPECT_EQ(call->status(), 502);
+    EXPECT_EQ(cutter.answers(), 1u);
+  }
+}
+
 // Guards against answers that end early and look complete, for callers with
 // new and with kept connections.
 TEST_F(GatewayProcessTest, UnframedAnswersThatAreCutDoNotLookComplete) {
