Bound the memory of a response's head, not only its text

Cause: the limit of 64 KiB counted the text; each field takes 64 bytes besides.

Change: a head whose fields take more than 64 KiB of memory is malformed.

Ruled out: a limit of the number of fields, which says nothing of long ones.

--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -14,7 +14,8 @@
 using internal::HeaderCollector;
 
 // Upstreams send few headers, so a larger head, together with all interim
-// responses before it, is treated as malformed.
+// responses before it, is treated as malformed; so is one whose fields take
+// more memory than this.
 constexpr size_t kMaxResponseHeadBytes = size_t{64} * 1024;
 constexpr int kMaxInterimResponses = 32;
 constexpr size_t kMinBodyCapacity = 1024;
@@ -301,12 +302,14 @@
   int FinishHead() {
     ResponseHead head;
     head.status = static_cast<int>(parser.status_code);
+    const bool is_too_large = collector.memory_bytes() > kMaxResponseHeadBytes;
     head.headers = collector.Take();
     is_informational = head.status < 200;
     interim_responses += is_informational ? 1 : 0;
-    if (!internal::AreValidHeaders(head.headers) || parser.http_major != 1 ||
-        head.status < kMinStatus || head.status > kMaxStatus ||
-        head.status == 101 || interim_responses > kMaxInterimResponses) {
+    if (is_too_large || !internal::AreValidHeaders(head.headers) ||
+        parser.http_major != 1 || head.status < kMinStatus ||
+        head.status > kMaxStatus || head.status == 101 ||
+        interim_responses > kMaxInterimResponses) {
       state = ParseState::kInvalid;
       return -1;
     }
@@ -386,7 +389,8 @@
   }
   if (in_head && self.state != ParseState::kBody) {
     self.head_bytes += consumed;
-    if (self.head_bytes > kMaxResponseHeadBytes) {
+    if (self.head_bytes > kMaxResponseHeadBytes ||
+        self.collector.memory_bytes() > kMaxResponseHeadBytes) {
       self.state = ParseState::kInvalid;
     }
   }
--- a/jackdawshunt/http1/parser_test.cc
+++ b/jackdawshunt/http1/parser_test.cc
@@ -185,6 +185,21 @@
   }
 }
 
+// Guards against an upstream that takes an instance's memory by heads: many
+// short fields take far more of it than their text.
+TEST(ResponseParserTest, HeadOfManyShortFieldsIsInvalid) {
+  ResponseParser parser;
+  CollectedResponse sink;
+  parser.Feed("HTTP/1.1 200 OK\r\n", sink);
+  size_t fields = 0;
+  while (parser.state() != ParseState::kInvalid && fields < 20000) {
+    parser.Feed("a:\r\n", sink);
+    ++fields;
+  }
+  EXPECT_EQ(parser.state(), ParseState::kInvalid);
+  EXPECT_LE(fields, 1024u);
+}
+
 // Guards against an upstream that sends interim responses without end.
 TEST(ResponseParserTest, InterimResponsesWithoutEndAreInvalid) {
   const std::string one = "HTTP/1.1 102 Processing\r\nX: y\r\n\r\n";
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -18,6 +18,18 @@
 // Time from an answer to a second one.
 constexpr kernel::Duration kSecondAnswerDelay = std::chrono::milliseconds(20);
 
+// Their text is below the limit of a gateway.
+constexpr size_t kUnendedFields = 15000;
+
+std::string Repeat(std::string_view piece, size_t count) {
+  std::string text;
+  text.reserve(piece.size() * count);
+  for (size_t i = 0; i < count; ++i) {
+    text.append(piece);
+  }
+  return text;
+}
+
 std::string Text(std::string_view view) {
   return std::string(view);
 }
@@ -300,6 +312,11 @@
           http1::Serialize(Head(request, 0), http1::BodyFraming::Length(5)) +
           "wrong");
       return;
+    case UpstreamFault::kUnendedHead:
+      End(connection, false);
+      connection.WriteRaw(absl::StrCat("HTTP/1.1 200 OK\r\n",
+                                       Repeat("a:\r\n", kUnendedFields)));
+      return;
     case UpstreamFault::kCutInsideEvent:
     case UpstreamFault::kCutBetweenEvents:
       End(connection, false);
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -68,6 +68,8 @@
   kCutBetweenEvents,
   // Faults that the soak does not draw, so that its seeds keep their meaning:
   kStatusZero,  // Runs, then answers with the status 000.
+  // Runs, then sends a part and nothing more:
+  kUnendedHead,   // Of a head that has many short fields.
 };
 inline constexpr UpstreamFault kLastUpstreamFault =
     UpstreamFault::kCutBetweenEvents;
