Account for the incomplete events that a gateway keeps

A gateway before engines that began a large event and sent nothing more needed 48 MB for 137 of them on a machine of 40 MB, and would be ended for it, with the requests of all its callers (LOST).

Cause: an event is kept until it is complete, up to 256 KiB, and was not in the account of what clients hold. What had been forwarded was released only when more arrived.

Change: the part of an event beyond 32 KiB is accounted for; without room the event is forwarded in pieces and the stream is not continued elsewhere. Forwarded bytes are released at once, of collected bodies too.

--- a/jackdawshunt/gateway/attempt.cc
+++ b/jackdawshunt/gateway/attempt.cc
@@ -183,15 +183,13 @@
   if (!is_running()) {
     return;
   }
-  const size_t kept = body_->KeptWith(data.size());
-  if (kept > 0 && !owner_.HoldAnswer(kept)) {
-    body_->StopKeeping();
-  }
+  HoldKept(body_->KeptWith(data.size()));
   const std::string_view ready = body_->Feed(data);
   if (body_->events() != nullptr) {
     OnEventData(!ready.empty());
   }
   const size_t unread = ready.empty() ? 0 : owner_.Forward(ready);
+  body_->ReleaseReturned();
   switch (body_->state()) {
     case ResponseBody::State::kNotNeeded:
       StopDiscarding();
@@ -210,6 +208,17 @@
   }
 }
 
+void Attempt::HoldKept(size_t bytes) {
+  if (bytes == held_bytes_) {
+    return;
+  }
+  if (owner_.HoldAnswer(bytes)) {
+    held_bytes_ = bytes;
+  } else {
+    body_->StopKeeping();
+  }
+}
+
 void Attempt::OnEventData(bool has_whole_event) {
   if (first_event_at_.has_value()) {
     context_.router.OnAnswerContinues(request_, *first_event_at_, Now());
--- a/jackdawshunt/gateway/attempt.h
+++ b/jackdawshunt/gateway/attempt.h
@@ -144,6 +144,9 @@
   };
 
   std::unique_ptr<ResponseBody> MakeBody() const;
+  // Takes room for `bytes` of the response that are kept, or forwards what is
+  // kept if there is none.
+  void HoldKept(size_t bytes);
   // Records an event, or a part of one, of the response.
   void OnEventData(bool has_whole_event);
   // Ends the attempt, whose response is not forwarded, without the rest of it.
@@ -179,6 +182,7 @@
   platform::UpstreamAnswer answer_;
   http1::ResponseHead head_;
   std::unique_ptr<ResponseBody> body_;  // Null before the head.
+  size_t held_bytes_ = 0;               // That the owner holds for `body_`.
   Irregularities irregularities_;
   kernel::Timer discard_timer_;
   StartChecks::Handle start_check_;
--- a/jackdawshunt/gateway/event_splitter.cc
+++ b/jackdawshunt/gateway/event_splitter.cc
@@ -1,10 +1,14 @@
 #include "jackdawshunt/gateway/event_splitter.h"
 
 #include <charconv>
+#include <utility>
 
 namespace jackdawshunt::gateway {
 namespace {
 
+// A larger buffer is released when it is empty.
+constexpr size_t kMaxIdleCapacity = size_t{64} * 1024;
+
 // Returns the length of the line end at `position`; 0 when there is none.
 size_t LineEndLength(std::string_view text, size_t position) {
   if (position >= text.size()) {
@@ -33,9 +37,15 @@
 
 }  // namespace
 
+void EventSplitter::ReleaseReturned() {
+  buffer_.erase(0, std::exchange(returned_bytes_, 0));
+  if (buffer_.empty() && buffer_.capacity() > kMaxIdleCapacity) {
+    std::string().swap(buffer_);
+  }
+}
+
 std::string_view EventSplitter::Feed(std::string_view data) {
-  buffer_.erase(0, returned_bytes_);
-  returned_bytes_ = 0;
+  ReleaseReturned();
   if (is_out_of_order_) {
     return {};
   }
@@ -51,7 +61,7 @@
     returned_bytes_ = end;
     end = FindEventEnd(buffer_, returned_bytes_);
   }
-  if (buffer_.size() - returned_bytes_ > kMaxEventBytes) {
+  if (buffer_.size() - returned_bytes_ > max_event_bytes_) {
     SplitEvent();
   }
   if (is_out_of_order_) {
@@ -69,6 +79,9 @@
       break;
     }
   }
+  if (piece.empty()) {
+    return;
+  }
   if (ApplyEvent(piece.substr(0, piece.rfind('\n') + 1))) {
     returned_bytes_ += piece.size();
     has_split_event_ = true;
--- a/jackdawshunt/gateway/event_splitter.h
+++ b/jackdawshunt/gateway/event_splitter.h
@@ -25,11 +25,17 @@
 
   // Appends `data` and returns the events that are now complete; the view is
   // valid until the next call. An event larger than kMaxEventBytes is returned
-  // in pieces. Nothing is returned from an event on whose id is not above that
-  // of an earlier one, or in whose place the head of an answer stands; see
-  // is_out_of_order().
+  // in pieces, and so is each after StopKeeping(). Nothing is returned from an
+  // event on whose id is not above that of an earlier one, or in whose place
+  // the head of an answer stands; see is_out_of_order().
   std::string_view Feed(std::string_view data);
 
+  // Releases the memory of what the last call of Feed() returned.
+  void ReleaseReturned();
+  // Keeps no incomplete event from the next call on. The id of one that is
+  // returned in pieces may be missed.
+  void StopKeeping() { max_event_bytes_ = 0; }
+
   // Returns whether the bytes so far end inside an event.
   bool is_inside_event() const {
     return has_split_event_ || !partial().empty();
@@ -61,6 +67,7 @@
   // false if it is not higher, or if the event is the head of an answer.
   bool ApplyEvent(std::string_view event);
 
+  size_t max_event_bytes_ = kMaxEventBytes;
   std::string buffer_;
   size_t returned_bytes_ = 0;  // Leading bytes of `buffer_` that the last call
                                // returned.
--- a/jackdawshunt/gateway/event_splitter_test.cc
+++ b/jackdawshunt/gateway/event_splitter_test.cc
@@ -43,6 +43,21 @@
   EXPECT_TRUE(splitter.is_inside_event());
 }
 
+// Guards against memory for events without end when there is none to spare.
+TEST(EventSplitterTest, KeepsNoEventOnceThereIsNoRoom) {
+  EventSplitter splitter;
+  EXPECT_EQ(splitter.Feed("id: 1\ndata: a"), "");
+  splitter.StopKeeping();
+  EXPECT_EQ(splitter.Feed("b"), "id: 1\ndata: ab");
+  EXPECT_TRUE(splitter.is_inside_event());
+  EXPECT_EQ(splitter.Feed("c\n"), "c");
+  EXPECT_EQ(splitter.Feed("\nid: 2\n"), "\n\nid: 2");
+  EXPECT_EQ(splitter.event_count(), 1u);
+  EXPECT_EQ(splitter.Feed("data: d\n\n"), "\ndata: d\n\n");
+  EXPECT_FALSE(splitter.is_inside_event());
+  EXPECT_EQ(splitter.event_count(), 2u);
+}
+
 // Guards against an event that a caller gets twice, since its id was in a piece
 // returned before the event was complete, and the stream is resumed before it.
 TEST(EventSplitterTest, KnowsTheIdOfALargeEvent) {
--- a/jackdawshunt/gateway/response_body.cc
+++ b/jackdawshunt/gateway/response_body.cc
@@ -8,6 +8,9 @@
 // Bodies up to this size are forwarded only when complete.
 constexpr size_t kMaxKeptBytes = size_t{256} * 1024;
 constexpr size_t kMaxDiscardedBytes = size_t{64} * 1024;
+// Part of an event up to which the room that each request takes for its
+// response suffices.
+constexpr size_t kSmallEventBytes = size_t{32} * 1024;
 
 class DiscardedBody final : public ResponseBody {
  public:
@@ -28,7 +31,6 @@
  public:
   std::string_view Feed(std::string_view data) override {
     if (is_forwarded_) {
-      std::string().swap(kept_);  // The caller of Feed() has used it.
       return data;
     }
     kept_.append(data);
@@ -38,6 +40,11 @@
     is_forwarded_ = true;
     return kept_;
   }
+  void ReleaseReturned() override {
+    if (is_forwarded_) {
+      std::string().swap(kept_);
+    }
+  }
   size_t KeptWith(size_t more) const override {
     return is_forwarded_ ? 0 : kept_.size() + more;
   }
@@ -62,14 +69,26 @@
   std::string_view Feed(std::string_view data) override {
     return splitter_.Feed(data);
   }
+  void ReleaseReturned() override { splitter_.ReleaseReturned(); }
   State state() const override {
     return splitter_.is_out_of_order() ? State::kOutOfOrder : State::kOpen;
   }
-  bool is_resumable() const override { return !splitter_.has_split_event(); }
+  size_t KeptWith(size_t /*more*/) const override {
+    const size_t kept = splitter_.partial().size();
+    return kept > kSmallEventBytes ? kept : 0;
+  }
+  void StopKeeping() override {
+    stops_keeping_ = true;
+    splitter_.StopKeeping();
+  }
+  bool is_resumable() const override {
+    return !stops_keeping_ && !splitter_.has_split_event();
+  }
   const EventSplitter* events() const override { return &splitter_; }
 
  private:
   EventSplitter splitter_;
+  bool stops_keeping_ = false;
 };
 
 }  // namespace
--- a/jackdawshunt/gateway/response_body.h
+++ b/jackdawshunt/gateway/response_body.h
@@ -32,6 +32,8 @@
   // Appends `data` and returns the bytes to forward now; the view is valid
   // until the next call, and while `data` is.
   virtual std::string_view Feed(std::string_view data) = 0;
+  // Releases the memory of what Feed() returned.
+  virtual void ReleaseReturned() {}
   virtual State state() const { return State::kOpen; }
   // Returns whether the response is given to the caller.
   virtual bool is_for_caller() const { return true; }
@@ -39,10 +41,11 @@
   // bytes are forwarded as they arrive.
   virtual std::optional<std::string_view> kept() const { return std::nullopt; }
   // Returns the bytes that Feed() would keep with `more` bytes; 0 if it keeps
-  // none.
+  // none, or few. Those of an incomplete event are counted once they are kept,
+  // since `more` may complete it.
   virtual size_t KeptWith(size_t /*more*/) const { return 0; }
   // Makes the next Feed() return what was kept, and forwards the rest as it
-  // arrives.
+  // arrives. No other upstream can continue the response then.
   virtual void StopKeeping() {}
   // Returns whether another upstream can continue what was forwarded.
   virtual bool is_resumable() const { return true; }
--- a/jackdawshunt/testing/misbehaving_upstreams_test.cc
+++ b/jackdawshunt/testing/misbehaving_upstreams_test.cc
@@ -72,5 +72,9 @@
   ExpectBoundedMemory(UpstreamFault::kUnendedHead);
 }
 
+TEST_F(MisbehavingUpstreamsTest, EventsWithoutEndExhaustTheMachine) {
+  ExpectBoundedMemory(UpstreamFault::kUnendedEvent);
+}
+
 }  // namespace
 }  // namespace jackdawshunt::testing
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -18,8 +18,9 @@
 // Time from an answer to a second one.
 constexpr kernel::Duration kSecondAnswerDelay = std::chrono::milliseconds(20);
 
-// Their text is below the limit of a gateway.
+// Below the limits at which a gateway gives up a head, or splits an event.
 constexpr size_t kUnendedFields = 15000;
+constexpr size_t kUnendedBytes = size_t{255} * 1024;
 
 std::string Repeat(std::string_view piece, size_t count) {
   std::string text;
@@ -317,6 +318,12 @@
       connection.WriteRaw(absl::StrCat("HTTP/1.1 200 OK\r\n",
                                        Repeat("a:\r\n", kUnendedFields)));
       return;
+    case UpstreamFault::kUnendedEvent:
+      End(connection, false);
+      connection.StartResponse(Head(request, 200),
+                               http1::BodyFraming::Chunked());
+      connection.WriteBody("id: 1\ndata: " + std::string(kUnendedBytes, 'x'));
+      return;
     case UpstreamFault::kCutInsideEvent:
     case UpstreamFault::kCutBetweenEvents:
       End(connection, false);
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -70,6 +70,7 @@
   kStatusZero,  // Runs, then answers with the status 000.
   // Runs, then sends a part and nothing more:
   kUnendedHead,   // Of a head that has many short fields.
+  kUnendedEvent,  // Of the first event of a stream.
 };
 inline constexpr UpstreamFault kLastUpstreamFault =
     UpstreamFault::kCutBetweenEvents;
