Limit what the kernel receives ahead from upstreams

Linux grows the receive buffer of a fast transfer, here up to 32 MiB a connection. When its caller stops reading, 0.4 to 0.9 MB of a response wait in the kernel, outside of every account, though they count as the process's memory.

Change: a connection to an upstream receives at most 64 KiB ahead, as one from a caller does. It is set before the handshake, which announces the window.

Cost: a transfer takes a round trip for each 64 KiB at least.

--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -1,3 +1,5 @@
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -44,6 +46,18 @@
     ASSERT_EQ(write(fds_.back(), text.data(), text.size()),
               static_cast<ssize_t>(text.size()));
   }
+  // Returns how many bytes of `text` the kernel took.
+  size_t WriteWhatFits(std::string_view text) {
+    const ssize_t count = send(fds_.back(), text.data(), text.size(),
+                               MSG_DONTWAIT | MSG_NOSIGNAL);
+    return static_cast<size_t>(std::max<ssize_t>(count, 0));
+  }
+  // Returns how many bytes the peer's kernel has not received.
+  size_t unacknowledged() const {
+    int count = 0;
+    EXPECT_EQ(ioctl(fds_.back(), SIOCOUTQ, &count), 0);
+    return static_cast<size_t>(count);
+  }
   void Close() {
     // Reads all input first, since a close with unread bytes sends a reset.
     std::array<char, 4096> buffer;
@@ -241,6 +255,49 @@
   EXPECT_EQ(receiver_.loss, Loss::kReset);
 }
 
+// Guards against memory that the kernel takes for responses without end whose
+// caller has stopped reading, after it has grown the buffer of a fast transfer.
+TEST_F(ClientConnectionTest, PausedResponseLeavesFewBytesInTheKernel) {
+  constexpr size_t kReadBytes = size_t{64} * 1024 * 1024;
+  constexpr size_t kMaxWaitingBytes = size_t{160} * 1024;
+  struct StoppingReceiver final : ResponseReceiver {
+    explicit StoppingReceiver(ClientConnection& on) : connection(on) {}
+    bool MatchesRequest(const ResponseHead&) override { return true; }
+    void OnHead(const ResponseHead&) override {}
+    void OnBody(std::string_view data) override {
+      read += data.size();
+      if (read >= kReadBytes) {
+        connection.PauseReading();
+      }
+    }
+    void OnEnd() override {}
+    void OnLost(Loss) override {}
+
+    ClientConnection& connection;
+    size_t read = 0;
+  };
+  StoppingReceiver receiver(connection_);
+  connection_.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", false, receiver);
+  server_.AwaitConnections(1);
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n";
+  server_.Write(head);
+  size_t received = 0;
+  size_t before = 0;
+  do {
+    before = received;
+    loop_.RunUntil(
+        [&] {
+          received += server_.WriteWhatFits(std::string(65536, 'x'));
+          return false;
+        },
+        milliseconds(300));
+  } while (received > before);
+  EXPECT_GE(receiver.read, kReadBytes);
+  EXPECT_LE(received - server_.unacknowledged() - receiver.read,
+            kMaxWaitingBytes);
+}
+
 // More than the buffers of the kernel hold.
 constexpr size_t kLongBodyBytes = size_t{32} * 1024 * 1024;
 
--- a/jackdawshunt/http1/internal/socket_stream.cc
+++ b/jackdawshunt/http1/internal/socket_stream.cc
@@ -15,6 +15,7 @@
 #include "event2/util.h"
 #include "jackdawshunt/http/socket_address.h"
 #include "jackdawshunt/http1/internal/release.h"
+#include "jackdawshunt/http1/internal/socket_options.h"
 
 namespace jackdawshunt::http1::internal {
 namespace {
@@ -54,6 +55,8 @@
   if (fd_ < 0) {
     return false;
   }
+  // Before the handshake, which announces the window.
+  SetReceiveBuffer(fd_, kLargeReceiveBufferBytes);
   if (connect(fd_, reinterpret_cast<const sockaddr*>(&*to), sizeof(*to)) != 0 &&
       errno != EINPROGRESS) {
     was_refused_ = errno == ECONNREFUSED;
