End all requests within the grace period, and answer those that remain

A gateway with a grace period of 3 s accepted requests until it ended, 2.6 s after SIGTERM, and cut those that it had passed on, unsafe ones among them, without an answer (LOST).

Cause: the time in which a stopped gateway accepts did not depend on the grace period, and its end did not answer what still ran.

Change: requests are accepted for 2.7 s or 0.4 of the grace period, the shorter; those that run 0.4 s before its end are answered 502, or 503 with Retry-After if they were not sent.

Ruled out: refusing from SIGTERM on, since the balancer sends new callers for two seconds more.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -401,6 +401,14 @@
   }
 }
 
+void Call::EndBeforeExit() {
+  if (attempt_ != nullptr && attempt_->is_running()) {
+    may_have_executed_ = true;
+    attempt_->Abandon();
+  }
+  FinishWithoutRetry("exit", base::ErrorKind::kDraining, MinRetryAfter());
+}
+
 void Call::OnCallerDisconnected() {
   caller_ = nullptr;
   if (!is_done_) {
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -45,6 +45,9 @@
   void OnCallerDrained();
   // Cancels the current attempt and ends the call without an answer.
   void OnCallerDisconnected();
+  // Ends the call because the process exits: with an error, or with an answer
+  // that does not look complete if it has begun.
+  void EndBeforeExit();
   // Cancels an attempt whose answer has not begun if the request's prompt holds
   // quarantined parts, so that it does not end the upstream.
   void OnQuarantineChanged();
--- a/jackdawshunt/gateway/gateway_process.cc
+++ b/jackdawshunt/gateway/gateway_process.cc
@@ -30,9 +30,13 @@
 // The balancer removes an instance after two failed checks, one a second.
 constexpr kernel::Duration kAcceptWhileDraining =
     std::chrono::milliseconds(2700);
-// Requests still running are aborted this long before the end of the
-// termination grace period.
+// Part of the termination grace period in which requests are accepted at most.
+// The rest is for them to end.
+constexpr double kMaxAcceptPart = 0.4;
+// Requests still running are ended this long before the end of the termination
+// grace period, and the process after kLastWriteTime more.
 constexpr kernel::Duration kExitMargin = std::chrono::milliseconds(400);
+constexpr kernel::Duration kLastWriteTime = std::chrono::milliseconds(100);
 constexpr kernel::Duration kExitPollPeriod = std::chrono::milliseconds(50);
 // File descriptors that callers do not use for connections that are served.
 constexpr size_t kReservedDescriptors = 1000;
@@ -269,10 +273,18 @@
             {{"busy_calls", http_frontend_.busy_calls()},
              {"open_connections", http_frontend_.open_connections()}});
   http_frontend_.StartDraining();
-  stop_accepting_timer_ =
-      loop_.After(kAcceptWhileDraining, [this] { StopAccepting(); });
-  exit_timer_ = loop_.After(settings_.promises.termination_grace - kExitMargin,
-                            [this] { loop_.Stop(); });
+  const kernel::Duration grace = settings_.promises.termination_grace;
+  stop_accepting_timer_ = loop_.After(
+      std::min(
+          kAcceptWhileDraining,
+          std::chrono::duration_cast<kernel::Duration>(kMaxAcceptPart * grace)),
+      [this] { StopAccepting(); });
+  exit_timer_ = loop_.After(grace - kExitMargin, [this] { EndRequests(); });
+}
+
+void GatewayProcess::EndRequests() {
+  http_frontend_.EndRequests();
+  exit_timer_ = loop_.After(kLastWriteTime, [this] { loop_.Stop(); });
 }
 
 void GatewayProcess::StopAccepting() {
--- a/jackdawshunt/gateway/gateway_process.h
+++ b/jackdawshunt/gateway/gateway_process.h
@@ -60,6 +60,8 @@
   void ReloadSettings(std::string_view trigger);
   void Drain();
   void StopAccepting();
+  // Ends the requests that still run at the end of the grace period.
+  void EndRequests();
 
   // What it follows in the store (gateway_follow.cc).
   RecordFollowerCallbacks ConfigurationCallbacks();
--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -81,6 +81,11 @@
       call_->OnQuarantineChanged();
     }
   }
+  void EndBeforeExit() {
+    if (is_busy()) {
+      call_->EndBeforeExit();
+    }
+  }
   bool is_busy() const { return call_ != nullptr && !call_->is_done(); }
   // Whether the connection exceeds the limit.
   bool is_refused() const { return is_refused_; }
@@ -227,23 +232,28 @@
   is_refusing_ = true;
   listener_->AcceptPending();
   listener_.reset();
-  std::vector<Session*> open;
-  open.reserve(sessions_.size());
-  for (const auto& [key, session] : sessions_) {
-    open.push_back(key);
-  }
-  for (Session* const session : open) {
+  for (Session* const session : OpenSessions()) {
     session->connection().CloseWhenIdle();
   }
 }
 
-void HttpFrontend::OnQuarantineChanged() {
+std::vector<HttpFrontend::Session*> HttpFrontend::OpenSessions() const {
   std::vector<Session*> open;
   open.reserve(sessions_.size());
   for (const auto& [key, session] : sessions_) {
     open.push_back(key);
   }
-  for (Session* const session : open) {
+  return open;
+}
+
+void HttpFrontend::EndRequests() {
+  for (Session* const session : OpenSessions()) {
+    session->EndBeforeExit();
+  }
+}
+
+void HttpFrontend::OnQuarantineChanged() {
+  for (Session* const session : OpenSessions()) {
     session->OnQuarantineChanged();
   }
 }
--- a/jackdawshunt/gateway/http_frontend.h
+++ b/jackdawshunt/gateway/http_frontend.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "jackdawshunt/gateway/call.h"
@@ -60,6 +61,9 @@
   // Closes the listener and all idle connections, and refuses all later
   // requests.
   void StopAccepting();
+  // Ends all calls that still run, as far as their answers have not begun with
+  // an error that tells whether they may have been executed.
+  void EndRequests();
   // Cancels calls whose prompts hold quarantined parts; call after each change
   // of the quarantine.
   void OnQuarantineChanged();
@@ -86,6 +90,7 @@
   // Closes the connection that yields to a new one, if any.
   void CloseYielding();
   void Remove(Session* session);
+  std::vector<Session*> OpenSessions() const;
   // Refuses a request whose body has not arrived if its head is enough to know
   // that it cannot be served.
   void OnHead(Session& session, const http1::RequestHead& head);
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -1163,6 +1163,44 @@
   EXPECT_EQ(fleet_->gateway(0).WaitForExit(), 0);
 }
 
+// Guards against requests that are accepted so late after SIGTERM that the end
+// of the grace period cuts them.
+TEST_F(GatewayProcessTest, TheGracePeriodCutsNoRequest) {
+  for (const seconds grace : {seconds(3), seconds(8)}) {
+    Start({.work = milliseconds(900), .termination_grace = grace});
+    std::vector<CallPtr> calls;
+    const kernel::Timer timer = fleet_->loop().Every(milliseconds(50), [&] {
+      calls.push_back(fleet_->Call(
+          0, {.route = kHold, .keeps_connection = calls.size() % 2 == 0}));
+    });
+    fleet_->RunFor(seconds(1));
+    fleet_->gateway(0).Terminate();
+    fleet_->RunFor(grace + seconds(1));
+    size_t ran = 0;
+    for (const CallPtr& call : calls) {
+      if (Runs(*call) > 0) {
+        ++ran;
+        EXPECT_TRUE(call->is_complete()) << call->id();
+        EXPECT_EQ(call->status(), 200) << call->id();
+      }
+    }
+    EXPECT_GE(ran, 20u);
+  }
+}
+
+// Guards against requests that end without an answer because their upstream is
+// still silent when the grace period ends.
+TEST_F(GatewayProcessTest, TheEndOfTheGracePeriodIsAnswered) {
+  Start({.termination_grace = seconds(3)});
+  SetFault(UpstreamFault::kHang);
+  const CallPtr call = fleet_->Call(0, {.route = kHold});
+  ASSERT_TRUE(fleet_->Await([&] { return Runs(*call) == 1; }));
+  fleet_->gateway(0).Terminate();
+  ASSERT_TRUE(fleet_->Await([&] { return call->is_done(); }));
+  EXPECT_TRUE(call->is_complete());
+  EXPECT_EQ(call->status(), 502);
+}
+
 // A slow gateway stops accepting while connections wait to be accepted and
 // requests wait to be read.
 TEST_F(GatewayProcessTest, RequestsUnreadWhenAcceptingEndsAreAnswered) {
