Test that a gateway out of step continues no stream at another version

By reading, a gateway continues a stream by the record of a board, or by the list as read after the request arrived; an answer to a reading that was sent before does not count, and without a board's reply within a second the request is refused as not run.

Not shown by a test with real processes: a gateway that is cut off from the store alone; OriginClientTest.* replays it.

--- a/jackdawshunt/testing/take_up_test.cc
+++ b/jackdawshunt/testing/take_up_test.cc
@@ -37,14 +37,14 @@
                              .stream_events = kEvents});
     fleet_->Start();
   }
-  // Begins streams at both gateways and awaits the first events of each.
-  std::vector<CallersStream> Begin(size_t count) {
+  // Begins streams at the first `gateways` and awaits the first events of each.
+  std::vector<CallersStream> Begin(size_t count, size_t gateways = kGateways) {
     std::vector<CallersStream> streams(count);
     for (size_t i = 0; i < count; ++i) {
       streams[i].last =
-          fleet_->Call(i % kGateways, {.route = kRevise,
-                                       .deadline = kRouteTimeout,
-                                       .shared_part = std::to_string(i)});
+          fleet_->Call(i % gateways, {.route = kRevise,
+                                      .deadline = kRouteTimeout,
+                                      .shared_part = std::to_string(i)});
     }
     for (const CallersStream& stream : streams) {
       EXPECT_TRUE(fleet_->Await([&] {
@@ -62,6 +62,13 @@
       stream.text.Append(*stream.last);
     }
   }
+  std::vector<Process*> Boards() {
+    std::vector<Process*> boards;
+    for (size_t i = 0; i < 4; ++i) {
+      boards.push_back(&fleet_->board(i));
+    }
+    return boards;
+  }
   void KillBoards() {
     for (size_t i = 0; i < 4; ++i) {
       fleet_->board(i).Kill();
@@ -201,5 +208,57 @@
   EXPECT_EQ(Resume(streams, /*names_request=*/false), 0u);
 }
 
+// Guards against a stream that goes on at another version because its caller
+// resumes it at a gateway that was out of step, either standing still or cut
+// off from all boards, while upstreams of a new version joined and streams
+// began there.
+TEST_F(TakeUpTest, NoStreamGoesOnAtAnotherVersionAtAGatewayOutOfStep) {
+  constexpr size_t kOutOfStep = 1;
+  for (const bool stands_still : {true, false}) {
+    for (const bool names_request : {true, false}) {
+      Start({"v1"});
+      fleet_->RunFor(kRouteTimeout + milliseconds(200));
+      const std::vector<Process*> paused =
+          stands_still ? std::vector{&fleet_->gateway(kOutOfStep)} : Boards();
+      for (Process* const process : paused) {
+        process->Pause();
+      }
+      fleet_->ReplaceUpstream(0, "v2");
+      fleet_->ReplaceUpstream(1, "v2");
+      fleet_->RunFor(milliseconds(1300));
+      std::vector<CallersStream> streams = Begin(12, /*gateways=*/1);
+      fleet_->gateway(0).Kill();
+      size_t of_new_version = 0;
+      for (CallersStream& stream : streams) {
+        ASSERT_TRUE(fleet_->Await([&] { return stream.last->is_done(); }));
+        stream.text.Append(*stream.last);
+        of_new_version += stream.text.versions().contains("v2") ? 1 : 0;
+        CallOptions options = stream.text.Resume(stream.last->options());
+        if (!names_request) {
+          options.resumed_request.clear();
+        }
+        stream.last = fleet_->Call(kOutOfStep, options);
+      }
+      EXPECT_GT(of_new_version, 0u);
+      EXPECT_LT(of_new_version, streams.size());
+      if (stands_still) {
+        fleet_->gateway(kOutOfStep).Continue();
+      }
+      for (CallersStream& stream : streams) {
+        ASSERT_TRUE(fleet_->Await([&] { return stream.last->is_done(); }));
+        if (stream.last->status() == 200) {
+          stream.text.Append(*stream.last);
+        }
+        EXPECT_EQ(stream.text.Fault(), "") << stands_still << names_request;
+      }
+      if (!stands_still) {
+        for (Process* const process : paused) {
+          process->Continue();
+        }
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace jackdawshunt::testing
