Continue no stream whose request was released

Cause: the request is released with the first piece of an answer that cannot be continued. Once the event was complete, the stream counted as one that can.

Change: a stream whose request was released is cut when its upstream is lost.

Evidence: CallTest.StreamThatBeganWithALargeEventIsNotContinued ended by signal 11 before, and passes.

--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -371,7 +371,7 @@
 }
 
 void Call::ResumeStream() {
-  if (!attempt_->is_resumable() ||
+  if (body_ == nullptr || !attempt_->is_resumable() ||
       !context_.router.TrySpendRetry(request_, Now())) {
     AbortAnswer("upstream lost");
     return;
--- a/jackdawshunt/gateway/call_test.cc
+++ b/jackdawshunt/gateway/call_test.cc
@@ -503,6 +503,28 @@
 }
 
 // The parameter is the index of the answer.
+// Guards against a crash when an upstream is lost after an event so large that
+// pieces of it were forwarded: the request was released with the first piece.
+TEST_F(CallTest, StreamThatBeganWithALargeEventIsNotContinued) {
+  MakeRequest();  // Adds to the retry budget.
+  MakeRequest();
+  const http1::ResponseHead stream{
+      .status = 200,
+      .headers = {{"Request-Id", "1"}, {"Response-Seal", "seal"}}};
+  engines_.SetScript([&](http1::ServerConnection& connection,
+                         const http1::RequestHead&, size_t) {
+    connection.StartResponse(
+        stream, http1::BodyFraming::Chunked(), false,
+        "id: 1\ndata: " + std::string(size_t{300} * 1024, 'x'));
+    engines_.After(milliseconds(20), connection,
+                   [&connection] { connection.WriteBody("\n\n"); });
+    engines_.After(milliseconds(40), connection,
+                   [&connection] { connection.Abort(); });
+  });
+  EXPECT_FALSE(WholeAnswer().is_complete());
+  EXPECT_EQ(engines_.arrivals(), 1u);
+}
+
 class BrokenStreamTest : public CallTest,
                          public ::testing::WithParamInterface<size_t> {};
 
