--- a/jackdawshunt/gateway/gateway_process.cc
+++ b/jackdawshunt/gateway/gateway_process.cc
@@ -283,6 +283,8 @@
 }
 
 void GatewayProcess::EndRequests() {
+  base::Log(base::LogLevel::kWarning, "grace_period_ended",
+            {{"busy_calls", http_frontend_.busy_calls()}});
   http_frontend_.EndRequests();
   exit_timer_ = loop_.After(kLastWriteTime, [this] { loop_.Stop(); });
 }
--- a/jackdawshunt/gateway/http_frontend.h
+++ b/jackdawshunt/gateway/http_frontend.h
@@ -61,8 +61,9 @@
   // Closes the listener and all idle connections, and refuses all later
   // requests.
   void StopAccepting();
-  // Ends all calls that still run, as far as their answers have not begun with
-  // an error that tells whether they may have been executed.
+  // Ends all calls that still run: with an error that tells whether they may
+  // have been executed, or so that an answer that has begun does not look
+  // complete.
   void EndRequests();
   // Cancels calls whose prompts hold quarantined parts; call after each change
   // of the quarantine.
