--- a/jackdawshunt/http/http_test.cc
+++ b/jackdawshunt/http/http_test.cc
@@ -479,11 +479,13 @@
   for (const auto end : {RawServer::End::kReset, RawServer::End::kInOrder}) {
     const RawServer server(loop_, "HTTP/1.1 200 OK\r\n\r\npart", end);
     address_ = server.address();
+    // More than the buffers of the kernel hold.
+    std::string body;
+    body.resize(size_t{32} * 1024 * 1024, 'x');
     CallOptions options;
     options.timeout = seconds(1);
     const auto response =
-        Fetch({.method = "POST", .body = std::string(32'000'000, 'x')},
-              std::move(options));
+        Fetch({.method = "POST", .body = body}, std::move(options));
     EXPECT_FALSE(response.ok()) << static_cast<int>(end);
     EXPECT_FALSE(absl::IsUnavailable(response.status()));
   }
--- a/jackdawshunt/http1/internal/socket_options.h
+++ b/jackdawshunt/http1/internal/socket_options.h
@@ -20,8 +20,8 @@
 // Returns whether the options of SetCallerSocketOptions() are set.
 bool HasCallerSocketOptions(int fd);
 
-// Bytes that the kernel receives ahead, of most requests, and of responses and a
-// request of which more than the latter have arrived.
+// Bytes that the kernel receives ahead: of most requests; and of responses, and
+// of a request once more than this has arrived.
 inline constexpr size_t kReceiveBufferBytes = size_t{16} * 1024;
 inline constexpr size_t kLargeReceiveBufferBytes = size_t{64} * 1024;
 
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -83,7 +83,7 @@
     const size_t from = id + kId.size();
     const std::string answer =
         "HTTP/1.1 200 OK\r\nResponse-Seal: seal\r\nRequest-Id: " +
-        connection.head.substr(from, connection.head.find("\r", from) - from) +
+        connection.head.substr(from, connection.head.find('\r', from) - from) +
         "\r\n\r\na part of the answer";
     EXPECT_EQ(write(connection.fd, answer.data(), answer.size()),
               static_cast<ssize_t>(answer.size()));
