--- a/jackdawshunt/testing/misbehaving_upstreams_test.cc
+++ b/jackdawshunt/testing/misbehaving_upstreams_test.cc
@@ -2,6 +2,8 @@
 // no answer. Its memory must stay within that of its machine, and an ordinary
 // request must be answered meanwhile and afterwards.
 #include <cstdio>
+#include <memory>
+#include <string>
 #include <vector>
 
 #include "gtest/gtest.h"
