--- a/jackdawshunt/gateway/call_test.cc
+++ b/jackdawshunt/gateway/call_test.cc
@@ -502,7 +502,6 @@
   return answers;
 }
 
-// The parameter is the index of the answer.
 // Guards against a crash when an upstream is lost after an event so large that
 // pieces of it were forwarded: the request was released with the first piece.
 TEST_F(CallTest, StreamThatBeganWithALargeEventIsNotContinued) {
@@ -525,6 +524,7 @@
   EXPECT_EQ(engines_.arrivals(), 1u);
 }
 
+// The parameter is the index of the answer.
 class BrokenStreamTest : public CallTest,
                          public ::testing::WithParamInterface<size_t> {};
 
