Search an incomplete event only where it has grown

Cause: EventSplitter::Feed() looked for the end of the event from the beginning of what it holds, for each chunk of the body, up to 256 KiB: quadratic in the bytes, and line by line.

Change: the splitter knows how far it has searched and goes on from there; only the last two bytes, which may begin an event's end, are searched again.

EventSplitterTest.PiecesChangeTheEvents draws texts and pieces (passed before, too: it guards the change).

Ruled out: a smaller limit of events, which bounds the harm but stays quadratic; closing the connection of an upstream that sends small pieces, since they are allowed.

--- a/jackdawshunt/gateway/event_splitter.cc
+++ b/jackdawshunt/gateway/event_splitter.cc
@@ -1,5 +1,6 @@
 #include "jackdawshunt/gateway/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -8,6 +9,8 @@
 
 // A larger buffer is released when it is empty.
 constexpr size_t kMaxIdleCapacity = size_t{64} * 1024;
+// The longest end of an event, "\n\r\n".
+constexpr size_t kMaxEventEndBytes = 3;
 
 // Returns the length of the line end at `position`; 0 when there is none.
 size_t LineEndLength(std::string_view text, size_t position) {
@@ -50,7 +53,7 @@
     return {};
   }
   buffer_.append(data);
-  size_t end = FindEventEnd(buffer_, returned_bytes_);
+  size_t end = FindEventEnd(buffer_, returned_bytes_ + searched_bytes_);
   while (end != std::string_view::npos) {
     if (!ApplyEvent(std::string_view(buffer_).substr(returned_bytes_,
                                                      end - returned_bytes_))) {
@@ -67,6 +70,9 @@
   if (is_out_of_order_) {
     buffer_.resize(returned_bytes_);
   }
+  const size_t partial_bytes = partial().size();
+  searched_bytes_ =
+      partial_bytes - std::min(partial_bytes, kMaxEventEndBytes - 1);
   return std::string_view(buffer_).substr(0, returned_bytes_);
 }
 
--- a/jackdawshunt/gateway/event_splitter.h
+++ b/jackdawshunt/gateway/event_splitter.h
@@ -27,7 +27,8 @@
   // valid until the next call. An event larger than kMaxEventBytes is returned
   // in pieces, and so is each after StopKeeping(). Nothing is returned from an
   // event on whose id is not above that of an earlier one, or in whose place
-  // the head of an answer stands; see is_out_of_order().
+  // the head of an answer stands; see is_out_of_order(). The cost is linear in
+  // the bytes of the stream, whatever the pieces.
   std::string_view Feed(std::string_view data);
 
   // Releases the memory of what the last call of Feed() returned.
@@ -71,6 +72,8 @@
   std::string buffer_;
   size_t returned_bytes_ = 0;  // Leading bytes of `buffer_` that the last call
                                // returned.
+  size_t searched_bytes_ = 0;  // Leading bytes of the incomplete event in which
+                               // its end does not begin.
   bool has_split_event_ = false;
   bool is_out_of_order_ = false;
   std::optional<uint64_t> last_event_id_;
--- a/jackdawshunt/gateway/event_splitter_test.cc
+++ b/jackdawshunt/gateway/event_splitter_test.cc
@@ -1,10 +1,32 @@
 #include "jackdawshunt/gateway/event_splitter.h"
 
+#include <algorithm>
+#include <ctime>
+#include <limits>
+
 #include "gtest/gtest.h"
+#include "rapidcheck/gtest.h"
 
 namespace jackdawshunt::gateway {
 namespace {
 
+// Returns the processor time, in seconds, that a splitter takes for `text` in
+// pieces of one byte; the best of some runs.
+double SecondsInSmallPieces(const std::string& text) {
+  constexpr int kRuns = 3;
+  double best = std::numeric_limits<double>::max();
+  for (int run = 0; run < kRuns; ++run) {
+    EventSplitter splitter;
+    const std::clock_t began = std::clock();
+    for (const char& byte : text) {
+      splitter.Feed({&byte, 1});
+    }
+    best = std::min(best,
+                    static_cast<double>(std::clock() - began) / CLOCKS_PER_SEC);
+  }
+  return best;
+}
+
 TEST(EventSplitterTest, ReturnsOnlyCompleteEvents) {
   const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
   for (size_t cut = 0; cut <= text.size(); ++cut) {
@@ -93,6 +115,51 @@
   }
 }
 
+// Guards against a gateway that stands still, since a large event in small
+// pieces is searched from its beginning for each of them.
+TEST(EventSplitterTest, EventInSmallPiecesIsSearchedAgainForEach) {
+  // Far above noise, far below the factor of a search that begins anew.
+  constexpr double kMaxFactor = 20;
+  constexpr size_t kBytes = size_t{48} * 1024;
+  const auto repeat = [](std::string_view piece) {
+    std::string text;
+    while (text.size() < kBytes) {
+      text.append(piece);
+    }
+    return text;
+  };
+  const double of_small_events = SecondsInSmallPieces(repeat("d\n\n"));
+  for (const std::string_view line : {"d\n", "d\r\n", ": c\n", "id: 1\n"}) {
+    EXPECT_LT(SecondsInSmallPieces(repeat(line)), kMaxFactor * of_small_events)
+        << line;
+  }
+}
+
+// Guards against ends of events that are missed where a piece ends.
+RC_GTEST_PROP(EventSplitterTest, PiecesChangeTheEvents, ()) {
+  const auto parts = *rc::gen::container<std::vector<std::string>>(
+      rc::gen::element<std::string>("\n", "\r", "\r\n", "d", "id: 1", "id: 2",
+                                    "HTTP/1."));
+  std::string text;
+  for (const std::string& part : parts) {
+    text.append(part);
+  }
+  EventSplitter whole;
+  const std::string expected(whole.Feed(text));
+  EventSplitter splitter;
+  std::string out;
+  for (size_t at = 0; at < text.size();) {
+    const size_t size = *rc::gen::inRange<size_t>(1, 5);
+    out.append(splitter.Feed(std::string_view(text).substr(at, size)));
+    at += size;
+  }
+  RC_ASSERT(out == expected);
+  RC_ASSERT(splitter.event_count() == whole.event_count());
+  RC_ASSERT(splitter.last_event_id() == whole.last_event_id());
+  RC_ASSERT(splitter.is_out_of_order() == whole.is_out_of_order());
+  RC_ASSERT(splitter.partial() == whole.partial());
+}
+
 // Guards against the head of an error in place of an event, in any pieces.
 TEST(EventSplitterTest, ReturnsNoHeadOfAnAnswer) {
   const std::string event = "id: 1\ndata: HTTP/1.1 200 OK\n\n";
--- a/jackdawshunt/testing/misbehaving_upstreams_test.cc
+++ b/jackdawshunt/testing/misbehaving_upstreams_test.cc
@@ -1,6 +1,6 @@
-// A gateway as a real process before many upstreams that send bytes which are
-// no answer. Its memory must stay within that of its machine, and an ordinary
-// request must be answered meanwhile and afterwards.
+// A gateway as a real process before upstreams that send bytes which are no
+// answer. Its memory must stay within that of its machine, and ordinary
+// requests must be answered meanwhile and afterwards.
 #include <cstdio>
 #include <memory>
 #include <string>
@@ -70,6 +70,32 @@
   PlatformFleet fleet_;
 };
 
+// Guards against a gateway that serves nothing else for seconds, since it
+// searches the event that it has received so far for each further piece.
+TEST_F(MisbehavingUpstreamsTest, EventInSmallPiecesStopsTheGateway) {
+  ASSERT_TRUE(IsOrdinaryCallServed());
+  for (size_t i = 0; i < kEngines; ++i) {
+    fleet_.upstream(i).SetFault(UpstreamFault::kUnendedLines);
+  }
+  const CallPtr stream = fleet_.Call(0, {.route = kGenerate});
+  ASSERT_TRUE(
+      fleet_.Await([&] { return fleet_.runs().contains(stream->id()); }));
+  constexpr kernel::Duration kWatched = seconds(2);
+  constexpr kernel::Duration kPeriod = milliseconds(100);
+  const kernel::TimePoint from = fleet_.now();
+  std::vector<CallPtr> calls;
+  while (fleet_.now() - from < kWatched) {
+    calls.push_back(fleet_.Call(0, {.route = kHold}));
+    fleet_.RunFor(kPeriod);
+  }
+  for (const CallPtr& call : calls) {
+    ASSERT_TRUE(fleet_.Await([&] { return call->is_done(); }));
+    EXPECT_EQ(call->status(), 200);
+    EXPECT_LT(call->total(), seconds(1));
+  }
+  stream->Leave();
+}
+
 TEST_F(MisbehavingUpstreamsTest, HeadsWithoutEndExhaustTheMachine) {
   ExpectBoundedMemory(UpstreamFault::kUnendedHead);
 }
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -324,6 +324,12 @@
                                http1::BodyFraming::Chunked());
       connection.WriteBody("id: 1\ndata: " + std::string(kUnendedBytes, 'x'));
       return;
+    case UpstreamFault::kUnendedLines:
+      End(connection, false);
+      connection.WriteRaw(
+          http1::Serialize(Head(request, 200), http1::BodyFraming::Chunked()) +
+          Repeat("1\r\nd\r\n1\r\n\n\r\n", kUnendedBytes / 2));
+      return;
     case UpstreamFault::kCutInsideEvent:
     case UpstreamFault::kCutBetweenEvents:
       End(connection, false);
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -71,6 +71,7 @@
   // Runs, then sends a part and nothing more:
   kUnendedHead,   // Of a head that has many short fields.
   kUnendedEvent,  // Of the first event of a stream.
+  kUnendedLines,  // The same in short lines, each byte in a chunk of its own.
 };
 inline constexpr UpstreamFault kLastUpstreamFault =
     UpstreamFault::kCutBetweenEvents;
