Notice the end of a connection inside a line or a chunk in http::Client

What callers saw: on the product's own interface (entry and side), an upstream that stops inside a line of its response's head, in a chunk or in its size, and closes or resets the connection, is not noticed; the call ends at its time limit, or never if it has none, as those of the drivers.

Cause: EVHTTP_CON_READ_ON_WRITE_ERROR, which the client sets to get replies during an upload. With it, evhttp defers each end of the connection while unparsed input remains, and input that ends inside a line remains for ever.

A reply during an upload is read as before (HttpLimitTest.ClientReceivesErrorReplyDuringUpload).

Ruled out: an own timer of silence, since streams may be silent. The end of a connection during the upload, in order, still waits for the time limit (known).

--- a/jackdawshunt/http/client.cc
+++ b/jackdawshunt/http/client.cc
@@ -156,11 +156,18 @@
 }
 
 void CallState::HandleOutputTaken() {
-  if (connection_ != nullptr &&
-      HasEnded(
-          bufferevent_getfd(evhttp_connection_get_bufferevent(connection_)))) {
+  if (connection_ == nullptr) {
+    return;
+  }
+  bufferevent* const transport = evhttp_connection_get_bufferevent(connection_);
+  if (HasEnded(bufferevent_getfd(transport))) {
     was_request_cut_ = true;
   }
+  if (evbuffer_get_length(bufferevent_get_output(transport)) == 0) {
+    // No write can fail any more. With the flag, evhttp ignores an end of the
+    // connection inside a line or a chunk.
+    evhttp_connection_set_flags(connection_, 0);
+  }
 }
 
 void CallState::HandleResponse(evhttp_request* request) {
--- a/jackdawshunt/http/http_test.cc
+++ b/jackdawshunt/http/http_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -491,6 +492,50 @@
   }
 }
 
+// Guards against a part of a response that is taken for the whole one, or whose
+// call never ends: the server ends the connection, by a reset or in order, at
+// any byte of the head, of a chunk or of a body with length.
+TEST_F(HttpTest, EndInsideTheResponseCompletesItOrIsNotNoticed) {
+  struct Case {
+    std::string sent;
+    std::unique_ptr<RawServer> server;
+    std::unique_ptr<Call> call;
+    std::optional<absl::Status> status;
+  };
+  std::list<Case> cases;
+  size_t ended = 0;
+  for (const std::string response :
+       {"HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x\r\nok\r\n"
+        "0\r\nA: b\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"}) {
+    for (size_t size = 0; size < response.size(); ++size) {
+      for (const auto end :
+           {RawServer::End::kReset, RawServer::End::kInOrder}) {
+        Case& added = cases.emplace_back();
+        added.sent = response.substr(0, size);
+        added.server = std::make_unique<RawServer>(loop_, added.sent, end);
+        CallOptions options;
+        if (size % 2 == 1) {
+          options.on_chunk = [](const Response&, std::string_view) {};
+        }
+        options.on_done = [&](const absl::StatusOr<Response>& result) {
+          ++ended;
+          added.status = result.status();
+        };
+        added.call = client_.Send(added.server->address(), {.body = "x"},
+                                  std::move(options));
+      }
+    }
+  }
+  loop_.RunUntil([&] { return ended == cases.size(); }, seconds(5));
+  for (const Case& each : cases) {
+    EXPECT_EQ(each.status.value_or(absl::OkStatus()).code(),
+              absl::StatusCode::kAborted)
+        << each.status.has_value() << " " << each.sent;
+  }
+}
+
 // Guards against a request that was sent and counts as not sent, so that it is
 // repeated: the status 0 stands for a connection that was not established.
 TEST_F(HttpTest, StatusZeroIsALostResponse) {
