Test that a head that was cut never looks like a whole response

Result: this does not happen at a gateway. http1::ResponseParser begins a response only after the blank line, and takes the end of a connection for that of a response only inside a body.

Not covered: a body without length that is followed by the first bytes of another response's status line, "HTTP/1.1 20", and the end. It is passed on as body, as EmbeddedHeadScannerTest states, since bodies may end in such text.

--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -333,6 +333,38 @@
   EXPECT_EQ(receiver_.loss, Loss::kClosed);
 }
 
+// Guards against a head that was cut and is taken for a whole response, with an
+// empty body or that of the text behind it: the server ends the connection, in
+// order or by a reset, at any byte of the head.
+TEST_F(ClientConnectionTest, HeadThatWasCutCompletesAResponse) {
+  for (const std::string head :
+       {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\nId: 1\nContent-Length: 0\n\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\nId: 1\r\n\r\n"}) {
+    for (size_t size = 0; size < head.size(); ++size) {
+      for (const bool is_reset : {false, true}) {
+        ClientConnection connection(loop_, server_.address(), {});
+        Receiver receiver;
+        connection.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", false, receiver);
+        server_.AwaitConnections(1);
+        server_.Write(head.substr(0, size));
+        if (is_reset) {
+          server_.Reset();
+        } else {
+          server_.Close();
+        }
+        ASSERT_TRUE(
+            loop_.RunUntil([&] { return receiver.is_done(); }, seconds(20)));
+        EXPECT_FALSE(receiver.has_ended) << head.substr(0, size);
+        EXPECT_EQ(receiver.status, 0) << head.substr(0, size);
+        EXPECT_FALSE(connection.is_usable());
+      }
+    }
+  }
+}
+
 TEST_F(ClientConnectionTest, KnowsTheRequestsThatItHasSent) {
   connection_.Send("GET / HTTP/1.1\r\n\r\n", false, receiver_, 7);
   EXPECT_TRUE(connection_.has_sent(7));
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -869,6 +869,36 @@
   EXPECT_EQ(Call({.route = kHold, .keeps_connection = true})->status(), 200);
 }
 
+// Guards against a head that its upstream broke off and a caller gets as a
+// whole answer, short or empty.
+TEST_F(GatewayProcessTest, AHeadThatWasCutDoesNotLookComplete) {
+  for (const UpstreamFault fault :
+       {UpstreamFault::kCutHead, UpstreamFault::kCutHeadByReset}) {
+    Start();
+    AwaitRepeatBudget();
+    SetFault(fault);
+    for (const char* const route : {kGenerate, kHold, kRevise, kFetch}) {
+      const CallPtr call = Call({.route = route});
+      EXPECT_EQ(call->status(), 502) << route;
+      EXPECT_GE(Runs(*call), 1u) << route;
+    }
+    EXPECT_TRUE(fleet_->RunTwice().empty());
+    // The rest of a stream, and a repeat.
+    SetFault(UpstreamFault::kNone);
+    const CallPtr stream = BeginStream(0);
+    SetFault(fault);
+    const std::string first = fleet_->runs().at(stream->id()).front().upstream;
+    fleet_->upstream(first == "i-0" ? 0 : 1).Crash();
+    ASSERT_TRUE(fleet_->Await([&] { return stream->is_done(); }));
+    EXPECT_FALSE(stream->is_complete());
+    EXPECT_GE(Runs(*stream), 2u);
+    fleet_->upstream(3).SetFault(UpstreamFault::kNone);
+    const CallPtr repeated = Call({.route = kFetch});
+    EXPECT_EQ(repeated->status(), 200);
+    EXPECT_EQ(repeated->body(), "result of " + repeated->id());
+  }
+}
+
 // Guards against a stream that begins with a piece of an event of an earlier
 // attempt, whose engine broke it off inside its first event.
 TEST_F(GatewayProcessTest, ARepeatedStreamHoldsNothingOfTheLostAttempt) {
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -21,6 +21,8 @@
 // Below the limits at which a gateway gives up a head, or splits an event.
 constexpr size_t kUnendedFields = 15000;
 constexpr size_t kUnendedBytes = size_t{255} * 1024;
+// Before the reset of a connection, which discards what has not been read.
+constexpr kernel::Duration kReadTime = std::chrono::milliseconds(20);
 
 std::string Repeat(std::string_view piece, size_t count) {
   std::string text;
@@ -324,6 +326,11 @@
                                http1::BodyFraming::Chunked());
       connection.WriteBody("id: 1\ndata: " + std::string(kUnendedBytes, 'x'));
       return;
+    case UpstreamFault::kCutHead:
+    case UpstreamFault::kCutHeadByReset:
+      End(connection, false);
+      CutHead(connection, request, body.size());
+      return;
     case UpstreamFault::kUnendedLines:
       End(connection, false);
       connection.WriteRaw(
@@ -392,9 +399,25 @@
   }
   connection.StartUnframedResponse(Head(request, 200));
   connection.WriteBody(std::string_view(body).substr(0, end));
-  // Reset only once the part has been read, as it would otherwise be lost.
-  endless_[&connection] = loop_.After(std::chrono::milliseconds(20),
-                                      [&connection] { connection.Abort(); });
+  endless_[&connection] =
+      loop_.After(kReadTime, [&connection] { connection.Abort(); });
+}
+
+void StandInUpstream::CutHead(http1::ServerConnection& connection,
+                              const std::string& request,
+                              size_t body_bytes) {
+  std::string head = http1::Serialize(Head(request, 200),
+                                      http1::BodyFraming::Length(body_bytes));
+  head.resize(head.size() - std::string_view("\r\n").size());
+  connection.WriteRaw(head);
+  const bool is_reset = fault_ == UpstreamFault::kCutHeadByReset;
+  endless_[&connection] = loop_.After(kReadTime, [&connection, is_reset] {
+    if (is_reset) {
+      connection.Abort();
+    } else {
+      connection.Yield();
+    }
+  });
 }
 
 void StandInUpstream::SendEvent(http1::ServerConnection& connection) {
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -72,6 +72,9 @@
   kUnendedHead,   // Of a head that has many short fields.
   kUnendedEvent,  // Of the first event of a stream.
   kUnendedLines,  // The same in short lines, each byte in a chunk of its own.
+  // Runs, then sends its head without the blank line, and ends the connection:
+  kCutHead,  // In order.
+  kCutHeadByReset,
 };
 inline constexpr UpstreamFault kLastUpstreamFault =
     UpstreamFault::kCutBetweenEvents;
@@ -216,6 +219,10 @@
   void CutUnframed(http1::ServerConnection& connection,
                    const std::string& request,
                    const std::string& body);
+  // Sends a head of 200 without its last line, then ends the connection.
+  void CutHead(http1::ServerConnection& connection,
+               const std::string& request,
+               size_t body_bytes);
   // Sends `piece` again and again until the connection ends.
   void SendForever(http1::ServerConnection& connection,
                    const std::string& piece);
