--- a/jackdawshunt/board/engine_monitor_test.cc
+++ b/jackdawshunt/board/engine_monitor_test.cc
@@ -37,7 +37,10 @@
                  const http1::RequestHead& head,
                  std::string& /*body*/) override {
     targets.push_back(head.target);
-    if (!is_silent) {
+    if (!cut_response.empty()) {
+      connection.WriteRaw(cut_response);
+      connection.Yield();
+    } else if (!is_silent) {
       connection.Reply({.status = status}, body, closes);
     }
   }
@@ -54,6 +57,7 @@
   std::string body = kReport;
   bool closes = false;
   bool is_silent = false;
+  std::string cut_response;  // Sent instead, before the connection closes.
   size_t accepted = 0;
   std::vector<std::string> targets;
 
@@ -127,6 +131,17 @@
   EXPECT_TRUE(RunUntilReports(2));
 }
 
+// Guards against a report that is read from a response whose head was cut.
+TEST_F(EngineMonitorTest, HeadThatWasCutIsAFailure) {
+  engine_.cut_response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+  monitor_.Start();
+  ASSERT_TRUE(
+      loop_.RunUntil([&] { return monitor_.failures() > 0; }, seconds(20)));
+  EXPECT_TRUE(reports_.empty());
+  engine_.cut_response.clear();
+  EXPECT_TRUE(RunUntilReports(1));
+}
+
 // Guards against a report with cut or foreign content that is merged.
 TEST_F(EngineMonitorTest, UnreadableReportIsAFailure) {
   engine_.body = R"({"queueDepth": )";
