Give up an answer of the store that exceeds the limit

What would be seen: a list of more than 8 MiB was read with a gap, and could be taken for a whole one: records whose text lies in the gap are missing, so upstreams, routes and keys are taken for removed. An answer without end was read until the call's time limit.

Cause: RecordSource dropped each piece of the body that did not fit, and kept later ones that were smaller. JSON whose gap lies inside a string is still readable. Found by reading, when looking for other short bodies that look whole.

Change: the call fails as unavailable at the first byte beyond the limit, and the connection is closed.

Test: RecordSourceTest.AnswerBeyondTheLimitIsReadWithAGap got an OK list and waited for the rest before; passes. The board's monitor of engines already counts a report beyond its limit as a failure.

--- a/jackdawshunt/platform/record_source.cc
+++ b/jackdawshunt/platform/record_source.cc
@@ -56,9 +56,13 @@
     era = DecodeStoreEra(head);
   }
   void OnBody(std::string_view data) override {
-    if (body.size() + data.size() <= kMaxAnswerBytes) {
-      body.append(data);
+    if (body.size() + data.size() > kMaxAnswerBytes) {
+      connection->CancelRequest();
+      Finish(absl::UnavailableError(absl::StrCat("the store's answer exceeds ",
+                                                 kMaxAnswerBytes, " bytes")));
+      return;
     }
+    body.append(data);
   }
   void OnEnd() override {
     if (status == kHttpGone) {
