--- a/jackdawshunt/platform/record_source_test.cc
+++ b/jackdawshunt/platform/record_source_test.cc
@@ -168,6 +168,25 @@
   EXPECT_TRUE(absl::IsUnavailable(result_->status())) << result_->status();
 }
 
+// Guards against a list that is taken from a head or body that was cut.
+TEST_F(RecordSourceTest, AnswerThatWasCutIsAList) {
+  const std::string body =
+      R"({"items":[{"metadata":{"name":"a"}}],"hasMore":false,)"
+      R"("storeRevision":5})";
+  const std::string answer =
+      http1::Serialize({.status = 200, .headers = {}},
+                       http1::BodyFraming::Length(body.size())) +
+      body;
+  for (size_t size = 0; size < answer.size(); ++size) {
+    List();
+    AwaitCalls(size + 1);
+    calls_.back()->WriteRaw(answer.substr(0, size));
+    calls_.back()->Yield();
+    AwaitResult();
+    EXPECT_TRUE(absl::IsUnavailable(result_->status())) << size;
+  }
+}
+
 // Guards against calls without end: the store does not know a name whose bytes
 // were not readable.
 TEST_F(RecordSourceTest, ListThatDoesNotAdvanceIsAnError) {
