Bound what http::Client receives without parsing it

What would be seen: on the product's own interface, an upstream that sends the size of a chunk without end, "1;xxx...", takes processor time that grows with the square of its bytes: 0.07, 1.2 and 22 s for 4, 16 and 64 MB (one run of a program with the client alone), and all of it is kept in memory. A chunk that announces 2^47 bytes is kept whole, too.

Cause: evhttp reads a chunk's size with evbuffer_readln(), which starts anew each time, has no limit for that line, and gives a chunk on only when it is complete.

Change: a call fails once more than 8 MiB wait to be parsed. Bodies with a length are taken as they arrive and are not affected; larger chunks are refused now.

Test: HttpTest.ChunkWithoutEndIsReadOn had no end in 20 s for both before; passes, as do all 22 tests of http_test, three times.

Ruled out: following evhttp's state from outside, to limit the line alone, since nothing tells it; the client on http1::ResponseParser, which has no such line, is the better way and larger than this fix.

--- a/jackdawshunt/http/client.cc
+++ b/jackdawshunt/http/client.cc
@@ -19,6 +19,9 @@
 constexpr size_t kMaxResponseHeaderBytes = size_t{64} * 1024;
 // Limit for a response that is not streamed.
 constexpr size_t kMaxResponseBodyBytes = size_t{64} * 1024 * 1024;
+// Limit for bytes that evhttp has received and cannot parse yet: a chunk, or
+// its size with extensions, which evhttp searches again for each further piece.
+constexpr size_t kMaxUnparsedBytes = size_t{8} * 1024 * 1024;
 // evhttp limits the time of each read and write, and the limits cannot be
 // disabled. The time limit of a call is a separate timer.
 constexpr int kNoLimitSeconds = 365 * 24 * 3600;
@@ -59,6 +62,8 @@
   void HandleResponse(evhttp_request* request);
   // Records that evhttp has taken bytes from the output.
   void HandleOutputTaken();
+  // Ends the call if evhttp has received too many bytes without parsing them.
+  void HandleInputAdded();
   void Finish(absl::StatusOr<Response> result);
   void ScheduleDelivery();
   void Deliver();
@@ -106,6 +111,14 @@
         }
       },
       this);
+  evbuffer_add_cb(
+      bufferevent_get_input(evhttp_connection_get_bufferevent(connection_)),
+      [](evbuffer*, const evbuffer_cb_info* info, void* self) {
+        if (info->n_added > 0) {
+          static_cast<CallState*>(self)->HandleInputAdded();
+        }
+      },
+      this);
   evhttp_request* const call = evhttp_request_new(
       [](evhttp_request* response, void* self) {
         static_cast<CallState*>(self)->HandleResponse(response);
@@ -170,6 +183,20 @@
   }
 }
 
+void CallState::HandleInputAdded() {
+  if (connection_ == nullptr || result_.has_value()) {
+    return;
+  }
+  bufferevent* const transport = evhttp_connection_get_bufferevent(connection_);
+  if (evbuffer_get_length(bufferevent_get_input(transport)) >
+      kMaxUnparsedBytes) {
+    bufferevent_disable(transport, EV_READ);
+    Finish(absl::AbortedError(absl::StrCat("a chunk of the response from ",
+                                           target_, " exceeds ",
+                                           kMaxUnparsedBytes, " bytes")));
+  }
+}
+
 void CallState::HandleResponse(evhttp_request* request) {
   if (request == nullptr) {
     Finish(absl::AbortedError(
--- a/jackdawshunt/http/client.h
+++ b/jackdawshunt/http/client.h
@@ -28,7 +28,8 @@
   std::function<void(const Response& head, std::string_view part)> on_chunk;
   // Called exactly once, unless the Call is destroyed before. Errors:
   // - Unavailable: the connection was refused; no part of the request was sent.
-  // - Aborted: the connection broke after the request may have been sent.
+  // - Aborted: the connection broke after the request may have been sent, or a
+  //   chunk of the response, with its size, exceeds 8 MiB.
   // - DeadlineExceeded: the time limit passed.
   // - InvalidArgument: the method is unknown.
   std::function<void(absl::StatusOr<Response>)> on_done;
--- a/jackdawshunt/http/http_test.cc
+++ b/jackdawshunt/http/http_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <list>
 #include <memory>
@@ -408,11 +409,11 @@
   EXPECT_EQ(response->status, 413);
 }
 
-// A server that answers each request with the same bytes while it arrives, then
-// ends the connection.
+// A server that answers a request with the same bytes while it arrives, then
+// ends the connection, or keeps it open.
 class RawServer {
  public:
-  enum class End { kReset, kInOrder };
+  enum class End { kReset, kInOrder, kNone };
 
   RawServer(kernel::EventLoop& loop, std::string answer, End end)
       : answer_(std::move(answer)),
@@ -451,12 +452,13 @@
     if (connection_ < 0) {
       connection_ = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
     } else if (!has_answered_) {
-      has_answered_ = true;
-      EXPECT_EQ(write(connection_, answer_.data(), answer_.size()),
-                static_cast<ssize_t>(answer_.size()));
+      const ssize_t count = send(connection_, answer_.data() + sent_,
+                                 answer_.size() - sent_, MSG_NOSIGNAL);
+      sent_ += static_cast<size_t>(std::max<ssize_t>(count, 0));
+      has_answered_ = sent_ == answer_.size();
     } else if (end_ == End::kInOrder) {
       shutdown(connection_, SHUT_WR);
-    } else {
+    } else if (end_ == End::kReset) {
       const linger now{.l_onoff = 1, .l_linger = 0};
       setsockopt(connection_, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
       close(std::exchange(connection_, -1));
@@ -468,6 +470,7 @@
   const End end_;
   const int listener_;
   int connection_ = -1;
+  size_t sent_ = 0;  // Bytes of the answer.
   bool has_answered_ = false;
   uint16_t port_ = 0;
   kernel::Timer timer_;
@@ -536,6 +539,24 @@
   }
 }
 
+// Guards against a chunk's size without end, of which all is kept and searched
+// again for each piece, and against a chunk that never ends.
+TEST_F(HttpTest, ChunkWithoutEndIsReadOn) {
+  for (const std::string chunk : {"1;", "7fffffffffff\r\n"}) {
+    const RawServer server(
+        loop_,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk +
+            std::string(size_t{9} * 1024 * 1024, 'x'),
+        RawServer::End::kNone);
+    address_ = server.address();
+    CallOptions options;
+    options.on_chunk = [](const Response&, std::string_view) {};
+    EXPECT_EQ(Fetch({}, std::move(options)).status().code(),
+              absl::StatusCode::kAborted)
+        << chunk;
+  }
+}
+
 // Guards against a request that was sent and counts as not sent, so that it is
 // repeated: the status 0 stands for a connection that was not established.
 TEST_F(HttpTest, StatusZeroIsALostResponse) {
