Bound what http::Server receives without parsing it

What would be seen: any client of an entry takes its processor and memory with a chunk's size without end, or a chunk that is not followed by a line end: 0.07, 1.0 and 19.6 s for 4, 16 and 64 MB, all of it kept (one run of a program with the server alone). The limit of bodies does not count these bytes.

Cause: as in the client, evhttp searches the line again for each piece.

Change: the connection is shut down, and a line logged, once more than 8 MiB wait to be parsed; evhttp then closes it. No page is sent, as evhttp would drop it.

Test: HttpLimitTest.ChunkWithoutEndIsReadOn, for both, was still read after 20 s before; passes, as do all 23 tests of http_test, three times.

Ruled out: a watermark, which stops reading and with it the notice that the client has left. Gateways do not use this server; http1::RequestParser has no such line.

--- a/jackdawshunt/http/client.cc
+++ b/jackdawshunt/http/client.cc
@@ -189,11 +189,11 @@
   }
   bufferevent* const transport = evhttp_connection_get_bufferevent(connection_);
   if (evbuffer_get_length(bufferevent_get_input(transport)) >
-      kMaxUnparsedBytes) {
+      internal::kMaxUnparsedBytes) {
     bufferevent_disable(transport, EV_READ);
-    Finish(absl::AbortedError(absl::StrCat("a chunk of the response from ",
-                                           target_, " exceeds ",
-                                           kMaxUnparsedBytes, " bytes")));
+    Finish(absl::AbortedError(
+        absl::StrCat("a chunk of the response from ", target_, " exceeds ",
+                     internal::kMaxUnparsedBytes, " bytes")));
   }
 }
 
--- a/jackdawshunt/http/http_test.cc
+++ b/jackdawshunt/http/http_test.cc
@@ -400,6 +400,18 @@
   EXPECT_EQ(server_.open_exchanges(), 0);
 }
 
+// Guards against a chunk's size or end that is awaited without end, of which
+// all is kept and searched again for each piece.
+TEST_F(HttpLimitTest, ChunkWithoutEndIsReadOn) {
+  for (const std::string chunk : {"1;", "1\r\n"}) {
+    EXPECT_EQ(SendRaw("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                      chunk + std::string(size_t{12} * 1024 * 1024, 'x')),
+              "");
+  }
+  EXPECT_EQ(handled_count_, 0);
+  EXPECT_EQ(server_.open_exchanges(), 0);
+}
+
 // Guards against the loss of an error reply that the server sends before it has
 // read the whole upload.
 TEST_F(HttpLimitTest, ClientReceivesErrorReplyDuringUpload) {
--- a/jackdawshunt/http/internal/evhttp_util.h
+++ b/jackdawshunt/http/internal/evhttp_util.h
@@ -9,6 +9,7 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,6 +18,10 @@
 
 namespace jackdawshunt::http::internal {
 
+// Limit for bytes that evhttp has received and cannot parse yet: a chunk, or
+// its size with extensions, which evhttp searches again for each further piece.
+inline constexpr size_t kMaxUnparsedBytes = size_t{8} * 1024 * 1024;
+
 // Returns a copy of evhttp's list of headers.
 Headers CopyHeaders(const evkeyvalq* list);
 
--- a/jackdawshunt/http/server.cc
+++ b/jackdawshunt/http/server.cc
@@ -79,6 +79,25 @@
   std::function<void()> on_closed_;
 };
 
+// Ends the connection once evhttp has received too many bytes without parsing
+// them.
+void LimitUnparsed(bufferevent* transport) {
+  evbuffer_add_cb(
+      bufferevent_get_input(transport),
+      [](evbuffer* input, const evbuffer_cb_info* info, void* connection) {
+        const size_t size = evbuffer_get_length(input);
+        if (size > internal::kMaxUnparsedBytes &&
+            info->orig_size <= internal::kMaxUnparsedBytes) {
+          base::Log(base::LogLevel::kInfo, "request_refused",
+                    {{"unparsed_bytes", size}});
+          // evhttp closes the connection when it reads the end.
+          shutdown(bufferevent_getfd(static_cast<bufferevent*>(connection)),
+                   SHUT_RDWR);
+        }
+      },
+      transport);
+}
+
 Request CopyRequest(evhttp_request* request) {
   Request copy;
   copy.method = internal::MethodName(evhttp_request_get_command(request));
@@ -357,7 +376,10 @@
   evhttp_set_bevcb(
       http,
       [](event_base* base, void* self) {
-        return static_cast<Impl*>(self)->error_pages.NewTransport(base);
+        bufferevent* const transport =
+            static_cast<Impl*>(self)->error_pages.NewTransport(base);
+        LimitUnparsed(transport);
+        return transport;
       },
       this);
   evhttp_set_gencb(
