Take no interim response for the whole one in http::Client

What callers saw: on the product's own interface, a service that sends 102 or 103 before its response has its call completed with that status and an empty body.

Cause: evhttp continues after 100 only; it ends a call at any other status below 200. Found when cutting responses after interim ones.

Change: such a call is aborted; whether the request ran is unknown. 100 goes on.

Gateways read responses with http1::ResponseParser, which skips interim ones.

Ruled out: reading on for the final response, since evhttp drops it.

--- a/jackdawshunt/http/client.cc
+++ b/jackdawshunt/http/client.cc
@@ -22,6 +22,7 @@
 // Limit for bytes that evhttp has received and cannot parse yet: a chunk, or
 // its size with extensions, which evhttp searches again for each further piece.
 constexpr size_t kMaxUnparsedBytes = size_t{8} * 1024 * 1024;
+constexpr int kMinFinalStatus = 200;
 // evhttp limits the time of each read and write, and the limits cannot be
 // disabled. The time limit of a call is a separate timer.
 constexpr int kNoLimitSeconds = 365 * 24 * 3600;
@@ -208,6 +209,12 @@
     Finish(absl::UnavailableError(absl::StrCat("cannot connect to ", target_)));
     return;
   }
+  if (status < kMinFinalStatus) {
+    // evhttp drops what follows.
+    Finish(absl::AbortedError(
+        absl::StrCat(target_, " sent the interim response ", status)));
+    return;
+  }
   Response response;
   response.status = status;
   response.headers =
--- a/jackdawshunt/http/client.h
+++ b/jackdawshunt/http/client.h
@@ -28,8 +28,9 @@
   std::function<void(const Response& head, std::string_view part)> on_chunk;
   // Called exactly once, unless the Call is destroyed before. Errors:
   // - Unavailable: the connection was refused; no part of the request was sent.
-  // - Aborted: the connection broke after the request may have been sent, or a
-  //   chunk of the response, with its size, exceeds 8 MiB.
+  // - Aborted: the connection broke after the request may have been sent, a
+  //   chunk of the response, with its size, exceeds 8 MiB, or an interim
+  //   response other than 100 came first, which the client does not support.
   // - DeadlineExceeded: the time limit passed.
   // - InvalidArgument: the method is unknown.
   std::function<void(absl::StatusOr<Response>)> on_done;
--- a/jackdawshunt/http/http_test.cc
+++ b/jackdawshunt/http/http_test.cc
@@ -580,6 +580,27 @@
             absl::StatusCode::kAborted);
 }
 
+// Guards against an interim response that is taken for the whole one.
+TEST_F(HttpTest, InterimResponseCompletesTheCall) {
+  for (const int status : {101, 102, 103, 199}) {
+    const RawServer server(
+        loop_,
+        "HTTP/1.1 " + std::to_string(status) +
+            " Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        RawServer::End::kInOrder);
+    address_ = server.address();
+    EXPECT_EQ(Fetch({}).status().code(), absl::StatusCode::kAborted) << status;
+  }
+  const RawServer server(loop_,
+                         "HTTP/1.1 100 Continue\r\n\r\n"
+                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                         RawServer::End::kInOrder);
+  address_ = server.address();
+  const auto response = Fetch({});
+  ASSERT_TRUE(response.ok()) << response.status();
+  EXPECT_EQ(response->body, "ok");
+}
+
 TEST_F(HttpLimitTest, MalformedRequestGets400) {
   for (const char* const text :
        {"nonsense\r\n\r\n", "GET / HTTP/1.1\r\nno colon\r\n\r\n",
