Take a status line that HTTP does not allow for a malformed response

Cause: http_parser reads any number of digits and blanks and does not tell how many there were.

Change: ResponseParser compares the first 13 bytes of each head with the grammar before http_parser sees them. It stops behind each interim response, so that the next head is known to begin there.

Tests: ResponseParserTest.StatusThatHasNoThreeDigitsIsInvalid, 13 lines, at each split, alone and after an interim response: three lines were accepted before; passes. StatusLineWithoutReasonIsInvalid holds unusual heads that stay valid (passed before, too).

Ruled out: counting digits by http_parser's position, which its callbacks do not state. http::Client reads status lines with evhttp and was not changed.

--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -20,12 +20,31 @@
 constexpr int kMaxInterimResponses = 32;
 constexpr size_t kMinBodyCapacity = 1024;
 constexpr size_t kBodyGrowthDivisor = 4;
+// The beginning of a head. '#' stands for a digit, '~' for a blank or the end
+// of the line. http_parser also accepts more digits and blanks.
+constexpr std::string_view kStatusLine = "HTTP/1.# ###~";
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
 // Responses without a body.
 constexpr int kHttpNoContent = 204;
 constexpr int kHttpNotModified = 304;
 
+bool IsLineEnd(char c) {
+  return c == '\r' || c == '\n';
+}
+
+// Returns whether `c` may stand in place of `expected` in kStatusLine.
+bool MatchesStatusLine(char expected, char c) {
+  switch (expected) {
+    case '#':
+      return absl::ascii_isdigit(static_cast<unsigned char>(c));
+    case '~':
+      return c == ' ' || IsLineEnd(c);
+    default:
+      return c == expected;
+  }
+}
+
 template <typename Owner>
 Owner& OwnerOf(http_parser* parser) {
   return *static_cast<Owner*>(parser->data);
@@ -291,6 +310,7 @@
     state = ParseState::kStart;
     collector.Clear();
     head_bytes = 0;
+    status_line_bytes = 0;
     keep_alive = false;
     to_head_request = is_to_head_request;
     is_informational = false;
@@ -299,6 +319,24 @@
     is_unframed = false;
   }
 
+  // Compares `data`, the next bytes of the head, with kStatusLine and returns
+  // the number of bytes that may begin a head.
+  size_t MatchStatusLine(std::string_view data) {
+    size_t matched = 0;
+    while (matched < data.size() && status_line_bytes < kStatusLine.size()) {
+      const char next = data[matched];
+      const bool is_blank_line = status_line_bytes == 0 && IsLineEnd(next);
+      if (!is_blank_line) {
+        if (!MatchesStatusLine(kStatusLine[status_line_bytes], next)) {
+          return matched;
+        }
+        ++status_line_bytes;
+      }
+      ++matched;
+    }
+    return data.size();
+  }
+
   int FinishHead() {
     ResponseHead head;
     head.status = static_cast<int>(parser.status_code);
@@ -325,6 +363,37 @@
     return to_head_request ? 1 : 0;
   }
 
+  // Parses `data`, which is not empty, up to the end of a message. Returns the
+  // number of bytes consumed.
+  size_t FeedPart(std::string_view data) {
+    const bool in_head = state != ParseState::kBody;
+    if (in_head) {
+      const size_t matched = MatchStatusLine(data);
+      if (matched < data.size()) {
+        state = ParseState::kInvalid;
+        return matched;
+      }
+    }
+    const size_t consumed =
+        http_parser_execute(&parser, &Settings(), data.data(), data.size());
+    if (state == ParseState::kComplete) {
+      return consumed;
+    }
+    if (HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED) {
+      http_parser_pause(&parser, 0);
+    } else if (HTTP_PARSER_ERRNO(&parser) != HPE_OK) {
+      state = ParseState::kInvalid;
+    }
+    if (in_head && state != ParseState::kBody) {
+      head_bytes += consumed;
+      if (head_bytes > kMaxResponseHeadBytes ||
+          collector.memory_bytes() > kMaxResponseHeadBytes) {
+        state = ParseState::kInvalid;
+      }
+    }
+    return consumed;
+  }
+
   static http_parser_settings MakeSettings() {
     http_parser_settings settings;
     http_parser_settings_init(&settings);
@@ -338,13 +407,15 @@
     };
     settings.on_message_complete = [](http_parser* parser) {
       Impl& self = OwnerOf<Impl>(parser);
+      // Stops behind the message, where the next head begins.
+      http_parser_pause(parser, 1);
       if (self.is_informational) {
         self.state = ParseState::kStart;
+        self.status_line_bytes = 0;
         return 0;
       }
       self.keep_alive = http_should_keep_alive(parser) != 0;
       self.state = ParseState::kComplete;
-      http_parser_pause(parser, 1);
       return 0;
     };
     return settings;
@@ -360,6 +431,7 @@
   HeaderCollector collector;
   ResponseSink* sink = nullptr;
   size_t head_bytes = 0;
+  size_t status_line_bytes = 0;  // That match kStatusLine.
   bool keep_alive = false;
   bool to_head_request = false;
   bool is_informational = false;
@@ -373,26 +445,15 @@
 
 size_t ResponseParser::Feed(std::string_view data, ResponseSink& sink) {
   Impl& self = *impl_;
-  if (self.state == ParseState::kComplete ||
-      self.state == ParseState::kInvalid || data.empty()) {
+  if (self.state == ParseState::kComplete) {
     return 0;
   }
   self.sink = &sink;
-  const bool in_head = self.state != ParseState::kBody;
-  const size_t consumed = http_parser_execute(&self.parser, &Impl::Settings(),
-                                              data.data(), data.size());
-  if (self.state == ParseState::kComplete) {
-    return consumed;
-  }
-  if (HTTP_PARSER_ERRNO(&self.parser) != HPE_OK) {
-    self.state = ParseState::kInvalid;
-  }
-  if (in_head && self.state != ParseState::kBody) {
-    self.head_bytes += consumed;
-    if (self.head_bytes > kMaxResponseHeadBytes ||
-        self.collector.memory_bytes() > kMaxResponseHeadBytes) {
-      self.state = ParseState::kInvalid;
-    }
+  size_t consumed = 0;
+  // Each interim response ends a part.
+  while (self.state != ParseState::kComplete &&
+         self.state != ParseState::kInvalid && consumed < data.size()) {
+    consumed += self.FeedPart(data.substr(consumed));
   }
   return consumed;
 }
--- a/jackdawshunt/http1/parser_test.cc
+++ b/jackdawshunt/http1/parser_test.cc
@@ -185,6 +185,51 @@
   }
 }
 
+// Guards against a status line that is not one of HTTP and whose response is
+// passed on, wherever reads split it, also after an interim response.
+TEST(ResponseParserTest, StatusThatHasNoThreeDigitsIsInvalid) {
+  for (const char* const line :
+       {"HTTP/1.1 0200 OK", "HTTP/1.1 00200 OK", "HTTP/1.1  200 OK",
+        "HTTP/1.1 200\tOK", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK",
+        "HTTP/1.1 2x0 OK", "HTTP/1.1 +200 OK", "HTTP/1.1\t200 OK",
+        "HTTP/1.01 200 OK", "HTTP/01.1 200 OK", "HTTP/2.0 200 OK",
+        "http/1.1 200 OK"}) {
+    for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+      const std::string text =
+          before + line + "\r\nContent-Length: 3\r\n\r\nabc";
+      for (size_t cut = 0; cut < text.size(); ++cut) {
+        ResponseParser parser;
+        CollectedResponse sink;
+        sink.head.status = 0;
+        parser.Feed(text.substr(0, cut), sink);
+        parser.Feed(text.substr(cut), sink);
+        EXPECT_EQ(parser.state(), ParseState::kInvalid) << text;
+        EXPECT_EQ(sink.head.status, 0) << text;
+      }
+    }
+  }
+}
+
+// Guards against the loss of heads that are unusual and valid.
+TEST(ResponseParserTest, StatusLineWithoutReasonIsInvalid) {
+  for (const std::string line :
+       {"HTTP/1.1 200\r\n", "HTTP/1.1 200 \r\n", "HTTP/1.1 200\n",
+        "\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n"}) {
+    for (const std::string before :
+         {"", "HTTP/1.1 103 Early\r\nA: b\r\n\r\n"}) {
+      const std::string text = before + line + "Content-Length: 3\r\n\r\nabc";
+      for (size_t cut = 0; cut < text.size(); ++cut) {
+        ResponseParser parser;
+        CollectedResponse sink;
+        EXPECT_EQ(parser.Feed(text.substr(0, cut), sink), cut);
+        EXPECT_EQ(parser.Feed(text.substr(cut), sink), text.size() - cut);
+        EXPECT_EQ(parser.state(), ParseState::kComplete) << text << cut;
+        EXPECT_EQ(sink.body, "abc");
+      }
+    }
+  }
+}
+
 // Guards against an upstream that takes an instance's memory by heads: many
 // short fields take far more of it than their text.
 TEST(ResponseParserTest, HeadOfManyShortFieldsIsInvalid) {
