Read the id of a large event also where a piece of the event ends

Cause: a piece that ended inside the line of the id, or just before that line's end, was read up to its last whole line only, and the rest of the line was then skipped as one whose beginning is not known. An id that does not increase was missed in the same way.

Change: the splitter keeps the first 128 bytes of the line in which a piece ended and reads the line once it is complete. After an event out of order nothing more is split, since that would read the line a second time.

Tests: EventSplitterTest.MissesAnIdThatIsCut, two cuts at all places in and around the line, and MissesThatACutIdDoesNotIncrease failed before; all 745 tests of gateway_test pass.

Ruled out: holding the line back until it is complete, which would change what is returned when there is no memory.

--- a/jackdawshunt/gateway/event_splitter.cc
+++ b/jackdawshunt/gateway/event_splitter.cc
@@ -64,7 +64,7 @@
     returned_bytes_ = end;
     end = FindEventEnd(buffer_, returned_bytes_);
   }
-  if (buffer_.size() - returned_bytes_ > max_event_bytes_) {
+  if (!is_out_of_order_ && partial().size() > max_event_bytes_) {
     SplitEvent();
   }
   if (is_out_of_order_) {
@@ -88,14 +88,13 @@
   if (piece.empty()) {
     return;
   }
-  if (ApplyEvent(piece.substr(0, piece.rfind('\n') + 1))) {
+  if (ApplyEvent(piece)) {
     returned_bytes_ += piece.size();
     has_split_event_ = true;
   }
 }
 
 bool EventSplitter::ApplyEvent(std::string_view event) {
-  constexpr std::string_view kField = "id:";
   // No field of an event begins like this.
   constexpr std::string_view kStatusLine = "HTTP/1.";
   if (!has_split_event_ && event.starts_with(kStatusLine)) {
@@ -103,32 +102,49 @@
     return false;
   }
   const std::optional<uint64_t> previous = last_event_id_;
-  // After a split, the first line is the rest of one.
-  size_t start = has_split_event_ ? event.find('\n') : 0;
-  while (start < event.size()) {
-    const size_t end = event.find('\n', start);
-    std::string_view line = event.substr(start, end - start);
-    if (line.starts_with(kField)) {
-      line.remove_prefix(kField.size());
-      while (line.starts_with(' ')) {
-        line.remove_prefix(1);
-      }
-      uint64_t id = 0;
-      const auto result =
-          std::from_chars(line.data(), line.data() + line.size(), id);
-      if (result.ec == std::errc()) {
-        if (previous.has_value() && id <= *previous) {
-          is_out_of_order_ = true;
-          return false;
-        }
-        last_event_id_ = id;
-      }
-    }
+  while (true) {
+    const size_t end = event.find('\n');
+    const std::string_view line = event.substr(0, end);
     if (end == std::string_view::npos) {
-      break;
+      split_line_.append(line, 0, kMaxIdLineBytes - split_line_.size());
+      return true;
+    }
+    bool is_in_order = false;
+    if (split_line_.empty()) {
+      is_in_order = ApplyLine(line, previous);
+    } else {
+      split_line_.append(line, 0, kMaxIdLineBytes - split_line_.size());
+      is_in_order = ApplyLine(split_line_, previous);
+      split_line_.clear();
     }
-    start = end + 1;
+    if (!is_in_order) {
+      return false;
+    }
+    event.remove_prefix(end + 1);
+  }
+}
+
+bool EventSplitter::ApplyLine(std::string_view line,
+                              std::optional<uint64_t> previous) {
+  constexpr std::string_view kField = "id:";
+  if (!line.starts_with(kField)) {
+    return true;
+  }
+  line.remove_prefix(kField.size());
+  while (line.starts_with(' ')) {
+    line.remove_prefix(1);
+  }
+  uint64_t id = 0;
+  const auto result =
+      std::from_chars(line.data(), line.data() + line.size(), id);
+  if (result.ec != std::errc()) {
+    return true;
+  }
+  if (previous.has_value() && id <= *previous) {
+    is_out_of_order_ = true;
+    return false;
   }
+  last_event_id_ = id;
   return true;
 }
 
--- a/jackdawshunt/gateway/event_splitter.h
+++ b/jackdawshunt/gateway/event_splitter.h
@@ -33,8 +33,7 @@
 
   // Releases the memory of what the last call of Feed() returned.
   void ReleaseReturned();
-  // Keeps no incomplete event from the next call on. The id of one that is
-  // returned in pieces may be missed.
+  // Keeps no incomplete event from the next call on.
   void StopKeeping() { max_event_bytes_ = 0; }
 
   // Returns whether the bytes so far end inside an event.
@@ -59,6 +58,8 @@
 
  private:
   static constexpr size_t kMaxEventBytes = size_t{256} * 1024;
+  // Bytes of a line that are enough to read its id.
+  static constexpr size_t kMaxIdLineBytes = 128;
 
   // Returns a piece of the event at the end of `buffer_` with what the current
   // call returns.
@@ -67,6 +68,8 @@
   // higher than those of earlier events. Sets `is_out_of_order_` and returns
   // false if it is not higher, or if the event is the head of an answer.
   bool ApplyEvent(std::string_view event);
+  // Does the same for one line; `previous` is the id of the event before.
+  bool ApplyLine(std::string_view line, std::optional<uint64_t> previous);
 
   size_t max_event_bytes_ = kMaxEventBytes;
   std::string buffer_;
@@ -75,6 +78,8 @@
   size_t searched_bytes_ = 0;  // Leading bytes of the incomplete event in which
                                // its end does not begin.
   bool has_split_event_ = false;
+  // The beginning of the line in which the last piece of an event ended.
+  std::string split_line_;
   bool is_out_of_order_ = false;
   std::optional<uint64_t> last_event_id_;
   uint64_t event_count_ = 0;
--- a/jackdawshunt/gateway/event_splitter_test.cc
+++ b/jackdawshunt/gateway/event_splitter_test.cc
@@ -96,6 +96,37 @@
   EXPECT_TRUE(splitter.is_out_of_order());
 }
 
+// Guards against an event that a caller gets twice, since its id was missed: a
+// piece of the event ended inside the line of the id, or behind it.
+TEST(EventSplitterTest, MissesAnIdThatIsCut) {
+  const std::string start = "data: " + std::string(size_t{257} * 1024, 'x');
+  for (const std::string line : {"\nid: 2\n", "\r\nid: 2\r\n", "\nid:2\n"}) {
+    for (size_t first = 0; first <= line.size(); ++first) {
+      for (size_t second = first; second <= line.size(); ++second) {
+        EventSplitter splitter;
+        std::string out(splitter.Feed("id: 1\n\n" + start));
+        splitter.StopKeeping();
+        out.append(splitter.Feed(line.substr(0, first)));
+        out.append(splitter.Feed(line.substr(first, second - first)));
+        out.append(splitter.Feed(line.substr(second) + "data: y\n\n"));
+        EXPECT_EQ(out, "id: 1\n\n" + start + line + "data: y\n\n");
+        EXPECT_EQ(splitter.last_event_id(), 2u) << first << " " << second;
+        EXPECT_EQ(splitter.event_count(), 2u);
+      }
+    }
+  }
+}
+
+// Guards against an event of a second run, whose id is not seen to be that of
+// an earlier event because it was cut.
+TEST(EventSplitterTest, MissesThatACutIdDoesNotIncrease) {
+  EventSplitter splitter(/*last_event_id=*/2);
+  splitter.StopKeeping();
+  EXPECT_EQ(splitter.Feed("data: x\ni"), "data: x\ni");
+  EXPECT_EQ(splitter.Feed("d: 2\n\n"), "");
+  EXPECT_TRUE(splitter.is_out_of_order());
+}
+
 // Guards against a large event whose end is not seen, because it was cut there.
 TEST(EventSplitterTest, SeesTheEndOfALargeEventInTwoPieces) {
   for (const std::string end : {"\n\n", "\r\n\r\n"}) {
