Reject a head that consists of too many blank lines

Cause: RequestParser::FeedPart() checks the size of a head only once its first line has begun. http_parser skips blank lines before that, so head_bytes passes the limit, each further part is empty, and Feed() makes no progress.

Ruled out: an error whenever a part consumes nothing, which would end the loop and leave blank lines without a limit.

--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -188,7 +188,10 @@
     }
     if (in_head) {
       head_bytes += consumed;
-      if (state == ParseState::kHead && head_bytes > limits.header_bytes) {
+      // The blank lines before a request count, too.
+      const bool is_incomplete =
+          state == ParseState::kStart || state == ParseState::kHead;
+      if (is_incomplete && head_bytes > limits.header_bytes) {
         Fail(ParseError::kHeadTooLarge);
       } else if (state == ParseState::kHead && may_hold &&
                  !may_hold(held_bytes())) {
--- a/jackdawshunt/http1/parser_test.cc
+++ b/jackdawshunt/http1/parser_test.cc
@@ -1,8 +1,12 @@
 #include "jackdawshunt/http1/parser.h"
 
 #include <string>
+#include <vector>
 
 #include "gtest/gtest.h"
+#include "rapidcheck.h"
+// rapidcheck/gtest.h needs the two headers before it.
+#include "rapidcheck/gtest.h"
 
 namespace jackdawshunt::http1 {
 namespace {
@@ -57,6 +61,90 @@
   EXPECT_EQ(parser.body(), "abcde");
 }
 
+// Guards against blank lines before a request that a parser skips without end,
+// or that make it loop at the limit of the head.
+TEST(RequestParserTest, BlankLinesBeforeARequestAreReadWithoutEnd) {
+  constexpr size_t kLimit = 1024;
+  for (const std::string_view line : {"\n", "\r\n"}) {
+    for (const size_t piece_lines : {size_t{1}, kLimit / 2, 4 * kLimit}) {
+      std::string piece;
+      for (size_t i = 0; i < piece_lines; ++i) {
+        piece.append(line);
+      }
+      RequestParser parser({.header_bytes = kLimit});
+      size_t consumed = 0;
+      while (parser.state() == ParseState::kStart && consumed < 4 * kLimit) {
+        consumed += parser.Feed(piece);
+      }
+      EXPECT_EQ(parser.state(), ParseState::kInvalid) << piece_lines;
+      EXPECT_EQ(parser.error(), ParseError::kHeadTooLarge);
+    }
+  }
+  EXPECT_EQ(StateAfter("\r\n\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+            ParseState::kComplete);
+}
+
+// Returns bytes that are near a message, with pieces repeated often.
+std::string ArbitraryBytes() {
+  std::string text;
+  const auto count = *rc::gen::inRange<size_t>(1, 8);
+  for (size_t i = 0; i < count; ++i) {
+    const auto piece = *rc::gen::oneOf(
+        rc::gen::arbitrary<std::string>(),
+        rc::gen::element<std::string>(
+            "\r", "\n", "\r\n", "\r\n\r\n", " ", "x", "GET / HTTP/1.1\r\n",
+            "POST / HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\n",
+            "HTTP/1.1 100 Continue\r\n\r\n", "A: b\r\n", ":",
+            "Transfer-Encoding: chunked\r\n", "Content-Length: 3\r\n",
+            "1\r\nx\r\n", "1;x", "0\r\n"));
+    const auto copies = *rc::gen::element<size_t>(1, 1, 2, 40, 300);
+    for (size_t copy = 0; copy < copies; ++copy) {
+      text.append(piece);
+    }
+  }
+  return text;
+}
+
+// Guards against bytes at which a parser stops, neither consuming them nor
+// rejecting the message; Feed() itself must return, too.
+RC_GTEST_PROP(RequestParserTest, BytesAreNeitherConsumedNorRejected, ()) {
+  const std::string text = ArbitraryBytes();
+  const auto piece_bytes = *rc::gen::element<size_t>(1, 7, 100, 100000);
+  RequestParser parser(
+      {.header_bytes = *rc::gen::inRange<size_t>(0, 200), .body_bytes = 50});
+  for (size_t at = 0; at < text.size();) {
+    const size_t count =
+        parser.Feed(std::string_view(text).substr(at, piece_bytes));
+    if (parser.state() == ParseState::kInvalid) {
+      return;
+    }
+    RC_ASSERT(count > 0);
+    at += count;
+    if (parser.state() == ParseState::kComplete) {
+      parser.Reset();
+    }
+  }
+}
+
+RC_GTEST_PROP(ResponseParserTest, BytesAreNeitherConsumedNorRejected, ()) {
+  const std::string text = ArbitraryBytes();
+  const auto piece_bytes = *rc::gen::element<size_t>(1, 7, 100, 100000);
+  ResponseParser parser;
+  CollectedResponse sink;
+  for (size_t at = 0; at < text.size();) {
+    const size_t count =
+        parser.Feed(std::string_view(text).substr(at, piece_bytes), sink);
+    if (parser.state() == ParseState::kInvalid) {
+      return;
+    }
+    RC_ASSERT(count > 0);
+    at += count;
+    if (parser.state() == ParseState::kComplete) {
+      parser.Reset();
+    }
+  }
+}
+
 TEST(RequestParserTest, SeparatesHeaderWithoutValueFromNextHeader) {
   RequestParser parser({});
   parser.Feed("GET / HTTP/1.1\r\nEmpty:\r\nHost: x\r\n\r\n");
