--- a/jackdawshunt/gateway/event_splitter_test.cc
+++ b/jackdawshunt/gateway/event_splitter_test.cc
@@ -109,7 +109,10 @@
         out.append(splitter.Feed(line.substr(0, first)));
         out.append(splitter.Feed(line.substr(first, second - first)));
         out.append(splitter.Feed(line.substr(second) + "data: y\n\n"));
-        EXPECT_EQ(out, "id: 1\n\n" + start + line + "data: y\n\n");
+        EXPECT_EQ(out, std::string("id: 1\n\n")
+                           .append(start)
+                           .append(line)
+                           .append("data: y\n\n"));
         EXPECT_EQ(splitter.last_event_id(), 2u) << first << " " << second;
         EXPECT_EQ(splitter.event_count(), 2u);
       }
