Reset connections whose unparsed input exceeds the limit

What would be seen: a client whose chunk's size has no end is shut down, but its sending is not ended: it gets no reset while the window is closed, and waits.

Cause: shutdown() sends an orderly end, and evhttp closes the connection with no byte unread, so the kernel sends no reset either. Found with a program that sends on after the end: still waiting after 3 s.

Change: the close sends a reset.

--- a/jackdawshunt/http/http_test.cc
+++ b/jackdawshunt/http/http_test.cc
@@ -404,9 +404,15 @@
 // all is kept and searched again for each piece.
 TEST_F(HttpLimitTest, ChunkWithoutEndIsReadOn) {
   for (const std::string chunk : {"1;", "1\r\n"}) {
-    EXPECT_EQ(SendRaw("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                      chunk + std::string(size_t{12} * 1024 * 1024, 'x')),
-              "");
+    RawCaller caller(address_.port);
+    std::string bytes =
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk;
+    bytes.append(size_t{40} * 1024 * 1024, 'x');
+    EXPECT_TRUE(
+        loop_.RunUntil([&] { return !caller.SendSome(bytes); }, seconds(20)));
+    EXPECT_FALSE(bytes.empty()) << chunk;
+    EXPECT_TRUE(caller.IsClosed()) << chunk;
+    EXPECT_EQ(caller.received(), "");
   }
   EXPECT_EQ(handled_count_, 0);
   EXPECT_EQ(server_.open_exchanges(), 0);
--- a/jackdawshunt/http/server.cc
+++ b/jackdawshunt/http/server.cc
@@ -90,9 +90,13 @@
             info->orig_size <= internal::kMaxUnparsedBytes) {
           base::Log(base::LogLevel::kInfo, "request_refused",
                     {{"unparsed_bytes", size}});
-          // evhttp closes the connection when it reads the end.
-          shutdown(bufferevent_getfd(static_cast<bufferevent*>(connection)),
-                   SHUT_RDWR);
+          // evhttp closes the connection when it reads the end. The reset then
+          // ends the client's sending.
+          const evutil_socket_t fd =
+              bufferevent_getfd(static_cast<bufferevent*>(connection));
+          const linger reset{.l_onoff = 1, .l_linger = 0};
+          setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+          shutdown(fd, SHUT_RDWR);
         }
       },
       transport);
