Remove a second definition of the limit of unparsed input

Cause: the constant moved to evhttp_util.h when the server came to need it, and its old definition stayed, unused. No change of behaviour; all 24 tests of http_test pass.

--- a/jackdawshunt/http/client.cc
+++ b/jackdawshunt/http/client.cc
@@ -19,9 +19,6 @@
 constexpr size_t kMaxResponseHeaderBytes = size_t{64} * 1024;
 // Limit for a response that is not streamed.
 constexpr size_t kMaxResponseBodyBytes = size_t{64} * 1024 * 1024;
-// Limit for bytes that evhttp has received and cannot parse yet: a chunk, or
-// its size with extensions, which evhttp searches again for each further piece.
-constexpr size_t kMaxUnparsedBytes = size_t{8} * 1024 * 1024;
 constexpr int kMinFinalStatus = 200;
 // evhttp limits the time of each read and write, and the limits cannot be
 // disabled. The time limit of a call is a separate timer.
