--- a/jackdawshunt/gateway/event_splitter_test.cc
+++ b/jackdawshunt/gateway/event_splitter_test.cc
@@ -3,8 +3,12 @@
 #include <algorithm>
 #include <ctime>
 #include <limits>
+#include <string>
+#include <vector>
 
 #include "gtest/gtest.h"
+#include "rapidcheck.h"
+// rapidcheck/gtest.h needs the two headers before it.
 #include "rapidcheck/gtest.h"
 
 namespace jackdawshunt::gateway {
