Derive how far an incomplete event has been searched

Cause: EventSplitter kept searched_bytes_, which follows from what it holds when a call begins: no event ends in that, so all but its last two bytes are searched. ApplyEvent() read a line in two ways that differed by the split line only.

Change: the member is gone, and a line is read in one place. Same behaviour; no test changed.

--- a/jackdawshunt/gateway/event_splitter.cc
+++ b/jackdawshunt/gateway/event_splitter.cc
@@ -52,8 +52,11 @@
   if (is_out_of_order_) {
     return {};
   }
+  // Only the last bytes of what is kept may begin the end of an event.
+  const size_t searched =
+      buffer_.size() - std::min(buffer_.size(), kMaxEventEndBytes - 1);
   buffer_.append(data);
-  size_t end = FindEventEnd(buffer_, returned_bytes_ + searched_bytes_);
+  size_t end = FindEventEnd(buffer_, searched);
   while (end != std::string_view::npos) {
     if (!ApplyEvent(std::string_view(buffer_).substr(returned_bytes_,
                                                      end - returned_bytes_))) {
@@ -70,9 +73,6 @@
   if (is_out_of_order_) {
     buffer_.resize(returned_bytes_);
   }
-  const size_t partial_bytes = partial().size();
-  searched_bytes_ =
-      partial_bytes - std::min(partial_bytes, kMaxEventEndBytes - 1);
   return std::string_view(buffer_).substr(0, returned_bytes_);
 }
 
@@ -104,19 +104,16 @@
   const std::optional<uint64_t> previous = last_event_id_;
   while (true) {
     const size_t end = event.find('\n');
-    const std::string_view line = event.substr(0, end);
-    if (end == std::string_view::npos) {
+    std::string_view line = event.substr(0, end);
+    if (end == std::string_view::npos || !split_line_.empty()) {
       split_line_.append(line, 0, kMaxIdLineBytes - split_line_.size());
-      return true;
+      line = split_line_;
     }
-    bool is_in_order = false;
-    if (split_line_.empty()) {
-      is_in_order = ApplyLine(line, previous);
-    } else {
-      split_line_.append(line, 0, kMaxIdLineBytes - split_line_.size());
-      is_in_order = ApplyLine(split_line_, previous);
-      split_line_.clear();
+    if (end == std::string_view::npos) {
+      return true;
     }
+    const bool is_in_order = ApplyLine(line, previous);
+    split_line_.clear();
     if (!is_in_order) {
       return false;
     }
--- a/jackdawshunt/gateway/event_splitter.h
+++ b/jackdawshunt/gateway/event_splitter.h
@@ -75,8 +75,6 @@
   std::string buffer_;
   size_t returned_bytes_ = 0;  // Leading bytes of `buffer_` that the last call
                                // returned.
-  size_t searched_bytes_ = 0;  // Leading bytes of the incomplete event in which
-                               // its end does not begin.
   bool has_split_event_ = false;
   // The beginning of the line in which the last piece of an event ended.
   std::string split_line_;
