--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -448,9 +448,6 @@
 
 size_t ResponseParser::Feed(std::string_view data, ResponseSink& sink) {
   Impl& self = *impl_;
-  if (self.state == ParseState::kComplete) {
-    return 0;
-  }
   self.sink = &sink;
   size_t consumed = 0;
   // Each interim response ends a part.
