--- a/jackdawshunt/http/client.cc
+++ b/jackdawshunt/http/client.cc
@@ -56,6 +56,9 @@
   void Resume();
 
  private:
+  bufferevent* transport() const {
+    return evhttp_connection_get_bufferevent(connection_);
+  }
   void HandleChunk(evhttp_request* request);
   void HandleResponse(evhttp_request* request);
   // Records that evhttp has taken bytes from the output.
@@ -102,7 +105,7 @@
   // After such an error, evhttp drops the rest of the request, and cannot tell
   // an orderly end of the response from a reset.
   evbuffer_add_cb(
-      bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
+      bufferevent_get_output(transport()),
       [](evbuffer*, const evbuffer_cb_info* info, void* self) {
         if (info->n_deleted > 0) {
           static_cast<CallState*>(self)->HandleOutputTaken();
@@ -110,7 +113,7 @@
       },
       this);
   evbuffer_add_cb(
-      bufferevent_get_input(evhttp_connection_get_bufferevent(connection_)),
+      bufferevent_get_input(transport()),
       [](evbuffer*, const evbuffer_cb_info* info, void* self) {
         if (info->n_added > 0) {
           static_cast<CallState*>(self)->HandleInputAdded();
@@ -160,8 +163,7 @@
   }
   undelivered_ += internal::TakeAll(evhttp_request_get_input_buffer(request));
   if (is_paused_) {
-    bufferevent_disable(evhttp_connection_get_bufferevent(connection_),
-                        EV_READ);
+    bufferevent_disable(transport(), EV_READ);
   }
   ScheduleDelivery();
 }
@@ -170,11 +172,10 @@
   if (connection_ == nullptr) {
     return;
   }
-  bufferevent* const transport = evhttp_connection_get_bufferevent(connection_);
-  if (HasEnded(bufferevent_getfd(transport))) {
+  if (HasEnded(bufferevent_getfd(transport()))) {
     was_request_cut_ = true;
   }
-  if (evbuffer_get_length(bufferevent_get_output(transport)) == 0) {
+  if (evbuffer_get_length(bufferevent_get_output(transport())) == 0) {
     // No write can fail any more. With the flag, evhttp ignores an end of the
     // connection inside a line or a chunk.
     evhttp_connection_set_flags(connection_, 0);
@@ -185,10 +186,9 @@
   if (connection_ == nullptr || result_.has_value()) {
     return;
   }
-  bufferevent* const transport = evhttp_connection_get_bufferevent(connection_);
-  if (evbuffer_get_length(bufferevent_get_input(transport)) >
+  if (evbuffer_get_length(bufferevent_get_input(transport())) >
       internal::kMaxUnparsedBytes) {
-    bufferevent_disable(transport, EV_READ);
+    bufferevent_disable(transport(), EV_READ);
     Finish(absl::AbortedError(
         absl::StrCat("a chunk of the response from ", target_, " exceeds ",
                      internal::kMaxUnparsedBytes, " bytes")));
@@ -283,8 +283,7 @@
 void CallState::Pause() {
   is_paused_ = true;
   if (connection_ != nullptr && !result_.has_value()) {
-    bufferevent_disable(evhttp_connection_get_bufferevent(connection_),
-                        EV_READ);
+    bufferevent_disable(transport(), EV_READ);
   }
 }
 
@@ -293,7 +292,7 @@
     return;
   }
   if (connection_ != nullptr && !result_.has_value()) {
-    bufferevent_enable(evhttp_connection_get_bufferevent(connection_), EV_READ);
+    bufferevent_enable(transport(), EV_READ);
   }
   ScheduleDelivery();
 }
