--- a/jackdawshunt/testing/misbehaving_upstreams_test.cc
+++ b/jackdawshunt/testing/misbehaving_upstreams_test.cc
@@ -31,6 +31,12 @@
     fleet_.Start();
   }
 
+  // Of all engines.
+  void SetFault(UpstreamFault fault) {
+    for (size_t i = 0; i < kEngines; ++i) {
+      fleet_.upstream(i).SetFault(fault);
+    }
+  }
   bool IsOrdinaryCallServed() {
     const CallPtr call = fleet_.Call(0, {.route = kHold});
     return fleet_.Await([&] { return call->is_done(); }) &&
@@ -42,9 +48,7 @@
   void ExpectBoundedMemory(UpstreamFault fault) {
     ASSERT_TRUE(IsOrdinaryCallServed());
     ProcessWatch watch(fleet_.gateway(0).pid(), fleet_.gateway_address(0).ip);
-    for (size_t i = 0; i < kEngines; ++i) {
-      fleet_.upstream(i).SetFault(fault);
-    }
+    SetFault(fault);
     std::vector<CallPtr> calls;
     for (size_t i = 0; i < kCalls; ++i) {
       calls.push_back(fleet_.Call(
@@ -74,9 +78,7 @@
 // searches the event that it has received so far for each further piece.
 TEST_F(MisbehavingUpstreamsTest, EventInSmallPiecesStopsTheGateway) {
   ASSERT_TRUE(IsOrdinaryCallServed());
-  for (size_t i = 0; i < kEngines; ++i) {
-    fleet_.upstream(i).SetFault(UpstreamFault::kUnendedLines);
-  }
+  SetFault(UpstreamFault::kUnendedLines);
   const CallPtr stream = fleet_.Call(0, {.route = kGenerate});
   ASSERT_TRUE(
       fleet_.Await([&] { return fleet_.runs().contains(stream->id()); }));
