--- a/review/12/case.py
+++ b/review/12/case.py
@@ -12,7 +12,8 @@
 SILENT_S = 8.0  # `platform_down` with `silent` in the site file.
 STABLE_S = 4.0  # After the silence, at least contactMs (3,000).
 DRAIN_S = 2.0  # drainMs
-REQUESTS = 10
+SERVERS = 4  # One more is added: 0.25 (scale_out: 0.3); one of 5 leaves: 0.2.
+REQUESTS = 20
 REQUESTS_AFTER_S = 2.5  # The confirmation.
 EXIT_AFTER_S = 4.0  # "a little longer (at times many seconds)"
 EVENTS = 30
@@ -55,7 +56,7 @@
 
 async def case(folder, trouble):
   async with lib.Fleet(folder) as fleet:
-    servers = [await add_server(fleet) for _ in range(2)]
+    servers = [await add_server(fleet) for _ in range(SERVERS)]
     fleet.put_config([lib.route("exam", "streaming", "brailler",
                                 targetLatencyMs=800)],
                      [fleet.engine_service("brailler")])
--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -511,7 +511,7 @@
   trouble = os.environ.get("TROUBLE", "1") != "0"
   try:
     result = asyncio.run(asyncio.wait_for(case(folder, trouble), 115))
-  except (CannotRun, asyncio.TimeoutError, OSError) as error:
+  except Exception as error:  # Whatever it is, it doesn't show a broken rule.
     print("couldn't run: %r" % error)
     result = CANNOT_RUN
   print({HELD: "the rule held", BROKEN: "the rule was broken",
