--- a/jackdawshunt/routing/origin_homes.cc
+++ b/jackdawshunt/routing/origin_homes.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string_view>
+#include <tuple>
 
 #include "jackdawshunt/routing/prompt.h"
 
@@ -10,22 +12,34 @@
 
 OriginHomes::OriginHomes(const std::vector<const Upstream*>& engines) {
   std::map<std::string_view, size_t> data_centres;
+  for (const Upstream* engine : engines) {
+    data_centres[engine->data_centre] = 0;
+  }
+  size_t index = 0;
+  for (auto& [name, data_centre] : data_centres) {
+    data_centre = index++;
+  }
   ring_.reserve(engines.size());
   for (const Upstream* engine : engines) {
-    const auto [data_centre, is_new] =
-        data_centres.try_emplace(engine->data_centre, data_centres.size());
     ring_.push_back({.position = HashOf(engine->address.ip),
                      .ip = engine->address.ip,
-                     .data_centre = data_centre->second});
+                     .data_centre = data_centres.at(engine->data_centre)});
   }
-  data_centres_ = data_centres.size();
-  std::sort(ring_.begin(), ring_.end(), [](const Point& a, const Point& b) {
-    return a.position < b.position;
-  });
+  const auto order = [](const Point& point) {
+    return std::tie(point.position, point.ip, point.data_centre);
+  };
+  std::sort(
+      ring_.begin(), ring_.end(),
+      [&order](const Point& a, const Point& b) { return order(a) < order(b); });
   ring_.erase(
       std::unique(ring_.begin(), ring_.end(),
                   [](const Point& a, const Point& b) { return a.ip == b.ip; }),
       ring_.end());
+  std::set<size_t> on_ring;
+  for (const Point& point : ring_) {
+    on_ring.insert(point.data_centre);
+  }
+  data_centres_ = on_ring.size();
 }
 
 std::vector<size_t> OriginHomes::Choose(uint64_t request_hash,
--- a/jackdawshunt/routing/origin_homes.h
+++ b/jackdawshunt/routing/origin_homes.h
@@ -8,7 +8,8 @@
 // addresses, and its homes are the engines that follow them, in different data
 // centres where possible. Adding or removing an engine moves only the points
 // before it. Handles any number of instances without a list of instances, while
-// engines are replaced and data centres fail.
+// engines are replaced and data centres fail. Engines that share an IP share a
+// board and count as one, in the first of their data centres by name.
 #ifndef JACKDAWSHUNT_ROUTING_ORIGIN_HOMES_H_
 #define JACKDAWSHUNT_ROUTING_ORIGIN_HOMES_H_
 
@@ -50,8 +51,8 @@
   std::vector<size_t> Choose(uint64_t request_hash, bool with_next) const;
   std::vector<std::string> IpsOf(const std::vector<size_t>& points) const;
 
-  std::vector<Point> ring_;  // By position, one for each engine.
-  size_t data_centres_ = 0;
+  std::vector<Point> ring_;  // By position, one for each IP.
+  size_t data_centres_ = 0;  // Number of those on the ring.
 };
 
 }  // namespace jackdawshunt::routing
