--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -275,20 +275,24 @@
   }
   has_superseded_ = true;
   superseded_.clear();
-  std::unordered_map<std::string, int64_t> latest;  // Starts, by address.
+  std::unordered_map<std::string, std::vector<const Upstream*>> by_address;
   for (const auto& [id, entry] : entries_) {
     if (absent_.contains(entry.upstream.start)) {
       superseded_.insert(entry.upstream.start);
     } else {
-      int64_t& started = latest[entry.upstream.address.ToString()];
-      started = std::max(started, entry.upstream.started_unix_ms);
+      by_address[entry.upstream.address.ToString()].push_back(&entry.upstream);
     }
   }
-  for (const auto& [id, entry] : entries_) {
-    const Upstream& upstream = entry.upstream;
-    if (upstream.started_unix_ms != 0 &&
-        upstream.started_unix_ms < latest[upstream.address.ToString()]) {
-      superseded_.insert(upstream.start);
+  for (const auto& [address, starts] : by_address) {
+    for (const Upstream* upstream : starts) {
+      const auto is_later = [this, upstream](const Upstream* other) {
+        return upstream->started_unix_ms < other->started_unix_ms &&
+               MayReplace(*other, *upstream);
+      };
+      if (upstream->started_unix_ms != 0 &&
+          std::any_of(starts.begin(), starts.end(), is_later)) {
+        superseded_.insert(upstream->start);
+      }
     }
   }
 }
@@ -299,6 +303,21 @@
                                                   : upstream.start);
 }
 
+bool Directory::MayReplace(const Upstream& listed,
+                           const Upstream& upstream) const {
+  return listed.service == upstream.service || !services_.has_value() ||
+         services_->contains(listed.service);
+}
+
+void Directory::SetServices(std::set<std::string, std::less<>> services) {
+  if (services_ != services) {
+    services_ = std::move(services);
+    lists_.clear();
+    has_superseded_ = false;
+    ++changes_;
+  }
+}
+
 void Directory::SetEvacuated(std::set<std::string, std::less<>> data_centres) {
   if (data_centres != evacuated_) {
     evacuated_ = std::move(data_centres);
@@ -369,10 +388,10 @@
 
 bool Directory::IsReplaced(const Upstream& upstream) const {
   return std::any_of(
-      entries_.begin(), entries_.end(), [&upstream](const auto& entry) {
+      entries_.begin(), entries_.end(), [this, &upstream](const auto& entry) {
         const Upstream& listed = entry.second.upstream;
         return listed.address == upstream.address &&
-               listed.start != upstream.start &&
+               listed.start != upstream.start && MayReplace(listed, upstream) &&
                (listed.started_unix_ms == 0 ||
                 listed.started_unix_ms >= upstream.started_unix_ms);
       });
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -17,7 +17,9 @@
 //
 // An upstream that ended without notice stays listed for a while, also after
 // another start listens at its address. Only the latest start at an address is
-// ready, and one whose address answered for another start is not.
+// ready, and one whose address answered for another start is not. An entry of a
+// service that is not configured hides no upstream of another service: no
+// request is sent for it, so no answer could show that it is not there.
 //
 // Operators evacuate data centres: nothing is sent to the upstreams there until
 // the evacuation ends, although they go on running.
@@ -120,6 +122,9 @@
   void MarkAbsent(const Upstream& upstream, kernel::TimePoint now);
   // Returns whether this start is known not to listen at its address any more.
   bool IsSuperseded(const Upstream& upstream);
+  // Sets the names of the services that are configured. All count as configured
+  // before.
+  void SetServices(std::set<std::string, std::less<>> services);
   // Sets the names of the data centres that are evacuated.
   void SetEvacuated(std::set<std::string, std::less<>> data_centres);
   const std::set<std::string, std::less<>>& evacuated() const {
@@ -139,7 +144,8 @@
                       kernel::Duration window,
                       kernel::TimePoint now) const;
   // Returns whether another start, not known to be an earlier one, is listed at
-  // the address of `upstream`, so that what listens there may be that one.
+  // the address of `upstream`, so that what listens there may be that one. Of
+  // another service, only starts of configured services count.
   bool IsReplaced(const Upstream& upstream) const;
   // Returns whether this start of the upstream is listed, or was until a short
   // time ago.
@@ -173,6 +179,9 @@
     std::vector<const Upstream*> ready;    // Not in evacuated data centres.
   };
 
+  // Returns whether `listed` counts as a start that may have taken the place of
+  // `upstream`, by their services.
+  bool MayReplace(const Upstream& listed, const Upstream& upstream) const;
   // Updates superseded_ after a change.
   void UpdateSuperseded();
   const ServiceLists& ListsOf(std::string_view service, kernel::TimePoint now);
@@ -194,6 +203,7 @@
   std::unordered_set<uint64_t> superseded_;
   bool has_superseded_ = false;
   std::unordered_map<uint64_t, kernel::TimePoint> absent_;  // By start.
+  std::optional<std::set<std::string, std::less<>>> services_;
   std::set<std::string, std::less<>> evacuated_;
   size_t expired_entries_ = 0;
   uint64_t changes_ = 0;
--- a/jackdawshunt/routing/router.cc
+++ b/jackdawshunt/routing/router.cc
@@ -152,6 +152,11 @@
     return false;
   }
   table_ = std::make_shared<const RoutingTable>(std::move(state));
+  std::set<std::string, std::less<>> services;
+  for (const Service& service : table_->state().services) {
+    services.insert(service.name);
+  }
+  directory_.SetServices(std::move(services));
   ApplyThroughput();
   for (const Upstream& upstream : std::exchange(unapplied_records_, {})) {
     ApplyColdRecord(upstream, unapplied_since_);
