--- a/jackdawshunt/board/board.cc
+++ b/jackdawshunt/board/board.cc
@@ -114,6 +114,8 @@
       std::max(store_.upstreams_revision, store.upstreams_revision);
   store_.evacuations_revision =
       std::max(store_.evacuations_revision, store.evacuations_revision);
+  store_.watches_renewed_at_us =
+      std::max(store_.watches_renewed_at_us, store.watches_renewed_at_us);
   if (store.configuration_version > store_.configuration_version) {
     store_.configuration_version = store.configuration_version;
     store_.current_as_of_us = store.current_as_of_us;
--- a/jackdawshunt/board/messages.cc
+++ b/jackdawshunt/board/messages.cc
@@ -158,23 +158,25 @@
 }
 
 void Write(const ShareUpdate& update, std::string& out) {
-  FieldWriter(MessageType::kShareUpdate, 10, out)
+  FieldWriter(MessageType::kShareUpdate, 11, out)
       .Add(update.gateway)
       .Add(update.sequence)
       .AddBoolean(update.wants_totals)
       .Add(update.store)
-      .Add(update.reports);
+      .Add(update.reports)
+      .Add(update.store.watches_renewed_at_us);
 }
 
 void Write(const ShareTotals& totals, std::string& out) {
-  FieldWriter(MessageType::kShareTotals, 12, out)
+  FieldWriter(MessageType::kShareTotals, 13, out)
       .Add(totals.sequence)
       .Add(uint64_t{totals.gateways})
       .Add(totals.board)
       .Add(totals.board_time_us)
       .Add(totals.store)
       .Add(totals.facts_revision)
-      .Add(totals.reports);
+      .Add(totals.reports)
+      .Add(totals.store.watches_renewed_at_us);
 }
 
 void Write(const OriginRecord& record, std::string& out) {
@@ -485,6 +487,8 @@
   update.wants_totals = reader.ReadBoolean();
   update.store = reader.ReadStoreState();
   update.reports = reader.ReadReports();
+  update.store.watches_renewed_at_us =
+      reader.HasMore() ? reader.ReadUnsigned() : 0;
   return update;
 }
 
@@ -497,6 +501,8 @@
   totals.store = reader.ReadStoreState();
   totals.facts_revision = reader.ReadUnsigned();
   totals.reports = reader.ReadReports();
+  totals.store.watches_renewed_at_us =
+      reader.HasMore() ? reader.ReadUnsigned() : 0;
   return totals;
 }
 
--- a/jackdawshunt/board/messages.h
+++ b/jackdawshunt/board/messages.h
@@ -85,6 +85,10 @@
   // Latest time at which configuration_version was known to be the newest one;
   // 0 if unknown.
   uint64_t current_as_of_us = 0;
+  // Latest time at which a gateway renewed its watches of the store; 0 if
+  // unknown. Sent after the other fields of a message, as gateways of earlier
+  // versions do not send it.
+  uint64_t watches_renewed_at_us = 0;
 };
 
 // Report of a gateway on the tokens of its workspaces since its last report.
--- a/jackdawshunt/gateway/fleet_exchange.cc
+++ b/jackdawshunt/gateway/fleet_exchange.cc
@@ -18,11 +18,13 @@
 FleetExchange::FleetExchange(kernel::EventLoop& loop,
                              routing::Router& router,
                              BoardClient& boards,
-                             routing::KeyFreshness& freshness)
+                             routing::KeyFreshness& freshness,
+                             routing::WatchRenewal& renewal)
     : loop_(loop),
       router_(router),
       boards_(boards),
       freshness_(freshness),
+      renewal_(renewal),
       incarnation_(routing::HashOf(base::NewRequestId())) {}
 
 void FleetExchange::Start(RevisionFunction upstreams_revision,
@@ -46,19 +48,24 @@
       std::max(upstreams_revision_(), fleet_upstreams_revision_);
   store.evacuations_revision =
       std::max(evacuations_revision_(), fleet_evacuations_revision_);
-  if (router_.table() == nullptr) {
-    return store;
+  const bool has_configuration = router_.table() != nullptr;
+  if (has_configuration) {
+    store.configuration_version = router_.table()->version();
   }
-  store.configuration_version = router_.table()->version();
   const auto clock = clocks_.find(ip);
   if (clock == clocks_.end()) {
     return store;
   }
   // The board's clock had reached board_time_us when its reply arrived here.
-  const int64_t as_of =
-      static_cast<int64_t>(clock->second.board_time_us) +
-      (freshness_.current_as_of() - clock->second.received_at).count();
-  store.current_as_of_us = static_cast<uint64_t>(std::max<int64_t>(as_of, 0));
+  const auto board_time_us = [&clock = clock->second](kernel::TimePoint time) {
+    const int64_t time_us = static_cast<int64_t>(clock.board_time_us) +
+                            (time - clock.received_at).count();
+    return static_cast<uint64_t>(std::max<int64_t>(time_us, 0));
+  };
+  store.watches_renewed_at_us = board_time_us(renewal_.renewed_at());
+  if (has_configuration) {
+    store.current_as_of_us = board_time_us(freshness_.current_as_of());
+  }
   return store;
 }
 
@@ -152,18 +159,30 @@
       std::max(fleet_evacuations_revision_, totals.store.evacuations_revision);
   fleet_configuration_version_ = std::max(fleet_configuration_version_,
                                           totals.store.configuration_version);
-  if (is_same_board && router_.table() != nullptr &&
-      totals.store.configuration_version == router_.table()->version() &&
-      totals.store.current_as_of_us > 0 &&
-      totals.store.current_as_of_us <= totals.board_time_us) {
-    // The board replied after the update was sent, so subtracting the age of
-    // the read from the time of sending cannot make the read look newer than it
-    // is.
-    freshness_.RecordCurrentAt(
-        sent_at_.at(totals.sequence % sent_at_.size()) -
-        kernel::Duration(static_cast<int64_t>(totals.board_time_us -
-                                              totals.store.current_as_of_us)));
+  if (!is_same_board) {
+    return;
+  }
+  if (const auto time = LocalTime(totals, totals.store.watches_renewed_at_us)) {
+    renewal_.RecordRenewedAt(*time);
+  }
+  const auto time = LocalTime(totals, totals.store.current_as_of_us);
+  if (time.has_value() && router_.table() != nullptr &&
+      totals.store.configuration_version == router_.table()->version()) {
+    freshness_.RecordCurrentAt(*time);
+  }
+}
+
+std::optional<kernel::TimePoint> FleetExchange::LocalTime(
+    const board::ShareTotals& totals,
+    uint64_t board_time_us) const {
+  if (board_time_us == 0 || board_time_us > totals.board_time_us) {
+    return std::nullopt;
   }
+  // The board replied after the update was sent, so subtracting the age from
+  // the time of sending cannot make the time look later than it was.
+  return sent_at_.at(totals.sequence % sent_at_.size()) -
+         kernel::Duration(
+             static_cast<int64_t>(totals.board_time_us - board_time_us));
 }
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/fleet_exchange.h
+++ b/jackdawshunt/gateway/fleet_exchange.h
@@ -1,9 +1,10 @@
 // Exchanges state between gateways through the boards several times a second:
 // the workspaces' tokens, the number of gateways, the age of the configuration,
-// and facts about prompt parts and upstreams.
+// the time when watches were renewed, and facts about prompt parts and
+// upstreams.
 //
 // Example:
-//   gateway::FleetExchange exchange(loop, router, boards, freshness);
+//   gateway::FleetExchange exchange(loop, router, boards, freshness, renewal);
 //   exchange.Start([&] { return upstreams.changed_revision(); },
 //                  [&] { return evacuations.changed_revision(); });
 //
@@ -16,6 +17,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -26,6 +28,7 @@
 #include "jackdawshunt/kernel/event_loop.h"
 #include "jackdawshunt/routing/key_freshness.h"
 #include "jackdawshunt/routing/router.h"
+#include "jackdawshunt/routing/watch_renewal.h"
 
 namespace jackdawshunt::gateway {
 
@@ -34,7 +37,8 @@
   FleetExchange(kernel::EventLoop& loop,
                 routing::Router& router,
                 BoardClient& boards,
-                routing::KeyFreshness& freshness);
+                routing::KeyFreshness& freshness,
+                routing::WatchRenewal& renewal);
   FleetExchange(const FleetExchange&) = delete;
   FleetExchange& operator=(const FleetExchange&) = delete;
 
@@ -78,6 +82,10 @@
   void OnFacts(const std::string& ip, const board::FactReply& reply);
   void OnTotals(const std::string& ip, const board::ShareTotals& totals);
   void MergeStoreState(const std::string& ip, const board::ShareTotals& totals);
+  // Returns the local time of a board's time that its reply states, or nullopt
+  // if it states none. Never later than it was.
+  std::optional<kernel::TimePoint> LocalTime(const board::ShareTotals& totals,
+                                             uint64_t board_time_us) const;
   // Returns the state of the store as known here, with times of the clock of
   // the board at `ip`.
   board::StoreState StoreStateFor(const std::string& ip) const;
@@ -86,6 +94,7 @@
   routing::Router& router_;
   BoardClient& boards_;
   routing::KeyFreshness& freshness_;
+  routing::WatchRenewal& renewal_;
   const kernel::BootClock boot_clock_;
   RevisionFunction upstreams_revision_;
   RevisionFunction evacuations_revision_;
--- a/jackdawshunt/gateway/fleet_exchange_test.cc
+++ b/jackdawshunt/gateway/fleet_exchange_test.cc
@@ -43,7 +43,7 @@
     engine.service = "llm";
     engine.address = {kBoardIp, 8080};
     router_.directory().Replace({engine}, loop_.clock().Now());
-    exchange_.emplace(loop_, router_, *boards_, freshness_);
+    exchange_.emplace(loop_, router_, *boards_, freshness_, renewal_);
     exchange_->Start([this] { return own_revision_; },
                      [this] { return own_evacuations_revision_; });
   }
@@ -55,6 +55,7 @@
   kernel::EventLoop loop_;
   routing::Router router_;
   routing::KeyFreshness freshness_;
+  routing::WatchRenewal renewal_{seconds(2)};
   routing::StoreRevision own_revision_{.era = 1, .revision = 7};
   routing::StoreRevision own_evacuations_revision_;
   routing::StoreRevision fleet_revision_{.era = 1, .revision = 7};
--- a/jackdawshunt/gateway/gateway_follow.cc
+++ b/jackdawshunt/gateway/gateway_follow.cc
@@ -17,6 +17,11 @@
 // below the time in which a revoked key must be refused.
 constexpr kernel::Duration kMinReadAge = std::chrono::milliseconds(900);
 constexpr kernel::Duration kMaxReadAge = std::chrono::milliseconds(2500);
+// The watches are renewed when the fleet's last renewal is older than a random
+// age, likewise. The maximum is below the time for which the store must have
+// been undisturbed before changes are due in time.
+constexpr kernel::Duration kMinRenewalAge = std::chrono::milliseconds(1700);
+constexpr kernel::Duration kMaxRenewalAge = std::chrono::milliseconds(2500);
 // Minimum time between reads that KeepCurrent() starts of the configuration.
 constexpr kernel::Duration kMinReadInterval = std::chrono::milliseconds(800);
 // If other gateways have had a newer revision for this time and the time in
@@ -26,14 +31,23 @@
 // record can have expired during it.
 constexpr kernel::Duration kMinExpiryGap = std::chrono::milliseconds(800);
 
+// Returns a random age of which small values are rare.
+kernel::Duration RandomAge(kernel::Duration min, kernel::Duration max) {
+  std::random_device source;
+  const double fraction = std::sqrt(std::uniform_real_distribution<>()(source));
+  return min +
+         std::chrono::duration_cast<kernel::Duration>(
+             fraction * std::chrono::duration<double, std::micro>(max - min));
+}
+
 }  // namespace
 
 kernel::Duration GatewayProcess::RandomReadAge() {
-  std::random_device source;
-  const double fraction = std::sqrt(std::uniform_real_distribution<>()(source));
-  return kMinReadAge + std::chrono::duration_cast<kernel::Duration>(
-                           fraction * std::chrono::duration<double, std::micro>(
-                                          kMaxReadAge - kMinReadAge));
+  return RandomAge(kMinReadAge, kMaxReadAge);
+}
+
+kernel::Duration GatewayProcess::RandomRenewalAge() {
+  return RandomAge(kMinRenewalAge, kMaxRenewalAge);
 }
 
 RecordFollowerCallbacks GatewayProcess::ConfigurationCallbacks() {
@@ -179,9 +193,15 @@
       router_.table() == nullptr ? 0 : router_.table()->version();
   const bool is_configuration_behind =
       exchange_.fleet_configuration_version() > version || age > read_age_;
-  if (is_configuration_behind && now - last_read_ > kMinReadInterval) {
+  if ((is_configuration_behind || renewal_.IsDue(kernel::BootClock().Now())) &&
+      now - last_read_ > kMinReadInterval) {
     last_read_ = now;
-    configuration_.ReadNow();
+    // A watch that is sent while the store does not answer may be lost, too.
+    configuration_.Read([this](bool is_read) {
+      if (is_read) {
+        RenewWatches();
+      }
+    });
   }
   ReadAfterRestoration();
   if (exchange_.fleet_evacuations_revision() <= evacuations_.revision()) {
@@ -201,6 +221,18 @@
   }
 }
 
+void GatewayProcess::RenewWatches() {
+  const kernel::TimePoint now = kernel::BootClock().Now();
+  if (!renewal_.IsDue(now)) {
+    return;
+  }
+  renewal_.RecordRenewedAt(now);
+  for (RecordFollower* const follower :
+       {&configuration_, &upstreams_, &evacuations_}) {
+    follower->RenewWatch();
+  }
+}
+
 void GatewayProcess::ReadAfterRestoration() {
   const uint64_t newest_era =
       std::max({configuration_.revision().era, upstreams_.revision().era,
--- a/jackdawshunt/gateway/gateway_process.cc
+++ b/jackdawshunt/gateway/gateway_process.cc
@@ -16,7 +16,7 @@
 constexpr int kExitUnavailable = 1;
 
 // A watch that no longer delivers is detected by comparison with the other
-// gateways.
+// gateways, of which some renew theirs.
 constexpr std::chrono::milliseconds kWatchWait{25000};
 constexpr kernel::Duration kKeepCurrentPeriod = std::chrono::milliseconds(100);
 
@@ -77,7 +77,7 @@
                      freshness_,
                      client_budget_,
                      MakeFrontendLimits(settings_)),
-      exchange_(loop_, router_, boards_, freshness_),
+      exchange_(loop_, router_, boards_, freshness_, renewal_),
       readiness_(
           loop_,
           [this] { return IsReady(); },
--- a/jackdawshunt/gateway/gateway_process.h
+++ b/jackdawshunt/gateway/gateway_process.h
@@ -27,6 +27,7 @@
 #include "jackdawshunt/platform/settings.h"
 #include "jackdawshunt/routing/key_freshness.h"
 #include "jackdawshunt/routing/router.h"
+#include "jackdawshunt/routing/watch_renewal.h"
 
 namespace jackdawshunt::gateway {
 
@@ -82,11 +83,14 @@
   RecordFollowerCallbacks EvacuationCallbacks();
   void ApplyEvacuations(const std::vector<platform::Record>& records);
   // Reads from the store when reports of the other gateways' reads stop
-  // arriving or show a newer state than this gateway has.
+  // arriving or show a newer state than this gateway has, and renews the
+  // watches when no gateway has done so for a while.
   void KeepCurrent();
+  void RenewWatches();
   // Lets the follower that has not seen the store's current era read at once.
   void ReadAfterRestoration();
   static kernel::Duration RandomReadAge();
+  static kernel::Duration RandomRenewalAge();
 
   // What it reports to the operator (gateway_report.cc).
   // Logs what changes in the router.
@@ -104,6 +108,7 @@
   kernel::EventLoop loop_;
   routing::Router router_;
   routing::KeyFreshness freshness_;
+  routing::WatchRenewal renewal_{RandomRenewalAge()};
   operator_api::Server operator_server_;
   Metrics metrics_;
   UpstreamPool pool_;
--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -149,6 +149,12 @@
       });
 }
 
+void RecordFollower::RenewWatch() {
+  if (is_connected() && !retry_timer_.is_active()) {
+    Watch(times_.watch_wait);
+  }
+}
+
 void RecordFollower::Read(ReadCallback done) {
   if (!is_connected()) {
     done(false);
--- a/jackdawshunt/gateway/record_follower.h
+++ b/jackdawshunt/gateway/record_follower.h
@@ -68,6 +68,10 @@
   // watch; use when the watch may have failed. Does nothing before the first
   // list, while an earlier such request is pending or while calls are retried.
   void ReadNow();
+  // Sends the watch again, so that it delivers later changes although the
+  // answer to the one before may be lost. Does nothing while no watch is
+  // pending.
+  void RenewWatch();
   // Calls `done` with true once the callbacks have received all changes up to
   // now, or with false if the store does not answer; possibly before it
   // returns.
--- a/jackdawshunt/testing/cold_and_evacuation_test.cc
+++ b/jackdawshunt/testing/cold_and_evacuation_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "gtest/gtest.h"
+#include "jackdawshunt/platform/settings.h"
 #include "jackdawshunt/testing/platform/platform_fleet.h"
 
 namespace jackdawshunt::testing {
@@ -64,6 +65,32 @@
   kernel::Timer load_;
 };
 
+// Guards against an evacuation that goes unnoticed, since an earlier answer of
+// the store was lost and its connection stays open.
+TEST_F(ColdAndEvacuationTest, AnEvacuationIsNoticedAfterALostAnswer) {
+  constexpr kernel::Duration kBound = milliseconds(1500);
+  const platform::Promises promises;
+  Start({.gateways = 2,
+         .engines = 6,
+         .plain = 3,
+         .data_centres = 3,
+         .evacuation = kBound});
+  fleet_->store().SetFault(StoreFault::kSilent);
+  fleet_->RunFor(milliseconds(200));
+  fleet_->Evacuate("elsewhere");
+  fleet_->RunFor(milliseconds(300));
+  fleet_->store().SetFault(StoreFault::kNone);
+  fleet_->RunFor(promises.contact);
+  StartLoad(milliseconds(15), {kGenerate, kFetch, kHold});
+  const std::string data_centre = fleet_->DataCentreName(1);
+  fleet_->Evacuate(data_centre);
+  const kernel::TimePoint evacuated = fleet_->now();
+  fleet_->RunFor(kBound + milliseconds(1000));
+  EXPECT_EQ(ArrivalsIn(data_centre, evacuated + kBound, fleet_->now()), 0u);
+  EXPECT_GT(ArrivalsIn(fleet_->DataCentreName(0), evacuated, fleet_->now()),
+            0u);
+}
+
 // Guards against gateways that forget an evacuation when they or boards
 // restart, or that end streams at the evacuated upstreams.
 TEST_F(ColdAndEvacuationTest, NothingReachesAnEvacuatedDataCentreOverRestarts) {
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -13,6 +13,7 @@
 
 #include "gtest/gtest.h"
 #include "jackdawshunt/http1/listener.h"
+#include "jackdawshunt/platform/settings.h"
 #include "jackdawshunt/testing/platform/caller_stream.h"
 #include "jackdawshunt/testing/platform/platform_fleet.h"
 
@@ -602,6 +603,34 @@
   }
 }
 
+// Guards against requests to a leaving upstream, since an earlier answer of the
+// store was lost and its connection stays open: the answer to a watch in which
+// there was a change, or one to a watch that was sent meanwhile.
+TEST_F(GatewayProcessTest, ADrainingUpstreamIsNoticedAfterALostAnswer) {
+  const platform::Promises promises;
+  for (const bool has_change_before : {false, true}) {
+    Start({.gateways = 2, .plain = 3});
+    if (has_change_before) {
+      fleet_->PutUpstream(3, "draining");
+      fleet_->RunFor(milliseconds(200));
+    }
+    fleet_->store().SetFault(StoreFault::kSilent);
+    fleet_->RunFor(milliseconds(500));
+    fleet_->PutUpstream(4, "draining");
+    fleet_->RunFor(milliseconds(500));
+    fleet_->store().SetFault(StoreFault::kNone);
+    fleet_->RunFor(promises.contact);
+    fleet_->PutUpstream(4, "ready");
+    fleet_->PutUpstream(2, "draining");
+    fleet_->RunFor(promises.drain);
+    for (int i = 0; i < 20; ++i) {
+      const CallPtr call = Call({.route = kHold}, i % 2);
+      ASSERT_EQ(call->status(), 200);
+      EXPECT_NE(fleet_->runs().at(call->id()).front().upstream, "i-2");
+    }
+  }
+}
+
 // Guards against requests to an upstream that says only in its answers that it
 // leaves, also when its entry states that it is ready, or comes back.
 TEST_F(GatewayProcessTest, AnUpstreamThatSaysThatItLeavesGetsNothingNew) {
--- a/jackdawshunt/testing/platform/stand_in_store.cc
+++ b/jackdawshunt/testing/platform/stand_in_store.cc
@@ -121,7 +121,7 @@
 }
 
 void StandInStore::AnswerWatches() {
-  if (fault_ != StoreFault::kNone) {
+  if (fault_ != StoreFault::kNone && fault_ != StoreFault::kSilent) {
     return;
   }
   std::vector<http1::ServerConnection*> ready;
@@ -133,6 +133,9 @@
   for (http1::ServerConnection* const connection : ready) {
     const Watch watch = std::move(watches_.at(connection));
     watches_.erase(connection);
+    if (fault_ == StoreFault::kSilent) {
+      continue;  // This answer is lost, and with it all later ones.
+    }
     Answer(*connection, 200,
            {{"events", EventsSince(watch.kind, watch.revision)},
             {"storeRevision", revision_}});
--- a/jackdawshunt/testing/platform/stand_in_store.h
+++ b/jackdawshunt/testing/platform/stand_in_store.h
@@ -24,10 +24,12 @@
 
 enum class StoreFault {
   kNone,
-  kBusy,    // Answers 503.
-  kMany,    // Answers 429.
-  kReset,   // Resets connections.
-  kSilent,  // Accepts and never answers.
+  kBusy,   // Answers 503.
+  kMany,   // Answers 429.
+  kReset,  // Resets connections.
+  // Accepts and never answers; the answers to waiting watches that become due
+  // are lost, and their connections stay open.
+  kSilent,
 };
 
 class StandInStore final : public http1::ServerConnection::Handler {
