--- a/jackdawshunt/gateway/call.cc
+++ b/jackdawshunt/gateway/call.cc
@@ -35,12 +35,14 @@
            http1::ServerConnection& caller,
            http1::RequestHead head,
            std::string body,
-           routing::RoutedRequest request)
+           routing::RoutedRequest request,
+           std::function<void()> on_done)
     : context_(context),
       caller_(&caller),
       head_(std::move(head)),
       body_(std::make_shared<const std::string>(std::move(body))),
-      request_(std::move(request)) {}
+      request_(std::move(request)),
+      on_done_(std::move(on_done)) {}
 
 Call::~Call() = default;
 
@@ -469,6 +471,9 @@
   if (attempt_ != nullptr) {
     attempt_->AddIrregularities(line);
   }
+  if (on_done_ != nullptr) {
+    std::exchange(on_done_, nullptr)();
+  }
 }
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -13,6 +13,7 @@
 #define JACKDAWSHUNT_GATEWAY_CALL_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,12 +29,15 @@
 class Call final : public Attempt::Owner {
  public:
   // `caller` must outlive the call, or OnCallerDisconnected() must be called
-  // before it is destroyed.
+  // before it is destroyed. `on_done`, if any, is called once when the call has
+  // ended, possibly inside another call's function or Start(); it must not
+  // destroy the call.
   Call(CallContext& context,
        http1::ServerConnection& caller,
        http1::RequestHead head,
        std::string body,
-       routing::RoutedRequest request);
+       routing::RoutedRequest request,
+       std::function<void()> on_done = nullptr);
   ~Call();
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
@@ -134,6 +138,7 @@
   const http1::RequestHead head_;
   std::shared_ptr<const std::string> body_;  // Null once it is not needed.
   routing::RoutedRequest request_;
+  std::function<void()> on_done_;
   kernel::Timer deadline_;
 
   // The search for the next upstream.
--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -89,8 +89,12 @@
   bool is_busy() const { return call_ != nullptr && !call_->is_done(); }
   // Whether the connection exceeds the limit.
   bool is_refused() const { return is_refused_; }
-  void StartCall(std::unique_ptr<Call> call) {
-    call_ = std::move(call);
+  void StartCall(const http1::RequestHead& head,
+                 std::string body,
+                 routing::RoutedRequest request) {
+    call_ = std::make_unique<Call>(http_frontend_.context_, connection_, head,
+                                   std::move(body), std::move(request),
+                                   [this] { ReleaseCall(); });
     call_->Start();
   }
 
@@ -125,6 +129,13 @@
   }
 
  private:
+  // Frees the memory of a call that has ended, which the budget does not count
+  // any more, in a later iteration of the loop, since the call may be running.
+  void ReleaseCall() {
+    http_frontend_.context_.loop.Post(
+        [released = std::shared_ptr<Call>(std::move(call_))] {});
+  }
+
   HttpFrontend& http_frontend_;
   const bool is_refused_;
   http1::ServerConnection connection_;
@@ -404,8 +415,7 @@
        .prompt = request.prompt.has_value() ? &*request.prompt : nullptr});
   context_.router.Prepare(request, decoded.deadline,
                           context_.loop.clock().Now());
-  session.StartCall(std::make_unique<Call>(
-      context_, connection, head, std::move(body), std::move(request)));
+  session.StartCall(head, std::move(body), std::move(request));
 }
 
 }  // namespace jackdawshunt::gateway
--- a/jackdawshunt/testing/misbehaving_clients_test.cc
+++ b/jackdawshunt/testing/misbehaving_clients_test.cc
@@ -1,8 +1,11 @@
 // A gateway as a real process beside many clients that keep no limits. Its
 // memory and its descriptors must stay within those of its machine, and an
 // ordinary request must be answered meanwhile and afterwards.
+#include <map>
+#include <memory>
 #include <ostream>
 #include <thread>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
@@ -338,6 +341,38 @@
   EXPECT_EQ(chunked.answers().count(200), 1u);
 }
 
+// Guards against idle connections that keep the memory of their last request,
+// which the budget of clients no longer counts. All clients keep the limits.
+TEST_F(SmallMachineTest, IdleConnectionsKeepNoMemoryOfTheirRequests) {
+  constexpr size_t kBatches = 60;
+  constexpr size_t kBatchClients = 10;
+  constexpr size_t kParts = 2150;
+  Start({.memory_mb = kMemoryMb});
+  std::string prompt = "Prompt-Prefix: 1000:1";
+  for (size_t i = 1; i < kParts; ++i) {
+    absl::StrAppend(&prompt, ",", absl::Hex(0x1000 + i), ":1");
+  }
+  const auto head = [&](size_t client) {
+    return RequestHead(client,
+                       absl::StrCat("Model: m\r\nToken-Counts: ", kParts,
+                                    ",1\r\n", prompt, "\r\n\r\n"),
+                       "key-lodge", kFetch, "GET");
+  };
+  ASSERT_LT(head(kBatchClients).size(), kHeaderLimit);
+  ProcessWatch watch(fleet_->gateway(0).pid(), fleet_->gateway_address(0).ip);
+  std::vector<std::unique_ptr<ClientCrowd>> batches;
+  for (size_t i = 0; i < kBatches; ++i) {
+    batches.push_back(std::make_unique<ClientCrowd>(
+        CrowdOptions{.clients = kBatchClients,
+                     .address = fleet_->gateway_address(0),
+                     .head = head}));
+    const std::map<int, size_t> all_served = {{200, kBatchClients}};
+    ASSERT_TRUE(
+        fleet_->Await([&] { return batches.back()->answers() == all_served; }));
+  }
+  EXPECT_LE(watch.Stop().memory_bytes, uint64_t{kMemoryMb} << 20);
+}
+
 // The smallest machine that is served, with bodies of its configuration's
 // limit.
 TEST_F(SmallMachineTest, LargeBodiesThatStopShortExhaustTheSmallestMachine) {
