--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -609,6 +609,45 @@
   EXPECT_LT(text_.find("/1"), text_.find("/2"));
 }
 
+// Guards against bytes of a body where the next response is due: neither a 204
+// or 304 nor a response to HEAD has one.
+TEST_F(ServerConnectionTest, ResponseWithoutBodyIsFollowedByTheNextOne) {
+  handler_.responds = false;
+  struct Case {
+    std::string method;
+    int status;
+    bool is_framed;
+  };
+  for (const Case& each : {Case{"GET", 204, false}, Case{"GET", 304, false},
+                           Case{"HEAD", 200, true}, Case{"HEAD", 503, true}}) {
+    for (const BodyFraming framing :
+         {BodyFraming::Chunked(), BodyFraming::Length(4)}) {
+      handler_.on_request = [&](ServerConnection& connection) {
+        connection.StartResponse({.status = each.status, .headers = {}},
+                                 framing, false, "bo");
+        connection.WriteBody("dy");
+        connection.FinishResponse();
+      };
+      text_.clear();
+      Write(each.method + " /1 HTTP/1.1\r\n\r\n");
+      ASSERT_TRUE(AwaitText("\r\n\r\n"));
+      handler_.on_request = [](ServerConnection& connection) {
+        connection.Reply({.status = 200, .headers = {}}, "next");
+      };
+      Write("GET /2 HTTP/1.1\r\n\r\n");
+      ASSERT_TRUE(AwaitText("next"));
+      const size_t head_end = text_.find("\r\n\r\n") + 4;
+      EXPECT_TRUE(text_.substr(head_end).starts_with("HTTP/1.1 200 OK"))
+          << text_;
+      const std::string head = text_.substr(0, head_end);
+      const bool is_framed =
+          head.find("Content-Length") != std::string::npos ||
+          head.find("Transfer-Encoding") != std::string::npos;
+      EXPECT_EQ(is_framed, each.is_framed) << head;
+    }
+  }
+}
+
 TEST_F(ServerConnectionTest, MalformedRequestIsAnsweredAndClosesConnection) {
   Write("GET / HTTP/1.1\r\nContent-Length: x\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
   ASSERT_TRUE(AwaitText("bad"));
--- a/jackdawshunt/http1/message.cc
+++ b/jackdawshunt/http1/message.cc
@@ -85,6 +85,11 @@
   return out;
 }
 
+bool IsBodiless(int status) {
+  return status / 100 == 1 || status == HTTP_STATUS_NO_CONTENT ||
+         status == HTTP_STATUS_NOT_MODIFIED;
+}
+
 std::string Serialize(const ResponseHead& head,
                       BodyFraming framing,
                       bool close_after) {
@@ -94,10 +99,12 @@
                   http_status_str(static_cast<http_status>(head.status)),
                   "\r\n");
   AppendHeaders(head.headers, out);
-  if (framing.length.has_value()) {
-    absl::StrAppend(&out, "Content-Length: ", *framing.length, "\r\n");
-  } else {
-    out.append("Transfer-Encoding: chunked\r\n");
+  if (!IsBodiless(head.status)) {
+    if (framing.length.has_value()) {
+      absl::StrAppend(&out, "Content-Length: ", *framing.length, "\r\n");
+    } else {
+      out.append("Transfer-Encoding: chunked\r\n");
+    }
   }
   if (close_after) {
     out.append("Connection: close\r\n");
--- a/jackdawshunt/http1/message.h
+++ b/jackdawshunt/http1/message.h
@@ -49,8 +49,13 @@
 // Returns the number of headers called `name`.
 size_t CountHeader(const http::Headers& headers, std::string_view name);
 
+// Returns whether responses with this status have no body, whatever the request
+// (RFC 9110, 6.4.1).
+bool IsBodiless(int status);
+
 // Returns the bytes of the head with its framing header and the final empty
-// line. `close_after` adds "Connection: close".
+// line. A response without a body has no framing header. `close_after` adds
+// "Connection: close".
 std::string Serialize(const RequestHead& head,
                       std::optional<uint64_t> body_bytes);
 std::string Serialize(const ResponseHead& head,
--- a/jackdawshunt/http1/parser.cc
+++ b/jackdawshunt/http1/parser.cc
@@ -25,9 +25,6 @@
 constexpr std::string_view kStatusLine = "HTTP/1.# ###~";
 constexpr int kMinStatus = 100;
 constexpr int kMaxStatus = 599;
-// Responses without a body.
-constexpr int kHttpNoContent = 204;
-constexpr int kHttpNotModified = 304;
 
 bool IsLineEnd(char c) {
   return c == '\r' || c == '\n';
@@ -357,8 +354,7 @@
     parser.upgrade = 0;
     if (!is_informational) {
       state = ParseState::kBody;
-      is_unframed = !to_head_request && head.status != kHttpNoContent &&
-                    head.status != kHttpNotModified &&
+      is_unframed = !to_head_request && !IsBodiless(head.status) &&
                     (parser.flags & F_CHUNKED) == 0 &&
                     parser.content_length == ULLONG_MAX;
       sink->OnHead(head);
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -346,6 +346,9 @@
 
   // Appends part of the current response's body in its framing.
   void AppendBody(std::string_view data, std::string& out) const {
+    if (drops_body) {
+      return;
+    }
     if (framing.length.has_value()) {
       out.append(data);
     } else if (!data.empty()) {
@@ -416,6 +419,7 @@
   kernel::Timer timer;
   kernel::Timer next_request;
   BodyFraming framing;
+  bool drops_body = false;  // The current response has none.
   bool is_busy = false;
   // The request was answered, and the rest of its body is dropped.
   bool is_dropping = false;
@@ -440,6 +444,8 @@
                                      bool close_after,
                                      std::string_view first_part) {
   impl_->framing = framing;
+  impl_->drops_body =
+      IsBodiless(head.status) || impl_->parser.head().method == "HEAD";
   const bool has_long_rest = impl_->parser.state() == ParseState::kBody &&
                              impl_->parser.remaining_bytes().value_or(
                                  kMaxDroppedBytes + 1) > kMaxDroppedBytes;
@@ -451,7 +457,7 @@
 }
 
 void ServerConnection::WriteBody(std::string_view data) {
-  if (data.empty()) {
+  if (data.empty() || impl_->drops_body) {
     return;
   }
   if (impl_->framing.length.has_value()) {
@@ -465,7 +471,7 @@
 }
 
 void ServerConnection::FinishResponse() {
-  if (!impl_->framing.length.has_value()) {
+  if (!impl_->drops_body && !impl_->framing.length.has_value()) {
     impl_->Write(kLastChunk);
   }
   impl_->Finish();
@@ -480,6 +486,7 @@
 
 void ServerConnection::StartUnframedResponse(const ResponseHead& head) {
   impl_->framing = BodyFraming::Length(0);
+  impl_->drops_body = false;
   impl_->closes_after_response = true;
   std::string text = Serialize(head, BodyFraming::Length(0), true);
   constexpr std::string_view kLength = "Content-Length: 0\r\n";
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -91,7 +91,8 @@
   ServerConnection& operator=(const ServerConnection&) = delete;
 
   // Starts the response to the current request, with the first part of its
-  // body, which may be empty; call once per request. With `close_after` the
+  // body, which may be empty; call once per request. The body is dropped if the
+  // status or the request's method, HEAD, allows none. With `close_after` the
   // connection closes when the response is complete.
   void StartResponse(const ResponseHead& head,
                      BodyFraming framing,
