--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -436,9 +436,7 @@
 
 std::string StandInUpstream::SecondAnswer(const std::string& request) const {
   if (fault_ == UpstreamFault::kLateNoContent) {
-    std::string text = Frame(fault_, Head(request, 204), {});
-    constexpr std::string_view kLength = "Content-Length: 0\r\n";
-    return text.erase(text.find(kLength), kLength.size());
+    return Frame(fault_, Head(request, 204), {});
   }
   if (fault_ == UpstreamFault::kLateRefusal ||
       fault_ == UpstreamFault::kUnframedRefusal) {
