--- a/jackdawshunt/gateway/attempt.cc
+++ b/jackdawshunt/gateway/attempt.cc
@@ -243,11 +243,14 @@
 }
 
 bool Attempt::IsOtherResponse(const http1::ResponseHead& head) {
-  const std::string id = platform::DecodeAnswer(head).request_id;
-  // Events have no such field. Other bodies may quote a head.
-  const bool is_other = body_->events() != nullptr
-                            ? !id.empty()
-                            : connection_->has_sent(routing::HashOf(id));
+  const platform::UpstreamAnswer other = platform::DecodeAnswer(head);
+  // Events have no such field. Other bodies may quote a head, but hardly with
+  // the signature of an upstream or its statement that it has not executed.
+  const bool is_from_upstream =
+      other.is_sealed || other.is_not_executed ||
+      connection_->has_sent(routing::HashOf(other.request_id));
+  const bool is_other = !other.request_id.empty() &&
+                        (body_->events() != nullptr || is_from_upstream);
   if (is_other) {
     CutBefore("other_answer");
   }
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -1008,7 +1008,8 @@
   AwaitRepeatBudget();
   for (const UpstreamFault fault :
        {UpstreamFault::kUnframedSecond, UpstreamFault::kUnframedRefusal,
-        UpstreamFault::kUnframedEarlier, UpstreamFault::kUnframedCut}) {
+        UpstreamFault::kUnframedEarlier, UpstreamFault::kUnframedCut,
+        UpstreamFault::kUnframedForeign}) {
     for (const char* const route : {kHold, kFetch, kGenerate, kRevise}) {
       // Leaves connections on which another request was answered.
       SetFault(UpstreamFault::kNone);
--- a/jackdawshunt/testing/platform/stand_in_upstream.cc
+++ b/jackdawshunt/testing/platform/stand_in_upstream.cc
@@ -43,6 +43,7 @@
          fault == UpstreamFault::kUnframedEarlier ||
          fault == UpstreamFault::kUnframedRefusal ||
          fault == UpstreamFault::kUnframedCut ||
+         fault == UpstreamFault::kUnframedForeign ||
          fault == UpstreamFault::kUnframedSecondRun;
 }
 
@@ -438,6 +439,9 @@
   if (fault_ == UpstreamFault::kLateNoContent) {
     return Frame(fault_, Head(request, 204), {});
   }
+  if (fault_ == UpstreamFault::kUnframedForeign) {
+    return Frame(fault_, Head("of-nobody", 200), "answer to of-nobody");
+  }
   if (fault_ == UpstreamFault::kLateRefusal ||
       fault_ == UpstreamFault::kUnframedRefusal) {
     http1::ResponseHead refusal = Head(request, 503);
--- a/jackdawshunt/testing/platform/stand_in_upstream.h
+++ b/jackdawshunt/testing/platform/stand_in_upstream.h
@@ -67,6 +67,8 @@
   kCutInsideEvent,
   kCutBetweenEvents,
   // Faults that the soak does not draw, so that its seeds keep their meaning:
+  // As kUnframedSecond, but to a request that nobody sent.
+  kUnframedForeign,
   kStatusZero,  // Runs, then answers with the status 000.
   // Runs, then sends a part and nothing more:
   kUnendedHead,   // Of a head that has many short fields.
