--- a/jackdawshunt/gateway/call.h
+++ b/jackdawshunt/gateway/call.h
@@ -30,8 +30,7 @@
  public:
   // `caller` must outlive the call, or OnCallerDisconnected() must be called
   // before it is destroyed. `on_done`, if any, is called once when the call has
-  // ended, possibly inside another call's function or Start(); it must not
-  // destroy the call.
+  // ended, by one of its functions; it must not destroy the call.
   Call(CallContext& context,
        http1::ServerConnection& caller,
        http1::RequestHead head,
