--- a/jackdawshunt/gateway/gateway_follow.cc
+++ b/jackdawshunt/gateway/gateway_follow.cc
@@ -17,11 +17,6 @@
 // below the time in which a revoked key must be refused.
 constexpr kernel::Duration kMinReadAge = std::chrono::milliseconds(900);
 constexpr kernel::Duration kMaxReadAge = std::chrono::milliseconds(2500);
-// The watches are renewed when the fleet's last renewal is older than a random
-// age, likewise. The maximum is below the time for which the store must have
-// been undisturbed before changes are due in time.
-constexpr kernel::Duration kMinRenewalAge = std::chrono::milliseconds(1700);
-constexpr kernel::Duration kMaxRenewalAge = std::chrono::milliseconds(2500);
 // Minimum time between reads that KeepCurrent() starts of the configuration.
 constexpr kernel::Duration kMinReadInterval = std::chrono::milliseconds(800);
 // If other gateways have had a newer revision for this time and the time in
@@ -47,7 +42,8 @@
 }
 
 kernel::Duration GatewayProcess::RandomRenewalAge() {
-  return RandomAge(kMinRenewalAge, kMaxRenewalAge);
+  return RandomAge(routing::WatchRenewal::kMinAge,
+                   routing::WatchRenewal::kMaxAge);
 }
 
 RecordFollowerCallbacks GatewayProcess::ConfigurationCallbacks() {
--- a/jackdawshunt/platform/engine_report.cc
+++ b/jackdawshunt/platform/engine_report.cc
@@ -22,9 +22,17 @@
          value.get<uint64_t>() <= std::numeric_limits<uint32_t>::max();
 }
 
+// Callers choose the ids of requests. One that cannot be decoded belongs to no
+// request that is known here.
+uint64_t HashOfRequest(const nlohmann::json& id) {
+  if (id.is_number_unsigned()) {
+    return id.get<uint64_t>();
+  }
+  return routing::HashOf(id.is_string() ? id.get<std::string>() : id.dump());
+}
+
 // Reads one row of `runs`: [id, tokens in memory, events made, priority]. The
-// priority is not used. An id that cannot be decoded, which callers choose,
-// belongs to no request that is known here.
+// priority is not used.
 absl::StatusOr<routing::EngineRun> DecodeRun(const nlohmann::json& row) {
   const bool is_valid = row.is_array() && row.size() >= 3 &&
                         (row[0].is_string() || row[0].is_number_unsigned() ||
@@ -34,15 +42,9 @@
     return absl::InvalidArgumentError(
         "field runs has an entry that is not [id, tokens, events, ...]");
   }
-  return routing::EngineRun{
-      .request =
-          row[0].is_number_unsigned()
-              ? row[0].get<uint64_t>()
-              : routing::HashOf(row[0].is_string()
-                                    ? row[0].get_ref<const std::string&>()
-                                    : row[0].dump()),
-      .tokens = row[1].get<uint64_t>(),
-      .events = row[2].get<uint32_t>()};
+  return routing::EngineRun{.request = HashOfRequest(row[0]),
+                            .tokens = row[1].get<uint64_t>(),
+                            .events = row[2].get<uint32_t>()};
 }
 
 }  // namespace
--- a/jackdawshunt/routing/watch_renewal.h
+++ b/jackdawshunt/routing/watch_renewal.h
@@ -22,6 +22,7 @@
 #define JACKDAWSHUNT_ROUTING_WATCH_RENEWAL_H_
 
 #include <algorithm>
+#include <chrono>
 
 #include "jackdawshunt/kernel/clock.h"
 
@@ -29,6 +30,12 @@
 
 class WatchRenewal {
  public:
+  // Range of the ages at which gateways renew. The maximum is below the time
+  // for which the store must have been undisturbed before changes are due in
+  // time.
+  static constexpr kernel::Duration kMinAge = std::chrono::milliseconds(1700);
+  static constexpr kernel::Duration kMaxAge = std::chrono::milliseconds(2500);
+
   // Renewals are due when the last one of the fleet is older than `max_age`.
   // With different values the gateways do not renew all at the same time.
   explicit WatchRenewal(kernel::Duration max_age) : max_age_(max_age) {}
--- a/jackdawshunt/routing/watch_renewal_test.cc
+++ b/jackdawshunt/routing/watch_renewal_test.cc
@@ -13,9 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// As in gateway_follow.cc.
-constexpr kernel::Duration kMinAge = milliseconds(1700);
-constexpr kernel::Duration kMaxAge = milliseconds(2500);
 constexpr kernel::Duration kStep = milliseconds(100);
 constexpr kernel::Duration kAnswerTimeout = seconds(1);
 // Until a gateway knows what another one has reported.
@@ -28,14 +25,16 @@
   RenewalReplay(size_t gateways, uint64_t seed) {
     std::mt19937_64 random(seed);
     std::uniform_real_distribution<> fraction;
-    std::uniform_int_distribution<int64_t> phase(0, kMaxAge.count());
+    std::uniform_int_distribution<int64_t> phase(0,
+                                                 WatchRenewal::kMaxAge.count());
     // The last renewal was before the loss; a call may be lost as well.
     const kernel::TimePoint last =
-        kStart - kernel::Duration(phase(random)) % kMaxAge;
+        kStart - kernel::Duration(phase(random)) % WatchRenewal::kMaxAge;
     for (size_t i = 0; i < gateways; ++i) {
-      const auto max_age =
-          kMinAge + std::chrono::duration_cast<kernel::Duration>(
-                        std::sqrt(fraction(random)) * (kMaxAge - kMinAge));
+      const auto max_age = WatchRenewal::kMinAge +
+                           std::chrono::duration_cast<kernel::Duration>(
+                               std::sqrt(fraction(random)) *
+                               (WatchRenewal::kMaxAge - WatchRenewal::kMinAge));
       Gateway& gateway = gateways_.emplace_back(Gateway{WatchRenewal(max_age)});
       gateway.renewal.RecordRenewedAt(last);
       gateway.busy_until =
