--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -304,6 +304,12 @@
   EXPECT_EQ(totals.board, 42u);
 }
 
+TEST_F(BoardTest, ForwardsNewestRenewalOfWatches) {
+  Update(1, 1, 0, {.watches_renewed_at_us = 1000});
+  Update(2, 1, 0, {.configuration_version = 8, .watches_renewed_at_us = 900});
+  EXPECT_EQ(Update(3, 1, 0).store.watches_renewed_at_us, 1000u);
+}
+
 // Guards against a fleet that waits for a revision which the store lost when it
 // was restored from an older copy.
 TEST_F(BoardTest, RevisionOfLaterEraReplacesHigherRevision) {
@@ -323,16 +329,43 @@
       .board_time_us = 6,
       .store = {.upstreams_revision = {.era = 2, .revision = 7},
                 .configuration_version = 8,
-                .current_as_of_us = 9},
+                .current_as_of_us = 9,
+                .watches_renewed_at_us = 13},
       .reports = {{10, {.requested = 11, .admitted = -12}}}};
   const auto decoded = Decode(Encode(totals));
   ASSERT_TRUE(decoded.ok());
   const auto& copy = std::get<ShareTotals>(*decoded);
   EXPECT_EQ(copy.store.upstreams_revision, totals.store.upstreams_revision);
   EXPECT_EQ(copy.store.current_as_of_us, 9u);
+  EXPECT_EQ(copy.store.watches_renewed_at_us, 13u);
   EXPECT_EQ(copy.reports[0].count.admitted, -12);
 }
 
+// Guards against shares and revisions that are not exchanged while a release
+// replaces the gateways: those of earlier versions do not send the last field.
+TEST(MessagesTest, DecodesShareMessagesWithoutRenewal) {
+  const StoreState store{.configuration_version = 8};
+  for (std::string bytes :
+       {Encode(ShareUpdate{.sequence = 3, .store = store}),
+        Encode(ShareTotals{.sequence = 3, .store = store})}) {
+    // The array's header holds its size; the last field is a 0 of one byte.
+    --bytes.front();
+    bytes.pop_back();
+    const auto decoded = Decode(bytes);
+    ASSERT_TRUE(decoded.ok());
+    std::visit(
+        [](const auto& message) {
+          if constexpr (requires { message.store; }) {
+            EXPECT_EQ(message.store.configuration_version, 8u);
+            EXPECT_EQ(message.store.watches_renewed_at_us, 0u);
+          } else {
+            ADD_FAILURE() << "decoded as another message";
+          }
+        },
+        *decoded);
+  }
+}
+
 TEST(MessagesTest, EncodeThenDecodeKeepsStreamOrigins) {
   const auto record = Decode(Encode(
       OriginRecord{.request = 1, .origin = 2, .resumable_for = seconds(3)}));
--- a/jackdawshunt/gateway/fleet_exchange.cc
+++ b/jackdawshunt/gateway/fleet_exchange.cc
@@ -48,8 +48,7 @@
       std::max(upstreams_revision_(), fleet_upstreams_revision_);
   store.evacuations_revision =
       std::max(evacuations_revision_(), fleet_evacuations_revision_);
-  const bool has_configuration = router_.table() != nullptr;
-  if (has_configuration) {
+  if (router_.table() != nullptr) {
     store.configuration_version = router_.table()->version();
   }
   const auto clock = clocks_.find(ip);
@@ -58,14 +57,15 @@
   }
   // The board's clock had reached board_time_us when its reply arrived here.
   const auto board_time_us = [&clock = clock->second](kernel::TimePoint time) {
+    if (time == kernel::TimePoint{}) {
+      return uint64_t{0};  // Unknown.
+    }
     const int64_t time_us = static_cast<int64_t>(clock.board_time_us) +
                             (time - clock.received_at).count();
     return static_cast<uint64_t>(std::max<int64_t>(time_us, 0));
   };
+  store.current_as_of_us = board_time_us(freshness_.current_as_of());
   store.watches_renewed_at_us = board_time_us(renewal_.renewed_at());
-  if (has_configuration) {
-    store.current_as_of_us = board_time_us(freshness_.current_as_of());
-  }
   return store;
 }
 
--- a/jackdawshunt/gateway/fleet_exchange_test.cc
+++ b/jackdawshunt/gateway/fleet_exchange_test.cc
@@ -13,6 +13,8 @@
 using std::chrono::seconds;
 
 constexpr char kBoardIp[] = "127.0.0.2";
+// Later than any time since boot of the machine that runs the test.
+constexpr uint64_t kBoardTimeUs = uint64_t{1} << 50;
 
 // A gateway that exchanges its state with one board, whose replies state the
 // newest revision of upstreams that any gateway has read.
@@ -24,12 +26,18 @@
         [this](const http::Address& from, std::string_view bytes) {
           const auto message = board::Decode(bytes);
           const auto& update = std::get<board::ShareUpdate>(*message);
+          ++updates_;
+          reported_renewal_us_ = update.store.watches_renewed_at_us;
           if (is_board_up_) {
             board_->Send(
-                from, board::Encode(board::ShareTotals{
-                          .sequence = update.sequence,
-                          .gateways = 2,
-                          .store = {.upstreams_revision = fleet_revision_}}));
+                from,
+                board::Encode(board::ShareTotals{
+                    .sequence = update.sequence,
+                    .gateways = 2,
+                    .board = 1,
+                    .board_time_us = kBoardTimeUs,
+                    .store = {.upstreams_revision = fleet_revision_,
+                              .watches_renewed_at_us = fleet_renewal_us_}}));
           }
         });
     boards_ = std::make_unique<BoardClient>(loop_, "127.0.0.1", board_->port());
@@ -59,7 +67,10 @@
   routing::StoreRevision own_revision_{.era = 1, .revision = 7};
   routing::StoreRevision own_evacuations_revision_;
   routing::StoreRevision fleet_revision_{.era = 1, .revision = 7};
+  uint64_t fleet_renewal_us_ = 0;
   bool is_board_up_ = true;
+  size_t updates_ = 0;
+  uint64_t reported_renewal_us_ = 0;  // By the last update.
   std::unique_ptr<board::DatagramSocket> board_;
   std::unique_ptr<BoardClient> boards_;
   std::optional<FleetExchange> exchange_;
@@ -78,6 +89,27 @@
   EXPECT_TRUE(Await(false));
 }
 
+// Guards against a fleet in which each gateway renews its watches, or none does
+// since one reports a renewal that never was.
+TEST_F(FleetExchangeTest, RenewalsOfWatchesAreSharedOnceTheyAreKnown) {
+  const kernel::BootClock clock;
+  ASSERT_TRUE(loop_.RunUntil([&] { return updates_ >= 3; }, seconds(20)));
+  EXPECT_EQ(reported_renewal_us_, 0u);
+  EXPECT_EQ(renewal_.renewed_at(), kernel::TimePoint{});
+
+  const kernel::TimePoint before = clock.Now();
+  fleet_renewal_us_ = kBoardTimeUs - 100'000;
+  ASSERT_TRUE(loop_.RunUntil(
+      [&] { return renewal_.renewed_at() != kernel::TimePoint{}; },
+      seconds(20)));
+  EXPECT_GE(renewal_.renewed_at(), before - seconds(1));
+  EXPECT_LE(renewal_.renewed_at(), clock.Now() - milliseconds(100));
+
+  renewal_.RecordRenewedAt(clock.Now());
+  ASSERT_TRUE(loop_.RunUntil(
+      [&] { return reported_renewal_us_ > fleet_renewal_us_; }, seconds(20)));
+}
+
 TEST_F(FleetExchangeTest, ListIsNotCurrentWithoutReplies) {
   EXPECT_TRUE(Await(true));
   is_board_up_ = false;
