--- a/jackdawshunt/gateway/record_follower.cc
+++ b/jackdawshunt/gateway/record_follower.cc
@@ -223,6 +223,10 @@
   }
   // The watch should have delivered these changes, so it is restarted.
   if (!retry_timer_.is_active()) {
+    base::Log(base::LogLevel::kInfo, "store_watch_behind",
+              {{"records", platform::RecordKindName(kind_)},
+               {"era", cursor_.position().era},
+               {"revision", cursor_.position().revision}});
     Watch(kNoWait);
   }
 }
