--- a/jackdawshunt/entry/request_parser.cc
+++ b/jackdawshunt/entry/request_parser.cc
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "jackdawshunt/base/json_depth.h"
 #include "nlohmann/json.hpp"
 
 namespace jackdawshunt::entry {
@@ -89,6 +91,11 @@
   if (!body.is_object()) {
     return MakeError(ErrorKind::kBadRequest, "the body must be a JSON object");
   }
+  if (!base::NestsAtMost(body, base::kMaxJsonDepth)) {
+    return MakeError(ErrorKind::kBadRequest,
+                     absl::StrCat("the body must not nest deeper than ",
+                                  base::kMaxJsonDepth, " levels"));
+  }
   if (!body.contains("model") || !body["model"].is_string()) {
     return MakeError(ErrorKind::kBadRequest, "/model: must be a string");
   }
--- a/jackdawshunt/entry/request_parser_test.cc
+++ b/jackdawshunt/entry/request_parser_test.cc
@@ -4,6 +4,7 @@
 
 #include "gtest/gtest.h"
 #include "jackdawshunt/base/crypto.h"
+#include "jackdawshunt/base/json_depth.h"
 
 namespace jackdawshunt::entry {
 namespace {
@@ -103,6 +104,21 @@
   }
 }
 
+// Guards against a body whose nesting exhausts the stack of whatever reads it
+// after the entry.
+TEST_F(RequestParserTest, BodyOfAnyDepthIsAccepted) {
+  const auto nested = [](size_t depth) {
+    return R"({"model":"quote","messages":)" + std::string(depth, '[') +
+           std::string(depth, ']') + "}";
+  };
+  // The object around the arrays counts too.
+  EXPECT_TRUE(Completion(nested(base::kMaxJsonDepth - 1)).ok());
+  for (const size_t depth : {base::kMaxJsonDepth, size_t{300'000}}) {
+    EXPECT_EQ(base::KindOf(Completion(nested(depth)).status()),
+              ErrorKind::kBadRequest);
+  }
+}
+
 // Guards against requests without max_tokens that are estimated at no cost.
 TEST_F(RequestParserTest, MissingMaxTokensTakesTheDefault) {
   EXPECT_EQ(Completion(R"({"model":"quote","messages":[{}]})")->max_tokens,
--- a/jackdawshunt/side/engine_driver.cc
+++ b/jackdawshunt/side/engine_driver.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "jackdawshunt/base/json_depth.h"
 #include "jackdawshunt/kernel/registry.h"
 #include "jackdawshunt/side/http_driver.h"
 #include "jackdawshunt/side/sse_parser.h"
@@ -23,7 +24,8 @@
 std::string BuildEngineBody(const protocol::Start& start) {
   auto body = nlohmann::json::parse(start.body, nullptr,
                                     /*allow_exceptions=*/false);
-  if (!body.is_object()) {
+  // Entries refuse deeper bodies; those of earlier versions do not.
+  if (!body.is_object() || !base::NestsAtMost(body, base::kMaxJsonDepth)) {
     body = nlohmann::json::object();
   }
   body["stream"] = true;
