--- a/jackdawshunt/side/engine_driver.cc
+++ b/jackdawshunt/side/engine_driver.cc
@@ -1,5 +1,6 @@
 // Implements the driver for model engines, which use OpenAI-style chat
 // completions, always streamed.
+#include <limits>
 #include <memory>
 #include <string>
 #include <utility>
@@ -35,6 +36,16 @@
   return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+// Returns 0 unless the field holds a number of tokens.
+int64_t ReadTokenCount(const nlohmann::json& usage, const char* field) {
+  const auto found = usage.find(field);
+  if (found == usage.end() || !found->is_number_unsigned() ||
+      found->get<uint64_t>() > std::numeric_limits<int64_t>::max()) {
+    return 0;
+  }
+  return found->get<int64_t>();
+}
+
 class EngineCall final : public UpstreamCall {
  public:
   EngineCall(http::Client& client,
@@ -88,7 +99,7 @@
     }
     if (const auto usage = event.find("usage");
         usage != event.end() && usage->is_object()) {
-      result_.input_tokens = usage->value("prompt_tokens", int64_t{0});
+      result_.input_tokens = ReadTokenCount(*usage, "prompt_tokens");
     }
     const auto choices = event.find("choices");
     if (choices == event.end() || !choices->is_array() || choices->empty()) {
--- a/jackdawshunt/side/engine_driver_test.cc
+++ b/jackdawshunt/side/engine_driver_test.cc
@@ -64,5 +64,20 @@
   EXPECT_EQ(received_.front(), R"({"stream":true})");
 }
 
+// Guards against a number of another type that ends the process.
+TEST_F(EngineDriverTest, UsageOfUnexpectedTypeStopsTheProcess) {
+  for (const char* usage :
+       {R"({"prompt_tokens":null})", R"({"prompt_tokens":"12"})",
+        R"({"prompt_tokens":[]})", R"({"prompt_tokens":-1})",
+        R"({"prompt_tokens":18446744073709551615})", "[]", "7"}) {
+    events_ = R"(data: {"choices":[{"delta":{"content":"a"}}],"usage":)" +
+              std::string(usage) + "}\n\ndata: [DONE]\n\n";
+    const RecordingSink sink = Call(R"({"messages":[{}]})");
+    EXPECT_EQ(sink.output, std::vector<std::string>{"a"}) << usage;
+    ASSERT_TRUE(sink.result.has_value()) << usage;
+    EXPECT_EQ(sink.result->input_tokens, 0) << usage;
+  }
+}
+
 }  // namespace
 }  // namespace jackdawshunt::side
