--- a/jackdawshunt/claims/claims_test.cc
+++ b/jackdawshunt/claims/claims_test.cc
@@ -568,6 +568,23 @@
   EXPECT_TRUE(parsed->Put(NumberedClaim(count)));
 }
 
+// Guards against one stored claim that exhausts the stack of every entry.
+TEST(DocumentTest, DeeplyNestedClaimOverflowsTheStack) {
+  constexpr size_t kDepth = 300'000;
+  const auto text_with = [](const std::string& field) {
+    return R"({"schema":1,"claims":[{"key":"k","workspace":"w","request":"r",)"
+           R"("fingerprint":"f","time":1,"write":"x","state":"pending",)"
+           R"("later":)" +
+           field + "}]}";
+  };
+  EXPECT_TRUE(internal::Document::Parse(text_with("[[]]")).ok());
+  EXPECT_EQ(internal::Document::Parse(
+                text_with(std::string(kDepth, '[') + std::string(kDepth, ']')))
+                .status()
+                .code(),
+            absl::StatusCode::kDataLoss);
+}
+
 // Guards against loss of answers that are not valid JSON text.
 TEST(DocumentTest, KeepsBinaryAnswers) {
   Document document;
--- a/jackdawshunt/claims/internal/document.cc
+++ b/jackdawshunt/claims/internal/document.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
+#include "jackdawshunt/base/json_depth.h"
 #include "nlohmann/json.hpp"
 
 namespace jackdawshunt::claims::internal {
@@ -85,6 +86,9 @@
 absl::StatusOr<Document> Document::Parse(std::string_view text) {
   try {
     const Json json = Json::parse(text);
+    if (!base::NestsAtMost(json, base::kMaxJsonDepth)) {
+      return absl::DataLossError("claims object that nests too deeply");
+    }
     if (json.at("schema").get<int>() != kSchema) {
       return absl::DataLossError("claims object of an unknown schema");
     }
--- a/jackdawshunt/object_api/client.cc
+++ b/jackdawshunt/object_api/client.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "jackdawshunt/base/json_depth.h"
 #include "jackdawshunt/http/client.h"
 #include "jackdawshunt/object_api/address.h"
 #include "nlohmann/json.hpp"
@@ -19,10 +20,12 @@
 enum class CallType { kRead, kWrite };
 
 // Returns the stored text. A platform may also embed the value as JSON instead
-// of a string.
+// of a string; one that nests too deeply to be written as text is returned as
+// empty, which is no record.
 std::string ValueText(const Json& json) {
   const auto value = json.find("value");
-  if (value == json.end() || value->is_null()) {
+  if (value == json.end() || value->is_null() ||
+      !base::NestsAtMost(*value, base::kMaxJsonDepth)) {
     return "";
   }
   return value->is_string() ? value->get<std::string>() : value->dump();
--- a/jackdawshunt/object_api/client_test.cc
+++ b/jackdawshunt/object_api/client_test.cc
@@ -178,5 +178,23 @@
   }
 }
 
+// Guards against one stored value that exhausts the stack of every process
+// that reads it.
+TEST_F(ClientTest, DeeplyNestedValueOverflowsTheStack) {
+  constexpr size_t kDepth = 300'000;
+  Client client(loop, address);
+  response = http::Response{
+      .status = 200,
+      .body = R"({"revision":3,"objects":[{"key":"a","version":1,"value":)" +
+              std::string(kDepth, '[') + std::string(kDepth, ']') +
+              R"(},{"key":"b","version":2,"value":{"c":1}}]})"};
+  const auto listing = Wait<Listing>(
+      [&](auto done) { client.List("config/", std::move(done)); });
+  ASSERT_TRUE(listing.ok()) << listing.status();
+  ASSERT_THAT(listing->objects, SizeIs(2));
+  EXPECT_EQ(listing->objects[0].value, "");
+  EXPECT_EQ(listing->objects[1].value, R"({"c":1})");
+}
+
 }  // namespace
 }  // namespace jackdawshunt::object_api
--- a/jackdawshunt/records/fields.cc
+++ b/jackdawshunt/records/fields.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_replace.h"
+#include "jackdawshunt/base/json_depth.h"
 
 namespace jackdawshunt::records {
 namespace {
@@ -72,6 +73,11 @@
   try {
     Json json = Json::parse(text, on_event, /*allow_exceptions=*/true,
                             /*ignore_comments=*/true);
+    if (!base::NestsAtMost(json, base::kMaxJsonDepth)) {
+      errors.push_back(absl::StrCat(": must not nest deeper than ",
+                                    base::kMaxJsonDepth, " levels"));
+      return std::nullopt;
+    }
     if (duplicates.empty()) {
       return json;
     }
--- a/jackdawshunt/records/records_test.cc
+++ b/jackdawshunt/records/records_test.cc
@@ -119,6 +119,18 @@
               ElementsAre(HasSubstr("must be at most")));
 }
 
+// Guards against one stored record that exhausts the stack of every process
+// that reads it.
+TEST(RecordsTest, DeeplyNestedRecordOverflowsTheStack) {
+  constexpr size_t kDepth = 100'000;
+  const std::string text = R"({"kind":"model","name":)" +
+                           std::string(kDepth, '[') + std::string(kDepth, ']') +
+                           "}";
+  EXPECT_THAT(ValidationErrors(text),
+              ElementsAre(HasSubstr("must not nest deeper")));
+  EXPECT_FALSE(Parse(text).ok());
+}
+
 // Guards against a short prefix that matches before a longer one.
 TEST(RecordsTest, SortsRoutesByDescendingPrefixLength) {
   const auto record = Parse(R"({"kind": "model", "schema": 1, "name": "desk",
