--- a/jackdawshunt/base/internal/log_writer.h
+++ b/jackdawshunt/base/internal/log_writer.h
@@ -1,4 +1,4 @@
-// Functions shared by log.cc and log_line.cc.
+// Functions shared by log.cc, log_line.cc and crash_line.cc.
 #ifndef JACKDAWSHUNT_BASE_INTERNAL_LOG_WRITER_H_
 #define JACKDAWSHUNT_BASE_INTERNAL_LOG_WRITER_H_
 
@@ -15,6 +15,8 @@
 // Appends a JSON object with time, level, event and context, without the
 // closing brace.
 void BeginLine(LogLevel level, std::string_view event, std::string& out);
+// Returns the fields of the context, each as `,"name":value`.
+std::string_view Context();
 // Writes a complete JSON object as one line.
 void WriteLine(LogLevel level, std::string_view line);
 
--- a/jackdawshunt/base/log.cc
+++ b/jackdawshunt/base/log.cc
@@ -103,8 +103,7 @@
                   absl::Dec(now_ms % 1000, absl::kZeroPad3), "Z");
 }
 
-// Returns the fields of the context, each as `,"name":value`.
-std::string& Context() {
+std::string& MutableContext() {
   static std::string context;
   return context;
 }
@@ -138,8 +137,8 @@
 }
 
 void SetLogContext(const nlohmann::json& fields) {
-  Context().clear();
-  AppendFields(fields, Context());
+  MutableContext().clear();
+  AppendFields(fields, MutableContext());
 }
 
 void BufferLog(uint64_t lines_per_second) {
@@ -180,6 +179,10 @@
   out.append(Context());
 }
 
+std::string_view Context() {
+  return MutableContext();
+}
+
 void WriteLine(LogLevel level, std::string_view line) {
   std::string text;
   text.reserve(line.size() + 1);
--- a/jackdawshunt/board/board_role.cc
+++ b/jackdawshunt/board/board_role.cc
@@ -10,6 +10,7 @@
 #include "jackdawshunt/board/datagram_socket.h"
 #include "jackdawshunt/board/engine_monitor.h"
 #include "jackdawshunt/kernel/boot_clock.h"
+#include "jackdawshunt/kernel/loop_watchdog.h"
 #include "jackdawshunt/kernel/registry.h"
 #include "jackdawshunt/kernel/role.h"
 #include "jackdawshunt/platform/settings.h"
@@ -57,6 +58,7 @@
     loop_.OnSignal(SIGTERM, [this] { loop_.Stop(); });
     loop_.OnSignal(SIGINT, [this] { loop_.Stop(); });
     loop_.OnSignal(SIGHUP, [] {});  // No setting can change at run time.
+    const kernel::LoopWatchdog watchdog(loop_);
     loop_.Run();
     base::Log(
         base::LogLevel::kInfo, "stopped",
--- a/jackdawshunt/board/datagram_socket.cc
+++ b/jackdawshunt/board/datagram_socket.cc
@@ -14,6 +14,7 @@
 #include "event2/event.h"
 #include "event2/util.h"
 #include "jackdawshunt/http/socket_address.h"
+#include "jackdawshunt/kernel/loop_work.h"
 
 namespace jackdawshunt::board {
 namespace {
@@ -47,6 +48,7 @@
       if (count < 0) {
         return;
       }
+      const auto work = kernel::LoopWork::OnMessage(from);
       std::array<char, INET_ADDRSTRLEN> ip{};
       inet_ntop(AF_INET, &from.sin_addr, ip.data(), ip.size());
       receiver({ip.data(), ntohs(from.sin_port)},
--- a/jackdawshunt/entry/entry_role.cc
+++ b/jackdawshunt/entry/entry_role.cc
@@ -19,6 +19,7 @@
 #include "jackdawshunt/entry/links.h"
 #include "jackdawshunt/entry/metrics.h"
 #include "jackdawshunt/kernel/event_loop.h"
+#include "jackdawshunt/kernel/loop_watchdog.h"
 #include "jackdawshunt/kernel/mailbox.h"
 #include "jackdawshunt/kernel/registry.h"
 #include "jackdawshunt/kernel/role.h"
@@ -105,6 +106,7 @@
     ScheduleExchange();
     loop_.OnSignal(SIGTERM, [this] { ShutDown(); });
     loop_.OnSignal(SIGINT, [this] { ShutDown(); });
+    const kernel::LoopWatchdog watchdog(loop_);
     loop_.Run();
     base::Log(base::LogLevel::kInfo, "stopped");
     return 0;
--- a/jackdawshunt/gateway/gateway_process.cc
+++ b/jackdawshunt/gateway/gateway_process.cc
@@ -9,6 +9,7 @@
 
 #include "jackdawshunt/base/id.h"
 #include "jackdawshunt/base/log.h"
+#include "jackdawshunt/kernel/loop_watchdog.h"
 
 namespace jackdawshunt::gateway {
 namespace {
@@ -145,6 +146,7 @@
   loop_.OnSignal(SIGTERM, [this] { Drain(); });
   loop_.OnSignal(SIGINT, [this] { Drain(); });
   loop_.OnSignal(SIGHUP, [this] { ReloadSettings("signal"); });
+  const kernel::LoopWatchdog watchdog(loop_);
   loop_.Run();
   base::Log(base::LogLevel::kInfo, "stopped",
             {{"busy_calls", http_frontend_.busy_calls()}});
--- a/jackdawshunt/http/client.cc
+++ b/jackdawshunt/http/client.cc
@@ -12,6 +12,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "jackdawshunt/http/internal/evhttp_util.h"
+#include "jackdawshunt/http/socket_address.h"
+#include "jackdawshunt/kernel/loop_work.h"
 
 namespace jackdawshunt::http {
 namespace {
@@ -73,6 +75,7 @@
   kernel::EventLoop& loop_;
   CallOptions options_;
   std::string target_;
+  sockaddr_in peer_{};
   evhttp_connection* connection_ = nullptr;
   kernel::Timer timeout_;
   Response head_;
@@ -87,6 +90,7 @@
 
 void CallState::Start(const Address& address, const Request& request) {
   target_ = address.ToString();
+  peer_ = ToSocketAddress(address).value_or(sockaddr_in{});
   const auto method = internal::ParseMethod(request.method);
   if (!method.has_value()) {
     Finish(absl::InvalidArgumentError(
@@ -250,6 +254,7 @@
 }
 
 void CallState::Deliver() {
+  const auto work = kernel::LoopWork::OnMessage(peer_);
   if (is_cancelled_ ||
       (is_paused_ && (!result_.has_value() || result_->ok()))) {
     return;
--- a/jackdawshunt/http/server.cc
+++ b/jackdawshunt/http/server.cc
@@ -15,6 +15,7 @@
 #include "jackdawshunt/base/log.h"
 #include "jackdawshunt/http/internal/error_pages.h"
 #include "jackdawshunt/http/internal/evhttp_util.h"
+#include "jackdawshunt/kernel/loop_work.h"
 
 namespace jackdawshunt::http {
 namespace {
@@ -50,6 +51,8 @@
     on_drained_ = std::move(callback);
   }
   void OnClosed(std::function<void()> callback);
+  // The stream must be open.
+  int fd() const { return bufferevent_getfd(transport()); }
   // Removes all references to the request, which the server's destructor or
   // Abort() frees with its connection.
   void Detach();
@@ -419,6 +422,7 @@
   if (!stream->is_open()) {
     return;
   }
+  const auto work = kernel::LoopWork::OnConnection(stream->fd());
   if (handler) {
     handler(std::make_shared<ExchangeHandle>(stream));
   } else {
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -17,6 +17,7 @@
 #include "jackdawshunt/http1/client.h"
 #include "jackdawshunt/http1/listener.h"
 #include "jackdawshunt/http1/server.h"
+#include "jackdawshunt/kernel/loop_work.h"
 
 namespace jackdawshunt::http1 {
 namespace {
@@ -105,7 +106,12 @@
   }
   bool IsStillWanted() override { return is_wanted; }
   void OnHead(const ResponseHead& head) override { status = head.status; }
-  void OnBody(std::string_view data) override { body.append(data); }
+  void OnBody(std::string_view data) override {
+    body.append(data);
+    if (const auto* work = kernel::LoopWork::current(); work != nullptr) {
+      work_port = ntohs(work->peer().sin_port);
+    }
+  }
   bool IsOtherResponse(const ResponseHead&) override {
     return !may_hold_response;
   }
@@ -120,6 +126,7 @@
   std::string body;
   bool has_ended = false;
   std::optional<Loss> loss;
+  int work_port = 0;  // Of the peer that the loop works on.
 };
 
 // Pauses reading at each part of the body, as for a caller that reads slowly.
@@ -176,6 +183,16 @@
   EXPECT_EQ(connection_.keep_alive(), kernel::Duration(seconds(4)));
 }
 
+// Guards against a report of a loop that does not return which cannot say which
+// connection it works on.
+TEST_F(ClientConnectionTest, WorkOnTheConnectionIsNotNamed) {
+  Send();
+  server_.Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  AwaitDone();
+  EXPECT_EQ(receiver_.work_port, server_.address().port);
+  EXPECT_EQ(kernel::LoopWork::current(), nullptr);
+}
+
 // Guards against a reused connection whose response is never read because
 // reading was paused when the previous response ended.
 TEST_F(ClientConnectionTest, ReadsAgainAfterAPausedResponse) {
--- a/jackdawshunt/http1/internal/socket_stream.cc
+++ b/jackdawshunt/http1/internal/socket_stream.cc
@@ -16,6 +16,7 @@
 #include "jackdawshunt/http/socket_address.h"
 #include "jackdawshunt/http1/internal/release.h"
 #include "jackdawshunt/http1/internal/socket_options.h"
+#include "jackdawshunt/kernel/loop_work.h"
 
 namespace jackdawshunt::http1::internal {
 namespace {
@@ -115,6 +116,7 @@
 }
 
 void SocketStream::OnReadable() {
+  const auto work = kernel::LoopWork::OnConnection(fd_);
   static std::array<char, kReadBufferBytes> buffer;
   const ssize_t count = recv(fd_, buffer.data(), buffer.size(), 0);
   if (count > 0) {
@@ -128,6 +130,7 @@
 }
 
 void SocketStream::OnWritable() {
+  const auto work = kernel::LoopWork::OnConnection(fd_);
   if (is_connecting_) {
     is_connecting_ = false;
     int error = 0;
--- a/jackdawshunt/protocol/internal/link.cc
+++ b/jackdawshunt/protocol/internal/link.cc
@@ -13,6 +13,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "jackdawshunt/base/log.h"
+#include "jackdawshunt/kernel/loop_work.h"
 #include "jackdawshunt/protocol/internal/split.h"
 #include "jackdawshunt/protocol/internal/traffic.h"
 
@@ -135,6 +136,8 @@
 
 void Link::HandleReadable() {
   const auto self = shared_from_this();
+  const auto work =
+      kernel::LoopWork::OnConnection(bufferevent_getfd(transport_));
   last_received_ = loop_.clock().Now();
   evbuffer* const input = bufferevent_get_input(transport_);
   const size_t size = evbuffer_get_length(input);
--- a/jackdawshunt/side/side_role.cc
+++ b/jackdawshunt/side/side_role.cc
@@ -12,6 +12,7 @@
 #include "jackdawshunt/configuration/store_status.h"
 #include "jackdawshunt/configuration/task.h"
 #include "jackdawshunt/kernel/event_loop.h"
+#include "jackdawshunt/kernel/loop_watchdog.h"
 #include "jackdawshunt/kernel/registry.h"
 #include "jackdawshunt/kernel/role.h"
 #include "jackdawshunt/membership/view.h"
@@ -73,6 +74,7 @@
     load_timer_ = loop_.Every(kLoadReadPeriod, [this] { ReadUpstreamLoad(); });
     loop_.OnSignal(SIGTERM, [this] { ShutDown(); });
     loop_.OnSignal(SIGINT, [this] { ShutDown(); });
+    const kernel::LoopWatchdog watchdog(loop_);
     loop_.Run();
     base::Log(base::LogLevel::kInfo, "stopped");
     return 0;
