--- a/jackdawshunt/board/datagram_socket.cc
+++ b/jackdawshunt/board/datagram_socket.cc
@@ -48,7 +48,7 @@
       if (count < 0) {
         return;
       }
-      const auto work = kernel::LoopWork::OnMessage(from);
+      const kernel::LoopWork work(kernel::LoopWorkKind::kMessage, from);
       std::array<char, INET_ADDRSTRLEN> ip{};
       inet_ntop(AF_INET, &from.sin_addr, ip.data(), ip.size());
       receiver({ip.data(), ntohs(from.sin_port)},
--- a/jackdawshunt/http/client.cc
+++ b/jackdawshunt/http/client.cc
@@ -254,7 +254,7 @@
 }
 
 void CallState::Deliver() {
-  const auto work = kernel::LoopWork::OnMessage(peer_);
+  const kernel::LoopWork work(kernel::LoopWorkKind::kMessage, peer_);
   if (is_cancelled_ ||
       (is_paused_ && (!result_.has_value() || result_->ok()))) {
     return;
--- a/jackdawshunt/http/server.cc
+++ b/jackdawshunt/http/server.cc
@@ -422,7 +422,8 @@
   if (!stream->is_open()) {
     return;
   }
-  const auto work = kernel::LoopWork::OnConnection(stream->fd());
+  const sockaddr_in peer = kernel::PeerOf(stream->fd());
+  const kernel::LoopWork work(kernel::LoopWorkKind::kConnection, peer);
   if (handler) {
     handler(std::make_shared<ExchangeHandle>(stream));
   } else {
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -626,6 +626,21 @@
   EXPECT_LT(text_.find("/1"), text_.find("/2"));
 }
 
+// Guards against a report of a loop that does not return which cannot say which
+// connection it works on, since the request was read before its turn came.
+TEST_F(ServerConnectionTest, WorkOnARequestThatWasReadAheadIsNotNamed) {
+  size_t named = 0;
+  handler_.responds = false;
+  handler_.on_request = [&](ServerConnection& connection) {
+    named += kernel::LoopWork::current() == nullptr ? 0 : 1;
+    loop_.Post([&] { connection.Reply({.status = 200, .headers = {}}, ""); });
+  };
+  Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return handler_.targets.size() == 2; },
+                             seconds(20)));
+  EXPECT_EQ(named, 2);
+}
+
 // Guards against bytes of a body where the next response is due: neither a 204
 // or 304 nor a response to HEAD has one.
 TEST_F(ServerConnectionTest, ResponseWithoutBodyIsFollowedByTheNextOne) {
--- a/jackdawshunt/http1/internal/socket_stream.cc
+++ b/jackdawshunt/http1/internal/socket_stream.cc
@@ -43,6 +43,7 @@
 
 void SocketStream::Adopt(int fd) {
   fd_ = fd;
+  peer_ = kernel::PeerOf(fd);
   StartEvents();
   SetReading(true);
 }
@@ -65,6 +66,7 @@
     return false;
   }
   is_connecting_ = true;
+  peer_ = *to;
   StartEvents();
   event_add(write_event_, nullptr);
   return true;
@@ -116,7 +118,7 @@
 }
 
 void SocketStream::OnReadable() {
-  const auto work = kernel::LoopWork::OnConnection(fd_);
+  const kernel::LoopWork work(kernel::LoopWorkKind::kConnection, peer_);
   static std::array<char, kReadBufferBytes> buffer;
   const ssize_t count = recv(fd_, buffer.data(), buffer.size(), 0);
   if (count > 0) {
@@ -130,7 +132,7 @@
 }
 
 void SocketStream::OnWritable() {
-  const auto work = kernel::LoopWork::OnConnection(fd_);
+  const kernel::LoopWork work(kernel::LoopWorkKind::kConnection, peer_);
   if (is_connecting_) {
     is_connecting_ = false;
     int error = 0;
--- a/jackdawshunt/http1/internal/socket_stream.h
+++ b/jackdawshunt/http1/internal/socket_stream.h
@@ -14,6 +14,8 @@
 #ifndef JACKDAWSHUNT_HTTP1_INTERNAL_SOCKET_STREAM_H_
 #define JACKDAWSHUNT_HTTP1_INTERNAL_SOCKET_STREAM_H_
 
+#include <netinet/in.h>
+
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -76,6 +78,9 @@
   // before OnConnected().
   bool was_accepted() const { return was_accepted_; }
   int fd() const { return fd_; }
+  // Returns the address of the other side, also after it has left; port 0 if it
+  // is unknown.
+  const sockaddr_in& peer() const { return peer_; }
   // Returns the number of buffered bytes that were not sent yet.
   size_t unwritten() const {
     return output_.size() - output_sent_ +
@@ -101,6 +106,7 @@
   kernel::EventLoop& loop_;
   Owner& owner_;
   int fd_ = -1;
+  sockaddr_in peer_{};
   event* read_event_ = nullptr;
   event* write_event_ = nullptr;
   std::string output_;
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -13,6 +13,7 @@
 #include "jackdawshunt/http1/internal/release.h"
 #include "jackdawshunt/http1/internal/socket_options.h"
 #include "jackdawshunt/http1/internal/socket_stream.h"
+#include "jackdawshunt/kernel/loop_work.h"
 
 namespace jackdawshunt::http1 {
 namespace {
@@ -396,6 +397,8 @@
     if (!MayParse()) {
       return;
     }
+    const kernel::LoopWork work(kernel::LoopWorkKind::kConnection,
+                                stream.peer());
     const std::string data = std::exchange(unparsed, {});
     const size_t consumed = Consume(data);
     if (!closes_after_response || is_busy) {
--- a/jackdawshunt/kernel/loop_watchdog.cc
+++ b/jackdawshunt/kernel/loop_watchdog.cc
@@ -27,14 +27,12 @@
   return SIGRTMIN;
 }
 
-// Adds the address of the other side of `work`.
 void AddWork(const LoopWork& work, base::CrashLine& line) {
-  const sockaddr_in peer = work.peer();
   std::array<char, INET_ADDRSTRLEN> ip{};
-  inet_ntop(AF_INET, &peer.sin_addr, ip.data(), ip.size());
+  inet_ntop(AF_INET, &work.peer().sin_addr, ip.data(), ip.size());
   line.Add("work", LoopWorkKindName(work.kind()))
       .Add("peer_ip", ip.data())
-      .Add("peer_port", ntohs(peer.sin_port));
+      .Add("peer_port", ntohs(work.peer().sin_port));
 }
 
 void CheckBeats(int) {
--- a/jackdawshunt/kernel/loop_watchdog_test.cc
+++ b/jackdawshunt/kernel/loop_watchdog_test.cc
@@ -86,36 +86,34 @@
 // report that does not say which connection did it.
 TEST(LoopWatchdogDeathTest, LoopThatDoesNotReturnStandsStill) {
   const Connection connection;
+  const sockaddr_in peer = PeerOf(connection.server_fd());
   EXPECT_EXIT(RunWatched([&] {
-                const auto work =
-                    LoopWork::OnConnection(connection.server_fd());
+                const LoopWork work(LoopWorkKind::kConnection, peer);
                 Spin(10 * kLimit);
               }),
               testing::KilledBySignal(SIGABRT),
               absl::StrCat(R"("loop_stuck","work":"connection",)"
                            R"("peer_ip":"127\.0\.0\.1","peer_port":)",
-                           connection.client_port()));
+                           connection.client_port(), R"(\})"));
 }
 
-// Guards against a message whose sender is not reported.
-TEST(LoopWatchdogDeathTest, SenderOfAMessageIsNotNamed) {
+// Guards against a report that names work that is over, or none of the work
+// around it.
+TEST(LoopWatchdogDeathTest, EndedWorkIsBlamed) {
   sockaddr_in sender{};
-  sender.sin_family = AF_INET;
   sender.sin_addr.s_addr = htonl(0x7f000102);
   sender.sin_port = htons(4711);
+  EXPECT_EXIT(
+      RunWatched([&] {
+        const LoopWork outer(LoopWorkKind::kMessage, sender);
+        const sockaddr_in other{};
+        { const LoopWork inner(LoopWorkKind::kConnection, other); }
+        Spin(10 * kLimit);
+      }),
+      testing::KilledBySignal(SIGABRT),
+      R"("work":"message","peer_ip":"127\.0\.1\.2","peer_port":4711\})");
   EXPECT_EXIT(RunWatched([&] {
-                const auto work = LoopWork::OnMessage(sender);
-                Spin(10 * kLimit);
-              }),
-              testing::KilledBySignal(SIGABRT),
-              R"("work":"message","peer_ip":"127\.0\.1\.2","peer_port":4711)");
-}
-
-// Guards against a report that names work that is over.
-TEST(LoopWatchdogDeathTest, EndedWorkIsBlamed) {
-  const Connection connection;
-  EXPECT_EXIT(RunWatched([&] {
-                { const auto work = LoopWork::OnConnection(0); }
+                { const LoopWork work(LoopWorkKind::kMessage, sender); }
                 Spin(10 * kLimit);
               }),
               testing::KilledBySignal(SIGABRT), R"("loop_stuck"\})");
--- a/jackdawshunt/kernel/loop_work.cc
+++ b/jackdawshunt/kernel/loop_work.cc
@@ -16,13 +16,10 @@
   return kKindNames.at(static_cast<size_t>(kind));
 }
 
-sockaddr_in LoopWork::peer() const {
-  if (sender_ != nullptr) {
-    return *sender_;
-  }
+sockaddr_in PeerOf(int fd) {
   sockaddr_in peer{};
   socklen_t size = sizeof(peer);
-  if (getpeername(fd_, reinterpret_cast<sockaddr*>(&peer), &size) != 0 ||
+  if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0 ||
       peer.sin_family != AF_INET) {
     return {};
   }
--- a/jackdawshunt/kernel/loop_work.h
+++ b/jackdawshunt/kernel/loop_work.h
@@ -3,7 +3,7 @@
 //
 // Example:
 //   void OnReadable() {
-//     const auto work = kernel::LoopWork::OnConnection(fd_);
+//     const kernel::LoopWork work(kernel::LoopWorkKind::kConnection, peer_);
 //     ...
 //   }
 #ifndef JACKDAWSHUNT_KERNEL_LOOP_WORK_H_
@@ -26,10 +26,12 @@
 // it for its time.
 class LoopWork {
  public:
-  // `fd` is only read for a report.
-  static LoopWork OnConnection(int fd) { return {fd, nullptr}; }
-  // `sender` must outlive the work.
-  static LoopWork OnMessage(const sockaddr_in& sender) { return {-1, &sender}; }
+  // `peer` is the address of the other side; port 0 if it is unknown. It must
+  // outlive the work.
+  LoopWork(LoopWorkKind kind, const sockaddr_in& peer)
+      : kind_(kind), peer_(peer), outer_(current_) {
+    current_ = this;
+  }
   ~LoopWork() { current_ = outer_; }
   LoopWork(const LoopWork&) = delete;
   LoopWork& operator=(const LoopWork&) = delete;
@@ -38,28 +40,23 @@
   // by a signal handler.
   static const LoopWork* current() { return current_; }
 
-  LoopWorkKind kind() const {
-    return sender_ == nullptr ? LoopWorkKind::kConnection
-                              : LoopWorkKind::kMessage;
-  }
-  // Returns the address of the other side, with port 0 if the connection was
-  // closed meanwhile. May be called by a signal handler.
-  sockaddr_in peer() const;
+  LoopWorkKind kind() const { return kind_; }
+  const sockaddr_in& peer() const { return peer_; }
 
  private:
-  LoopWork(int fd, const sockaddr_in* sender)
-      : fd_(fd), sender_(sender), outer_(current_) {
-    current_ = this;
-  }
-
   static inline constinit thread_local const LoopWork* volatile current_ =
       nullptr;
 
-  const int fd_;
-  const sockaddr_in* const sender_;
+  const LoopWorkKind kind_;
+  const sockaddr_in& peer_;
   const LoopWork* const outer_;
 };
 
+// Returns the address of the other side of a connected socket, to be kept for
+// LoopWork, since it can no longer be read once the other side has left. Port 0
+// if it is not an IPv4 address.
+sockaddr_in PeerOf(int fd);
+
 }  // namespace jackdawshunt::kernel
 
 #endif  // JACKDAWSHUNT_KERNEL_LOOP_WORK_H_
--- a/jackdawshunt/protocol/internal/link.cc
+++ b/jackdawshunt/protocol/internal/link.cc
@@ -119,6 +119,7 @@
 
 void Link::HandleConnected() {
   SetNoDelay(bufferevent_getfd(transport_));
+  peer_address_ = kernel::PeerOf(bufferevent_getfd(transport_));
   bufferevent_enable(transport_, EV_READ | EV_WRITE);
   SendHandshake(handshake_.hello());
 }
@@ -136,8 +137,7 @@
 
 void Link::HandleReadable() {
   const auto self = shared_from_this();
-  const auto work =
-      kernel::LoopWork::OnConnection(bufferevent_getfd(transport_));
+  const kernel::LoopWork work(kernel::LoopWorkKind::kConnection, peer_address_);
   last_received_ = loop_.clock().Now();
   evbuffer* const input = bufferevent_get_input(transport_);
   const size_t size = evbuffer_get_length(input);
--- a/jackdawshunt/protocol/internal/link.h
+++ b/jackdawshunt/protocol/internal/link.h
@@ -3,6 +3,7 @@
 #define JACKDAWSHUNT_PROTOCOL_INTERNAL_LINK_H_
 
 #include <event2/util.h>
+#include <netinet/in.h>
 
 #include <deque>
 #include <functional>
@@ -87,6 +88,7 @@
   FrameReader frames_;
   BodyDecoder bodies_;
   bufferevent* transport_ = nullptr;
+  sockaddr_in peer_address_{};
   kernel::Timer silence_timer_;
   kernel::TimePoint started_at_;
   kernel::TimePoint last_received_;
