--- a/jackdawshunt/routing/permits_test.cc
+++ b/jackdawshunt/routing/permits_test.cc
@@ -34,6 +34,17 @@
   return 1.5 * limit * 4 + 5;
 }
 
+// Guards against a wait beyond what a time can hold, which would be negative.
+TEST(PermitCounterTest, WaitOfATinyRateOverflows) {
+  for (const double rate : {1e-12, 1e-300, 5e-324}) {
+    PermitCounter counter;
+    const Permit permit =
+        counter.Take(1, {.per_second = rate}, kernel::ManualClock().Now());
+    EXPECT_FALSE(permit.is_granted);
+    EXPECT_EQ(permit.wait, std::chrono::hours(24)) << rate;
+  }
+}
+
 // A limit below one a second for many gateways is still a limit, and one that
 // changes at any moment is never exceeded by what was saved before.
 RC_GTEST_PROP(PermitCounterTest, AnyFourSecondsKeepWithinTheLimit, ()) {
--- a/jackdawshunt/routing/token_bucket.cc
+++ b/jackdawshunt/routing/token_bucket.cc
@@ -9,6 +9,7 @@
 
 // Covers the rounding of times to microseconds.
 constexpr double kRounding = 1e-4;
+constexpr Seconds kMaxTimeToNext{24 * 3600};
 
 }  // namespace
 
@@ -38,8 +39,8 @@
 
 kernel::Duration TokenBucket::TimeToNext(kernel::TimePoint now) {
   Fill(now);
-  return std::chrono::duration_cast<kernel::Duration>(
-      Seconds(std::max(1 - tokens_, 0.0) / per_second_));
+  return std::chrono::duration_cast<kernel::Duration>(std::min(
+      Seconds(std::max(1 - tokens_, 0.0) / per_second_), kMaxTimeToNext));
 }
 
 }  // namespace jackdawshunt::routing
--- a/jackdawshunt/routing/token_bucket.h
+++ b/jackdawshunt/routing/token_bucket.h
@@ -19,7 +19,8 @@
   // Starts without tokens. Requires positive values.
   void SetRate(double per_second, double capacity, kernel::TimePoint now);
   bool TryTake(kernel::TimePoint now);
-  // Returns the time until TryTake() succeeds; zero if it does now.
+  // Returns the time until TryTake() succeeds, at most a day; zero if it does
+  // now.
   kernel::Duration TimeToNext(kernel::TimePoint now);
   kernel::TimePoint last_used() const { return updated_at_; }
 
