--- a/jackdawshunt/board/board_test.cc
+++ b/jackdawshunt/board/board_test.cc
@@ -5,8 +5,10 @@
 #include <vector>
 
 #include "gtest/gtest.h"
+#include "jackdawshunt/base/testing/bytes_near.h"
 #include "jackdawshunt/board/datagram_socket.h"
 #include "jackdawshunt/routing/fair_share.h"
+#include "rapidcheck/gtest.h"
 
 namespace jackdawshunt::board {
 namespace {
@@ -489,5 +491,50 @@
   }
 }
 
+// One message of each type.
+const std::vector<Message>& Messages() {
+  static const AgedFact fact{.kind = routing::FactKind::kStartEnded,
+                             .subject = 4,
+                             .source = 5,
+                             .age = seconds(1),
+                             .suspects = {{routing::SubjectKind::kPart, 6},
+                                          {routing::SubjectKind::kRequest, 7}}};
+  static const std::vector<Message> messages = {
+      Query{.nonce = 1, .part_keys = {5, 6}, .part_tokens = {90, 10}},
+      Offer{.nonce = 1},
+      Claim{.request = 1, .part_keys = {5}, .part_tokens = {90}},
+      ProgressReport{.request = 1},
+      ShareUpdate{.gateway = 1, .reports = {{1, {.requested = 9}}}},
+      ShareTotals{},
+      OriginRecord{},
+      OriginQuery{},
+      OriginReply{},
+      FactUpdate{.facts = {fact}},
+      FactReply{.facts = {fact, fact}},
+      PermitQuery{},
+      PermitReply{}};
+  return messages;
+}
+
+// Guards against a datagram that ends or stops the process.
+RC_GTEST_PROP(DatagramProperty, BytesNearAMessageStopTheReader, ()) {
+  kernel::ManualClock clock;
+  Board board(42);
+  const auto count = *rc::gen::inRange(1, 10);
+  for (int i = 0; i < count; ++i) {
+    const Message& message = *rc::gen::elementOf(Messages());
+    const auto decoded = Decode(*base::testing::BytesNear(Encode(message)));
+    if (!decoded.ok()) {
+      continue;
+    }
+    clock.Advance(milliseconds(*rc::gen::inRange(0, 2000)));
+    const auto reply = board.Handle(*decoded, clock.Now());
+    board.DropExpired(clock.Now());
+    if (reply.has_value()) {
+      RC_ASSERT(Decode(Encode(*reply)).ok());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace jackdawshunt::board
--- a/jackdawshunt/platform/engine_report_test.cc
+++ b/jackdawshunt/platform/engine_report_test.cc
@@ -1,7 +1,9 @@
 #include "jackdawshunt/platform/engine_report.h"
 
 #include "gtest/gtest.h"
+#include "jackdawshunt/base/testing/bytes_near.h"
 #include "jackdawshunt/routing/prompt.h"
+#include "rapidcheck/gtest.h"
 
 namespace jackdawshunt::platform {
 namespace {
@@ -82,5 +84,11 @@
             0u);
 }
 
+// Guards against a report that ends or stops the process.
+RC_GTEST_PROP(EngineReportTest, BytesNearAReportStopTheReader, ()) {
+  const auto report = DecodeEngineReport(*base::testing::BytesNear(kReport));
+  RC_ASSERT(report.ok() || !report.status().message().empty());
+}
+
 }  // namespace
 }  // namespace jackdawshunt::platform
--- a/jackdawshunt/platform/records_test.cc
+++ b/jackdawshunt/platform/records_test.cc
@@ -5,6 +5,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
+#include "jackdawshunt/base/testing/bytes_near.h"
+#include "rapidcheck/gtest.h"
 
 namespace jackdawshunt::platform {
 namespace {
@@ -359,5 +361,28 @@
   }
 }
 
+// Guards against an answer of the store that ends or stops the process.
+RC_GTEST_PROP(RecordsTest, BytesNearAnAnswerStopTheReader, ()) {
+  const std::string configuration = Item(
+      "main",
+      R"({"version":7,"tenants":[{"name":"t","apiKeys":["k"],"share":2}],)"
+      R"("routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"safe",)"
+      R"("service":"s","timeoutMs":1000,"split":[{"service":"s","weight":1}]}]})");
+  const std::string items = Item("i-1", kServer) + "," + configuration;
+  const std::string list = *base::testing::BytesNear(ListOf(items));
+  const std::string watch = *base::testing::BytesNear(
+      absl::StrCat(R"({"events":[{"removed":false,"object":)",
+                   Item("i-1", kServer), R"(},{"removed":false,"object":)",
+                   configuration, R"(}],"storeRevision":531})"));
+  for (const RecordKind kind :
+       {RecordKind::kDesiredState, RecordKind::kUpstream,
+        RecordKind::kEvacuation}) {
+    const auto listed = DecodeList(kind, list);
+    RC_ASSERT(listed.ok() || !listed.status().message().empty());
+    const auto watched = DecodeWatch(kind, watch);
+    RC_ASSERT(watched.ok() || !watched.status().message().empty());
+  }
+}
+
 }  // namespace
 }  // namespace jackdawshunt::platform
--- a/jackdawshunt/platform/wire_test.cc
+++ b/jackdawshunt/platform/wire_test.cc
@@ -2,7 +2,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
+#include "jackdawshunt/base/testing/bytes_near.h"
 #include "jackdawshunt/platform/settings.h"
+#include "rapidcheck/gtest.h"
 
 namespace jackdawshunt::platform {
 namespace {
@@ -196,5 +198,37 @@
   EXPECT_FALSE(ParseSettings("node=a\n", "f").ok());
 }
 
+// Guards against a settings file that stops the process.
+RC_GTEST_PROP(SettingsTest, BytesNearSettingsStopTheReader, ()) {
+  const auto settings =
+      ParseSettings(*base::testing::BytesNear(kSettings), "file");
+  RC_ASSERT(settings.ok() || !settings.status().message().empty());
+}
+
+// Guards against a header of a caller or an upstream that ends or stops the
+// process.
+RC_GTEST_PROP(WireTest, BytesNearAHeaderStopTheReader, ()) {
+  http1::RequestHead request = GenerationRequest();
+  request.headers.emplace_back("Last-Event-Id", "7");
+  for (auto& [name, value] : request.headers) {
+    value = *base::testing::BytesNear(value);
+  }
+  const auto decoded = DecodeRequest(request);
+  RC_ASSERT(decoded.ok() || !decoded.status().message().empty());
+  http1::ResponseHead response{.status = 503};
+  for (const char* const name :
+       {"Request-Id", "Response-Seal", "Retry-After", "Server-Limit",
+        "Not-Executed", "Server-Leaving"}) {
+    response.headers.emplace_back(name, *base::testing::BytesNear("1.5"));
+  }
+  const UpstreamAnswer answer = DecodeAnswer(response);
+  RC_ASSERT(answer.retry_after.value_or(kMaxUpstreamRetryAfter) <=
+            kMaxUpstreamRetryAfter);
+  RC_ASSERT(answer.retry_after.value_or(kernel::Duration::zero()) >=
+            kernel::Duration::zero());
+  RC_ASSERT(answer.limit_per_second.value_or(kMinUpstreamLimit) >=
+            kMinUpstreamLimit);
+}
+
 }  // namespace
 }  // namespace jackdawshunt::platform
