--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -390,6 +390,10 @@
   }
   routing::RoutedRequest& request = *admitted;
   connection.SetWorkspace(request.workspace);
+  if (open_descriptors() >= limits_.descriptors) {
+    CloseYielding();
+    LogConnectionLimit();
+  }
   if (open_descriptors() >= limits_.descriptors) {
     ReplyError(connection, decoded.id, base::ErrorKind::kOverloaded,
                "this instance has too many connections");
--- a/jackdawshunt/testing/gateway_process_test.cc
+++ b/jackdawshunt/testing/gateway_process_test.cc
@@ -1202,6 +1202,25 @@
   }));
 }
 
+// Guards against a gateway that refuses every request, for as long as callers
+// connect, once idle connections have taken all descriptors.
+TEST_F(GatewayProcessTest, IdleConnectionsTakeTheDescriptorsOfAllRequests) {
+  constexpr size_t kConnections = 6;
+  Start({.work = milliseconds(200), .file_descriptors = 2 * kConnections});
+  std::vector<CallPtr> calls;
+  for (size_t i = 0; i < kConnections; ++i) {
+    calls.push_back(fleet_->Call(0, {.route = kHold}));
+  }
+  ASSERT_TRUE(fleet_->Await([&] {
+    return std::all_of(calls.begin(), calls.end(),
+                       [](const CallPtr& call) { return call->is_done(); });
+  }));
+  fleet_->RunFor(milliseconds(1100));
+  // As many connections to upstreams are idle.
+  const CallPtr call = Call({.route = kHold});
+  EXPECT_EQ(call->status(), 200) << call->body();
+}
+
 TEST_F(GatewayProcessTest, AGracefulStopCutsNoStream) {
   Start();
   std::vector<CallPtr> calls;
