--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -203,7 +203,10 @@
 void HttpFrontend::CloseYielding() {
   const auto yielding = http1::ChooseYielding(
       sessions_, context_.Now(),
-      [](const auto& row) { return row.second->connection().use(); });
+      [](const auto& row) { return row.second->connection().use(); },
+      [](const auto& row) {
+        return row.second->connection().HasUnreadInput();
+      });
   if (yielding != sessions_.end()) {
     ++connections_yielded_;
     yielding->second->connection().Yield();  // Removes the session.
--- a/jackdawshunt/http1/connection_test.cc
+++ b/jackdawshunt/http1/connection_test.cc
@@ -619,6 +619,25 @@
   }
 }
 
+// Guards against a request that is lost since its connection is closed for a
+// new one before it is read, and against a connection that never yields since
+// what it sent is not read.
+TEST_F(ServerConnectionTest, UnreadRequestIsNotNoticed) {
+  EXPECT_FALSE(connection_->HasUnreadInput());
+  EXPECT_EQ(connection_->use().state, ConnectionState::kSilent);
+  Write("GET /1 HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(connection_->HasUnreadInput());
+  EXPECT_EQ(connection_->use().state, ConnectionState::kBusy);
+  ASSERT_TRUE(AwaitText("/1"));
+  EXPECT_FALSE(connection_->HasUnreadInput());
+  EXPECT_EQ(connection_->use().state, ConnectionState::kIdle);
+  Write("GET /2 HTTP/1.1\r\n");
+  EXPECT_TRUE(connection_->HasUnreadInput());
+  ASSERT_TRUE(loop_.RunUntil(
+      [&] { return connection_->use().state == ConnectionState::kSilent; },
+      seconds(20)));
+}
+
 TEST_F(ServerConnectionTest, AnswersPipelinedRequestsInOrder) {
   Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
   ASSERT_TRUE(AwaitText("/2"));
--- a/jackdawshunt/http1/connection_use.h
+++ b/jackdawshunt/http1/connection_use.h
@@ -44,22 +44,29 @@
 }
 
 // Returns the element of `connections` that yields to a new connection, or the
-// end. `use_of` returns the ConnectionUse of an element.
-template <typename Connections, typename UseOf>
+// end. `use_of` returns the ConnectionUse of an element. One of which
+// `has_unread_input` returns true is passed over; `use_of` must return kBusy
+// for it from then on.
+template <typename Connections, typename UseOf, typename HasUnreadInput>
 auto ChooseYielding(Connections& connections,
                     kernel::TimePoint now,
-                    const UseOf& use_of) {
-  auto chosen = connections.end();
-  ConnectionUse chosen_use;
-  for (auto each = connections.begin(); each != connections.end(); ++each) {
-    const ConnectionUse use = use_of(*each);
-    if (MayYield(use, now) &&
-        (chosen == connections.end() || YieldsBefore(use, chosen_use))) {
-      chosen = each;
-      chosen_use = use;
+                    const UseOf& use_of,
+                    const HasUnreadInput& has_unread_input) {
+  for (;;) {
+    auto chosen = connections.end();
+    ConnectionUse chosen_use;
+    for (auto each = connections.begin(); each != connections.end(); ++each) {
+      const ConnectionUse use = use_of(*each);
+      if (MayYield(use, now) &&
+          (chosen == connections.end() || YieldsBefore(use, chosen_use))) {
+        chosen = each;
+        chosen_use = use;
+      }
+    }
+    if (chosen == connections.end() || !has_unread_input(*chosen)) {
+      return chosen;
     }
   }
-  return chosen;
 }
 
 }  // namespace jackdawshunt::http1
--- a/jackdawshunt/http1/connection_use_test.cc
+++ b/jackdawshunt/http1/connection_use_test.cc
@@ -18,9 +18,11 @@
 
 // Returns the index of the connection that yields, or the number of them.
 size_t Chosen(const std::vector<ConnectionUse>& connections) {
-  const auto use_of = [](const ConnectionUse& use) { return use; };
-  return static_cast<size_t>(ChooseYielding(connections, kNow, use_of) -
-                             connections.begin());
+  return static_cast<size_t>(
+      ChooseYielding(
+          connections, kNow, [](const ConnectionUse& use) { return use; },
+          [](const ConnectionUse& /*use*/) { return false; }) -
+      connections.begin());
 }
 
 TEST(ConnectionUseTest, IdleCallerYieldsBeforeASilentOne) {
@@ -42,6 +44,29 @@
   EXPECT_EQ(Chosen({Use(ConnectionState::kIdle, milliseconds(1000))}), 0u);
 }
 
+// Guards against a connection that is closed before its request is read, or one
+// whose caller has just sent the next request.
+TEST(ConnectionUseTest, ConnectionWithAnUnreadRequestYields) {
+  std::vector<ConnectionUse> connections = {
+      Use(ConnectionState::kIdle, seconds(5)),
+      Use(ConnectionState::kSilent, milliseconds(2)),
+      Use(ConnectionState::kSilent, milliseconds(1))};
+  const auto chosen = [&connections](ConnectionState last_unread) {
+    return ChooseYielding(
+               connections, kNow, [](const ConnectionUse& use) { return use; },
+               [&](ConnectionUse& use) {
+                 const bool has_unread_input = use.state <= last_unread;
+                 if (has_unread_input) {
+                   use.state = ConnectionState::kBusy;
+                 }
+                 return has_unread_input;
+               }) -
+           connections.begin();
+  };
+  EXPECT_EQ(chosen(ConnectionState::kSilent), 0);
+  EXPECT_EQ(chosen(ConnectionState::kIdle), 3);
+}
+
 TEST(ConnectionUseTest, BusyConnectionYields) {
   EXPECT_EQ(Chosen({Use(ConnectionState::kBusy, seconds(60))}), 1u);
 }
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -164,10 +164,21 @@
     }
   }
 
+  bool HasUnreadInput() {
+    // What follows a response that was not read waits for its caller.
+    int unread = 0;
+    has_unread_input = stream.is_open() && !is_lingering && MayParse() &&
+                       ioctl(stream.fd(), FIONREAD, &unread) == 0 && unread > 0;
+    return has_unread_input;
+  }
+
   ConnectionState connection_state() const {
     if (is_lingering) {
       return ConnectionState::kClosing;
     }
+    if (has_unread_input) {
+      return ConnectionState::kBusy;
+    }
     if (is_receiving()) {
       return parser.state() == ParseState::kHead ||
                      (client.has_value() && client->IsRequestStalled(Now()))
@@ -202,6 +213,7 @@
   }
   void OnPartlySent() override { AccountOutput(); }
   void OnData(std::string_view data) override {
+    has_unread_input = false;
     if (closes_after_response && !is_busy) {
       return;  // No request is served any more.
     }
@@ -429,7 +441,8 @@
   bool closes_after_response = false;
   bool is_lingering = false;
   bool has_large_buffer = false;
-  bool has_answered = false;  // A request so far.
+  bool has_answered = false;      // A request so far.
+  bool has_unread_input = false;  // Input was seen that is not read yet.
   // The connection is idle, or receives a request, since then.
   kernel::TimePoint state_since{};
 };
@@ -544,6 +557,10 @@
   return {impl_->connection_state(), impl_->state_since};
 }
 
+bool ServerConnection::HasUnreadInput() {
+  return impl_->HasUnreadInput();
+}
+
 void ServerConnection::Yield() {
   impl_->CloseAndNotify();
 }
@@ -588,9 +605,10 @@
 
 void ConnectionSet::Add(int fd) {
   if (connections_.size() >= options_.max_connections) {
-    const auto yielding =
-        ChooseYielding(connections_, loop_.clock().Now(),
-                       [](const auto& row) { return row.second->use(); });
+    const auto yielding = ChooseYielding(
+        connections_, loop_.clock().Now(),
+        [](const auto& row) { return row.second->use(); },
+        [](const auto& row) { return row.second->HasUnreadInput(); });
     if (yielding == connections_.end()) {
       close(fd);
       return;
--- a/jackdawshunt/http1/server.h
+++ b/jackdawshunt/http1/server.h
@@ -133,6 +133,9 @@
 
   // Returns how the connection uses its descriptor.
   ConnectionUse use() const;
+  // Returns whether input waits that has not been read, such as a request on a
+  // new connection. If so, use() returns kBusy until it is read.
+  bool HasUnreadInput();
   // Closes the connection at once, for one that needs its descriptor.
   void Yield();
 
