--- a/jackdawshunt/base/json_depth.h
+++ b/jackdawshunt/base/json_depth.h
@@ -5,8 +5,7 @@
 // Example:
 //   const auto body = nlohmann::json::parse(text, nullptr, false);
 //   if (!base::NestsAtMost(body, base::kMaxJsonDepth)) {
-//     return base::MakeError(base::ErrorKind::kBadRequest, "nested too
-//     deeply");
+//     return absl::InvalidArgumentError("the body nests too deeply");
 //   }
 #ifndef JACKDAWSHUNT_BASE_JSON_DEPTH_H_
 #define JACKDAWSHUNT_BASE_JSON_DEPTH_H_
--- a/jackdawshunt/base/testing/bytes_near.h
+++ b/jackdawshunt/base/testing/bytes_near.h
@@ -16,7 +16,7 @@
 
 namespace jackdawshunt::base::testing {
 
-// Returns a generator of copies of `valid` with up to eight ranges replaced: by
+// Returns a generator of copies of `valid` with up to seven ranges replaced: by
 // arbitrary bytes, by other parts of it, and by parts that are repeated often.
 inline rc::Gen<std::string> BytesNear(const std::string& valid) {
   return rc::gen::exec([valid] {
--- a/jackdawshunt/gateway/http_frontend.h
+++ b/jackdawshunt/gateway/http_frontend.h
@@ -41,9 +41,10 @@
 class HttpFrontend {
  public:
   // `context` and `freshness` must outlive the frontend. A connection beyond
-  // the limits takes the place of one that yields. Where none does, its first
-  // request is refused; far beyond the limits it is closed when accepted. All
-  // take their memory from `budget`, which must outlive the loop.
+  // the limits takes the place of one that yields, and so does a request that
+  // finds all descriptors in use. Where none yields, the request is refused;
+  // far beyond the limits a connection is closed when accepted. All take their
+  // memory from `budget`, which must outlive the loop.
   HttpFrontend(CallContext& context,
                const routing::KeyFreshness& freshness,
                http1::ClientBudget& budget,
--- a/jackdawshunt/http1/connection_use.h
+++ b/jackdawshunt/http1/connection_use.h
@@ -1,4 +1,5 @@
-// Decides which connection yields its descriptor to a new one. Performs no I/O.
+// Decides which connection yields its descriptor to a new one or to a request.
+// Performs no I/O.
 //
 // Example:
 //   if (http1::MayYield(use, now) && http1::YieldsBefore(use, chosen)) {
