--- a/jackdawshunt/routing/directory.cc
+++ b/jackdawshunt/routing/directory.cc
@@ -22,6 +22,8 @@
 // A leaving upstream has ended after this time. Bounds the effect of a wrong
 // clock on starts that were not listed when it was told.
 constexpr kernel::Duration kMaxLeavingTime = std::chrono::seconds(60);
+// Stands for all configured services; no service has this name.
+constexpr std::string_view kConfiguredServices;
 
 constexpr std::array<std::string_view, 7> kChangeNames = {
     "added",   "updated",      "restarted", "draining",
@@ -275,24 +277,33 @@
   }
   has_superseded_ = true;
   superseded_.clear();
-  std::unordered_map<std::string, std::vector<const Upstream*>> by_address;
+  // Latest start at each address, of all configured services together and of
+  // each other service.
+  std::map<std::pair<std::string, std::string_view>, int64_t> latest;
+  const auto group_of = [this](const Upstream& upstream) {
+    return IsConfigured(upstream.service) ? kConfiguredServices
+                                          : std::string_view(upstream.service);
+  };
   for (const auto& [id, entry] : entries_) {
-    if (absent_.contains(entry.upstream.start)) {
-      superseded_.insert(entry.upstream.start);
+    const Upstream& upstream = entry.upstream;
+    if (absent_.contains(upstream.start)) {
+      superseded_.insert(upstream.start);
     } else {
-      by_address[entry.upstream.address.ToString()].push_back(&entry.upstream);
+      int64_t& started =
+          latest[{upstream.address.ToString(), group_of(upstream)}];
+      started = std::max(started, upstream.started_unix_ms);
     }
   }
-  for (const auto& [address, starts] : by_address) {
-    for (const Upstream* upstream : starts) {
-      const auto is_later = [this, upstream](const Upstream* other) {
-        return upstream->started_unix_ms < other->started_unix_ms &&
-               MayReplace(*other, *upstream);
-      };
-      if (upstream->started_unix_ms != 0 &&
-          std::any_of(starts.begin(), starts.end(), is_later)) {
-        superseded_.insert(upstream->start);
-      }
+  for (const auto& [id, entry] : entries_) {
+    const Upstream& upstream = entry.upstream;
+    const std::string address = upstream.address.ToString();
+    const auto is_earlier = [&](std::string_view group) {
+      const auto found = latest.find({address, group});
+      return found != latest.end() && upstream.started_unix_ms < found->second;
+    };
+    if (upstream.started_unix_ms != 0 &&
+        (is_earlier(kConfiguredServices) || is_earlier(group_of(upstream)))) {
+      superseded_.insert(upstream.start);
     }
   }
 }
@@ -303,10 +314,8 @@
                                                   : upstream.start);
 }
 
-bool Directory::MayReplace(const Upstream& listed,
-                           const Upstream& upstream) const {
-  return listed.service == upstream.service || !services_.has_value() ||
-         services_->contains(listed.service);
+bool Directory::IsConfigured(std::string_view service) const {
+  return !services_.has_value() || services_->contains(service);
 }
 
 void Directory::SetServices(std::set<std::string, std::less<>> services) {
@@ -391,7 +400,9 @@
       entries_.begin(), entries_.end(), [this, &upstream](const auto& entry) {
         const Upstream& listed = entry.second.upstream;
         return listed.address == upstream.address &&
-               listed.start != upstream.start && MayReplace(listed, upstream) &&
+               listed.start != upstream.start &&
+               (listed.service == upstream.service ||
+                IsConfigured(listed.service)) &&
                (listed.started_unix_ms == 0 ||
                 listed.started_unix_ms >= upstream.started_unix_ms);
       });
--- a/jackdawshunt/routing/directory.h
+++ b/jackdawshunt/routing/directory.h
@@ -179,9 +179,7 @@
     std::vector<const Upstream*> ready;    // Not in evacuated data centres.
   };
 
-  // Returns whether `listed` counts as a start that may have taken the place of
-  // `upstream`, by their services.
-  bool MayReplace(const Upstream& listed, const Upstream& upstream) const;
+  bool IsConfigured(std::string_view service) const;
   // Updates superseded_ after a change.
   void UpdateSuperseded();
   const ServiceLists& ListsOf(std::string_view service, kernel::TimePoint now);
--- a/jackdawshunt/routing/routing_test.cc
+++ b/jackdawshunt/routing/routing_test.cc
@@ -393,6 +393,29 @@
   EXPECT_EQ(router.table()->version(), 7u);
 }
 
+// Guards against starts of a service that is not configured which hide those of
+// another one, or not their own earlier ones.
+TEST_F(DirectoryTest, UnknownServicesAreMistakenForOneAnother) {
+  Directory directory(seconds(2));
+  directory.SetServices({"desk"});
+  int64_t started = 0;
+  const auto put = [&](const std::string& id, const std::string& service) {
+    Upstream upstream = MakeUpstream(id, service);
+    upstream.started_unix_ms = ++started;
+    directory.Put(upstream, Now());
+    return upstream;
+  };
+  const Upstream first = put("a", "unknown");
+  const Upstream other = put("b", "other");
+  EXPECT_FALSE(directory.IsSuperseded(first));
+  const Upstream second = put("c", "unknown");
+  EXPECT_TRUE(directory.IsSuperseded(first));
+  EXPECT_FALSE(directory.IsSuperseded(other));
+  put("d", "desk");
+  EXPECT_TRUE(directory.IsSuperseded(other));
+  EXPECT_TRUE(directory.IsSuperseded(second));
+}
+
 // Guards against an entry of another writer that hides a sound upstream: no
 // request goes to its service, so no answer shows that it is not there.
 TEST_F(RouterTest, EntryOfAnUnknownServiceHidesNoUpstream) {
