--- a/jackdawshunt/gateway/http_frontend.cc
+++ b/jackdawshunt/gateway/http_frontend.cc
@@ -171,7 +171,6 @@
 void HttpFrontend::Accept(int fd) {
   if (is_at_limit()) {
     CloseYielding();
-    LogConnectionLimit();
   }
   const bool is_refused = is_at_limit();
   connections_over_limit_ += is_refused ? 1 : 0;
@@ -201,16 +200,16 @@
 }
 
 void HttpFrontend::CloseYielding() {
-  const auto yielding = http1::ChooseYielding(
-      sessions_, context_.Now(),
-      [](const auto& row) { return row.second->connection().use(); },
-      [](const auto& row) {
-        return row.second->connection().HasUnreadInput();
-      });
+  const auto yielding =
+      http1::ChooseYielding(sessions_, context_.Now(),
+                            [](const auto& row) -> http1::ServerConnection& {
+                              return row.second->connection();
+                            });
   if (yielding != sessions_.end()) {
     ++connections_yielded_;
     yielding->second->connection().Yield();  // Removes the session.
   }
+  LogConnectionLimit();
 }
 
 void HttpFrontend::LogConnectionLimit() {
@@ -395,7 +394,6 @@
   connection.SetWorkspace(request.workspace);
   if (open_descriptors() >= limits_.descriptors) {
     CloseYielding();
-    LogConnectionLimit();
   }
   if (open_descriptors() >= limits_.descriptors) {
     ReplyError(connection, decoded.id, base::ErrorKind::kOverloaded,
--- a/jackdawshunt/gateway/http_frontend.h
+++ b/jackdawshunt/gateway/http_frontend.h
@@ -89,7 +89,7 @@
   size_t open_descriptors() const;
   // Returns the limits of the current configuration.
   http1::ServerConnectionLimits CurrentLimits() const;
-  // Closes the connection that yields to a new one, if any.
+  // Closes the connection that yields, if any; call at the limit.
   void CloseYielding();
   void Remove(Session* session);
   std::vector<Session*> OpenSessions() const;
--- a/jackdawshunt/http1/connection_use.h
+++ b/jackdawshunt/http1/connection_use.h
@@ -44,27 +44,27 @@
   return a.state != b.state ? a.state < b.state : a.since < b.since;
 }
 
-// Returns the element of `connections` that yields to a new connection, or the
-// end. `use_of` returns the ConnectionUse of an element. One of which
-// `has_unread_input` returns true is passed over; `use_of` must return kBusy
-// for it from then on.
-template <typename Connections, typename UseOf, typename HasUnreadInput>
+// Returns the element of `connections` that yields, or the end. `connection_of`
+// returns the ServerConnection of an element. One with input that has not been
+// read is passed over.
+template <typename Connections, typename ConnectionOf>
 auto ChooseYielding(Connections& connections,
                     kernel::TimePoint now,
-                    const UseOf& use_of,
-                    const HasUnreadInput& has_unread_input) {
+                    const ConnectionOf& connection_of) {
   for (;;) {
     auto chosen = connections.end();
     ConnectionUse chosen_use;
     for (auto each = connections.begin(); each != connections.end(); ++each) {
-      const ConnectionUse use = use_of(*each);
+      const ConnectionUse use = connection_of(*each).use();
       if (MayYield(use, now) &&
           (chosen == connections.end() || YieldsBefore(use, chosen_use))) {
         chosen = each;
         chosen_use = use;
       }
     }
-    if (chosen == connections.end() || !has_unread_input(*chosen)) {
+    // A connection with unread input is busy from this call on.
+    if (chosen == connections.end() ||
+        !connection_of(*chosen).HasUnreadInput()) {
       return chosen;
     }
   }
--- a/jackdawshunt/http1/connection_use_test.cc
+++ b/jackdawshunt/http1/connection_use_test.cc
@@ -16,14 +16,36 @@
   return {.state = state, .since = kNow - ago};
 }
 
+class FakeConnection {
+ public:
+  explicit FakeConnection(ConnectionUse use, bool has_unread_input = false)
+      : use_(use), has_unread_input_(has_unread_input) {}
+
+  ConnectionUse use() const { return use_; }
+  bool HasUnreadInput() {
+    if (has_unread_input_) {
+      use_.state = ConnectionState::kBusy;
+    }
+    return has_unread_input_;
+  }
+
+ private:
+  ConnectionUse use_;
+  const bool has_unread_input_;
+};
+
 // Returns the index of the connection that yields, or the number of them.
-size_t Chosen(const std::vector<ConnectionUse>& connections) {
+size_t Chosen(std::vector<FakeConnection> connections) {
   return static_cast<size_t>(
-      ChooseYielding(
-          connections, kNow, [](const ConnectionUse& use) { return use; },
-          [](const ConnectionUse& /*use*/) { return false; }) -
+      ChooseYielding(connections, kNow,
+                     [](FakeConnection& connection) -> FakeConnection& {
+                       return connection;
+                     }) -
       connections.begin());
 }
+size_t Chosen(const std::vector<ConnectionUse>& uses) {
+  return Chosen(std::vector<FakeConnection>(uses.begin(), uses.end()));
+}
 
 TEST(ConnectionUseTest, IdleCallerYieldsBeforeASilentOne) {
   EXPECT_EQ(Chosen({Use(ConnectionState::kIdle, seconds(10)),
@@ -47,24 +69,15 @@
 // Guards against a connection that is closed before its request is read, or one
 // whose caller has just sent the next request.
 TEST(ConnectionUseTest, ConnectionWithAnUnreadRequestYields) {
-  std::vector<ConnectionUse> connections = {
-      Use(ConnectionState::kIdle, seconds(5)),
-      Use(ConnectionState::kSilent, milliseconds(2)),
-      Use(ConnectionState::kSilent, milliseconds(1))};
-  const auto chosen = [&connections](ConnectionState last_unread) {
-    return ChooseYielding(
-               connections, kNow, [](const ConnectionUse& use) { return use; },
-               [&](ConnectionUse& use) {
-                 const bool has_unread_input = use.state <= last_unread;
-                 if (has_unread_input) {
-                   use.state = ConnectionState::kBusy;
-                 }
-                 return has_unread_input;
-               }) -
-           connections.begin();
+  const auto chosen = [](bool is_idle_one_unread) {
+    return Chosen(std::vector<FakeConnection>{
+        FakeConnection(Use(ConnectionState::kIdle, seconds(5)),
+                       is_idle_one_unread),
+        FakeConnection(Use(ConnectionState::kSilent, milliseconds(2)), true),
+        FakeConnection(Use(ConnectionState::kSilent, milliseconds(1)), true)});
   };
-  EXPECT_EQ(chosen(ConnectionState::kSilent), 0);
-  EXPECT_EQ(chosen(ConnectionState::kIdle), 3);
+  EXPECT_EQ(chosen(false), 0u);
+  EXPECT_EQ(chosen(true), 3u);
 }
 
 TEST(ConnectionUseTest, BusyConnectionYields) {
--- a/jackdawshunt/http1/server.cc
+++ b/jackdawshunt/http1/server.cc
@@ -607,8 +607,7 @@
   if (connections_.size() >= options_.max_connections) {
     const auto yielding = ChooseYielding(
         connections_, loop_.clock().Now(),
-        [](const auto& row) { return row.second->use(); },
-        [](const auto& row) { return row.second->HasUnreadInput(); });
+        [](const auto& row) -> ServerConnection& { return *row.second; });
     if (yielding == connections_.end()) {
       close(fd);
       return;
